--- a/packages/hickorywharf-bench/src/deployment/startDeployment.ts
+++ b/packages/hickorywharf-bench/src/deployment/startDeployment.ts
@@ -15,6 +15,10 @@
   readonly program: string;
   /** Directory for settings, logs and the history. */
   readonly directory: string;
+  /** Settings of a process that differ from the usual, by section and key. */
+  readonly getSettings?: (name: string) => Sections;
+  /** Fields of a stand-in that differ from the usual. */
+  readonly getStandIn?: (name: string) => Readonly<Record<string, unknown>>;
 }
 
 /** A deployment that runs on loopback. */
@@ -108,6 +112,7 @@
         name: `${name}-backend`,
         kind: backend,
         port: backendPorts.get(name)!,
+        ...options.getStandIn?.(name),
       })),
     ];
     writeFileSync(
@@ -178,7 +183,12 @@
 
   async function start(name: string): Promise<void> {
     const file = path.join(directory, `${name}.ini`);
-    writeFileSync(file, toIni(createSections(name)));
+    const sections = createSections(name);
+    const changed = options.getSettings?.(name) ?? {};
+    for (const [section, values] of Object.entries(changed)) {
+      sections[section] = {...sections[section], ...values};
+    }
+    writeFileSync(file, toIni(sections));
     const role = plan.entries.includes(name) ? 'entry' : 'endpoint';
     processes.set(name, startProgram(name, [role, '--settings', file]));
     await list(name, true);
--- /dev/null
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -0,0 +1,5 @@
+import type {Experiment} from './experiment.ts';
+
+/** The experiments by name, each loaded only when it is run. */
+export const experiments: Readonly<Record<string, () => Promise<Experiment>>> =
+  {};
--- a/packages/hickorywharf/src/commands/commands.ts
+++ b/packages/hickorywharf/src/commands/commands.ts
@@ -8,6 +8,8 @@
     (await import('./checkSettingsCommand.ts')).checkSettingsCommand,
   'check-history': async () =>
     (await import('./checkHistoryCommand.ts')).checkHistoryCommand,
+  experiment: async () =>
+    (await import('./experimentCommand.ts')).experimentCommand,
   apply: async () => (await import('./applyCommand.ts')).applyCommand,
   'stand-in': async () => (await import('./standInCommand.ts')).standInCommand,
 };
