Run the platform's stand-ins apart from those of backends

Cause: in one process, streams of the engine stand-ins would delay the store's answers in measurements. Change: one process for store and instance list, as many for backends as an experiment asks for.

--- a/packages/hickorywharf-bench/src/deployment/startDeployment.ts
+++ b/packages/hickorywharf-bench/src/deployment/startDeployment.ts
@@ -17,6 +17,8 @@
   readonly directory: string;
   /** Settings of a process that differ from the usual, by section and key. */
   readonly getSettings?: (name: string) => Sections;
+  /** Processes that the stand-ins of backends are spread over (default 1). */
+  readonly standInProcesses?: number;
   /** Fields of a stand-in that differ from the usual. */
   readonly getStandIn?: (name: string) => Readonly<Record<string, unknown>>;
 }
@@ -98,28 +100,30 @@
     return startProcess({program, words, logFile});
   }
 
-  function writeStandIns(): string {
-    const file = path.join(directory, 'stand-ins.json');
-    const standIns = [
-      {name: 'store', kind: 'store', port: storePort},
-      {
-        name: 'instances',
-        kind: 'instances',
-        port: instancesPort,
-        lagMilliseconds: LIST_LAG_MILLISECONDS,
-      },
-      ...plan.endpoints.map(({name, backend}) => ({
+  function startStandIns(
+    name: string,
+    standIns: readonly unknown[],
+  ): StartedProcess {
+    const file = path.join(directory, `${name}.json`);
+    const content = {address: ADDRESS, historyFile, standIns};
+    writeFileSync(file, JSON.stringify(content));
+    return startProgram(name, ['stand-in', file]);
+  }
+
+  function startBackends(): StartedProcess[] {
+    const groups = options.standInProcesses ?? 1;
+    return Array.from({length: groups}, (_, group) => {
+      const members = plan.endpoints.filter(
+        (_endpoint, index) => index % groups === group,
+      );
+      const standIns = members.map(({name, backend}) => ({
         name: `${name}-backend`,
         kind: backend,
         port: backendPorts.get(name)!,
         ...options.getStandIn?.(name),
-      })),
-    ];
-    writeFileSync(
-      file,
-      JSON.stringify({address: ADDRESS, historyFile, standIns}),
-    );
-    return file;
+      }));
+      return startStandIns(`backends-${group}`, standIns);
+    });
   }
 
   function getFailureDomain(name: string): string {
@@ -230,7 +234,16 @@
     }
   }
 
-  const standIns = startProgram('stand-ins', ['stand-in', writeStandIns()]);
+  const platform = startStandIns('platform', [
+    {name: 'store', kind: 'store', port: storePort},
+    {
+      name: 'instances',
+      kind: 'instances',
+      port: instancesPort,
+      lagMilliseconds: LIST_LAG_MILLISECONDS,
+    },
+  ]);
+  const standIns = [platform, ...startBackends()];
   await waitFor(isStoreUp);
   await Promise.all(names.map(start));
 
@@ -255,8 +268,8 @@
       }, STOP_MILLISECONDS);
       await Promise.all([...processes.values()].map(({exited}) => exited));
       clearTimeout(timer);
-      standIns.signal('SIGTERM');
-      await standIns.exited;
+      for (const standIn of standIns) standIn.signal('SIGTERM');
+      await Promise.all(standIns.map(({exited}) => exited));
     },
   };
 }
