Split the runners of both roles into modules

Cause: runEntry and runEndpoint were closures of 250 lines, and four faults hid in them. An entry that came back under its name shared a slot with its dead predecessor, so that the end of the old connection took the new one's sender away and, 3 s later, withdrew its attempts. The silence of a peer was never noticed while this process wrote heartbeats, since a Node socket's time-out starts anew with each write. A stop exited while a slow caller still had bytes to take. A caller that read slowly was cut at 4 MiB. Change: connections are compared by identity and entries known by incarnation; silence is counted from the last bytes received; the client compares the name in hello; a stop waits for open responses and undelivered outcomes; tokens of a slow caller wait as they are and are pulled. Mutual TLS from [tls].

--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -9,12 +9,16 @@
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
 import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
+import {loadTlsCredentials} from 'hickorywharf-transport/loadTlsCredentials';
 import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {Clock} from 'hickorywharf-utils/clock';
+import {createEventLoop} from 'hickorywharf-utils/createEventLoop';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
+import {createBackendRunner} from './createBackendRunner.ts';
+import {createEntryPeers} from './createEntryPeers.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
 
 interface RunEndpointOptions {
@@ -54,6 +58,8 @@
       `[queue] order: allowed are ${Object.keys(queuePolicies).join(', ')}`,
     );
   }
+  const credentials = loadTlsCredentials(settings.tls);
+  if (credentials.isErr()) throw new Error(credentials.error.message);
   const core = createEndpointCore({
     name,
     incarnation,
@@ -64,9 +70,10 @@
     retentionBytes: settings.queue.retentionBytes,
     homeParts: settings.homes.parts,
   });
-  const backend = backendKinds[settings.backend.kind](settings.backend.url);
-  const running = new Map<string, AbortController>();
-  const peers = new Map<string, (frame: Frame) => boolean>();
+  const peers = createEntryPeers({
+    onGone: (peer) => feed({tag: 'peerGone', peer}),
+    getNow: clock.monotonic,
+  });
 
   const keeper = createConfigurationKeeper({
     onInForce(view) {
@@ -87,39 +94,19 @@
     departureNoted = isLeaving;
   }
 
-  function startBackend(
-    command: Extract<EndpointCommand, {tag: 'startBackend'}>,
-  ): void {
-    const {attempt, remainingMilliseconds} = command;
-    const {attemptId} = attempt;
-    const controller = new AbortController();
-    running.set(attemptId, controller);
-    const onTokens = (tokens: readonly string[]) =>
-      feed({tag: 'backendTokens', attemptId, tokens});
-    const {signal} = controller;
-    void backend.run({attempt, remainingMilliseconds, onTokens, signal}).match(
-      (output) => {
-        running.delete(attemptId);
-        feed({tag: 'backendFinished', attemptId, output});
-      },
-      ({outcome, message, step, peer}) => {
-        running.delete(attemptId);
-        const {requestId} = attempt;
-        logger.warn({requestId, step, peer, outcome}, message);
-        feed({tag: 'backendFailed', attemptId, outcome, message});
-      },
-    );
-  }
-
   type CommandHandlers = {
     [Tag in EndpointCommand['tag']]: (
       command: Extract<EndpointCommand, {tag: Tag}>,
     ) => void;
   };
   const commandHandlers: CommandHandlers = {
-    send: ({peer, frame}) => void peers.get(peer)?.(frame),
-    startBackend,
-    cancelBackend: ({attemptId}) => running.get(attemptId)?.abort(),
+    send({peer, frame}) {
+      const attempt =
+        'attemptId' in frame ? core.state.attempts.get(frame.attemptId) : null;
+      peers.send(peer, frame, attempt?.deadlineAt ?? 0);
+    },
+    startBackend: (command) => runner.start(command),
+    cancelBackend: ({attemptId}) => runner.cancel(attemptId),
     accepted: ({attempt: {requestId, attemptId}}) =>
       history.record({
         tag: 'attemptAccepted',
@@ -129,14 +116,17 @@
       }),
   };
 
-  function feed(event: EndpointEvent): void {
-    for (const command of core.handle(event, clock.monotonic())) {
+  const feed = createEventLoop<EndpointEvent, EndpointCommand>({
+    decide: (event) => core.handle(event, clock.monotonic()),
+    execute(command) {
       const handler = commandHandlers[command.tag] as (
         command: EndpointCommand,
       ) => void;
       handler(command);
-    }
-  }
+    },
+  });
+  const backend = backendKinds[settings.backend.kind](settings.backend.url);
+  const runner = createBackendRunner({backend, logger, feed});
 
   function createHeartbeat(): Frame {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
@@ -148,38 +138,30 @@
     };
   }
 
-  function sendHeartbeats(): void {
-    const heartbeat = createHeartbeat();
-    for (const send of peers.values()) send(heartbeat);
-  }
+  const sendHeartbeats = () => peers.sendAll(createHeartbeat());
 
   const server = await createPeerServer({
     ...settings.listen,
     identity: {name, incarnation, role: 'endpoint', failureDomain},
+    credentials: credentials.value,
     handlers: {
-      onUp(peer, send) {
-        peers.set(peer.name, send);
-        keeper.addPeer(peer.name, send);
-        send(createHeartbeat());
+      onUp(connection) {
+        peers.add(connection);
+        keeper.addPeer(connection.peer.incarnation, connection.send);
+        connection.send(createHeartbeat());
       },
-      onFrame(peer, frame) {
-        if (keeper.takeFrame(peer.name, frame)) return;
-        feed({tag: 'frameArrived', peer: peer.name, frame});
+      onFrame({peer: {incarnation: peer}}, frame) {
+        if (keeper.takeFrame(peer, frame)) return;
+        feed({tag: 'frameArrived', peer, frame});
       },
-      onDown(peer) {
-        peers.delete(peer.name);
-        keeper.removePeer(peer.name);
-        void forgetPeerLater(peer.name);
+      onDown(connection) {
+        const isLast = peers.remove(connection);
+        if (isLast) keeper.removePeer(connection.peer.incarnation);
       },
       onError: (error) => logger.warn(error, error.message),
     },
   });
 
-  async function forgetPeerLater(peer: string): Promise<void> {
-    await sleep(TRANSPORT_LIMITS.silenceMilliseconds);
-    if (!peers.has(peer)) feed({tag: 'peerGone', peer});
-  }
-
   const homeKeeper = createHomeKeeper({
     settings,
     incarnation,
@@ -197,7 +179,8 @@
   );
 
   async function finishWork(): Promise<void> {
-    while (core.state.running + core.state.queued > 0) {
+    const {state} = core;
+    while (state.running + state.queued > 0 || peers.hasUndelivered()) {
       await sleep(STOP_POLL_MILLISECONDS);
     }
   }
@@ -213,7 +196,7 @@
       await finishWork();
       clearInterval(ticker);
       clearInterval(beater);
-      server.close();
+      await server.close();
     },
   };
 }
--- /dev/null
+++ b/packages/hickorywharf-entry/src/createEndpointLinks.ts
@@ -0,0 +1,88 @@
+import type bunyan from 'bunyan';
+import type {EntryCommand} from 'hickorywharf-decisions/entry/entryCommand';
+import type {Connection} from 'hickorywharf-transport/connection';
+import {createPeerClient} from 'hickorywharf-transport/createPeerClient';
+import type {TlsCredentials} from 'hickorywharf-transport/tlsCredentials';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+
+interface EndpointLinksOptions {
+  readonly identity: ProcessIdentity;
+  readonly credentials: TlsCredentials | null;
+  readonly logger: bunyan;
+  /** Numbers in [0, 1), to spread reconnections. */
+  readonly random: () => number;
+  readonly onUp: (connection: Connection) => void;
+  readonly onFrame: (endpoint: string, frame: Frame) => void;
+  readonly onDown: (endpoint: string) => void;
+}
+
+interface EndpointLinks {
+  /** Endpoints that are connected. */
+  readonly size: number;
+  connect(command: Extract<EntryCommand, {tag: 'connect'}>): void;
+  disconnect(endpoint: string): void;
+  /** False only where no byte of the frame was, or will be, written. */
+  send(endpoint: string, frame: Frame): boolean;
+  sendAll(frame: Frame): void;
+  close(): void;
+}
+
+/**
+ * The connections of an entry with endpoint processes, by endpoint name.
+ *
+ * @example
+ *     const links = createEndpointLinks(options);
+ *     links.send('desk-1', frame);
+ */
+export function createEndpointLinks(
+  options: EndpointLinksOptions,
+): EndpointLinks {
+  const {identity, credentials, logger, random} = options;
+  const clients = new Map<string, {close(): void}>();
+  const connections = new Map<string, Connection>();
+
+  function disconnect(endpoint: string): void {
+    clients.get(endpoint)?.close();
+    clients.delete(endpoint);
+  }
+
+  return {
+    get size() {
+      return connections.size;
+    },
+    connect({endpoint, address, port}) {
+      disconnect(endpoint);
+      const client = createPeerClient({
+        name: endpoint,
+        address,
+        port,
+        identity,
+        credentials,
+        random,
+        handlers: {
+          onUp(connection) {
+            connections.set(endpoint, connection);
+            options.onUp(connection);
+          },
+          onFrame: (_connection, frame) => options.onFrame(endpoint, frame),
+          onDown(connection) {
+            if (connections.get(endpoint) !== connection) return;
+            connections.delete(endpoint);
+            options.onDown(endpoint);
+          },
+          onError: (error) => logger.warn(error, error.message),
+        },
+      });
+      clients.set(endpoint, client);
+    },
+    disconnect,
+    send: (endpoint, frame) => connections.get(endpoint)?.send(frame) ?? false,
+    sendAll(frame) {
+      for (const connection of connections.values()) connection.send(frame);
+    },
+    close() {
+      for (const endpoint of [...clients.keys()]) disconnect(endpoint);
+    },
+  };
+}
--- a/packages/hickorywharf-entry/src/createHttpApplication.ts
+++ b/packages/hickorywharf-entry/src/createHttpApplication.ts
@@ -20,6 +20,7 @@
     callId: string | null,
   ) => void;
   readonly onCallerGone: (requestId: string) => void;
+  readonly onError: (error: Error) => void;
 }
 
 function toResponse(error: ServeError, requestId: string): Response {
@@ -29,7 +30,9 @@
 
 function createReceiveError(
   variant:
-    {tag: 'bodyTooLarge'; limitBytes: number} | {tag: 'unsupportedMediaType'},
+    | {tag: 'bodyTooLarge'; limitBytes: number}
+    | {tag: 'unsupportedMediaType'}
+    | {tag: 'unknownPath'},
   message: string,
 ): ServeError {
   return {...variant, step: 'receive', peer: null, outcome: 'notRun', message};
@@ -90,10 +93,33 @@
       const caller = isStream
         ? createStreamCaller(requestId, onGone)
         : createWholeCaller(requestId);
-      context.env.outgoing.once('close', onGone);
+      const {outgoing} = context.env;
+      outgoing.once('close', onGone);
       submit(arrival, caller, headers.get('call-id'));
+      // The caller may have gone while its body was read.
+      if (outgoing.destroyed) onGone();
       return caller.response;
     },
   );
+  application.notFound(() =>
+    toResponse(
+      createReceiveError({tag: 'unknownPath'}, 'Nothing is at this path.'),
+      '',
+    ),
+  );
+  application.onError((error) => {
+    options.onError(error);
+    const message = 'The entry met an error of its own.';
+    return toResponse(
+      {
+        tag: 'internalError',
+        step: 'receive',
+        peer: null,
+        outcome: 'unknown',
+        message,
+      },
+      '',
+    );
+  });
   return application;
 }
--- a/packages/hickorywharf-entry/src/createStreamCaller.ts
+++ b/packages/hickorywharf-entry/src/createStreamCaller.ts
@@ -1,5 +1,6 @@
 import type {Caller} from './caller.ts';
 import {createAnswer} from './createAnswer.ts';
+import {createPulledStream} from './createPulledStream.ts';
 import {problemFor} from './problemFor.ts';
 
 interface StreamCaller extends Caller {
@@ -7,14 +8,18 @@
   readonly response: Promise<Response>;
 }
 
-/** Unsent bytes after which a caller is taken to read no more. */
-const MAXIMUM_BUFFERED_BYTES = 4 * 1024 * 1024;
+function formatEvent(event: string, data: unknown): string {
+  return `event: ${event}\ndata: ${JSON.stringify(data)}\n\n`;
+}
 
 /**
  * Answers a request as server-sent events: `tokens`, then `answer` or
  * `problem`. A failure before the first token is a plain problem document.
+ * Tokens that a slow caller has not taken yet wait as they are and go out in
+ * one event, so that a slow caller costs only its own tokens and holds up no
+ * other.
  *
- * @param onGone called when the caller cancels or reads too slowly
+ * @param onGone called when the caller cancels
  * @example
  *     createStreamCaller('r-1', onGone).deliverTokens(0, ['reel']);
  */
@@ -22,67 +27,58 @@
   requestId: string,
   onGone: () => void,
 ): StreamCaller {
-  const encoder = new TextEncoder();
   const {promise, resolve} = Promise.withResolvers<Response>();
-  let controller: ReadableStreamDefaultController<Uint8Array> | null = null;
+  const waiting: string[] = [];
+  let waitingPosition = 0;
+  let ending: string | null = null;
+  let isOpen = false;
+
+  function takeNext(): string | null {
+    if (waiting.length === 0) return null;
+    const position = waitingPosition;
+    const tokens = waiting.splice(0);
+    waitingPosition += tokens.length;
+    return formatEvent('tokens', {position, tokens});
+  }
+
+  const stream = createPulledStream({
+    takeNext,
+    getEnding: () => ending,
+    onCancelled: onGone,
+  });
 
-  function open(): ReadableStreamDefaultController<Uint8Array> {
-    if (controller !== null) return controller;
-    const strategy = new ByteLengthQueuingStrategy({
-      highWaterMark: MAXIMUM_BUFFERED_BYTES,
-    });
-    const stream = new ReadableStream<Uint8Array>(
-      {
-        start(started) {
-          controller = started;
-        },
-        cancel: onGone,
-      },
-      strategy,
-    );
+  function open(): void {
+    if (isOpen) return;
+    isOpen = true;
     const headers = {
       'content-type': 'text/event-stream',
       'cache-control': 'no-store',
       'request-id': requestId,
     };
-    resolve(new Response(stream, {headers}));
-    return controller!;
+    resolve(new Response(stream.readable, {headers}));
   }
 
-  function send(event: string, data: unknown): void {
-    const opened = open();
-    // The buffer is one caller's own; its overflow must hold up no other.
-    if ((opened.desiredSize ?? 0) <= 0) {
-      onGone();
-      return;
-    }
-    const text = `event: ${event}\ndata: ${JSON.stringify(data)}\n\n`;
-    opened.enqueue(encoder.encode(text));
-  }
-
-  function close(): void {
-    try {
-      controller?.close();
-    } catch {
-      // The caller has cancelled the stream already.
-    }
+  function end(event: string, data: unknown): void {
+    ending = formatEvent(event, data);
+    stream.wake();
   }
 
   return {
     response: promise,
-    deliverTokens: (position, tokens) => send('tokens', {position, tokens}),
+    deliverTokens(position, tokens) {
+      if (waiting.length === 0) waitingPosition = position;
+      waiting.push(...tokens);
+      open();
+      stream.wake();
+    },
     answer(outputs) {
-      send('answer', createAnswer(requestId, outputs));
-      close();
+      open();
+      end('answer', createAnswer(requestId, outputs));
     },
     fail(error) {
       const {status, headers, body} = problemFor(error, requestId);
-      if (controller === null) {
-        resolve(new Response(JSON.stringify(body), {status, headers}));
-        return;
-      }
-      send('problem', body);
-      close();
+      if (isOpen) end('problem', body);
+      else resolve(new Response(JSON.stringify(body), {status, headers}));
     },
   };
 }
--- /dev/null
+++ b/packages/hickorywharf-entry/src/describeUnready.ts
@@ -0,0 +1,23 @@
+interface Readiness {
+  readonly stopping: boolean;
+  /** Sequence of the configuration in force; 0 for none. */
+  readonly sequence: number;
+  readonly connectedPeers: number;
+}
+
+/**
+ * Why an entry is not ready to take requests, or null where it is.
+ *
+ * @example
+ *     describeUnready({stopping: false, sequence: 3, connectedPeers: 2}); // null
+ */
+export function describeUnready(readiness: Readiness): string | null {
+  const {stopping, sequence, connectedPeers} = readiness;
+  if (stopping) return 'stopping: requests in flight are being finished';
+  if (sequence > 0) return null;
+  const peers =
+    connectedPeers === 0
+      ? 'no peer is connected'
+      : `${connectedPeers} peers are connected and have given none yet`;
+  return `no configuration yet: the store has given none and ${peers}`;
+}
--- a/packages/hickorywharf-entry/src/problemFor.ts
+++ b/packages/hickorywharf-entry/src/problemFor.ts
@@ -36,6 +36,9 @@
   peerLost: {status: 502, title: 'Endpoint lost', retryable: true},
   backendFailed: {status: 502, title: 'Backend failed', retryable: true},
   callerGone: {status: 499, title: 'Caller gone', retryable: true},
+  unknownPath: {status: 404, title: 'Unknown path', retryable: false},
+  unknownRequest: {status: 404, title: 'Unknown request', retryable: false},
+  internalError: {status: 500, title: 'Internal error', retryable: true},
 };
 
 const UNKNOWN_STATUS = 502;
--- a/packages/hickorywharf-entry/src/readRequest.ts
+++ b/packages/hickorywharf-entry/src/readRequest.ts
@@ -21,6 +21,7 @@
 
 const MAXIMUM_KEY_LENGTH = 255;
 const MAXIMUM_DEADLINE_MILLISECONDS = 3_600_000;
+const TRACEPARENT = /^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$/;
 const BEARER = /^Bearer ([!-~]{1,512})$/;
 
 function toInvalid(field: string, message: string): ServeError {
@@ -55,6 +56,12 @@
   return err(toInvalid('Idempotency-Key', message));
 }
 
+/** A trace context that is not well formed is left out, as W3C asks. */
+function readTraceparent(headers: Headers): string | null {
+  const traceparent = headers.get('traceparent') ?? '';
+  return TRACEPARENT.test(traceparent) ? traceparent : null;
+}
+
 function readBody(text: string) {
   if (isTooDeep(text)) return err(toInvalid('body', 'Nested too deep.'));
   let json: unknown;
@@ -105,7 +112,7 @@
           idempotencyKey,
           bodyDigest: idempotencyKey === null ? null : digest(text),
           deadlineMilliseconds,
-          traceparent: headers.get('traceparent'),
+          traceparent: readTraceparent(headers),
         },
       })),
     ),
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {serve} from '@hono/node-server';
 import type bunyan from 'bunyan';
 import {createConfigurationKeeper} from 'hickorywharf-configuration/createConfigurationKeeper';
 import {watchConfiguration} from 'hickorywharf-configuration/watchConfiguration';
@@ -9,20 +8,24 @@
 import {routingPolicies} from 'hickorywharf-decisions/entry/policies/routingPolicies';
 import {isConfigurationWatcher} from 'hickorywharf-decisions/membership/isConfigurationWatcher';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
-import {fetchInstances} from 'hickorywharf-platform/fetchInstances';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
-import {createPeerClient} from 'hickorywharf-transport/createPeerClient';
+import {loadTlsCredentials} from 'hickorywharf-transport/loadTlsCredentials';
 import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {Instance} from 'hickorywharf-types/instance';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {Clock} from 'hickorywharf-utils/clock';
+import {createEventLoop} from 'hickorywharf-utils/createEventLoop';
 import {createUuid7} from 'hickorywharf-utils/createUuid7';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {entrySettings} from 'hickorywharf-validation/entrySettings';
 import type {z} from 'zod';
-import type {Caller} from './caller.ts';
+import {createCallers} from './createCallers.ts';
+import {createEndpointLinks} from './createEndpointLinks.ts';
 import {createHttpApplication} from './createHttpApplication.ts';
+import {createHttpServer} from './createHttpServer.ts';
+import {describeUnready} from './describeUnready.ts';
+import {followInstances} from './followInstances.ts';
 
 interface RunEntryOptions {
   readonly settings: z.infer<typeof entrySettings>;
@@ -40,8 +43,22 @@
 
 const TICK_MILLISECONDS = 10;
 const STOP_POLL_MILLISECONDS = 20;
+/** How long finished answers wait at a stop for callers that read slowly. */
+const STOP_DELIVERY_MILLISECONDS = 30_000;
 const HOME_PARTS = 32;
 
+type CommandHandlers = {
+  [Tag in EntryCommand['tag']]: (
+    command: Extract<EntryCommand, {tag: Tag}>,
+  ) => void;
+};
+
+function checkSettings(settings: RunEntryOptions['settings']): void {
+  if (Object.hasOwn(routingPolicies, settings.policy.routing)) return;
+  const allowed = Object.keys(routingPolicies).join(', ');
+  throw new Error(`[policy] routing: allowed are ${allowed}`);
+}
+
 /**
  * Runs an entry until it is stopped.
  *
@@ -54,12 +71,10 @@
 ): Promise<RunningEntry> {
   const {settings, logger, history, clock, random} = options;
   const {name, failureDomain} = settings.process;
+  checkSettings(settings);
+  const credentials = loadTlsCredentials(settings.tls);
+  if (credentials.isErr()) throw new Error(credentials.error.message);
   const incarnation = randomUUID();
-  if (!Object.hasOwn(routingPolicies, settings.policy.routing)) {
-    throw new Error(
-      `[policy] routing: allowed are ${Object.keys(routingPolicies).join(', ')}`,
-    );
-  }
   const identity: ProcessIdentity = {
     name,
     incarnation,
@@ -74,9 +89,7 @@
     maximumRequests: settings.limits.requestsInFlight,
     random,
   });
-  const callers = new Map<string, Caller>();
-  const clients = new Map<string, {close(): void}>();
-  const senders = new Map<string, (frame: Frame) => boolean>();
+  const callers = createCallers({history, logger});
   const lifetime = new AbortController();
   let instances: readonly Instance[] = [];
   let stopping = false;
@@ -89,102 +102,64 @@
     },
   });
 
-  function connectEndpoint(
-    command: Extract<EntryCommand, {tag: 'connect'}>,
-  ): void {
-    const {endpoint, address, port} = command;
-    const client = createPeerClient({
-      address,
-      port,
-      identity,
-      random,
-      handlers: {
-        onUp(peer, send) {
-          senders.set(endpoint, send);
-          keeper.addPeer(endpoint, send);
-          feed({
-            tag: 'endpointConnected',
-            endpoint,
-            incarnation: peer.incarnation,
-          });
-        },
-        onFrame(_peer, frame) {
-          if (keeper.takeFrame(endpoint, frame)) return;
-          feed({tag: 'frameArrived', endpoint, frame});
-        },
-        onDown() {
-          senders.delete(endpoint);
-          keeper.removePeer(endpoint);
-          feed({tag: 'endpointLost', endpoint});
-        },
-        onError: (error) => logger.warn(error, error.message),
-      },
-    });
-    clients.set(endpoint, client);
-  }
-
-  function sendFrame(command: Extract<EntryCommand, {tag: 'send'}>): void {
-    const {endpoint, frame} = command;
-    const isSent = senders.get(endpoint)?.(frame) ?? false;
-    if (isSent || frame.tag !== 'attempt') return;
-    feed({tag: 'attemptNotSent', endpoint, attemptId: frame.attemptId});
-  }
-
-  type CommandHandlers = {
-    [Tag in EntryCommand['tag']]: (
-      command: Extract<EntryCommand, {tag: Tag}>,
-    ) => void;
-  };
-  const commandHandlers: CommandHandlers = {
-    send: sendFrame,
-    connect: connectEndpoint,
-    disconnect({endpoint}) {
-      clients.get(endpoint)?.close();
-      clients.delete(endpoint);
+  const links = createEndpointLinks({
+    identity,
+    credentials: credentials.value,
+    logger,
+    random,
+    onUp({peer, send}) {
+      const {name: endpoint, incarnation: peerIncarnation} = peer;
+      keeper.addPeer(endpoint, send);
+      feed({
+        tag: 'endpointConnected',
+        endpoint,
+        incarnation: peerIncarnation,
+      });
     },
-    deliverTokens: ({requestId, position, tokens}) =>
-      callers.get(requestId)?.deliverTokens(position, tokens),
-    answer({requestId, outputs}) {
-      const caller = callers.get(requestId);
-      callers.delete(requestId);
-      history.record({tag: 'requestFinished', requestId, outcome: 'answered'});
-      caller?.answer(outputs);
+    onFrame(endpoint, frame) {
+      if (keeper.takeFrame(endpoint, frame)) return;
+      feed({tag: 'frameArrived', endpoint, frame});
     },
-    fail({requestId, error}) {
-      const caller = callers.get(requestId);
-      callers.delete(requestId);
-      const {outcome, step, peer} = error;
-      history.record({tag: 'requestFinished', requestId, outcome});
-      logger.info(
-        {requestId, step, peer, outcome, tag: error.tag},
-        error.message,
-      );
-      caller?.fail(error);
+    onDown(endpoint) {
+      keeper.removePeer(endpoint);
+      feed({tag: 'endpointLost', endpoint});
+    },
+  });
+
+  const commandHandlers: CommandHandlers = {
+    send({endpoint, frame}) {
+      if (links.send(endpoint, frame) || frame.tag !== 'attempt') return;
+      feed({tag: 'attemptNotSent', endpoint, attemptId: frame.attemptId});
     },
+    connect: links.connect,
+    disconnect: ({endpoint}) => links.disconnect(endpoint),
+    deliverTokens: callers.deliverTokens,
+    answer: callers.answer,
+    fail: callers.fail,
   };
 
-  function feed(event: EntryEvent): void {
-    for (const command of core.handle(event, clock.monotonic())) {
+  const feed = createEventLoop<EntryEvent, EntryCommand>({
+    decide: (event) => core.handle(event, clock.monotonic()),
+    execute(command) {
       const handler = commandHandlers[command.tag] as (
         command: EntryCommand,
       ) => void;
       handler(command);
-    }
-  }
-
-  function getUnreadyReason(): string | null {
-    if (stopping) return 'stopping';
-    if (keeper.sequence === 0) return 'no configuration yet';
-    return null;
-  }
+    },
+  });
 
   const application = createHttpApplication({
     maximumBodyBytes: settings.limits.bodyBytes,
     createRequestId: () => createUuid7(clock.wall()),
-    getUnreadyReason,
+    getUnreadyReason: () =>
+      describeUnready({
+        stopping,
+        sequence: keeper.sequence,
+        connectedPeers: links.size,
+      }),
     submit(arrival, caller, callId) {
       const {requestId, idempotencyKey} = arrival;
-      callers.set(requestId, caller);
+      callers.add(requestId, caller);
       history.record({
         tag: 'requestAccepted',
         requestId,
@@ -196,21 +171,20 @@
     onCallerGone(requestId) {
       if (callers.has(requestId)) feed({tag: 'callerGone', requestId});
     },
+    onError: (error) =>
+      logger.error({step: 'receive', peer: null}, error.message),
   });
 
-  async function followInstances(): Promise<void> {
-    const {instancesUrl, instancesPollMilliseconds} = settings.platform;
-    while (!lifetime.signal.aborted) {
-      const listed = await fetchInstances(instancesUrl);
-      if (listed.isOk()) {
-        instances = listed.value;
-        feed({tag: 'instancesListed', instances});
-      }
-      await sleep(instancesPollMilliseconds * (0.75 + random() / 2));
-    }
-  }
-
-  void followInstances();
+  void followInstances({
+    url: settings.platform.instancesUrl,
+    pollMilliseconds: settings.platform.instancesPollMilliseconds,
+    random,
+    signal: lifetime.signal,
+    onListed(listed) {
+      instances = listed;
+      feed({tag: 'instancesListed', instances});
+    },
+  });
   void watchConfiguration({
     store: createStoreClient(settings.platform.storeUrl),
     takeEntries: keeper.takeEntries,
@@ -227,32 +201,26 @@
       load: null,
       configurationSequence: keeper.sequence,
     };
-    for (const send of senders.values()) send(heartbeat);
+    links.sendAll(heartbeat);
   }, TRANSPORT_LIMITS.heartbeatMilliseconds);
-
-  const {promise: listening, resolve: onListening} =
-    Promise.withResolvers<number>();
-  const server = serve(
-    {
-      fetch: application.fetch,
-      hostname: settings.http.address,
-      port: settings.http.port,
-    },
-    ({port}) => onListening(port),
-  );
+  const server = await createHttpServer({
+    fetch: application.fetch,
+    ...settings.http,
+  });
 
   return {
-    port: await listening,
+    port: server.port,
     async stop() {
       stopping = true;
+      server.startLeaving();
       await sleep(settings.stop.balancerMilliseconds);
-      server.close();
+      server.stopListening();
       while (callers.size > 0) await sleep(STOP_POLL_MILLISECONDS);
+      await server.finishResponses(STOP_DELIVERY_MILLISECONDS);
       clearInterval(ticker);
       clearInterval(beater);
       lifetime.abort();
-      for (const client of clients.values()) client.close();
-      await sleep(STOP_POLL_MILLISECONDS);
+      links.close();
     },
   };
 }
--- a/packages/hickorywharf-transport/src/createPeerClient.ts
+++ b/packages/hickorywharf-transport/src/createPeerClient.ts
@@ -1,22 +1,38 @@
-import {connect, type Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {ConnectionHandlers} from './connectionHandlers.ts';
+import {openSocket} from './openSocket.ts';
 import {runConnection} from './runConnection.ts';
+import type {TlsCredentials} from './tlsCredentials.ts';
 import {TRANSPORT_LIMITS} from './transportLimits.ts';
 
 interface PeerClientOptions {
+  /** Name of the process that is expected at the address. */
+  readonly name: string;
   readonly address: string;
   readonly port: number;
   readonly identity: ProcessIdentity;
   readonly handlers: ConnectionHandlers;
+  readonly credentials?: TlsCredentials | null;
   /** Numbers in [0, 1), to spread reconnections. */
   readonly random: () => number;
+  readonly silenceMilliseconds?: number;
 }
 
 interface PeerClient {
   close(): void;
 }
 
+/** Failures of a connection that say nothing about its security. */
+const PLAIN_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'ECONNRESET',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EPIPE',
+  'ETIMEDOUT',
+]);
+
 /**
  * Keeps a connection to another process of the system, and makes it anew with
  * jittered, growing pauses.
@@ -26,26 +42,46 @@
  *     client.close();
  */
 export function createPeerClient(options: PeerClientOptions): PeerClient {
-  const {address, port, identity, handlers, random} = options;
+  const {name, address, port, identity, handlers, random} = options;
+  const credentials = options.credentials ?? null;
   let socket: Socket | null = null;
   let closed = false;
   let pause: number = TRANSPORT_LIMITS.reconnectMinimumMilliseconds;
+  let reconnection: NodeJS.Timeout | undefined;
 
   function scheduleReconnect(): void {
     if (closed) return;
-    setTimeout(open, pause * (0.5 + random()));
+    reconnection = setTimeout(open, pause * (0.5 + random()));
     pause = Math.min(pause * 2, TRANSPORT_LIMITS.reconnectMaximumMilliseconds);
   }
 
+  function reportSecurity(error: NodeJS.ErrnoException): void {
+    if (credentials === null || PLAIN_CODES.has(error.code ?? '')) return;
+    const {message} = error;
+    handlers.onError({
+      tag: 'secureConnection',
+      step: 'connect',
+      peer: name,
+      message,
+    });
+  }
+
   function open(): void {
-    if (closed) return;
-    const opened = connect({host: address, port});
+    const opened = openSocket({address, port, credentials});
     socket = opened;
-    runConnection(opened, identity, {
-      ...handlers,
-      onUp(peer, send) {
-        pause = TRANSPORT_LIMITS.reconnectMinimumMilliseconds;
-        handlers.onUp(peer, send);
+    opened.on('error', reportSecurity);
+    runConnection({
+      socket: opened,
+      identity,
+      expectedPeer: name,
+      silenceMilliseconds:
+        options.silenceMilliseconds ?? TRANSPORT_LIMITS.silenceMilliseconds,
+      handlers: {
+        ...handlers,
+        onUp(connection) {
+          pause = TRANSPORT_LIMITS.reconnectMinimumMilliseconds;
+          handlers.onUp(connection);
+        },
       },
     });
     opened.on('close', scheduleReconnect);
@@ -55,6 +91,7 @@
   return {
     close() {
       closed = true;
+      clearTimeout(reconnection);
       socket?.end();
     },
   };
--- a/packages/hickorywharf-transport/src/createPeerServer.ts
+++ b/packages/hickorywharf-transport/src/createPeerServer.ts
@@ -1,18 +1,68 @@
-import {createServer, type Socket} from 'node:net';
+import {createServer, type Server, type Socket} from 'node:net';
+import {createServer as createSecureServer} from 'node:tls';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+import {sleep} from 'hickorywharf-utils/sleep';
 import type {ConnectionHandlers} from './connectionHandlers.ts';
 import {runConnection} from './runConnection.ts';
+import type {TlsCredentials} from './tlsCredentials.ts';
+import {TRANSPORT_LIMITS} from './transportLimits.ts';
 
 interface PeerServerOptions {
   readonly address: string;
   readonly port: number;
   readonly identity: ProcessIdentity;
   readonly handlers: ConnectionHandlers;
+  readonly credentials?: TlsCredentials | null;
+  readonly silenceMilliseconds?: number;
 }
 
 interface PeerServer {
   readonly port: number;
-  close(): void;
+  /** Resolves once the peers have taken what was sent, or the wait is over. */
+  close(): Promise<void>;
+}
+
+function createListener(
+  options: PeerServerOptions,
+  onSocket: (socket: Socket) => void,
+): Server {
+  const credentials = options.credentials ?? null;
+  if (credentials === null) return createServer(onSocket);
+  const server = createSecureServer(
+    {
+      cert: credentials.certificate,
+      key: credentials.key,
+      ca: credentials.authority,
+      requestCert: true,
+      rejectUnauthorized: true,
+    },
+    onSocket,
+  );
+  server.on('tlsClientError', ({message}, socket) => {
+    const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+    options.handlers.onError({
+      tag: 'secureConnection',
+      step: 'connect',
+      peer,
+      message,
+    });
+  });
+  return server;
+}
+
+async function closeSockets(sockets: ReadonlySet<Socket>): Promise<void> {
+  const closed = [...sockets].map(
+    (socket) =>
+      new Promise<void>((resolve) => {
+        socket.once('close', () => resolve());
+        socket.end();
+      }),
+  );
+  await Promise.race([
+    Promise.all(closed),
+    sleep(TRANSPORT_LIMITS.closeMilliseconds),
+  ]);
+  for (const socket of sockets) socket.destroy();
 }
 
 /**
@@ -26,10 +76,17 @@
 ): Promise<PeerServer> {
   const {address, port, identity, handlers} = options;
   const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
+  const server = createListener(options, (socket) => {
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
-    runConnection(socket, identity, handlers);
+    runConnection({
+      socket,
+      identity,
+      handlers,
+      expectedPeer: null,
+      silenceMilliseconds:
+        options.silenceMilliseconds ?? TRANSPORT_LIMITS.silenceMilliseconds,
+    });
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -39,7 +96,7 @@
         port: typeof bound === 'object' && bound !== null ? bound.port : port,
         close() {
           server.close();
-          for (const socket of sockets) socket.end();
+          return closeSockets(sockets);
         },
       });
     });
--- a/packages/hickorywharf-transport/src/transportError.ts
+++ b/packages/hickorywharf-transport/src/transportError.ts
@@ -1,7 +1,14 @@
-/** Why bytes from a peer could not be read. */
+/** Why a connection with a peer could not be made, or had to be closed. */
 export interface TransportError {
-  readonly tag: 'frameTooLarge' | 'malformedFrame' | 'protocolVersion';
-  readonly step: 'receive';
+  readonly tag:
+    | 'frameTooLarge'
+    | 'malformedFrame'
+    | 'protocolVersion'
+    | 'wrongPeer'
+    | 'peerSilent'
+    | 'peerReadsTooSlowly'
+    | 'secureConnection';
+  readonly step: 'connect' | 'receive' | 'send';
   readonly peer: string;
   readonly message: string;
 }
--- a/packages/hickorywharf-transport/src/transportLimits.ts
+++ b/packages/hickorywharf-transport/src/transportLimits.ts
@@ -4,11 +4,13 @@
   protocolMaximum: 1,
   maximumFrameBytes: 8 * 1024 * 1024,
   /** A connection with more unsent bytes is closed and made anew. */
-  maximumUnsentBytes: 64 * 1024 * 1024,
+  maximumUnsentBytes: 16 * 1024 * 1024,
   heartbeatMilliseconds: 500,
   /** Silence after which a connection is taken for lost. */
   silenceMilliseconds: 3000,
   helloMilliseconds: 2000,
   reconnectMinimumMilliseconds: 50,
   reconnectMaximumMilliseconds: 2000,
+  /** How long a closing server waits for its last bytes to be taken. */
+  closeMilliseconds: 2000,
 } as const;
--- a/packages/hickorywharf-types/src/serveError.ts
+++ b/packages/hickorywharf-types/src/serveError.ts
@@ -30,4 +30,7 @@
     | {readonly tag: 'peerLost'}
     | {readonly tag: 'backendFailed'}
     | {readonly tag: 'callerGone'}
+    | {readonly tag: 'unknownPath'}
+    | {readonly tag: 'unknownRequest'}
+    | {readonly tag: 'internalError'}
   );
--- a/packages/hickorywharf-validation/src/commonSections.ts
+++ b/packages/hickorywharf-validation/src/commonSections.ts
@@ -49,4 +49,17 @@
       port: port.default(0),
     })
     .prefault({}),
+  tls: z
+    .strictObject({
+      /** PEM files; all three for mutual TLS, none for plain TCP. */
+      certificateFile: z.string().default(''),
+      keyFile: z.string().default(''),
+      authorityFile: z.string().default(''),
+    })
+    .refine(
+      (files) =>
+        new Set(Object.values(files).map((file) => file === '')).size === 1,
+      'set certificateFile, keyFile and authorityFile, or none of them',
+    )
+    .prefault({}),
 };
--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -12,6 +12,7 @@
   metrics: commonSections.metrics,
   traces: commonSections.traces,
   operators: commonSections.operators,
+  tls: commonSections.tls,
   http: z.strictObject({address, port}),
   limits: z
     .strictObject({
@@ -19,7 +20,8 @@
         .number()
         .int()
         .min(1024)
-        .max(64 * 1024 * 1024)
+        // A body goes on in one frame between our processes, of 8 MiB at most.
+        .max(4 * 1024 * 1024)
         .default(1024 * 1024),
       requestsInFlight: z.coerce.number().int().min(1).default(2000),
     })
