Close faults of a request's life and provoke each in a test

Cause, by reading the cores and feeding them events: - An endpoint process that had forgotten a finished action's row (after 30 s, or over its memory bound) answered recover with attemptUnknown and the tombstone with neverRan: the caller was told 'not run' of an action that ran. - A refused action's frame that came again could be accepted. - An entry overruled the list's 'leaving' with the next heartbeat, never followed an endpoint to a new address, took its own pause for silence of its peers, sent no second tombstone after a reconnect, sent an action again within the tombstone's margin, and failed an action that its home did not know though time was left. - A superseded generation was not cancelled; neither was the attempt whose predecessor's result was adopted. - An engine that counted other tokens than it gave left the request hanging. - A late attempt that shared its key with a joined action was never refused; a late running attempt was cancelled anew with each event. A caller's maximumTokens no longer exceeds its stage's.

--- a/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
@@ -89,6 +89,7 @@
     ...options,
     attempts: createTable(),
     tombstones: createTable(),
+    begunActions: createTable(),
     actions: createTable(),
     homes: createTable(),
     releases: createTable(),
--- a/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
@@ -2,6 +2,11 @@
 export const ENDPOINT_LIMITS = {
   /** How long a tombstone refuses a delayed frame, in milliseconds. */
   tombstoneMilliseconds: 600_000,
+  /**
+   * How long it is remembered that an attempt of an action began: longer than
+   * any deadline, so that "never ran" is never said of it.
+   */
+  begunActionMilliseconds: 7_200_000,
   /** How long a finished action's answer is kept for its key. */
   actionMilliseconds: 600_000,
   /** Actions kept at most. */
--- a/packages/hickorywharf-decisions/src/endpoint/endpointRows.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointRows.ts
@@ -15,6 +15,8 @@
     readonly arrivedAt: number;
     readonly deadlineAt: number;
     startedAt: number;
+    /** True once the backend was told to cancel the attempt. */
+    cancelled: boolean;
     /** Tokens so far, from position `firstPosition`. */
     readonly tokens: string[];
     readonly firstPosition: number;
@@ -24,6 +26,12 @@
   };
   /** A refusal to come: the attempt's frame may still be under way. */
   tombstone: {readonly attemptId: string; readonly writtenAt: number};
+  /** An action's attempt that began and whose own row was forgotten. */
+  begunAction: {
+    readonly attemptId: string;
+    readonly idempotencyKey: string;
+    readonly writtenAt: number;
+  };
   /** A non-idempotent key that this home has taken. */
   action: {
     readonly idempotencyKey: string;
--- a/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
@@ -15,6 +15,7 @@
   readonly homeParts: number;
   readonly attempts: Table<EndpointRows['attempt']>;
   readonly tombstones: Table<EndpointRows['tombstone']>;
+  readonly begunActions: Table<EndpointRows['begunAction']>;
   readonly actions: Table<EndpointRows['action']>;
   /** By `pool/part`, the newest interval known of each part. */
   readonly homes: Table<EndpointRows['home']>;
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/handleAttempt.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handleAttempt.ts
@@ -40,6 +40,7 @@
     arrivedAt: now,
     deadlineAt: now + frame.remainingMilliseconds,
     startedAt: 0,
+    cancelled: false,
     tokens: [],
     firstPosition: frame.input.continuation?.length ?? 0,
     ending: null,
@@ -97,6 +98,16 @@
   insertAttempt(state, peer, frame, now, 'joined');
 }
 
+/** What was said not to have run must not run when its frame comes again. */
+function noteRefusal(
+  state: EndpointState,
+  {attemptId, idempotent}: AttemptFrame,
+  now: number,
+): void {
+  if (idempotent) return;
+  state.tombstones.insert(attemptId, {attemptId, writtenAt: now});
+}
+
 /**
  * Takes an attempt into the queue or refuses it, truly not run.
  *
@@ -130,6 +141,7 @@
         ? null
         : findActionRefusal(state, frame);
   if (refusal !== null) {
+    noteRefusal(state, frame, now);
     state.commands.push({tag: 'send', peer, frame: refusal});
     return;
   }
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/handleBackend.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handleBackend.ts
@@ -1,4 +1,5 @@
 import type {Frame} from 'hickorywharf-types/frame';
+import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import {endAttempt} from '../endAttempt.ts';
 import type {EndpointEvent} from '../endpointEvent.ts';
 import type {EndpointRows} from '../endpointRows.ts';
@@ -36,6 +37,12 @@
   }
 }
 
+/** A generation is whole only where each of its tokens came through. */
+function isWhole(attempt: AttemptRow, output: StageOutput): boolean {
+  const given = attempt.firstPosition + attempt.tokens.length;
+  return output.kind !== 'generate' || output.tokenCount === given;
+}
+
 function finish(
   state: EndpointState,
   attempt: AttemptRow,
@@ -74,6 +81,16 @@
   ): void {
     const attempt = state.attempts.get(event.attemptId);
     if (attempt?.state !== 'running') return;
+    if (!isWhole(attempt, event.output)) {
+      const message = 'The engine counted other tokens than it gave.';
+      const {attemptId} = attempt;
+      handleBackend.backendFailed(
+        state,
+        {tag: 'backendFailed', attemptId, outcome: 'unknown', message},
+        now,
+      );
+      return;
+    }
     const ending: EndingFrame = {
       tag: 'result',
       ...getKey(attempt),
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/handlePeerFrame.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handlePeerFrame.ts
@@ -1,6 +1,7 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {EndpointState} from '../endpointState.ts';
 import {handleAttempt} from './handleAttempt.ts';
+import {findEnding} from './findEnding.ts';
 import {withdrawAttempt} from './withdrawAttempt.ts';
 
 type FrameOf<Tag> = Extract<Frame, {tag: Tag}>;
@@ -23,6 +24,9 @@
 ): void {
   const {requestId, stageIndex, attemptId} = frame;
   const outcome = withdrawAttempt(state, frame, now);
+  // Its outcome may have been lost with a connection, and is still in time.
+  const ending = outcome === 'begun' ? findEnding(state, frame) : null;
+  if (ending !== null) state.commands.push({tag: 'send', peer, frame: ending});
   state.commands.push({
     tag: 'send',
     peer,
@@ -43,14 +47,11 @@
 ): void {
   const {requestId, stageIndex, attemptId, fromPosition} = frame;
   const attempt = state.attempts.get(attemptId);
-  if (attempt === undefined) {
-    const unknown: Frame = {
-      tag: 'attemptUnknown',
-      requestId,
-      stageIndex,
-      attemptId,
-    };
-    state.commands.push({tag: 'send', peer, frame: unknown});
+  if (attempt === undefined || attempt.peer !== peer) {
+    const key = {requestId, stageIndex, attemptId};
+    const known = attempt === undefined ? findEnding(state, frame) : null;
+    const answer: Frame = known ?? {tag: 'attemptUnknown', ...key};
+    state.commands.push({tag: 'send', peer, frame: answer});
     return;
   }
   const skipped = Math.max(0, fromPosition - attempt.firstPosition);
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/withdrawAttempt.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/withdrawAttempt.ts
@@ -1,5 +1,6 @@
 import type {AttemptKey} from 'hickorywharf-types/attemptKey';
 import {createRefusal} from '../createRefusal.ts';
+import {cancelAttempt} from '../cancelAttempt.ts';
 import {endAttempt} from '../endAttempt.ts';
 import type {EndpointRows} from '../endpointRows.ts';
 import type {EndpointState} from '../endpointState.ts';
@@ -35,6 +36,7 @@
   const {attemptId} = key;
   const attempt = state.attempts.get(attemptId);
   if (attempt === undefined) {
+    if (state.begunActions.has(attemptId)) return 'begun';
     state.tombstones.insert(attemptId, {attemptId, writtenAt: now});
     return 'neverRan';
   }
@@ -43,8 +45,6 @@
     return 'neverRan';
   }
   if (attempt.ending?.tag === 'refused') return 'neverRan';
-  if (attempt.state === 'running' && attempt.frame.idempotent) {
-    state.commands.push({tag: 'cancelBackend', attemptId});
-  }
+  if (attempt.frame.idempotent) cancelAttempt(state, attempt);
   return 'begun';
 }
--- a/packages/hickorywharf-decisions/src/endpoint/systems/expireAttempts.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/systems/expireAttempts.ts
@@ -1,3 +1,4 @@
+import {cancelAttempt} from '../cancelAttempt.ts';
 import {createRefusal} from '../createRefusal.ts';
 import {endAttempt} from '../endAttempt.ts';
 import type {EndpointRows} from '../endpointRows.ts';
@@ -11,7 +12,8 @@
   const {frame} = attempt;
   const action = state.actions.get(frame.idempotencyKey ?? '');
   // Another request waits for the same action and may have a later deadline.
-  if (action !== undefined && action.joined.length > 0) return;
+  const isOwn = action?.attemptId === attempt.attemptId;
+  if (isOwn && action.joined.length > 0) return;
   if (!frame.idempotent) state.actions.remove(frame.idempotencyKey ?? '');
   endAttempt(state, attempt, createRefusal(frame, 'cannotFinish'), now);
 }
@@ -27,9 +29,6 @@
   for (const attempt of [...state.attempts.rows()]) {
     if (attempt.deadlineAt > now) continue;
     if (attempt.state === 'queued') refuseLate(state, attempt, now);
-    if (attempt.state === 'running' && attempt.frame.idempotent) {
-      const {attemptId} = attempt;
-      state.commands.push({tag: 'cancelBackend', attemptId});
-    }
+    if (attempt.frame.idempotent) cancelAttempt(state, attempt);
   }
 }
--- a/packages/hickorywharf-decisions/src/endpoint/systems/forgetOutcomes.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/systems/forgetOutcomes.ts
@@ -1,6 +1,30 @@
 import {ENDPOINT_LIMITS} from '../endpointLimits.ts';
+import type {EndpointRows} from '../endpointRows.ts';
 import type {EndpointState} from '../endpointState.ts';
 
+/** What is left of an attempt: a delayed frame of it must not begin it. */
+function leaveTrace(
+  state: EndpointState,
+  attempt: EndpointRows['attempt'],
+  now: number,
+): void {
+  const {attemptId, frame, ending} = attempt;
+  const didNotRun =
+    ending?.tag === 'refused' ||
+    (ending?.tag === 'failed' && ending.outcome === 'notRun');
+  const hasBegun = !frame.idempotent && !didNotRun;
+  if (!hasBegun) {
+    state.tombstones.insert(attemptId, {attemptId, writtenAt: now});
+    return;
+  }
+  const idempotencyKey = frame.idempotencyKey ?? '';
+  state.begunActions.insert(attemptId, {
+    attemptId,
+    idempotencyKey,
+    writtenAt: now,
+  });
+}
+
 function forgetAttempts(state: EndpointState, now: number): void {
   for (const attempt of state.attempts.rows()) {
     if (attempt.state !== 'finished') continue;
@@ -9,9 +33,15 @@
     if (!isOld && !isOverBound) continue;
     state.retainedBytes -= attempt.bytes;
     state.attempts.remove(attempt.attemptId);
-    // A frame of the attempt that was delayed this long must not begin it.
-    const {attemptId} = attempt;
-    state.tombstones.insert(attemptId, {attemptId, writtenAt: now});
+    leaveTrace(state, attempt, now);
+  }
+}
+
+function forgetBegunActions(state: EndpointState, now: number): void {
+  const limit = ENDPOINT_LIMITS.begunActionMilliseconds;
+  for (const {attemptId, writtenAt} of state.begunActions.rows()) {
+    if (now - writtenAt < limit) return;
+    state.begunActions.remove(attemptId);
   }
 }
 
@@ -44,5 +74,6 @@
 export function forgetOutcomes(state: EndpointState, now: number): void {
   forgetAttempts(state, now);
   forgetTombstones(state, now);
+  forgetBegunActions(state, now);
   forgetActions(state, now);
 }
--- a/packages/hickorywharf-decisions/src/entry/completeStage.ts
+++ b/packages/hickorywharf-decisions/src/entry/completeStage.ts
@@ -1,4 +1,5 @@
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
+import {cancelAttempt} from './cancelAttempt.ts';
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
@@ -35,6 +36,9 @@
   now: number,
 ): void {
   learnEstimate(state, request, now);
+  // The result may be that of an attempt which a later one superseded.
+  const current = state.attempts.get(request.currentAttemptId ?? '');
+  if (current !== undefined) cancelAttempt(state, current);
   request.outputs.push(output);
   request.stageIndex += 1;
   if (request.stageIndex >= request.pipeline.stages.length) {
--- a/packages/hickorywharf-decisions/src/entry/composeStageInput.ts
+++ b/packages/hickorywharf-decisions/src/entry/composeStageInput.ts
@@ -16,6 +16,14 @@
   return last?.kind === 'encode' ? last.vector : [];
 }
 
+/** The caller may ask for fewer tokens than the stage gives, not for more. */
+function getMaximumTokens(request: EntryRows['request']): number | undefined {
+  const limit = getCurrentStage(request).maximumTokens;
+  const asked = request.input.maximumTokens;
+  if (limit === undefined || asked === undefined) return asked ?? limit;
+  return Math.min(asked, limit);
+}
+
 type Composer = (request: EntryRows['request']) => StageInput;
 
 const COMPOSERS: Record<StageKind, Composer> = {
@@ -32,8 +40,7 @@
     text: request.input.text,
     documents: getDocuments(request.outputs),
     continuation: [...request.tokens],
-    maximumTokens:
-      request.input.maximumTokens ?? getCurrentStage(request).maximumTokens,
+    maximumTokens: getMaximumTokens(request),
   }),
   call: (request) => ({
     text: request.input.text,
--- a/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
+++ b/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
@@ -9,6 +9,7 @@
 import {handleFrame} from './handlers/handleFrame.ts';
 import {handleInstancesListed} from './handlers/handleInstancesListed.ts';
 import {handleRequestArrived} from './handlers/handleRequestArrived.ts';
+import {noteTick} from './noteTick.ts';
 import {removeAttempt} from './removeAttempt.ts';
 import {scheduleRetry} from './scheduleRetry.ts';
 import {dispatchRequests} from './systems/dispatchRequests.ts';
@@ -71,6 +72,13 @@
     if (request?.currentAttemptId !== attempt.attemptId) return;
     request.actionMayHaveRun = false;
     request.excluded.add(event.endpoint);
+    request.lastError = {
+      tag: 'peerLost',
+      step: 'route',
+      peer: event.endpoint,
+      outcome: getFailureOutcome(request),
+      message: 'The attempt could not be sent to the endpoint process.',
+    };
     scheduleRetry(request, now);
   },
   instancesListed: (state, event) =>
@@ -79,7 +87,7 @@
     const current = state.configuration?.sequence ?? 0;
     if (event.view.sequence > current) state.configuration = event.view;
   },
-  ticked: () => undefined,
+  ticked: (state, _event, now) => noteTick(state, now),
 };
 
 /** In the order in which they run on each tick. */
@@ -113,6 +121,7 @@
     retryTokens: ENTRY_LIMITS.maximumRetryTokens,
     inFlightByAccount: new Map(),
     nextIdentifier: 0,
+    tickedAt: null,
     commands: [],
   };
   return {
--- a/packages/hickorywharf-decisions/src/entry/entryLimits.ts
+++ b/packages/hickorywharf-decisions/src/entry/entryLimits.ts
@@ -14,6 +14,8 @@
   tombstoneMarginMilliseconds: 100,
   /** Silence after which an endpoint is given no new work. */
   silenceMilliseconds: 1500,
+  /** Time between two ticks from which on this process stood still. */
+  ownPauseMilliseconds: 500,
   /** Time a lost connection has to come back before a stage moves. */
   reconnectMilliseconds: 200,
   /** Weight of a new sample in an estimate of stage time. */
--- a/packages/hickorywharf-decisions/src/entry/entryRows.ts
+++ b/packages/hickorywharf-decisions/src/entry/entryRows.ts
@@ -58,7 +58,10 @@
     failureDomain: string;
     connected: boolean;
     incarnation: string;
+    /** By its own heartbeat or refusal. */
     leaving: boolean;
+    /** By the platform's list, which its own heartbeat does not overrule. */
+    listedLeaving: boolean;
     inFlight: number;
     load: LoadReport | null;
     loadAt: number;
--- a/packages/hickorywharf-decisions/src/entry/entryState.ts
+++ b/packages/hickorywharf-decisions/src/entry/entryState.ts
@@ -23,6 +23,8 @@
   readonly inFlightByAccount: Map<string, number>;
   readonly random: () => number;
   nextIdentifier: number;
+  /** Null before the first tick. */
+  tickedAt: number | null;
   readonly incarnation: string;
   commands: EntryCommand[];
 }
--- a/packages/hickorywharf-decisions/src/entry/finishRequest.ts
+++ b/packages/hickorywharf-decisions/src/entry/finishRequest.ts
@@ -1,4 +1,5 @@
 import type {ServeError} from 'hickorywharf-types/serveError';
+import {cancelAttempt} from './cancelAttempt.ts';
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
@@ -9,18 +10,10 @@
   else state.inFlightByAccount.set(account, inFlight);
 }
 
-function forgetAttempts(state: EntryState, requestId: string): void {
+function cancelAttempts(state: EntryState, requestId: string): void {
   for (const attempt of state.attempts.rows()) {
     if (attempt.requestId !== requestId) continue;
-    const {stageIndex, attemptId, endpoint} = attempt;
-    const endpointRow = state.endpoints.get(endpoint);
-    if (endpointRow !== undefined) endpointRow.inFlight -= 1;
-    state.attempts.remove(attemptId);
-    state.commands.push({
-      tag: 'send',
-      endpoint,
-      frame: {tag: 'cancel', requestId, stageIndex, attemptId},
-    });
+    cancelAttempt(state, attempt);
   }
 }
 
@@ -39,7 +32,7 @@
   request.phase = 'finished';
   state.requests.remove(requestId);
   releaseAccount(state, account);
-  forgetAttempts(state, requestId);
+  cancelAttempts(state, requestId);
   if (error !== null) {
     state.commands.push({tag: 'fail', requestId, error});
     return;
--- a/packages/hickorywharf-decisions/src/entry/getCandidates.ts
+++ b/packages/hickorywharf-decisions/src/entry/getCandidates.ts
@@ -25,7 +25,8 @@
     if (!isOfHalf(record.half, request.half)) continue;
     const endpoint = state.endpoints.get(record.name);
     if (endpoint === undefined || !endpoint.connected) continue;
-    if (endpoint.leaving || request.excluded.has(endpoint.name)) continue;
+    if (endpoint.leaving || endpoint.listedLeaving) continue;
+    if (request.excluded.has(endpoint.name)) continue;
     if (now - endpoint.heardAt > ENTRY_LIMITS.silenceMilliseconds) continue;
     candidates.push(endpoint);
   }
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleConnection.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleConnection.ts
@@ -11,6 +11,9 @@
   attempt: EntryRows['attempt'],
 ): void {
   const {requestId, stageIndex, attemptId, nextPosition} = attempt;
+  const request = state.requests.get(requestId);
+  // A tombstone may have been lost with the connection, and is sent again.
+  if (request !== undefined) request.tombstoneSent = false;
   state.commands.push({
     tag: 'send',
     endpoint: attempt.endpoint,
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -221,6 +221,7 @@
   state: EntryState,
   endpoint: string,
   frame: FrameOf<'tombstoned'>,
+  now: number,
 ): void {
   const attempt = findAttempt(state, endpoint, frame);
   const request = findCurrentRequest(state, attempt);
@@ -228,13 +229,7 @@
   if (frame.state === 'begun') return;
   removeAttempt(state, attempt);
   request.actionMayHaveRun = false;
-  finishRequest(state, request, {
-    tag: 'deadlineExceeded',
-    step: 'queue',
-    peer: endpoint,
-    outcome: getFailureOutcome(request),
-    message: 'The action could not begin within the deadline.',
-  });
+  scheduleRetry(request, now);
 }
 
 function takeAttemptUnknown(
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
@@ -1,4 +1,5 @@
 import type {Instance} from 'hickorywharf-types/instance';
+import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
 
 function addEndpoint(state: EntryState, instance: Instance): void {
@@ -10,7 +11,8 @@
     failureDomain,
     connected: false,
     incarnation: '',
-    leaving: instance.state === 'leaving',
+    leaving: false,
+    listedLeaving: instance.state === 'leaving',
     inFlight: 0,
     load: null,
     loadAt: 0,
@@ -20,6 +22,21 @@
   state.commands.push({tag: 'connect', endpoint: name, address, port});
 }
 
+function updateEndpoint(
+  state: EntryState,
+  known: EntryRows['endpoint'],
+  instance: Instance,
+): void {
+  known.listedLeaving = instance.state === 'leaving';
+  const {address, port} = instance;
+  const hasMoved = known.address !== address || known.port !== port;
+  // The list lags: where the process can be reached, it has not moved.
+  if (!hasMoved || known.connected) return;
+  known.address = address;
+  known.port = port;
+  state.commands.push({tag: 'connect', endpoint: known.name, address, port});
+}
+
 function hasAttempts(state: EntryState, endpoint: string): boolean {
   for (const attempt of state.attempts.rows()) {
     if (attempt.endpoint === endpoint) return true;
@@ -51,7 +68,7 @@
   for (const instance of endpoints) {
     const known = state.endpoints.get(instance.name);
     if (known === undefined) addEndpoint(state, instance);
-    else if (instance.state === 'leaving') known.leaving = true;
+    else updateEndpoint(state, known, instance);
   }
   removeMissing(state, new Set(endpoints.map(({name}) => name)));
 }
--- a/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
@@ -77,6 +77,7 @@
   request.currentAttemptId = attemptId;
   request.attemptsMade += 1;
   request.begun = true;
+  request.tombstoneSent = false;
   if (!stage.idempotent) request.actionMayHaveRun = true;
   state.commands.push({
     tag: 'send',
@@ -117,6 +118,23 @@
   };
 }
 
+/** Too late to begin an action, of which a tombstone could not be had. */
+function isTooLate(request: RequestRow, now: number): boolean {
+  const latest = request.deadlineAt - ENTRY_LIMITS.tombstoneMarginMilliseconds;
+  const hasTried = request.attemptsMade > 0;
+  return !getCurrentStage(request).idempotent && hasTried && now >= latest;
+}
+
+function refuseLate(state: EntryState, request: RequestRow): void {
+  finishRequest(state, request, {
+    tag: 'deadlineExceeded',
+    step: 'queue',
+    peer: request.lastError?.peer ?? null,
+    outcome: getFailureOutcome(request),
+    message: 'The action could not begin within the deadline.',
+  });
+}
+
 /**
  * Sends each stage that is ready to an endpoint.
  *
@@ -126,6 +144,10 @@
 export function dispatchRequests(state: EntryState, now: number): void {
   for (const request of [...state.requests.rows()]) {
     if (request.phase !== 'ready' || request.readyAt > now) continue;
+    if (isTooLate(request, now)) {
+      refuseLate(state, request);
+      continue;
+    }
     const {idempotent} = getCurrentStage(request);
     const isSpent =
       idempotent &&
--- a/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
@@ -1,3 +1,4 @@
+import {cancelAttempt} from '../cancelAttempt.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
@@ -15,7 +16,8 @@
 /**
  * Moves idempotent stages away from endpoints that fell silent, within the
  * retry budget. The old attempt stays known, so that its whole result can
- * still be taken if it comes first.
+ * still be taken if it comes first; a generation's never can, so that it is
+ * cancelled.
  *
  * @example
  *     supersedeLostAttempts(state, now);
@@ -33,5 +35,8 @@
     attempt.state = 'superseded';
     request.excluded.add(attempt.endpoint);
     scheduleRetry(request, now);
+    if (getCurrentStage(request).kind === 'generate') {
+      cancelAttempt(state, attempt);
+    }
   }
 }
