Keep the young generation small and start from cached code

Cause: an entry under its full load held 249 MB, most of it young garbage. Change: the binary runs with a 2 MB young generation and a code cache.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -28,12 +28,17 @@
 
 const configuration = path.join(output, 'sea.json');
 const blob = path.join(output, 'hickorywharf.blob');
+// A small young generation trades some collections for memory: each process
+// has 128 MB, and what it holds for a request lives some milliseconds.
+const YOUNG_GENERATION = '--max-semi-space-size=2';
 fs.writeFileSync(
   configuration,
   JSON.stringify({
     main: bundle,
     output: blob,
     disableExperimentalSEAWarning: true,
+    useCodeCache: true,
+    execArgv: [YOUNG_GENERATION],
   }),
 );
 execFileSync(node, ['--experimental-sea-config', configuration], {
