Let the store stand-in fail in the ways that the platform does

Change: leases that lapse, rate limits with refusals (400 writes and 2,000 reads a second), delayed, dropped and reversed watch events, backup and restore, calls counted by kind. A dropped event is now really lost: before, the watch's time-out still brought it.

--- a/packages/hickorywharf-standins/src/createStoreStandIn.ts
+++ b/packages/hickorywharf-standins/src/createStoreStandIn.ts
@@ -1,97 +1,108 @@
-import {Hono} from 'hono';
+import {Hono, type Context} from 'hono';
 import {sleep} from 'hickorywharf-utils/sleep';
+import {createRateLimit} from './store/createRateLimit.ts';
+import {createStoreState} from './store/createStoreState.ts';
+import {createWatchHub} from './store/createWatchHub.ts';
+import type {StoreFaults} from './store/storeFaults.ts';
 
-interface Item {
-  readonly key: string;
-  readonly value: unknown;
-  readonly revision: number;
-}
-
-/** What may be made to go wrong with the store. */
-interface StoreFaults {
-  /** Every call is refused. */
-  unavailable: boolean;
-  latencyMilliseconds: number;
-  /** The next so many writes take effect and their answers are lost. */
-  loseWriteAnswers: number;
-  /** The next so many changes are not told to watchers. */
-  dropWatchEvents: number;
-}
+type CallKind = 'get' | 'list' | 'write' | 'watch' | 'lease' | 'refused';
 
 interface StoreStandIn {
   readonly application: Hono;
   readonly faults: StoreFaults;
   /** Calls so far, by kind. */
-  readonly calls: Record<'get' | 'list' | 'write' | 'watch', number>;
+  readonly calls: Record<CallKind, number>;
+}
+
+/** What the platform's store takes: several hundred writes, 2,000 reads. */
+const WRITES_PER_SECOND = 400;
+const READS_PER_SECOND = 2000;
+const MAXIMUM_VALUE_BYTES = 1024 * 1024;
+const LEASE_POLL_MILLISECONDS = 50;
+
+function createFaults(): StoreFaults {
+  return {
+    unavailable: false,
+    latencyMilliseconds: 0,
+    loseWriteAnswers: 0,
+    dropWatchEvents: 0,
+    delayWatchMilliseconds: 0,
+    reverseWatchEvents: false,
+    lapseLeases: 0,
+    writesPerSecond: WRITES_PER_SECOND,
+    readsPerSecond: READS_PER_SECOND,
+  };
 }
 
 /**
  * A small stand-in of the platform's key-value service, in memory: reads,
- * compare-and-swap and watches over HTTP, with faults on demand.
+ * compare-and-swap, leases and watches over HTTP, with rate limits, and with
+ * faults on demand.
  *
  * @example
  *     const {application, faults} = createStoreStandIn();
  *     faults.loseWriteAnswers = 1;
  */
 export function createStoreStandIn(): StoreStandIn {
-  const items = new Map<string, Item>();
-  const faults: StoreFaults = {
-    unavailable: false,
-    latencyMilliseconds: 0,
-    loseWriteAnswers: 0,
-    dropWatchEvents: 0,
-  };
-  const calls = {get: 0, list: 0, write: 0, watch: 0};
-  const waiters = new Set<() => void>();
-  let revision = 0;
+  const now = () => performance.now();
+  const state = createStoreState(now);
+  const faults = createFaults();
+  const hub = createWatchHub(state, faults, now);
+  const calls = {get: 0, list: 0, write: 0, watch: 0, lease: 0, refused: 0};
+  const writes = createRateLimit(now);
+  const reads = createRateLimit(now);
 
-  function getChanged(prefix: string, after: number): Item[] {
-    return [...items.values()]
-      .filter((item) => item.key.startsWith(prefix) && item.revision > after)
-      .sort((left, right) => left.revision - right.revision);
+  function refuse(context: Context, status: 429 | 503, error: string) {
+    calls.refused += 1;
+    return context.json({error}, status);
   }
 
-  function tellWatchers(): void {
-    if (faults.dropWatchEvents > 0) {
-      faults.dropWatchEvents -= 1;
-      return;
+  function finishWrite(context: Context, isWritten: boolean, key: string) {
+    if (!isWritten) {
+      const current = state.get(key) ?? null;
+      return context.json({error: 'conflict', current}, 409);
     }
-    for (const wake of waiters) wake();
-  }
-
-  function waitForChange(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = () => {
-        waiters.delete(wake);
-        clearTimeout(timer);
-        resolve();
-      };
-      const timer = setTimeout(wake, milliseconds);
-      waiters.add(wake);
-    });
+    const {revision} = state;
+    hub.tell();
+    if (faults.loseWriteAnswers > 0) {
+      faults.loseWriteAnswers -= 1;
+      return context.json({error: 'the answer is lost'}, 500);
+    }
+    return context.json({revision});
   }
 
   const application = new Hono();
   application.put('/v1/faults', async (context) => {
     Object.assign(faults, await context.req.json());
-    if (faults.unavailable) for (const wake of waiters) wake();
+    if (faults.unavailable) hub.wake();
     return context.json(faults);
   });
   application.get('/v1/calls', (context) => context.json(calls));
-
-  application.use('/v1/keys/*', async (_context, next) => {
-    if (faults.latencyMilliseconds > 0) await sleep(faults.latencyMilliseconds);
-    await next();
+  application.post('/v1/backup', (context) => {
+    state.backUp();
+    return context.json({revision: state.revision});
   });
+  application.post('/v1/restore', (context) => {
+    state.restore();
+    return context.json({revision: state.revision});
+  });
+
   application.use('/v1/*', async (context, next) => {
-    if (faults.unavailable) return context.json({error: 'unavailable'}, 503);
+    if (faults.latencyMilliseconds > 0) await sleep(faults.latencyMilliseconds);
+    if (faults.unavailable) return refuse(context, 503, 'unavailable');
+    const isRead = context.req.method === 'GET';
+    const isTaken = isRead
+      ? reads.take(faults.readsPerSecond)
+      : writes.take(faults.writesPerSecond);
+    if (!isTaken) return refuse(context, 429, 'over the rate');
+    state.expireLeases();
     await next();
     return undefined;
   });
 
   application.get('/v1/keys/:key', (context) => {
     calls.get += 1;
-    const item = items.get(context.req.param('key'));
+    const item = state.get(context.req.param('key'));
     return item === undefined
       ? context.json({error: 'absent'}, 404)
       : context.json(item);
@@ -99,38 +110,59 @@
   application.get('/v1/keys', (context) => {
     calls.list += 1;
     const prefix = context.req.query('prefix') ?? '';
-    return context.json({items: getChanged(prefix, 0), revision});
+    const items = state.list(prefix, 0);
+    return context.json({items, revision: state.revision});
   });
   application.put('/v1/keys/:key', async (context) => {
+    calls.write += 1;
+    const text = await context.req.text();
+    if (text.length > MAXIMUM_VALUE_BYTES) {
+      return context.json({error: 'the value is over a megabyte'}, 413);
+    }
+    const key = context.req.param('key');
+    const expected = Number(context.req.query('expected') ?? '0');
+    const lease = context.req.query('lease') ?? null;
+    const {value} = JSON.parse(text) as {value: unknown};
+    const isWritten = state.write({key, value, expected, lease});
+    return finishWrite(context, isWritten, key);
+  });
+  application.delete('/v1/keys/:key', (context) => {
     calls.write += 1;
     const key = context.req.param('key');
     const expected = Number(context.req.query('expected') ?? '0');
-    const {value} = await context.req.json<{value: unknown}>();
-    const current = items.get(key);
-    if ((current?.revision ?? 0) !== expected) {
-      return context.json({error: 'conflict', current: current ?? null}, 409);
+    return finishWrite(context, state.write({key, expected}), key);
+  });
+  application.put('/v1/leases/:lease', (context) => {
+    calls.lease += 1;
+    const lease = context.req.param('lease');
+    const milliseconds = Number(context.req.query('milliseconds') ?? '0');
+    if (milliseconds > 0) {
+      state.grantLease(lease, milliseconds);
+      return context.json({});
     }
-    revision += 1;
-    items.set(key, {key, value, revision});
-    tellWatchers();
-    if (faults.loseWriteAnswers > 0) {
-      faults.loseWriteAnswers -= 1;
-      return context.json({error: 'the answer is lost'}, 500);
+    if (faults.lapseLeases > 0) {
+      faults.lapseLeases -= 1;
+      state.lapseLease(lease);
+      hub.tell();
     }
-    return context.json({revision});
+    return state.renewLease(lease)
+      ? context.json({})
+      : context.json({error: 'the lease has lapsed'}, 410);
   });
   application.get('/v1/watch', async (context) => {
     calls.watch += 1;
     const prefix = context.req.query('prefix') ?? '';
     const after = Number(context.req.query('after') ?? '0');
-    const end = Date.now() + Number(context.req.query('wait') ?? '0');
-    let changed = getChanged(prefix, after);
-    while (changed.length === 0 && Date.now() < end && !faults.unavailable) {
-      await waitForChange(end - Date.now());
-      changed = getChanged(prefix, after);
-    }
-    if (faults.unavailable) return context.json({error: 'unavailable'}, 503);
-    return context.json({items: changed, revision});
+    const milliseconds = Number(context.req.query('wait') ?? '0');
+    const answer = await hub.wait(prefix, after, milliseconds);
+    if (faults.unavailable) return refuse(context, 503, 'unavailable');
+    return context.json(answer);
   });
+
+  setInterval(() => {
+    const {revision} = state;
+    state.expireLeases();
+    if (state.revision > revision) hub.tell();
+  }, LEASE_POLL_MILLISECONDS).unref();
   return {application, faults, calls};
 }
