Bound the configuration log and follow it with few calls

Cause: the log in the store grew by a key with each change and was read whole at each start; a dropped watch event was never made good; each process sent each change to all peers. Excluded: deleting old entries, since a late create of a deleted sequence would be accepted and never in force. Shown by the tests beside the code, among them a compaction that is cut at each of its writes.

--- /dev/null
+++ b/packages/hickorywharf-configuration/src/__tests__/changeConfiguration.test.ts
@@ -0,0 +1,193 @@
+import test from 'ava';
+import {ok} from 'neverthrow';
+import {changeConfiguration} from '../changeConfiguration.ts';
+import {compactConfiguration} from '../compactConfiguration.ts';
+import {configurationKeys} from '../configurationKeys.ts';
+import {loadConfiguration} from '../loadConfiguration.ts';
+import {createMemoryStore} from './createMemoryStore.ts';
+
+type Store = ReturnType<typeof createMemoryStore>;
+
+let operations = 0;
+function createOperation(): string {
+  operations += 1;
+  return `operation-${operations}`;
+}
+
+function createEndpoint(name: string, pool: string) {
+  const document = {kind: 'endpoint', schemaVersion: 1, name, pool};
+  return {kind: 'endpoint', name, document};
+}
+
+function change(
+  store: Store,
+  name: string,
+  pool: string,
+  options: {base?: number; inForceSequence?: number} = {},
+) {
+  return changeConfiguration({
+    store,
+    createOperation,
+    plan: () => ok([createEndpoint(name, pool)]),
+    base: options.base ?? null,
+    inForceSequence: options.inForceSequence ?? 0,
+  });
+}
+
+async function load(store: Store) {
+  return (await loadConfiguration(store))._unsafeUnwrap();
+}
+
+async function getPools(store: Store): Promise<Record<string, string>> {
+  const {endpoints} = (await load(store)).log.getView();
+  return Object.fromEntries(
+    [...endpoints.values()].map(({name, pool}) => [name, pool]),
+  );
+}
+
+/** Lets another operator come first, once, between the read and the write. */
+function raceOnce(store: Store, name: string, pool: string): void {
+  store.beforeWrite = (key) => {
+    store.beforeWrite = () => undefined;
+    const entry = {
+      sequence: 2,
+      operation: 'racer',
+      changes: [createEndpoint(name, pool)],
+    };
+    store.state.write({key, value: entry, expected: 0});
+  };
+}
+
+test('a write whose answer is lost is accepted once', async (t) => {
+  const store = createMemoryStore();
+  store.loseWriteAnswers = 1;
+  const outcome = await change(store, 'desk-1', 'desks');
+  t.like(outcome, {tag: 'accepted', sequence: 1});
+  t.is((await load(store)).log.sequence, 1);
+});
+
+test('a store that is down is said to have taken nothing', async (t) => {
+  const store = createMemoryStore();
+  store.isDown = true;
+  t.is((await change(store, 'desk-1', 'desks')).tag, 'unavailable');
+  store.isDown = false;
+  t.is((await load(store)).log.sequence, 0);
+});
+
+test("another operator's disjoint change is built upon", async (t) => {
+  const store = createMemoryStore();
+  await change(store, 'desk-1', 'desks');
+  raceOnce(store, 'engine-1', 'engines');
+  const outcome = await change(store, 'desk-2', 'desks');
+  t.like(outcome, {tag: 'accepted', sequence: 3});
+  t.deepEqual(await getPools(store), {
+    'desk-1': 'desks',
+    'engine-1': 'engines',
+    'desk-2': 'desks',
+  });
+});
+
+test("another operator's change of the same record refuses", async (t) => {
+  const store = createMemoryStore();
+  await change(store, 'desk-1', 'desks');
+  raceOnce(store, 'desk-1', 'counters');
+  const outcome = await change(store, 'desk-1', 'lending');
+  t.like(outcome, {tag: 'refused', overlap: ['endpoint/desk-1']});
+  t.deepEqual(await getPools(store), {'desk-1': 'counters'});
+});
+
+test('a change planned on an older sequence is refused', async (t) => {
+  const store = createMemoryStore();
+  await change(store, 'desk-1', 'desks');
+  await change(store, 'desk-1', 'counters');
+  t.is((await change(store, 'desk-1', 'desks', {base: 1})).tag, 'refused');
+  t.is((await change(store, 'desk-1', 'desks', {base: 2})).tag, 'accepted');
+});
+
+test('a store behind what is in force is refused', async (t) => {
+  const store = createMemoryStore();
+  await change(store, 'desk-1', 'desks');
+  const options = {inForceSequence: 4};
+  t.is((await change(store, 'desk-2', 'desks', options)).tag, 'refused');
+});
+
+test('the log is compacted and its keys stay bounded', async (t) => {
+  const store = createMemoryStore();
+  const rounds = configurationKeys.slots + 300;
+  for (let round = 1; round <= rounds; round += 1) {
+    const outcome = await change(store, `desk-${round % 7}`, `pool-${round}`);
+    if (outcome.tag !== 'accepted') t.fail(JSON.stringify(outcome));
+  }
+  const {log, snapshotSequence} = await load(store);
+  t.is(log.sequence, rounds);
+  t.true(rounds - snapshotSequence <= 129);
+  const keys = store.state.list('configuration/', 0).length;
+  t.true(keys <= configurationKeys.slots + 2, `${keys} keys`);
+  t.is(Object.keys(await getPools(store)).length, 7);
+});
+
+test('an operator with an old view cannot write into a slot used anew', async (t) => {
+  const store = createMemoryStore();
+  await change(store, 'desk-1', 'desks');
+  const {nextRevision} = await load(store);
+  const rounds = configurationKeys.slots + 1;
+  for (let round = 0; round < rounds; round += 1) {
+    await change(store, 'desk-1', `pool-${round}`);
+  }
+  const written = await store.compareAndSwap(
+    configurationKeys.getLogKey(2),
+    {sequence: 2, operation: 'late', changes: []},
+    nextRevision,
+  );
+  t.true(written.isErr());
+});
+
+test('a compaction cut at any write leaves the configuration whole', async (t) => {
+  for (let cut = 0; cut < 6; cut += 1) {
+    const store = createMemoryStore();
+    for (let round = 0; round < 5; round += 1) {
+      await change(store, `desk-${round}`, 'desks');
+    }
+    const before = (await load(store)).log.getSnapshot();
+    await compactConfiguration(store, before, createOperation());
+    await change(store, 'desk-9', 'desks');
+    const {log} = await load(store);
+    let writes = 0;
+    store.beforeWrite = () => {
+      if (writes === cut) throw new Error('killed');
+      writes += 1;
+    };
+    const compacting = compactConfiguration(
+      store,
+      log.getSnapshot(),
+      createOperation(),
+    );
+    await compacting.catch(() => undefined);
+    store.beforeWrite = () => undefined;
+    const after = (await load(store)).log;
+    t.deepEqual(after.getSnapshot(), log.getSnapshot());
+  }
+});
+
+test('of two compactions the newer one stays', async (t) => {
+  const store = createMemoryStore();
+  await change(store, 'desk-1', 'desks');
+  const old = (await load(store)).log.getSnapshot();
+  await change(store, 'desk-2', 'desks');
+  const fresh = (await load(store)).log.getSnapshot();
+  const inner = store.beforeWrite;
+  let isRacing = false;
+  const raced: Promise<unknown>[] = [];
+  store.beforeWrite = (key) => {
+    if (isRacing || key !== configurationKeys.snapshotHead) return;
+    isRacing = true;
+    raced.push(compactConfiguration(store, fresh, 'fresh'));
+  };
+  await compactConfiguration(store, old, 'old');
+  await Promise.all(raced);
+  store.beforeWrite = inner;
+  await compactConfiguration(store, fresh, 'again');
+  const {log, snapshotSequence} = await load(store);
+  t.is(snapshotSequence, 2);
+  t.deepEqual(log.getSnapshot(), fresh);
+});
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/assignHalves.ts
@@ -0,0 +1,59 @@
+import {getDocumentKey} from 'hickorywharf-decisions/configuration/getDocumentKey';
+import {getNearestName} from 'hickorywharf-utils/getNearestName';
+import type {splitAssignment} from 'hickorywharf-validation/splitAssignment';
+import {err, ok, type Result} from 'neverthrow';
+import type {z} from 'zod';
+import type {Document} from './document.ts';
+
+type Assignment = z.infer<typeof splitAssignment>;
+
+/** The first schema version that knows halves. */
+const HALVES_SCHEMA_VERSION = 2;
+
+function listAssigned({halves}: Assignment): [key: string, half: string][] {
+  return Object.entries(halves).flatMap(([half, taken]) => [
+    ...taken.endpoints.map((name) => [`endpoint/${name}`, half]),
+    ...taken.accounts.map((name) => [`account/${name}`, half]),
+    ...taken.routes.map((name) => [`route/${name}`, half]),
+  ]) as [string, string][];
+}
+
+/**
+ * The declarations with each record assigned to its half. Records that the
+ * assignment does not name stay as they are.
+ *
+ * @returns the documents, or why the assignment cannot be used
+ * @example
+ *     assignHalves(documents, {halves: {labs: {endpoints: ['engine-1'],
+ *       accounts: [], routes: []}}});
+ */
+export function assignHalves(
+  documents: readonly Document[],
+  assignment: Assignment,
+): Result<Document[], string> {
+  const known = new Set(
+    documents.map(({kind, name}) => getDocumentKey(kind, name)),
+  );
+  const halves = new Map<string, string>();
+  for (const [key, half] of listAssigned(assignment)) {
+    if (!known.has(key)) {
+      const nearest = getNearestName(key, known);
+      const hint = nearest === null ? '' : `; did you mean '${nearest}'?`;
+      return err(`halves.${half}: no record '${key}' is declared${hint}`);
+    }
+    const other = halves.get(key);
+    if (other !== undefined) {
+      return err(`halves.${half}: '${key}' is assigned to ${other} already`);
+    }
+    halves.set(key, half);
+  }
+  return ok(
+    documents.map((document) => {
+      const half = halves.get(getDocumentKey(document.kind, document.name));
+      if (half === undefined) return document;
+      const version = Number(document['schemaVersion']);
+      const schemaVersion = Math.max(version, HALVES_SCHEMA_VERSION);
+      return {...document, schemaVersion, half};
+    }),
+  );
+}
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/catchUp.ts
@@ -0,0 +1,40 @@
+import type {StoreClient} from 'hickorywharf-platform/storeClient';
+import type {StoreError} from 'hickorywharf-platform/storeError';
+import {err, ok, type Result} from 'neverthrow';
+import type {ConfigurationKeeper} from './configurationKeeper.ts';
+import {readSnapshot} from './readSnapshot.ts';
+import {readTail} from './readTail.ts';
+
+/**
+ * Brings a process forward to what the store holds: by the part of the log
+ * that it has not seen, or by the snapshot where that part was overwritten.
+ *
+ * @returns the revision after which a watch misses no entry
+ * @example
+ *     await catchUp(store, keeper);
+ */
+export async function catchUp(
+  store: StoreClient,
+  keeper: ConfigurationKeeper,
+): Promise<Result<number, StoreError>> {
+  const log = {
+    get sequence() {
+      return keeper.sequence;
+    },
+    applyEntries(entries: Parameters<typeof keeper.takeEntries>[0]) {
+      const before = keeper.sequence;
+      keeper.takeEntries(entries);
+      return keeper.sequence > before;
+    },
+  };
+  if (keeper.sequence > 0) {
+    const tail = await readTail(store, log);
+    if (tail.isErr()) return err(tail.error);
+    if (!keeper.hasGap) return ok(tail.value.watchRevision);
+  }
+  const read = await readSnapshot(store);
+  if (read.isErr()) return err(read.error);
+  if (read.value.snapshot !== null) keeper.takeSnapshot(read.value.snapshot);
+  const tail = await readTail(store, log);
+  return tail.map(({watchRevision}) => watchRevision);
+}
--- a/packages/hickorywharf-configuration/src/createConfigurationKeeper.ts
+++ b/packages/hickorywharf-configuration/src/createConfigurationKeeper.ts
@@ -1,21 +1,18 @@
 import {createConfigurationLog} from 'hickorywharf-decisions/configuration/createConfigurationLog';
 import type {ConfigurationView} from 'hickorywharf-decisions/configuration/configurationView';
+import {relayPolicies} from 'hickorywharf-decisions/configuration/relayPolicies';
 import type {ConfigurationEntry} from 'hickorywharf-types/configurationEntry';
 import type {Frame} from 'hickorywharf-types/frame';
+import type {ConfigurationKeeper} from './configurationKeeper.ts';
+import {createFrameCounter} from './createFrameCounter.ts';
+import {findUnreadable} from './findUnreadable.ts';
 
 interface ConfigurationKeeperOptions {
   /** Called each time a newer configuration is in force. */
   readonly onInForce: (view: ConfigurationView) => void;
-}
-
-interface ConfigurationKeeper {
-  readonly sequence: number;
-  /** Takes entries that were read from the store. */
-  takeEntries(entries: readonly ConfigurationEntry[]): void;
-  /** Takes a frame of a peer; false where it is not about configuration. */
-  takeFrame(peer: string, frame: Frame): boolean;
-  addPeer(peer: string, send: (frame: Frame) => boolean): void;
-  removePeer(peer: string): void;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+  readonly relay: keyof typeof relayPolicies;
 }
 
 interface Peer {
@@ -24,88 +21,168 @@
   sequence: number;
 }
 
+/** A fetch without an answer for this long may be made from another peer. */
+const FETCH_MILLISECONDS = 300;
+/** Changes that come within this time are passed on together. */
+const ANNOUNCE_MILLISECONDS = 20;
+
 /**
  * Keeps the configuration in force in one process and passes each change on to
  * the peers that it is connected with. Peers compare sequence numbers with
  * each heartbeat, so that a lost frame is made good.
  *
  * @example
- *     const keeper = createConfigurationKeeper({onInForce});
+ *     const keeper = createConfigurationKeeper({onInForce, now, relay: 'announce'});
  *     keeper.takeEntries(entries);
  */
 export function createConfigurationKeeper(
   options: ConfigurationKeeperOptions,
 ): ConfigurationKeeper {
+  const {onInForce, now} = options;
+  const relay = relayPolicies[options.relay];
   const log = createConfigurationLog();
   const peers = new Map<string, Peer>();
+  const counter = createFrameCounter();
+  let fetch = {sequence: 0, at: 0};
+  let announcing = false;
+
+  function send(peer: Peer, frame: Frame): boolean {
+    const isSent = peer.send(frame);
+    if (isSent) counter.countSent(frame);
+    return isSent;
+  }
 
   function bringForward(peer: Peer): void {
     if (peer.sequence >= log.sequence) return;
     const frame = log.getSince(peer.sequence);
-    if (frame !== null && peer.send(frame)) peer.sequence = log.sequence;
+    if (frame !== null && send(peer, frame)) peer.sequence = log.sequence;
+  }
+
+  function fetchFrom(peer: Peer): void {
+    if (peer.sequence <= log.sequence) return;
+    // Another peer was asked for as much and has not failed to answer yet.
+    const isAsked =
+      fetch.sequence >= peer.sequence && now() - fetch.at < FETCH_MILLISECONDS;
+    if (isAsked) return;
+    fetch = {sequence: peer.sequence, at: now()};
+    send(peer, {tag: 'fetchConfiguration', afterSequence: log.sequence});
+  }
+
+  function tellPeers(): void {
+    announcing = false;
+    for (const peer of peers.values()) {
+      if (peer.sequence >= log.sequence) continue;
+      if (relay.isPushing) bringForward(peer);
+      else {
+        send(peer, {tag: 'configurationAt', sequence: log.sequence});
+      }
+    }
   }
 
   function announce(): void {
-    options.onInForce(log.getView());
-    for (const peer of peers.values()) bringForward(peer);
+    onInForce(log.getView());
+    if (!relay.isRelaying || announcing) return;
+    announcing = true;
+    setTimeout(tellPeers, ANNOUNCE_MILLISECONDS).unref();
   }
 
   function noteSequence(name: string, sequence: number): void {
     const peer = peers.get(name);
-    if (peer === undefined) return;
+    if (peer === undefined || !relay.isRelaying) return;
+    peer.sequence = Math.max(peer.sequence, sequence);
+    fetchFrom(peer);
+  }
+
+  function takeHeartbeat(name: string, sequence: number): void {
+    const peer = peers.get(name);
+    if (peer === undefined || !relay.isRelaying) return;
+    // What was sent meanwhile and got lost is sent anew.
     peer.sequence = sequence;
-    bringForward(peer);
-    if (sequence > log.sequence) {
-      peer.send({tag: 'fetchConfiguration', afterSequence: log.sequence});
-    }
+    fetchFrom(peer);
+    if (sequence < log.sequence && relay.isPushing) bringForward(peer);
   }
 
   function takeEntries(entries: readonly ConfigurationEntry[]): void {
     if (log.applyEntries(entries)) announce();
   }
 
+  type ConfigurationFrame = Extract<
+    Frame,
+    {
+      tag:
+        | 'configuration'
+        | 'configurationSnapshot'
+        | 'configurationAt'
+        | 'fetchConfiguration';
+    }
+  >;
+  type Handlers = {
+    [Tag in ConfigurationFrame['tag']]: (
+      peer: string,
+      frame: Extract<Frame, {tag: Tag}>,
+    ) => void;
+  };
+  const handlers: Handlers = {
+    configuration(name, frame) {
+      const newest = frame.entries.at(-1)?.sequence ?? 0;
+      takeEntries(frame.entries);
+      noteSequence(name, newest);
+    },
+    configurationSnapshot(name, frame) {
+      if (log.applySnapshot(frame)) announce();
+      noteSequence(name, frame.sequence);
+    },
+    configurationAt: (name, frame) => noteSequence(name, frame.sequence),
+    fetchConfiguration(name, frame) {
+      const peer = peers.get(name);
+      if (peer === undefined) return;
+      peer.sequence = frame.afterSequence;
+      bringForward(peer);
+    },
+  };
+
+  function isConfigurationFrame(frame: Frame): frame is ConfigurationFrame {
+    return Object.hasOwn(handlers, frame.tag);
+  }
+
   return {
     get sequence() {
       return log.sequence;
     },
+    get hasGap() {
+      return log.hasGap();
+    },
     takeEntries,
-    takeFrame(peer, frame) {
-      switch (frame.tag) {
-        case 'configuration': {
-          const newest = frame.entries.at(-1)?.sequence ?? 0;
-          const known = peers.get(peer);
-          if (known !== undefined) {
-            known.sequence = Math.max(known.sequence, newest);
-          }
-          takeEntries(frame.entries);
-          return true;
-        }
-        case 'configurationSnapshot': {
-          const known = peers.get(peer);
-          if (known !== undefined) {
-            known.sequence = Math.max(known.sequence, frame.sequence);
-          }
-          if (log.applySnapshot(frame)) announce();
-          return true;
-        }
-        case 'fetchConfiguration':
-          noteSequence(peer, frame.afterSequence);
-          return true;
-        case 'heartbeat':
-          noteSequence(peer, frame.configurationSequence);
-          return false;
-        default:
-          return false;
-      }
+    takeSnapshot(snapshot) {
+      if (log.applySnapshot(snapshot)) announce();
     },
-    addPeer(name, send) {
-      peers.set(name, {send, sequence: 0});
-      const peer = peers.get(name)!;
-      peer.sequence = log.sequence;
-      send({tag: 'fetchConfiguration', afterSequence: log.sequence});
+    takeFrame(name, frame) {
+      if (frame.tag === 'heartbeat') {
+        takeHeartbeat(name, frame.configurationSequence);
+        return false;
+      }
+      if (!isConfigurationFrame(frame)) return false;
+      counter.countReceived(frame);
+      const handler = handlers[frame.tag] as (
+        peer: string,
+        frame: ConfigurationFrame,
+      ) => void;
+      handler(name, frame);
+      return true;
     },
-    removePeer(name) {
-      peers.delete(name);
+    addPeer(name, sendFrame) {
+      const peer = {send: sendFrame, sequence: log.sequence};
+      peers.set(name, peer);
+      if (!relay.isRelaying) return;
+      send(peer, {tag: 'fetchConfiguration', afterSequence: log.sequence});
     },
+    removePeer: (name) => void peers.delete(name),
+    getSnapshot: log.getSnapshot,
+    getStatus: () => ({
+      sequence: log.sequence,
+      peers: Array.from(peers, ([name, {sequence}]) => ({name, sequence})),
+      unreadable: findUnreadable(log.getSnapshot().documents),
+      ...counter.getCounts(),
+    }),
   };
 }
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/findUnreadable.ts
@@ -0,0 +1,15 @@
+import type {StoredDocument} from 'hickorywharf-types/storedDocument';
+import {normalizeRecord} from 'hickorywharf-validation/normalizeRecord';
+import {getDocumentKey} from 'hickorywharf-decisions/configuration/getDocumentKey';
+
+/**
+ * The documents that this version cannot read, as `kind/name`.
+ *
+ * @example
+ *     findUnreadable(log.getSnapshot().documents);
+ */
+export function findUnreadable(documents: readonly StoredDocument[]): string[] {
+  return documents
+    .filter(({document}) => normalizeRecord(document).isErr())
+    .map(({kind, name}) => getDocumentKey(kind, name));
+}
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/findings/findReferences.ts
@@ -0,0 +1,41 @@
+import {getNearestName} from 'hickorywharf-utils/getNearestName';
+import type {Finding} from './finding.ts';
+import type {FindingInput} from './findingInput.ts';
+
+function getHint(name: string, known: Iterable<string>): string {
+  const nearest = getNearestName(name, known);
+  return nearest === null ? '' : `; did you mean '${nearest}'?`;
+}
+
+function findRoutes({after}: FindingInput): Finding[] {
+  return [...after.routes.values()]
+    .filter(({pipeline}) => !after.pipelines.has(pipeline))
+    .map(({name, pipeline}) => ({
+      severity: 'error',
+      record: `route/${name}`,
+      message: `pipeline: no pipeline is named '${pipeline}'${getHint(pipeline, after.pipelines.keys())}`,
+    }));
+}
+
+function findPools({after}: FindingInput): Finding[] {
+  const pools = new Set([...after.endpoints.values()].map(({pool}) => pool));
+  return [...after.pipelines.values()].flatMap(({name, stages}) =>
+    stages
+      .filter(({pool}) => !pools.has(pool))
+      .map((stage) => ({
+        severity: 'warning' as const,
+        record: `pipeline/${name}`,
+        message: `stage '${stage.name}': no endpoint is in pool '${stage.pool}'${getHint(stage.pool, pools)}`,
+      })),
+  );
+}
+
+/**
+ * References to records that are not there, with the nearest name that is.
+ *
+ * @example
+ *     findReferences(input).length;
+ */
+export function findReferences(input: FindingInput): Finding[] {
+  return [...findRoutes(input), ...findPools(input)];
+}
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/findings/findSharedKeys.ts
@@ -0,0 +1,25 @@
+import type {Finding} from './finding.ts';
+import type {FindingInput} from './findingInput.ts';
+
+/**
+ * Client accounts with the same key: a request could not tell them apart.
+ *
+ * @example
+ *     findSharedKeys(input);
+ */
+export function findSharedKeys({documentsAfter}: FindingInput): Finding[] {
+  const owners = new Map<unknown, string>();
+  const findings: Finding[] = [];
+  for (const {kind, name, document} of documentsAfter) {
+    if (kind !== 'account') continue;
+    const owner = owners.get(document['keyHash']);
+    owners.set(document['keyHash'], name);
+    if (owner === undefined) continue;
+    findings.push({
+      severity: 'error',
+      record: `account/${name}`,
+      message: `keyHash: is that of account '${owner}' too`,
+    });
+  }
+  return findings;
+}
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/followConfiguration.ts
@@ -0,0 +1,40 @@
+import {sleep} from 'hickorywharf-utils/sleep';
+import {catchUp} from './catchUp.ts';
+import {createPause} from './createPause.ts';
+import type {FollowOptions} from './followOptions.ts';
+import {probeStore} from './probeStore.ts';
+import {watchLog} from './watchLog.ts';
+
+/** Time in which peers may bring the first configuration. */
+const PEERS_MILLISECONDS = 600;
+const PEERS_POLL_MILLISECONDS = 50;
+
+/** Takes the first configuration from peers, or else from the store. */
+async function bootstrap(options: FollowOptions): Promise<void> {
+  const {store, keeper, signal} = options;
+  const polls = PEERS_MILLISECONDS / PEERS_POLL_MILLISECONDS;
+  for (let poll = 0; poll < polls && keeper.sequence === 0; poll += 1) {
+    await sleep(PEERS_POLL_MILLISECONDS);
+  }
+  const pause = createPause(options);
+  while (keeper.sequence === 0 && !signal.aborted) {
+    if ((await catchUp(store, keeper)).isOk()) return;
+    await pause.wait();
+  }
+}
+
+/**
+ * Follows the configuration log in the store as the policy says: by a watch,
+ * by probes, or both. Failures are met with jittered, growing pauses.
+ *
+ * @example
+ *     void followConfiguration(options);
+ */
+export async function followConfiguration(
+  options: FollowOptions,
+): Promise<void> {
+  const isFollower = options.role === 'entry' || options.policy !== 'watchers';
+  if (!isFollower) return;
+  await bootstrap(options);
+  await Promise.all([watchLog(options), probeStore(options)]);
+}
--- a/packages/hickorywharf-configuration/src/loadConfiguration.ts
+++ b/packages/hickorywharf-configuration/src/loadConfiguration.ts
@@ -1,24 +1,40 @@
 import {createConfigurationLog} from 'hickorywharf-decisions/configuration/createConfigurationLog';
 import type {StoreClient} from 'hickorywharf-platform/storeClient';
 import type {StoreError} from 'hickorywharf-platform/storeError';
-import type {ConfigurationEntry} from 'hickorywharf-types/configurationEntry';
-import type {ResultAsync} from 'neverthrow';
-import {configurationKeys} from './configurationKeys.ts';
+import {err, ok, type Result} from 'neverthrow';
+import {readSnapshot} from './readSnapshot.ts';
+import {readTail} from './readTail.ts';
 
-type ConfigurationLog = ReturnType<typeof createConfigurationLog>;
+interface LoadedConfiguration {
+  readonly log: ReturnType<typeof createConfigurationLog>;
+  /** Revision of the slot that the next entry is to overwrite; 0 if absent. */
+  readonly nextRevision: number;
+  /** Revision after which a watch misses no entry. */
+  readonly watchRevision: number;
+  /** What the newest snapshot holds; 0 where there is none. */
+  readonly snapshotSequence: number;
+}
 
 /**
- * Reads the whole configuration from the store.
+ * Reads the whole configuration from the store: the newest snapshot, then only
+ * the part of the log that comes after it.
  *
  * @example
  *     await loadConfiguration(store);
  */
-export function loadConfiguration(
+export async function loadConfiguration(
   store: StoreClient,
-): ResultAsync<ConfigurationLog, StoreError> {
-  return store.list(configurationKeys.logPrefix).map((items) => {
-    const log = createConfigurationLog();
-    log.applyEntries(items.map(({value}) => value as ConfigurationEntry));
-    return log;
+): Promise<Result<LoadedConfiguration, StoreError>> {
+  const read = await readSnapshot(store);
+  if (read.isErr()) return err(read.error);
+  const {snapshot} = read.value;
+  const log = createConfigurationLog();
+  if (snapshot !== null) log.applySnapshot(snapshot);
+  const tail = await readTail(store, log);
+  if (tail.isErr()) return err(tail.error);
+  return ok({
+    log,
+    ...tail.value,
+    snapshotSequence: snapshot?.sequence ?? 0,
   });
 }
--- a/packages/hickorywharf-configuration/src/loadDeclarations.ts
+++ b/packages/hickorywharf-configuration/src/loadDeclarations.ts
@@ -2,11 +2,7 @@
 import path from 'node:path';
 import {err, ok, type Result} from 'neverthrow';
 import {normalizeRecord} from 'hickorywharf-validation/normalizeRecord';
-
-type Document = Readonly<Record<string, unknown>> & {
-  readonly kind: string;
-  readonly name: string;
-};
+import type {Document} from './document.ts';
 
 interface DeclarationError {
   readonly file: string;
--- a/packages/hickorywharf-configuration/src/planChanges.ts
+++ b/packages/hickorywharf-configuration/src/planChanges.ts
@@ -1,18 +1,11 @@
 import {isDeepStrictEqual} from 'node:util';
+import {getDocumentKey} from 'hickorywharf-decisions/configuration/getDocumentKey';
 import type {ConfigurationEntry} from 'hickorywharf-types/configurationEntry';
+import type {StoredDocument} from 'hickorywharf-types/storedDocument';
+import type {Document} from './document.ts';
+import {keepUnknownFields} from './keepUnknownFields.ts';
 
 type Change = ConfigurationEntry['changes'][number];
-type Document = Readonly<Record<string, unknown>> & {
-  readonly kind: string;
-  readonly name: string;
-};
-
-/** A document as the configuration log keeps it. */
-interface StoredDocument {
-  readonly kind: string;
-  readonly name: string;
-  readonly document: Readonly<Record<string, unknown>>;
-}
 
 /**
  * The changes that bring the documents in force to the declared ones. Records
@@ -27,15 +20,17 @@
   options: {readonly prune: boolean},
 ): Change[] {
   const current = new Map(
-    inForce.map((stored) => [`${stored.kind}/${stored.name}`, stored]),
+    inForce.map((stored) => [getDocumentKey(stored.kind, stored.name), stored]),
   );
   const changes: Change[] = [];
   for (const document of declared) {
     const {kind, name} = document;
-    const known = current.get(`${kind}/${name}`);
-    current.delete(`${kind}/${name}`);
-    if (isDeepStrictEqual(known?.document, document)) continue;
-    changes.push({kind, name, document});
+    const key = getDocumentKey(kind, name);
+    const known = current.get(key)?.document;
+    current.delete(key);
+    const wanted = keepUnknownFields(document, known);
+    if (isDeepStrictEqual(known, wanted)) continue;
+    changes.push({kind, name, document: wanted});
   }
   if (options.prune) {
     for (const {kind, name} of current.values()) {
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/readSnapshot.ts
@@ -0,0 +1,64 @@
+import type {StoreClient} from 'hickorywharf-platform/storeClient';
+import type {StoreError} from 'hickorywharf-platform/storeError';
+import type {Frame} from 'hickorywharf-types/frame';
+import {err, ok, type Result} from 'neverthrow';
+import {configurationKeys} from './configurationKeys.ts';
+import type {SnapshotHead} from './snapshotHead.ts';
+
+type Snapshot = Extract<Frame, {tag: 'configurationSnapshot'}>;
+type Chunk = Pick<Snapshot, 'documents' | 'deletions'>;
+
+interface StoredSnapshot {
+  readonly snapshot: Snapshot | null;
+  /** Revision of the head; 0 where there is none. */
+  readonly revision: number;
+}
+
+/** Heads followed while compactions go on beside the read. */
+const MAXIMUM_READS = 5;
+
+async function readChunks(
+  store: StoreClient,
+  head: SnapshotHead,
+): Promise<Result<Snapshot | null, StoreError>> {
+  const documents: Snapshot['documents'][number][] = [];
+  const deletions: NonNullable<Snapshot['deletions']>[number][] = [];
+  for (let index = 0; index < head.chunks; index += 1) {
+    const key = configurationKeys.getChunkKey(head.operation, index);
+    const read = await store.get(key);
+    if (read.isErr()) return err(read.error);
+    // A newer snapshot's writer has removed it: follow the new head.
+    if (read.value === null) return ok(null);
+    const chunk = read.value.value as Chunk;
+    documents.push(...chunk.documents);
+    deletions.push(...(chunk.deletions ?? []));
+  }
+  const {sequence} = head;
+  return ok({tag: 'configurationSnapshot', sequence, documents, deletions});
+}
+
+/**
+ * Reads the newest snapshot of the configuration from the store.
+ *
+ * @example
+ *     await readSnapshot(store);
+ */
+export async function readSnapshot(
+  store: StoreClient,
+): Promise<Result<StoredSnapshot, StoreError>> {
+  for (let reads = 0; reads < MAXIMUM_READS; reads += 1) {
+    const read = await store.get(configurationKeys.snapshotHead);
+    if (read.isErr()) return err(read.error);
+    if (read.value === null) return ok({snapshot: null, revision: 0});
+    const {value, revision} = read.value;
+    const chunks = await readChunks(store, value as SnapshotHead);
+    if (chunks.isErr()) return err(chunks.error);
+    if (chunks.value !== null) return ok({snapshot: chunks.value, revision});
+  }
+  return err({
+    tag: 'unavailable',
+    step: 'claim',
+    peer: configurationKeys.snapshotHead,
+    message: 'the snapshot changed with each read',
+  });
+}
--- /dev/null
+++ b/packages/hickorywharf-configuration/src/watchLog.ts
@@ -0,0 +1,62 @@
+import {followPolicies} from 'hickorywharf-decisions/configuration/followPolicies';
+import type {StoreError} from 'hickorywharf-platform/storeError';
+import type {ConfigurationEntry} from 'hickorywharf-types/configurationEntry';
+import {sleep} from 'hickorywharf-utils/sleep';
+import type {Result} from 'neverthrow';
+import {catchUp} from './catchUp.ts';
+import {configurationKeys} from './configurationKeys.ts';
+import {createPause} from './createPause.ts';
+import type {FollowOptions} from './followOptions.ts';
+import {getFollowInput} from './getFollowInput.ts';
+
+const WATCH_MILLISECONDS = 20_000;
+const IDLE_MILLISECONDS = 200;
+
+/** Waits for entries after a revision; gives the revision to go on from. */
+async function watchOnce(
+  {store, keeper}: FollowOptions,
+  revision: number,
+): Promise<Result<number, StoreError>> {
+  const watched = await store.watch(
+    configurationKeys.logPrefix,
+    revision,
+    WATCH_MILLISECONDS,
+  );
+  return watched.map((answer) => {
+    const entries = answer.items.map(({value}) => value as ConfigurationEntry);
+    keeper.takeEntries(entries);
+    return answer.revision;
+  });
+}
+
+/**
+ * Holds a watch on the log for as long as the policy says so. A gap, or a
+ * store that counts from an older revision, sends it back to reading.
+ *
+ * @example
+ *     await watchLog(options);
+ */
+export async function watchLog(options: FollowOptions): Promise<void> {
+  const {store, keeper, signal} = options;
+  const policy = followPolicies[options.policy];
+  const pause = createPause(options);
+  let revision: number | null = null;
+  while (!signal.aborted) {
+    if (!policy.isWatching(getFollowInput(options))) {
+      revision = null;
+      await sleep(IDLE_MILLISECONDS);
+      continue;
+    }
+    const next: Result<number, StoreError> =
+      revision === null
+        ? await catchUp(store, keeper)
+        : await watchOnce(options, revision);
+    if (next.isErr()) {
+      await pause.wait();
+      continue;
+    }
+    pause.reset();
+    const isLost: boolean = keeper.hasGap || next.value < (revision ?? 0);
+    revision = isLost ? null : next.value;
+  }
+}
--- a/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
+++ b/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
@@ -1,14 +1,15 @@
-import {normalizeRecord} from 'hickorywharf-validation/normalizeRecord';
 import type {ConfigurationEntry} from 'hickorywharf-types/configurationEntry';
 import type {ConfigurationRecord} from 'hickorywharf-types/record';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ConfigurationView} from './configurationView.ts';
+import {createDocumentTable} from './createDocumentTable.ts';
 
 type Snapshot = Extract<Frame, {tag: 'configurationSnapshot'}>;
-type StoredDocument = Snapshot['documents'][number];
 
 /** Entries kept to bring a peer forward without a whole snapshot. */
 const MAXIMUM_RECENT_ENTRIES = 512;
+/** Entries kept behind a gap; what is left out is read from the store. */
+const MAXIMUM_WAITING_ENTRIES = 1024;
 
 interface ConfigurationLog {
   readonly sequence: number;
@@ -19,6 +20,8 @@
    * configuration in force moved forward.
    */
   applyEntries(entries: readonly ConfigurationEntry[]): boolean;
+  /** Whether entries wait behind one that has not come. */
+  hasGap(): boolean;
   /** Takes a peer's whole copy; an older or equal one changes nothing. */
   applySnapshot(snapshot: Snapshot): boolean;
   /** What a peer at a sequence needs: entries, or a snapshot when too old. */
@@ -26,10 +29,6 @@
   getSnapshot(): Snapshot;
 }
 
-function getDocumentKey(kind: string, name: string): string {
-  return `${kind}/${name}`;
-}
-
 function createView(
   sequence: number,
   records: Iterable<ConfigurationRecord>,
@@ -64,31 +63,36 @@
   let sequence = 0;
   let recent: ConfigurationEntry[] = [];
   let view: ConfigurationView | null = null;
-  const documents = new Map<string, StoredDocument>();
-  const records = new Map<string, ConfigurationRecord>();
+  const table = createDocumentTable();
   const waiting = new Map<number, ConfigurationEntry>();
 
-  function setDocument(stored: StoredDocument): void {
-    const key = getDocumentKey(stored.kind, stored.name);
-    documents.set(key, stored);
-    // A document that cannot be interpreted leaves the last record readable.
-    normalizeRecord(stored.document).map((record) => records.set(key, record));
+  function applyOne(entry: ConfigurationEntry): void {
+    table.applyEntry(entry);
+    sequence = entry.sequence;
+    recent.push(entry);
+    if (recent.length > MAXIMUM_RECENT_ENTRIES) recent.shift();
   }
 
-  function removeDocument(kind: string, name: string): void {
-    const key = getDocumentKey(kind, name);
-    documents.delete(key);
-    records.delete(key);
+  function applyWaiting(): void {
+    for (
+      let next = waiting.get(sequence + 1);
+      next !== undefined;
+      next = waiting.get(sequence + 1)
+    ) {
+      waiting.delete(next.sequence);
+      applyOne(next);
+    }
   }
 
-  function applyOne(entry: ConfigurationEntry): void {
-    for (const {kind, name, document} of entry.changes) {
-      if (document === null) removeDocument(kind, name);
-      else setDocument({kind, name, document, sequence: entry.sequence});
+  function take(entry: ConfigurationEntry): void {
+    if (entry.sequence <= sequence) return;
+    if (entry.sequence === sequence + 1) {
+      waiting.delete(entry.sequence);
+      applyOne(entry);
+      applyWaiting();
+    } else if (waiting.size < MAXIMUM_WAITING_ENTRIES) {
+      waiting.set(entry.sequence, entry);
     }
-    sequence = entry.sequence;
-    recent.push(entry);
-    if (recent.length > MAXIMUM_RECENT_ENTRIES) recent.shift();
   }
 
   function dropWaitingUpToSequence(): void {
@@ -102,30 +106,20 @@
       return sequence;
     },
     getView() {
-      view ??= createView(sequence, records.values());
+      view ??= createView(sequence, table.getRecords());
       return view;
     },
     applyEntries(entries) {
       const before = sequence;
-      for (const entry of entries) {
-        if (entry.sequence > sequence) waiting.set(entry.sequence, entry);
-      }
-      for (
-        let next = waiting.get(sequence + 1);
-        next !== undefined;
-        next = waiting.get(sequence + 1)
-      ) {
-        waiting.delete(next.sequence);
-        applyOne(next);
-      }
+      applyWaiting();
+      for (const entry of entries) take(entry);
       if (sequence > before) view = null;
       return sequence > before;
     },
+    hasGap: () => waiting.size > 0,
     applySnapshot(snapshot) {
       if (snapshot.sequence <= sequence) return false;
-      documents.clear();
-      records.clear();
-      snapshot.documents.forEach(setDocument);
+      table.replace(snapshot.documents, snapshot.deletions ?? []);
       sequence = snapshot.sequence;
       recent = [];
       view = null;
@@ -143,7 +137,8 @@
     getSnapshot: () => ({
       tag: 'configurationSnapshot',
       sequence,
-      documents: [...documents.values()],
+      documents: table.getDocuments(),
+      deletions: table.getDeletions(),
     }),
   };
 }
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -1,16 +1,19 @@
 import {randomUUID} from 'node:crypto';
 import type bunyan from 'bunyan';
 import {createConfigurationKeeper} from 'hickorywharf-configuration/createConfigurationKeeper';
+import {followConfiguration} from 'hickorywharf-configuration/followConfiguration';
 import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
 import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
+import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
 import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
 import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
 import type {Frame} from 'hickorywharf-types/frame';
+import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {Clock} from 'hickorywharf-utils/clock';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
@@ -68,7 +71,17 @@
   const running = new Map<string, AbortController>();
   const peers = new Map<string, (frame: Frame) => boolean>();
 
+  const identity: ProcessIdentity = {
+    name,
+    incarnation,
+    role: 'endpoint',
+    failureDomain,
+  };
+  const lifetime = new AbortController();
+
   const keeper = createConfigurationKeeper({
+    now: clock.monotonic,
+    relay: settings.configuration.relay,
     onInForce(view) {
       const {sequence} = view;
       history.record({tag: 'configurationInForce', incarnation, sequence});
@@ -138,7 +151,7 @@
     }
   }
 
-  function createHeartbeat(): Frame {
+  function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
     return {
       tag: 'heartbeat',
@@ -155,7 +168,7 @@
 
   const server = await createPeerServer({
     ...settings.listen,
-    identity: {name, incarnation, role: 'endpoint', failureDomain},
+    identity,
     handlers: {
       onUp(peer, send) {
         peers.set(peer.name, send);
@@ -180,11 +193,32 @@
     if (!peers.has(peer)) feed({tag: 'peerGone', peer});
   }
 
+  const store = createStoreClient(settings.platform.storeUrl);
+  void followConfiguration({
+    store,
+    keeper,
+    role: 'endpoint',
+    policy: settings.configuration.follow,
+    isWatcher: () => false,
+    getEntries: () => 0,
+    createOperation: randomUUID,
+    random,
+    signal: lifetime.signal,
+  });
+  const operators = startOperatorsServer({
+    ...settings.operators,
+    getState: () => ({
+      process: identity,
+      configuration: {...keeper.getStatus(), isWatcher: false},
+      membership: {instances: [], leaving: createHeartbeat().leaving},
+      queue: core.getLoad(),
+    }),
+  });
   const homeKeeper = createHomeKeeper({
     settings,
     incarnation,
     state: core.state,
-    store: createStoreClient(settings.platform.storeUrl),
+    store,
     clock,
     random,
     onKnown: (homes) => feed({tag: 'homesKnown', homes}),
@@ -213,6 +247,8 @@
       await finishWork();
       clearInterval(ticker);
       clearInterval(beater);
+      lifetime.abort();
+      operators.close();
       server.close();
     },
   };
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -2,12 +2,13 @@
 import {serve} from '@hono/node-server';
 import type bunyan from 'bunyan';
 import {createConfigurationKeeper} from 'hickorywharf-configuration/createConfigurationKeeper';
-import {watchConfiguration} from 'hickorywharf-configuration/watchConfiguration';
+import {followConfiguration} from 'hickorywharf-configuration/followConfiguration';
 import {createEntryCore} from 'hickorywharf-decisions/entry/createEntryCore';
 import type {EntryCommand} from 'hickorywharf-decisions/entry/entryCommand';
 import type {EntryEvent} from 'hickorywharf-decisions/entry/entryEvent';
 import {routingPolicies} from 'hickorywharf-decisions/entry/policies/routingPolicies';
 import {isConfigurationWatcher} from 'hickorywharf-decisions/membership/isConfigurationWatcher';
+import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import {fetchInstances} from 'hickorywharf-platform/fetchInstances';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
@@ -82,6 +83,8 @@
   let stopping = false;
 
   const keeper = createConfigurationKeeper({
+    now: clock.monotonic,
+    relay: settings.configuration.relay,
     onInForce(view) {
       const {sequence} = view;
       history.record({tag: 'configurationInForce', incarnation, sequence});
@@ -211,14 +214,27 @@
   }
 
   void followInstances();
-  void watchConfiguration({
+  const isWatcher = () => isConfigurationWatcher(identity, instances);
+  void followConfiguration({
     store: createStoreClient(settings.platform.storeUrl),
-    takeEntries: keeper.takeEntries,
-    isWatcher: () =>
-      keeper.sequence === 0 || isConfigurationWatcher(identity, instances),
+    keeper,
+    role: 'entry',
+    policy: settings.configuration.follow,
+    isWatcher,
+    getEntries: () => instances.filter(({role}) => role === 'entry').length,
+    createOperation: randomUUID,
     random,
     signal: lifetime.signal,
   });
+  const operators = startOperatorsServer({
+    ...settings.operators,
+    getState: () => ({
+      process: identity,
+      configuration: {...keeper.getStatus(), isWatcher: isWatcher()},
+      membership: {instances, leaving: stopping},
+      queue: {queued: 0, running: callers.size},
+    }),
+  });
   const ticker = setInterval(() => feed({tag: 'ticked'}), TICK_MILLISECONDS);
   const beater = setInterval(() => {
     const heartbeat: Frame = {
@@ -250,6 +266,7 @@
       while (callers.size > 0) await sleep(STOP_POLL_MILLISECONDS);
       clearInterval(ticker);
       clearInterval(beater);
+      operators.close();
       lifetime.abort();
       for (const client of clients.values()) client.close();
       await sleep(STOP_POLL_MILLISECONDS);
--- /dev/null
+++ b/packages/hickorywharf-operators/src/startOperatorsServer.ts
@@ -0,0 +1,32 @@
+import {serve} from '@hono/node-server';
+import {Hono} from 'hono';
+import type {OperatorsState} from './operatorsState.ts';
+
+interface OperatorsServerOptions {
+  readonly address: string;
+  /** 0 where the process is to have no address for operators. */
+  readonly port: number;
+  readonly getState: () => OperatorsState;
+}
+
+interface OperatorsServer {
+  close(): void;
+}
+
+/**
+ * Shows operators the state of a process, as JSON on `GET /v1/state`.
+ *
+ * @example
+ *     const server = startOperatorsServer({address, port, getState});
+ *     server.close();
+ */
+export function startOperatorsServer(
+  options: OperatorsServerOptions,
+): OperatorsServer {
+  const {address, port, getState} = options;
+  if (port === 0) return {close: () => undefined};
+  const application = new Hono();
+  application.get('/v1/state', (context) => context.json(getState()));
+  const server = serve({fetch: application.fetch, hostname: address, port});
+  return {close: () => void server.close()};
+}
--- a/packages/hickorywharf-platform/src/createStoreClient.ts
+++ b/packages/hickorywharf-platform/src/createStoreClient.ts
@@ -15,13 +15,16 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Answers after which nothing was written, whatever is tried again. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([400, 410, 413]);
+
 interface Reply {
   readonly status: number;
   readonly body: unknown;
 }
 
 interface Call {
-  readonly method: 'GET' | 'PUT';
+  readonly method: 'GET' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
   readonly waitMilliseconds?: number;
@@ -71,6 +74,10 @@
         const tag = call.method === 'GET' ? 'unavailable' : 'ambiguous';
         return errAsync(toError(tag, `the store answered ${reply.status}`));
       }
+      if (REFUSED_STATUSES.has(reply.status)) {
+        const {error = ''} = reply.body as {error?: string};
+        return errAsync(toError('unavailable', `the store refused: ${error}`));
+      }
       return okAsync(reply);
     });
   }
@@ -96,6 +103,15 @@
           ? errAsync(toError('conflict', 'another write came first'))
           : okAsync((body as {revision: number}).revision),
       ),
+    remove: (key, expectedRevision) =>
+      execute({
+        method: 'DELETE',
+        path: `/v1/keys/${encodeURIComponent(key)}?expected=${expectedRevision}`,
+      }).andThen(({status}) =>
+        status === 409
+          ? errAsync(toError('conflict', 'another write came first'))
+          : okAsync(null),
+      ),
     watch: (prefix, afterRevision, waitMilliseconds) =>
       execute({
         method: 'GET',
--- a/packages/hickorywharf-platform/src/storeClient.ts
+++ b/packages/hickorywharf-platform/src/storeClient.ts
@@ -16,6 +16,8 @@
     value: unknown,
     expectedRevision: number,
   ): ResultAsync<number, StoreError>;
+  /** Deletes a key where its revision is the expected one. */
+  remove(key: string, expectedRevision: number): ResultAsync<null, StoreError>;
   /** Waits for items under a prefix that changed after a revision. */
   watch(
     prefix: string,
--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -48,6 +48,7 @@
   recover: {...ATTEMPT_KEY, fromPosition: isCount},
   attemptUnknown: ATTEMPT_KEY,
   heartbeat: {leaving: isFlag, configurationSequence: isCount},
+  configurationAt: {sequence: isCount},
   fetchConfiguration: {afterSequence: isCount},
   configuration: {entries: isList},
   configurationSnapshot: {sequence: isCount, documents: isList},
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -9,6 +9,8 @@
 import type {StageInput} from './stageInput.ts';
 import type {StageKind} from './stageKind.ts';
 import type {StageOutput} from './stageOutput.ts';
+import type {StoredDeletion} from './storedDeletion.ts';
+import type {StoredDocument} from './storedDocument.ts';
 
 /**
  * The messages between the system's own processes. Each connection starts with
@@ -82,6 +84,8 @@
       readonly load: LoadReport | null;
       readonly configurationSequence: number;
     }
+  /** Tells a peer how new the configuration is that it can fetch here. */
+  | {readonly tag: 'configurationAt'; readonly sequence: number}
   | {readonly tag: 'fetchConfiguration'; readonly afterSequence: number}
   | {
       readonly tag: 'configuration';
@@ -90,11 +94,8 @@
   | {
       readonly tag: 'configurationSnapshot';
       readonly sequence: number;
-      readonly documents: readonly {
-        readonly kind: string;
-        readonly name: string;
-        readonly sequence: number;
-        readonly document: Readonly<Record<string, unknown>>;
-      }[];
+      readonly documents: readonly StoredDocument[];
+      /** Tombstones: the latest deletions, oldest first. */
+      readonly deletions?: readonly StoredDeletion[];
     }
   | {readonly tag: 'instances'; readonly instances: readonly Instance[]};
--- /dev/null
+++ b/packages/hickorywharf-types/src/storedDeletion.ts
@@ -0,0 +1,7 @@
+/** The tombstone of a deleted configuration document. */
+export interface StoredDeletion {
+  readonly kind: string;
+  readonly name: string;
+  /** Position in the log of the change that deleted it. */
+  readonly sequence: number;
+}
--- a/packages/hickorywharf-validation/src/commonSections.ts
+++ b/packages/hickorywharf-validation/src/commonSections.ts
@@ -43,6 +43,14 @@
     })
     .prefault({}),
   traces: z.strictObject({url: z.string().default('')}).prefault({}),
+  configuration: z
+    .strictObject({
+      /** How the log in the store is followed. */
+      follow: z.enum(['watchers', 'watchEach', 'poll']).default('watchers'),
+      /** How a change is passed on to connected processes. */
+      relay: z.enum(['announce', 'push', 'none']).default('announce'),
+    })
+    .prefault({}),
   operators: z
     .strictObject({
       address: address.default('127.0.0.1'),
--- a/packages/hickorywharf-validation/src/endpointSettings.ts
+++ b/packages/hickorywharf-validation/src/endpointSettings.ts
@@ -12,6 +12,7 @@
   metrics: commonSections.metrics,
   traces: commonSections.traces,
   operators: commonSections.operators,
+  configuration: commonSections.configuration,
   listen: z.strictObject({address, port}),
   backend: z.strictObject({
     kind: z.enum(['engine', 'pool', 'service']),
--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -12,6 +12,7 @@
   metrics: commonSections.metrics,
   traces: commonSections.traces,
   operators: commonSections.operators,
+  configuration: commonSections.configuration,
   http: z.strictObject({address, port}),
   limits: z
     .strictObject({
--- /dev/null
+++ b/packages/hickorywharf-validation/src/knownRecordFields.ts
@@ -0,0 +1,15 @@
+/** The fields of each kind of record that this version knows. */
+export const knownRecordFields: Readonly<Record<string, readonly string[]>> = {
+  pipeline: ['kind', 'name', 'schemaVersion', 'deadlineMilliseconds', 'stages'],
+  route: ['kind', 'name', 'schemaVersion', 'pipeline', 'half'],
+  account: [
+    'kind',
+    'name',
+    'schemaVersion',
+    'keyHash',
+    'requestsPerSecond',
+    'weight',
+    'half',
+  ],
+  endpoint: ['kind', 'name', 'schemaVersion', 'pool', 'half', 'draining'],
+};
