Give operators plan, get, status, drain, undrain and split

Cause: operators had apply alone, and it gave up at any race. Change: plan shows a difference and warnings and ends with 3 where there are changes; apply builds a disjoint change on top of a racing operator's, refuses an overlapping one by name, and settles a lost answer by reading back; status asks processes on their address for operators; split writes halves into the declarations. Tried step by step against the store stand-in, with a lost answer and with the store down.

--- a/packages/hickorywharf/src/commands/commands.ts
+++ b/packages/hickorywharf/src/commands/commands.ts
@@ -10,6 +10,12 @@
     (await import('./checkHistoryCommand.ts')).checkHistoryCommand,
   experiment: async () =>
     (await import('./experimentCommand.ts')).experimentCommand,
+  plan: async () => (await import('./planCommand.ts')).planCommand,
   apply: async () => (await import('./applyCommand.ts')).applyCommand,
+  get: async () => (await import('./getCommand.ts')).getCommand,
+  status: async () => (await import('./statusCommand.ts')).statusCommand,
+  drain: async () => (await import('./drainCommand.ts')).drainCommand,
+  undrain: async () => (await import('./undrainCommand.ts')).undrainCommand,
+  split: async () => (await import('./splitCommand.ts')).splitCommand,
   'stand-in': async () => (await import('./standInCommand.ts')).standInCommand,
 };
--- /dev/null
+++ b/packages/hickorywharf/src/operators/runChange.ts
@@ -0,0 +1,83 @@
+import {randomUUID} from 'node:crypto';
+import {changeConfiguration} from 'hickorywharf-configuration/changeConfiguration';
+import type {ChangeOutcome} from 'hickorywharf-configuration/changeOutcome';
+import {describeChanges} from 'hickorywharf-configuration/describeChanges';
+import {findFindings} from 'hickorywharf-configuration/findings/findFindings';
+import {previewChanges} from 'hickorywharf-configuration/previewChanges';
+import type {Finding} from 'hickorywharf-configuration/findings/finding';
+import {exitCodes} from '../exitCodes.ts';
+import {readChangeInput} from './readChangeInput.ts';
+
+type Plan = Parameters<typeof changeConfiguration>[0]['plan'];
+
+interface RunChangeOptions {
+  readonly values: Readonly<Record<string, unknown>>;
+  readonly plan: Plan;
+}
+
+type OutcomeTexts = {
+  [Tag in ChangeOutcome['tag']]: (
+    outcome: Extract<ChangeOutcome, {tag: Tag}>,
+  ) => string;
+};
+
+const OUTCOME_TEXTS: OutcomeTexts = {
+  accepted: ({changes, sequence}) =>
+    `accepted ${changes.length} changes as sequence ${sequence}`,
+  unchanged: ({sequence}) =>
+    `nothing to do; sequence ${sequence} has it already`,
+  refused: ({message}) => `refused, nothing was changed: ${message}`,
+  unavailable: ({message}) =>
+    `refused, nothing was changed: the store cannot be reached: ${message}`,
+  unknown: ({operation, message}) =>
+    `unknown: the store gave no answer (${message}); the change may still come in force. Run the same command again: it says "nothing to do" where it did. Operation ${operation}`,
+};
+
+function getText(outcome: ChangeOutcome): string {
+  const getOutcomeText = OUTCOME_TEXTS[outcome.tag] as (
+    outcome: ChangeOutcome,
+  ) => string;
+  return getOutcomeText(outcome);
+}
+
+/**
+ * Carries out an operator's change and prints what became of it.
+ *
+ * @returns the exit code
+ * @example
+ *     await runChange({values, plan: () => ok(changes)});
+ */
+export async function runChange(options: RunChangeOptions): Promise<number> {
+  const input = await readChangeInput(options.values);
+  if (input.isErr()) {
+    console.error(`hickorywharf: ${input.error}`);
+    return exitCodes.usage;
+  }
+  const {isJson, ...change} = input.value;
+  let warnings: readonly Finding[] = [];
+  let difference: readonly string[] = [];
+  const outcome = await changeConfiguration({
+    ...change,
+    createOperation: randomUUID,
+    plan: (log) =>
+      options.plan(log).map((changes) => {
+        const after = previewChanges(log, changes);
+        difference = describeChanges(changes, log.getSnapshot().documents);
+        warnings = findFindings(log, after);
+        return changes;
+      }),
+  });
+  const isGood = outcome.tag === 'accepted' || outcome.tag === 'unchanged';
+  if (isJson) {
+    console.log(JSON.stringify({outcome, warnings}));
+  } else {
+    for (const line of difference) console.log(line);
+    for (const {severity, record, message} of warnings) {
+      console.log(`${severity}: ${record}: ${message}`);
+    }
+    const text = getText(outcome);
+    if (isGood) console.log(text);
+    else console.error(`hickorywharf: ${text}`);
+  }
+  return isGood ? exitCodes.succeeded : exitCodes.failed;
+}
