--- a/packages/hickorywharf-endpoints/src/createEngineBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createEngineBackend.ts
@@ -36,6 +36,7 @@
       headers: {'content-type': 'application/json'},
       body: JSON.stringify({
         requestId: attempt.attemptId,
+        pipelineRequestId: attempt.requestId,
         prompt: {text, documents},
         continuation,
         maximumTokens,
--- a/packages/hickorywharf-endpoints/src/createPoolBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createPoolBackend.ts
@@ -41,7 +41,11 @@
   return {
     run: ({attempt, signal}) =>
       ResultAsync.fromPromise(
-        execute(attempt.kind, attempt.input, signal),
+        execute(
+          attempt.kind,
+          {...attempt.input, requestId: attempt.requestId},
+          signal,
+        ),
         (error) => toBackendError(error, url),
       ),
   };
--- a/packages/hickorywharf-standins/src/createPoolStandIn.ts
+++ b/packages/hickorywharf-standins/src/createPoolStandIn.ts
@@ -1,31 +1,75 @@
 import {Hono} from 'hono';
 import {sleep} from 'hickorywharf-utils/sleep';
+import {createFaultRoutes} from './createFaultRoutes.ts';
+import {createLimiter} from './createLimiter.ts';
 import {expectedContent} from './expectedContent.ts';
+import type {WorkLog} from './workLog.ts';
+
+interface PoolOptions {
+  /** Time that a call takes, whatever its size. */
+  readonly workMilliseconds: number;
+  /** Time for each thousand characters of text. */
+  readonly sizeMilliseconds: number;
+  /** Calls that are worked on at once; others wait in order of arrival. */
+  readonly capacity: number;
+  readonly workLog: WorkLog;
+}
+
+interface PoolBody {
+  readonly requestId?: string;
+  readonly text: string;
+  readonly vector?: number[];
+  readonly documents?: string[];
+}
+
+type Work = (body: PoolBody) => Record<string, unknown>;
+
+const WORK: Readonly<Record<string, Work>> = {
+  encode: ({text}) => ({vector: expectedContent.encode(text)}),
+  retrieve: ({vector = []}) => ({documents: expectedContent.retrieve(vector)}),
+  rerank: ({text, documents = []}) => ({
+    documents: expectedContent.rerank(text, documents),
+  }),
+};
+
+const CHARACTERS = 1000;
 
 /**
- * A stand-in of a member of a pool: it encodes, retrieves and reranks.
+ * A stand-in of a member of a pool: it encodes, retrieves and reranks, a
+ * limited number of calls at once, and takes longer over longer texts.
  *
- * @param workMilliseconds time that each call takes
  * @example
- *     createPoolStandIn(10);
+ *     createPoolStandIn({workMilliseconds: 10, sizeMilliseconds: 5, capacity: 4, workLog});
  */
-export function createPoolStandIn(workMilliseconds: number): Hono {
+export function createPoolStandIn(options: PoolOptions): Hono {
+  const {workMilliseconds, sizeMilliseconds, workLog} = options;
   const application = new Hono();
-  application.post('/v1/encode', async (context) => {
-    const {text} = await context.req.json<{text: string}>();
-    await sleep(workMilliseconds);
-    return context.json({vector: expectedContent.encode(text)});
-  });
-  application.post('/v1/retrieve', async (context) => {
-    const {vector} = await context.req.json<{vector: number[]}>();
-    await sleep(workMilliseconds);
-    return context.json({documents: expectedContent.retrieve(vector)});
-  });
-  application.post('/v1/rerank', async (context) => {
-    const body = await context.req.json<{text: string; documents: string[]}>();
-    await sleep(workMilliseconds);
-    const documents = expectedContent.rerank(body.text, body.documents);
-    return context.json({documents});
-  });
+  const {application: faultRoutes, faults, takeFailure} = createFaultRoutes();
+  const limiter = createLimiter(options.capacity);
+  application.route('/', faultRoutes);
+
+  for (const [stage, work] of Object.entries(WORK)) {
+    application.post(`/v1/${stage}`, async (context) => {
+      const body = await context.req.json<PoolBody>();
+      if (takeFailure()) return context.json({error: 'injected'}, 500);
+      const size = (body.text.length / CHARACTERS) * sizeMilliseconds;
+      const milliseconds = (workMilliseconds + size) * faults.slowness;
+      await limiter.enter();
+      await sleep(milliseconds);
+      limiter.leave();
+      const isCancelled = context.req.raw.signal.aborted;
+      workLog.items.push({
+        requestId: body.requestId ?? '',
+        stage,
+        milliseconds,
+        ending: isCancelled ? 'cancelled' : 'finished',
+        prefillMilliseconds: 0,
+        tokens: 0,
+        promptTokens: 0,
+        cachedTokens: 0,
+      });
+      return context.json(work(body));
+    });
+  }
   return application;
 }
--- a/packages/hickorywharf-standins/src/standInKinds.ts
+++ b/packages/hickorywharf-standins/src/standInKinds.ts
@@ -5,6 +5,8 @@
 import {createPoolStandIn} from './createPoolStandIn.ts';
 import {createServiceStandIn} from './createServiceStandIn.ts';
 import {createStoreStandIn} from './createStoreStandIn.ts';
+import {createWorkLogRoutes} from './createWorkLogRoutes.ts';
+import type {WorkLog} from './workLog.ts';
 
 /** One stand-in of a file of stand-ins. */
 interface StandInOptions {
@@ -12,6 +14,9 @@
   readonly workMilliseconds: number;
   readonly tokenMilliseconds: number;
   readonly lagMilliseconds: number;
+  readonly sizeMilliseconds: number;
+  readonly capacity: number;
+  readonly workLog: WorkLog;
   readonly history: HistoryRecorder;
 }
 
@@ -21,12 +26,10 @@
 export const standInKinds: Readonly<Record<string, StandInKind>> = {
   store: () => createStoreStandIn().application,
   instances: ({lagMilliseconds}) => createInstancesStandIn(lagMilliseconds),
-  engine: ({workMilliseconds, tokenMilliseconds}) =>
-    createEngineStandIn({
-      prefillMilliseconds: workMilliseconds,
-      tokenMilliseconds,
-    }),
-  pool: ({workMilliseconds}) => createPoolStandIn(workMilliseconds),
+  engine: ({workMilliseconds, ...options}) =>
+    createEngineStandIn({prefillMilliseconds: workMilliseconds, ...options}),
+  pool: createPoolStandIn,
+  workLog: ({workLog}) => createWorkLogRoutes(workLog),
   service: ({name, workMilliseconds, history}) =>
     createServiceStandIn({name, workMilliseconds, history}),
 };
--- a/packages/hickorywharf-standins/src/startStandIns.ts
+++ b/packages/hickorywharf-standins/src/startStandIns.ts
@@ -16,6 +16,8 @@
       workMilliseconds: z.number().default(5),
       tokenMilliseconds: z.number().default(5),
       lagMilliseconds: z.number().default(500),
+      sizeMilliseconds: z.number().default(0),
+      capacity: z.int().min(1).default(16),
     }),
   ),
 });
@@ -29,6 +31,7 @@
 export async function startStandIns(path: string): Promise<void> {
   const file = fileSchema.parse(JSON.parse(readFileSync(path, 'utf8')));
   const clock = createSystemClock();
+  const workLog = {items: []};
   for (const {kind, port, ...options} of file.standIns) {
     const create = standInKinds[kind];
     if (create === undefined) throw new Error(`no stand-in '${kind}'`);
@@ -37,7 +40,7 @@
       file: file.historyFile,
       clock,
     });
-    const application = create({...options, history});
+    const application = create({...options, history, workLog});
     await listen(application, {address: file.address, port});
   }
 }
