Add the load tool and the steady experiment

Cause: attainment and cost by stage could not be measured. Change: seeded open-loop schedules of both mixes, latency from the intended time, work logs of the backends joined to the callers' outcomes, and policies compared in one run on the real binary at today's sizes.

--- a/packages/hickorywharf-bench/src/deployment/createDocuments.ts
+++ b/packages/hickorywharf-bench/src/deployment/createDocuments.ts
@@ -25,6 +25,13 @@
     weight: 1,
     half: null,
   };
+  const accounts = (plan.accounts ?? []).map(({key, ...fields}) => ({
+    kind: 'account',
+    schemaVersion: 2,
+    keyHash: digest(key),
+    half: null,
+    ...fields,
+  }));
   const endpoints = plan.endpoints.map(({name, pool}) => ({
     kind: 'endpoint',
     schemaVersion: 1,
@@ -34,6 +41,7 @@
   }));
   return [
     account,
+    ...accounts,
     ...plan.pipelines.map((pipeline) => ({...pipeline})),
     ...endpoints,
   ];
--- a/packages/hickorywharf-bench/src/deployment/deploymentPlan.ts
+++ b/packages/hickorywharf-bench/src/deployment/deploymentPlan.ts
@@ -16,4 +16,11 @@
     {kind: 'pipeline'}
   >[];
   readonly accountKey: string;
+  /** Client accounts besides the first. */
+  readonly accounts?: readonly {
+    readonly name: string;
+    readonly key: string;
+    readonly requestsPerSecond: number;
+    readonly weight: number;
+  }[];
 }
--- a/packages/hickorywharf-bench/src/deployment/startDeployment.ts
+++ b/packages/hickorywharf-bench/src/deployment/startDeployment.ts
@@ -30,6 +30,8 @@
   readonly historyFile: string;
   /** Addresses of the entries by name. */
   readonly entryUrls: ReadonlyMap<string, string>;
+  /** Addresses of the backends by the name of their endpoint. */
+  readonly backendUrls: ReadonlyMap<string, string>;
   readonly processes: Map<string, StartedProcess>;
   /** Starts a process of the system anew, under its old name and address. */
   start(name: string): Promise<void>;
@@ -252,6 +254,12 @@
     storeUrl,
     historyFile,
     entryUrls,
+    backendUrls: new Map(
+      [...backendPorts].map(([name, port]) => [
+        name,
+        `http://${ADDRESS}:${port}`,
+      ]),
+    ),
     processes,
     start,
     list,
--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -2,4 +2,10 @@
 
 /** The experiments by name, each loaded only when it is run. */
 export const experiments: Readonly<Record<string, () => Promise<Experiment>>> =
-  {};
+  {
+    steady: async () => {
+      const {steadyScenario} = await import('./policy/steadyScenario.ts');
+      const {runScenario} = await import('./policy/runScenario.ts');
+      return runScenario(steadyScenario);
+    },
+  };
--- /dev/null
+++ b/packages/hickorywharf-bench/src/experiments/policy/runScenario.ts
@@ -0,0 +1,150 @@
+import path from 'node:path';
+import {sleep} from 'hickorywharf-utils/sleep';
+import {startDeployment} from '../../deployment/startDeployment.ts';
+import {createSchedule} from '../../load/createSchedule.ts';
+import {fetchWork} from '../../load/fetchWork.ts';
+import {runLoad} from '../../load/runLoad.ts';
+import type {Experiment} from '../experiment.ts';
+import type {ExperimentReport} from '../experimentReport.ts';
+import {createExperimentPlan} from './createExperimentPlan.ts';
+import {createSeries} from './createSeries.ts';
+import {createWorkFigures} from './createWorkFigures.ts';
+import {getCapacity} from './getCapacity.ts';
+import {getProcessorSeconds} from './getProcessorSeconds.ts';
+import {policySets} from './policySets.ts';
+import type {Scenario} from './scenario.ts';
+import {standInCosts} from './standInCosts.ts';
+
+type Options = Parameters<Experiment['run']>[0];
+type Run = ExperimentReport['runs'][number];
+type Deployment = Awaited<ReturnType<typeof startDeployment>>;
+
+const STAND_IN_PROCESSES = 3;
+const SETTLE_MILLISECONDS = 700;
+const QUIET = {history: {file: ''}, logs: {level: 'error'}};
+
+async function start(
+  scenario: Scenario,
+  policy: keyof typeof policySets,
+  directory: string,
+  program: string,
+): Promise<Deployment> {
+  const {accounts = {}, accountLimits = {}} = scenario;
+  const names = Object.keys(accounts);
+  const limits = Object.fromEntries(
+    names.map((name) => [name, accountLimits[name] ?? 0]),
+  );
+  const plan = createExperimentPlan(scenario.deployment, limits);
+  const pools = new Map(plan.endpoints.map(({name, pool}) => [name, pool]));
+  const set = policySets[policy];
+  const deployment = await startDeployment({
+    plan,
+    program,
+    directory,
+    standInProcesses: STAND_IN_PROCESSES,
+    getSettings: (name) => ({
+      ...QUIET,
+      ...(plan.entries.includes(name) ? set.entry : set.endpoint),
+    }),
+    getStandIn: (name) =>
+      standInCosts[pools.get(name) as keyof typeof standInCosts],
+  });
+  const code = await deployment.apply(new Set());
+  if (code !== 0) throw new Error(`apply ended with ${code}`);
+  await deployment.waitUntilReady();
+  await sleep(SETTLE_MILLISECONDS);
+  return deployment;
+}
+
+async function injectFaults(
+  scenario: Scenario,
+  deployment: Deployment,
+): Promise<void> {
+  const startedAt = performance.now();
+  for (const fault of scenario.faults ?? []) {
+    const pause = startedAt + fault.atMilliseconds - performance.now();
+    if (pause > 0) await sleep(pause);
+    await fault.apply(deployment);
+  }
+}
+
+async function runOnce(
+  scenario: Scenario,
+  policy: keyof typeof policySets,
+  seed: number,
+  options: Options,
+): Promise<Run> {
+  const {mix, accounts = {default: 1}} = scenario;
+  const directory = path.join(options.directory, `${policy}-${seed}`);
+  const deployment = await start(scenario, policy, directory, options.program);
+  const engines = deployment.plan.endpoints.filter(
+    ({pool}) => pool === 'engines',
+  ).length;
+  const capacity = getCapacity(mix, engines);
+  const phases = scenario.phases.map(({seconds, capacityShare}) => ({
+    seconds,
+    ratePerSecond: capacity * capacityShare,
+  }));
+  const schedule = createSchedule({seed, phases, mix, accounts});
+  const before = getProcessorSeconds(deployment);
+  const startedAt = performance.now();
+  const [records] = await Promise.all([
+    runLoad({
+      deployment,
+      schedule,
+      onProgress: (line) =>
+        options.print(`${scenario.name} ${policy} seed ${seed}: ${line}`),
+    }),
+    injectFaults(scenario, deployment),
+  ]);
+  const seconds = (performance.now() - startedAt) / 1000;
+  const after = getProcessorSeconds(deployment);
+  const work = await fetchWork(deployment.backendUrls.values());
+  await deployment.stop();
+  const busiest = Math.max(
+    ...[...after].map(([name, value]) => value - (before.get(name) ?? 0)),
+  );
+  return {
+    policy,
+    seed,
+    figures: [
+      ...scenario.getFigures({records, work}),
+      ...createWorkFigures(work, records),
+      {
+        name: 'processor of the busiest process',
+        value: busiest / seconds,
+        unit: 'cores',
+        target: null,
+      },
+    ],
+    series: createSeries(records),
+  };
+}
+
+/**
+ * Makes an experiment of a scenario: each of its policies under the same
+ * schedule, for each seed.
+ *
+ * @example
+ *     runScenario(steadyScenario).run({seeds: [1], program, directory, print});
+ */
+export function runScenario(scenario: Scenario): Experiment {
+  return {
+    summary: scenario.summary,
+    async run(options) {
+      const runs: Run[] = [];
+      for (const seed of options.seeds) {
+        for (const policy of scenario.policies) {
+          const run = await runOnce(scenario, policy, seed, options);
+          runs.push(run);
+          for (const {name, value, unit} of run.figures) {
+            options.print(
+              `  ${policy.padEnd(16)} ${name}: ${value.toFixed(3)} ${unit}`,
+            );
+          }
+        }
+      }
+      return {experiment: scenario.name, seeds: options.seeds, runs};
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-bench/src/load/fetchWork.ts
@@ -0,0 +1,24 @@
+import {request} from 'undici';
+import type {WorkLog} from 'hickorywharf-standins/workLog';
+
+/**
+ * The work that the backends of a deployment did, from their own logs.
+ *
+ * @example
+ *     const items = await fetchWork(deployment.backendUrls.values());
+ */
+export async function fetchWork(
+  urls: Iterable<string>,
+): Promise<WorkLog['items']> {
+  const items: WorkLog['items'] = [];
+  for (const url of urls) {
+    const {statusCode, body} = await request(`${url}/v1/work`);
+    if (statusCode !== 200) {
+      await body.dump();
+      continue;
+    }
+    const log = (await body.json()) as WorkLog;
+    items.push(...log.items);
+  }
+  return items;
+}
--- a/packages/hickorywharf-bench/src/sendCall.ts
+++ b/packages/hickorywharf-bench/src/sendCall.ts
@@ -18,15 +18,19 @@
   readonly maximumTokens: number;
   readonly isStream: boolean;
   readonly idempotencyKey: string | null;
+  /** Told of each token as it comes. */
+  readonly onToken?: () => void;
 }
 
 interface CallResult {
   readonly outcome: Outcome | 'connectionLost';
   readonly requestId: string | null;
   readonly detail: string;
+  /** Whether the answer is whole and the one that was to be expected. */
+  readonly isCorrect: boolean;
 }
 
-interface Reply extends CallResult {
+interface Reply extends Omit<CallResult, 'isCorrect'> {
   readonly answer: unknown;
 }
 
@@ -114,17 +118,20 @@
 ): Promise<CallResult> {
   const {callId, pipeline, idempotencyKey} = call;
   const expected = createExpectedAnswer(pipeline, call);
+  const expectedDigest = digest(sortedJson(expected));
   history.record({
     tag: 'requestSent',
     callId,
     pipeline: pipeline.name,
     idempotencyKey,
     deadlineMilliseconds: pipeline.deadlineMilliseconds,
-    expectedDigest: digest(sortedJson(expected)),
+    expectedDigest,
     expectedTokens: expected.tokens?.length ?? 0,
   });
-  const onToken = (position: number) =>
+  const onToken = (position: number) => {
     history.record({tag: 'tokenReceived', callId, position});
+    call.onToken?.();
+  };
   let reply: Reply;
   try {
     reply = await exchange(call, dispatcher, onToken);
@@ -143,5 +150,6 @@
     answerDigest,
     detail,
   });
-  return {outcome, requestId, detail};
+  const isCorrect = answerDigest === expectedDigest;
+  return {outcome, requestId, detail, isCorrect};
 }
--- a/packages/hickorywharf-standins/src/createFaultRoutes.ts
+++ b/packages/hickorywharf-standins/src/createBackendControls.ts
@@ -1,4 +1,5 @@
 import {Hono} from 'hono';
+import type {WorkLog} from './workLog.ts';
 
 /** What may be made to go wrong with a backend. */
 interface BackendFaults {
@@ -8,30 +9,35 @@
   failureShare: number;
 }
 
-interface FaultRoutes {
+interface BackendControls {
   readonly application: Hono;
   readonly faults: BackendFaults;
+  readonly workLog: WorkLog;
   /** Whether the call that comes now is to fail. */
   takeFailure(): boolean;
 }
 
 /**
- * The HTTP call by which tests make a stand-in of a backend slow or failing.
+ * The HTTP calls by which tests make a stand-in of a backend slow or failing,
+ * and read the work that it did.
  *
  * @example
- *     application.route('/', createFaultRoutes().application);
+ *     application.route('/', createBackendControls().application);
  */
-export function createFaultRoutes(): FaultRoutes {
+export function createBackendControls(): BackendControls {
   const faults: BackendFaults = {slowness: 1, failureShare: 0};
+  const workLog: WorkLog = {items: []};
   const application = new Hono();
   let due = 0;
   application.put('/v1/faults', async (context) => {
     Object.assign(faults, await context.req.json());
     return context.json(faults);
   });
+  application.get('/v1/work', (context) => context.json(workLog));
   return {
     application,
     faults,
+    workLog,
     takeFailure() {
       due += faults.failureShare;
       if (due < 1) return false;
--- a/packages/hickorywharf-standins/src/createEngineStandIn.ts
+++ b/packages/hickorywharf-standins/src/createEngineStandIn.ts
@@ -1,7 +1,7 @@
 import {Hono} from 'hono';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {createEngineBatch} from './createEngineBatch.ts';
-import {createFaultRoutes} from './createFaultRoutes.ts';
+import {createBackendControls} from './createBackendControls.ts';
 import {createPrefixCache} from './createPrefixCache.ts';
 import {ENGINE_MODEL} from './engineModel.ts';
 import {expectedContent} from './expectedContent.ts';
@@ -14,7 +14,6 @@
   readonly tokenMilliseconds: number;
   /** Generations in a full batch. */
   readonly capacity: number;
-  readonly workLog: WorkLog;
 }
 
 interface CompletionBody {
@@ -39,7 +38,7 @@
   body: CompletionBody,
   batch: Batch,
   cache: Cache,
-  options: EngineOptions,
+  options: EngineOptions & {readonly workLog: WorkLog},
 ): ReadableStream<Uint8Array> {
   const {prompt, continuation = [], priority = 0} = body;
   const count = body.maximumTokens ?? DEFAULT_MAXIMUM_TOKENS;
@@ -107,17 +106,18 @@
  * and cache events late.
  *
  * @example
- *     createEngineStandIn({prefillMilliseconds: 5, tokenMilliseconds: 20, capacity: 4, workLog});
+ *     createEngineStandIn({prefillMilliseconds: 5, tokenMilliseconds: 20, capacity: 4});
  */
 export function createEngineStandIn(options: EngineOptions): Hono {
   const application = new Hono();
-  const {application: faultRoutes, faults, takeFailure} = createFaultRoutes();
+  const controls = createBackendControls();
+  const {faults, workLog, takeFailure} = controls;
   const cache = createPrefixCache(() => performance.now());
   const {capacity, tokenMilliseconds} = options;
   const getSlowness = () => faults.slowness;
   const batch = createEngineBatch({capacity, tokenMilliseconds, getSlowness});
   let role: Role = 'both';
-  application.route('/', faultRoutes);
+  application.route('/', controls.application);
 
   function getTransferMilliseconds(blocks: readonly number[]): number {
     const share = ENGINE_MODEL.transferBlockShare * blocks.length;
@@ -130,9 +130,12 @@
     if (role === 'prefill' && (body.maximumTokens ?? 0) > 1) {
       return context.json({error: 'this engine only takes in prompts'}, 409);
     }
-    return new Response(createStream(body, batch, cache, options), {
-      headers: {'content-type': 'text/event-stream'},
-    });
+    return new Response(
+      createStream(body, batch, cache, {...options, workLog}),
+      {
+        headers: {'content-type': 'text/event-stream'},
+      },
+    );
   });
   application.get('/v1/load', async (context) => {
     const load = batch.getLoad();
--- a/packages/hickorywharf-standins/src/createPoolStandIn.ts
+++ b/packages/hickorywharf-standins/src/createPoolStandIn.ts
@@ -1,9 +1,8 @@
 import {Hono} from 'hono';
 import {sleep} from 'hickorywharf-utils/sleep';
-import {createFaultRoutes} from './createFaultRoutes.ts';
+import {createBackendControls} from './createBackendControls.ts';
 import {createLimiter} from './createLimiter.ts';
 import {expectedContent} from './expectedContent.ts';
-import type {WorkLog} from './workLog.ts';
 
 interface PoolOptions {
   /** Time that a call takes, whatever its size. */
@@ -12,7 +11,6 @@
   readonly sizeMilliseconds: number;
   /** Calls that are worked on at once; others wait in order of arrival. */
   readonly capacity: number;
-  readonly workLog: WorkLog;
 }
 
 interface PoolBody {
@@ -39,14 +37,15 @@
  * limited number of calls at once, and takes longer over longer texts.
  *
  * @example
- *     createPoolStandIn({workMilliseconds: 10, sizeMilliseconds: 5, capacity: 4, workLog});
+ *     createPoolStandIn({workMilliseconds: 10, sizeMilliseconds: 5, capacity: 4});
  */
 export function createPoolStandIn(options: PoolOptions): Hono {
-  const {workMilliseconds, sizeMilliseconds, workLog} = options;
+  const {workMilliseconds, sizeMilliseconds} = options;
   const application = new Hono();
-  const {application: faultRoutes, faults, takeFailure} = createFaultRoutes();
+  const controls = createBackendControls();
+  const {faults, workLog, takeFailure} = controls;
   const limiter = createLimiter(options.capacity);
-  application.route('/', faultRoutes);
+  application.route('/', controls.application);
 
   for (const [stage, work] of Object.entries(WORK)) {
     application.post(`/v1/${stage}`, async (context) => {
--- a/packages/hickorywharf-standins/src/standInKinds.ts
+++ b/packages/hickorywharf-standins/src/standInKinds.ts
@@ -5,8 +5,6 @@
 import {createPoolStandIn} from './createPoolStandIn.ts';
 import {createServiceStandIn} from './createServiceStandIn.ts';
 import {createStoreStandIn} from './createStoreStandIn.ts';
-import {createWorkLogRoutes} from './createWorkLogRoutes.ts';
-import type {WorkLog} from './workLog.ts';
 
 /** One stand-in of a file of stand-ins. */
 interface StandInOptions {
@@ -16,7 +14,6 @@
   readonly lagMilliseconds: number;
   readonly sizeMilliseconds: number;
   readonly capacity: number;
-  readonly workLog: WorkLog;
   readonly history: HistoryRecorder;
 }
 
@@ -29,7 +26,6 @@
   engine: ({workMilliseconds, ...options}) =>
     createEngineStandIn({prefillMilliseconds: workMilliseconds, ...options}),
   pool: createPoolStandIn,
-  workLog: ({workLog}) => createWorkLogRoutes(workLog),
   service: ({name, workMilliseconds, history}) =>
     createServiceStandIn({name, workMilliseconds, history}),
 };
--- a/packages/hickorywharf-standins/src/startStandIns.ts
+++ b/packages/hickorywharf-standins/src/startStandIns.ts
@@ -31,7 +31,6 @@
 export async function startStandIns(path: string): Promise<void> {
   const file = fileSchema.parse(JSON.parse(readFileSync(path, 'utf8')));
   const clock = createSystemClock();
-  const workLog = {items: []};
   for (const {kind, port, ...options} of file.standIns) {
     const create = standInKinds[kind];
     if (create === undefined) throw new Error(`no stand-in '${kind}'`);
@@ -40,7 +39,7 @@
       file: file.historyFile,
       clock,
     });
-    const application = create({...options, history, workLog});
+    const application = create({...options, history});
     await listen(application, {address: file.address, port});
   }
 }
--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -27,6 +27,9 @@
   policy: z
     .strictObject({
       routing: z.string().default('twoChoices'),
+      admission: z.string().default('none'),
+      ejection: z.string().default('none'),
+      hedging: z.string().default('none'),
     })
     .prefault({}),
   stop: z
