--- /dev/null
+++ b/packages/hickorywharf-bench/src/__tests__/loadHistory.test.ts
@@ -0,0 +1,56 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import test from 'ava';
+import {loadHistory} from '../loadHistory.ts';
+
+const STAMP = {
+  process: 'entry-1',
+  incarnation: 'i-1',
+  monotonicMilliseconds: 1,
+  wallMilliseconds: 2,
+};
+const GOOD = JSON.stringify({...STAMP, tag: 'processPaused', name: 'desk-1'});
+
+function load(text: string) {
+  const directory = mkdtempSync(path.join(os.tmpdir(), 'history-'));
+  const file = path.join(directory, 'history.ndjson');
+  writeFileSync(file, text);
+  const loaded = loadHistory(file);
+  rmSync(directory, {recursive: true});
+  return loaded.mapErr(({line, message}) => `${line}: ${message}`);
+}
+
+test('a last line that was cut by a kill is left out', (t) => {
+  t.is(load(`${GOOD}\n{"tag":"proc`)._unsafeUnwrap().length, 1);
+});
+
+const WRONG: Readonly<Record<string, readonly [string, RegExp]>> = {
+  'a line that is not JSON': [`${GOOD}\nreel 7\n${GOOD}\n`, /^2: is not JSON/],
+  'a line without a tag': ['[]\n', /^1: is no event/],
+  'an unknown tag': [
+    GOOD.replace('processPaused', 'procesPaused') + '\n',
+    /^1: 'procesPaused' .*did you mean 'processPaused'/,
+  ],
+  'a tag that every object has': [
+    GOOD.replace('processPaused', 'toString') + '\n',
+    /^1: 'toString' is no kind of event/,
+  ],
+  'a field of the wrong type': [
+    GOOD.replace('"desk-1"', '1') + '\n',
+    /^1: processPaused\.name: /,
+  ],
+  'a missing stamp': ['{"tag":"processPaused","name":"a"}\n', /^1: .*process/],
+  'an unknown field': [GOOD.replace('}', ',"more":1}') + '\n', /^1: .*more/],
+  'an empty file': ['', /^0: has no event/],
+};
+
+for (const [what, [text, message]] of Object.entries(WRONG)) {
+  test(`refused with its line: ${what}`, (t) => {
+    t.regex(load(text)._unsafeUnwrapErr(), message);
+  });
+}
+
+test('a file that is not there is an error, not an exception', (t) => {
+  t.is(loadHistory('/nowhere/history.ndjson')._unsafeUnwrapErr().line, 0);
+});
--- a/packages/hickorywharf-bench/src/checkHistory.ts
+++ b/packages/hickorywharf-bench/src/checkHistory.ts
@@ -1,6 +1,7 @@
 import type {HistoryEvent} from 'hickorywharf-types/historyEvent';
 import type {Breach} from './breach.ts';
-import {historyChecks} from './historyChecks.ts';
+import {createHistoryIndex} from './history/createHistoryIndex.ts';
+import {historyChecks} from './history/historyChecks.ts';
 
 /**
  * Verifies the promises on a recorded history.
@@ -10,5 +11,8 @@
  *     checkHistory(events).length;
  */
 export function checkHistory(events: readonly HistoryEvent[]): Breach[] {
-  return Object.values(historyChecks).flatMap((check) => check(events));
+  const history = createHistoryIndex(events);
+  return Object.entries(historyChecks).flatMap(([promise, check]) =>
+    check(history).map((breach) => ({promise, ...breach})),
+  );
 }
--- a/packages/hickorywharf-bench/src/demo/runDemo.ts
+++ b/packages/hickorywharf-bench/src/demo/runDemo.ts
@@ -1,8 +1,6 @@
 import {mkdtempSync} from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
-import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
-import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {checkHistory} from '../checkHistory.ts';
 import type {DeploymentPlan} from '../deployment/deploymentPlan.ts';
@@ -35,15 +33,13 @@
 ): Promise<void> {
   await sleep(PHASE_MILLISECONDS);
   say(`kill endpoint process ${KILLED_ENDPOINT}`);
-  deployment.processes.get(KILLED_ENDPOINT)!.signal('SIGKILL');
-  await deployment.processes.get(KILLED_ENDPOINT)!.exited;
+  await deployment.kill(KILLED_ENDPOINT);
   await sleep(PHASE_MILLISECONDS / 3);
   say(`start it anew`);
   await deployment.start(KILLED_ENDPOINT);
   await sleep(PHASE_MILLISECONDS);
   say(`kill ${KILLED_ENTRY}`);
-  deployment.processes.get(KILLED_ENTRY)!.signal('SIGKILL');
-  await deployment.processes.get(KILLED_ENTRY)!.exited;
+  await deployment.kill(KILLED_ENTRY);
   entries.splice(entries.indexOf(KILLED_ENTRY), 1);
   await deployment.list(KILLED_ENTRY, false);
   await sleep(PHASE_MILLISECONDS);
@@ -85,12 +81,6 @@
   stopTraffic.abort();
   const rows = await traffic;
   if (!options.keep) await deployment.stop();
-  const history = createHistoryRecorder({
-    process: 'demo',
-    file: deployment.historyFile,
-    clock: createSystemClock(),
-  });
-  history.close();
   const events = loadHistory(deployment.historyFile);
   if (events.isErr()) throw new Error(events.error.message);
   const breaches = checkHistory(events.value);
--- a/packages/hickorywharf-bench/src/demo/runTraffic.ts
+++ b/packages/hickorywharf-bench/src/demo/runTraffic.ts
@@ -3,6 +3,7 @@
 import {createRandom} from 'hickorywharf-utils/createRandom';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {createUuid7} from 'hickorywharf-utils/createUuid7';
+import {sleep} from 'hickorywharf-utils/sleep';
 import type {startDeployment} from '../deployment/startDeployment.ts';
 import {sendCall} from '../sendCall.ts';
 
@@ -31,11 +32,12 @@
 
 const MAXIMUM_TOKENS = 24;
 const RETRIES = 3;
+const RETRY_PAUSE_MILLISECONDS = 100;
 
 /**
  * Lets callers send calls one after another until the signal, through every
- * pipeline, whole and streamed. A caller whose connection is lost tries again
- * through another entry, with the same key.
+ * pipeline, whole and streamed. A caller that gets no answer tries again, with
+ * the same key, through any entry.
  *
  * @example
  *     const rows = await runTraffic(options);
@@ -87,7 +89,8 @@
       if (outcome === 'answered') {
         row.milliseconds.push(clock.monotonic() - startedAt);
       }
-      if (outcome !== 'connectionLost') return;
+      if (outcome === 'answered') return;
+      await sleep(RETRY_PAUSE_MILLISECONDS * (0.5 + random()));
     }
   }
 
@@ -114,6 +117,11 @@
     Array.from({length: callers}, (_, caller) => runCaller(caller)),
   );
   await dispatcher.close();
+  history.record({
+    tag: 'processStopped',
+    name: `${plan.name}-callers`,
+    planned: true,
+  });
   history.close();
   return [...rows.values()];
 }
--- a/packages/hickorywharf-bench/src/deployment/startDeployment.ts
+++ b/packages/hickorywharf-bench/src/deployment/startDeployment.ts
@@ -1,8 +1,13 @@
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {request} from 'undici';
+import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
+import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
+import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {sleep} from 'hickorywharf-utils/sleep';
-import {createDocuments} from './createDocuments.ts';
+import {createProcessControl} from './createProcessControl.ts';
+import {createProcessSections} from './createProcessSections.ts';
+import {createDeclarationsOperator} from './createDeclarationsOperator.ts';
 import type {DeploymentPlan} from './deploymentPlan.ts';
 import {findFreePorts} from './findFreePorts.ts';
 import {startProcess} from './startProcess.ts';
@@ -17,6 +22,10 @@
   readonly directory: string;
   /** Settings of a process that differ from the usual, by section and key. */
   readonly getSettings?: (name: string) => Sections;
+  /** Port that the instance list gives for a process, where not its own. */
+  readonly getListedPort?: (name: string, port: number) => number;
+  /** Words of the command line before the command itself. */
+  readonly programWords?: readonly string[];
   /** Fields of a stand-in that differ from the usual. */
   readonly getStandIn?: (name: string) => Readonly<Record<string, unknown>>;
 }
@@ -31,6 +40,15 @@
   readonly processes: Map<string, StartedProcess>;
   /** Starts a process of the system anew, under its old name and address. */
   start(name: string): Promise<void>;
+  /** Kills a process, and records that this was not its own doing. */
+  kill(name: string): Promise<void>;
+  /** Asks a process to stop; resolves with its exit code. */
+  stopOne(name: string): Promise<number | null>;
+  /** Suspends a process, until `resume`. */
+  pause(name: string): void;
+  resume(name: string): void;
+  /** Records what the driver of the deployment does. */
+  readonly history: HistoryRecorder;
   /** Tells the instance list that a process is there, or is gone. */
   list(name: string, isThere: boolean): Promise<void>;
   /** Brings declarations in force with the program's own command. */
@@ -42,9 +60,8 @@
 const ADDRESS = '127.0.0.1';
 const READY_MILLISECONDS = 30_000;
 const POLL_MILLISECONDS = 50;
-const STOP_MILLISECONDS = 20_000;
-const HOME_INTERVAL_SECONDS = 900;
-const BALANCER_MILLISECONDS = 200;
+/** Regular events bound from below the time between any two others. */
+const TICK_MILLISECONDS = 200;
 const LIST_LAG_MILLISECONDS = 300;
 
 function toIni(sections: Sections): string {
@@ -92,10 +109,21 @@
     plan.endpoints.map(({name}) => [name, takePort()]),
   );
   const processes = new Map<string, StartedProcess>();
+  const history = createHistoryRecorder({
+    process: `${plan.name}-driver`,
+    file: historyFile,
+    clock: createSystemClock(),
+  });
+  const {programWords = []} = options;
+  const ticker = setInterval(
+    () => history.record({tag: 'timePassed'}),
+    TICK_MILLISECONDS,
+  );
+  const control = createProcessControl(processes, history);
 
   function startProgram(name: string, words: readonly string[]) {
     const logFile = path.join(directory, `${name}.log`);
-    return startProcess({program, words, logFile});
+    return startProcess({program, words: [...programWords, ...words], logFile});
   }
 
   function writeStandIns(): string {
@@ -128,48 +156,14 @@
     ]!;
   }
 
-  function createSections(name: string): Sections {
-    const common: Sections = {
-      process: {name, failureDomain: getFailureDomain(name)},
-      platform: {storeUrl, instancesUrl, instancesPollMilliseconds: 300},
-      history: {file: historyFile},
-    };
-    const port = processPorts.get(name)!;
-    const endpoint = plan.endpoints.find(
-      (candidate) => candidate.name === name,
-    );
-    if (endpoint === undefined) {
-      return {
-        ...common,
-        http: {address: ADDRESS, port},
-        stop: {balancerMilliseconds: BALANCER_MILLISECONDS},
-      };
-    }
-    const url = `http://${ADDRESS}:${backendPorts.get(name)}`;
-    const homes: Sections =
-      endpoint.backend === 'service'
-        ? {
-            homes: {
-              pool: endpoint.pool,
-              intervalSeconds: HOME_INTERVAL_SECONDS,
-            },
-          }
-        : {};
-    return {
-      ...common,
-      ...homes,
-      listen: {address: ADDRESS, port},
-      backend: {kind: endpoint.backend, url, slots: endpoint.slots},
-    };
-  }
-
   async function list(name: string, isThere: boolean): Promise<void> {
     const role = plan.entries.includes(name) ? 'entry' : 'endpoint';
+    const port = processPorts.get(name)!;
     const instance = {
       name,
       role,
       address: ADDRESS,
-      port: processPorts.get(name),
+      port: options.getListedPort?.(name, port) ?? port,
       failureDomain: getFailureDomain(name),
       state: 'live',
     };
@@ -183,27 +177,36 @@
 
   async function start(name: string): Promise<void> {
     const file = path.join(directory, `${name}.ini`);
-    const sections = createSections(name);
+    const sections = createProcessSections({
+      plan,
+      name,
+      address: ADDRESS,
+      port: processPorts.get(name)!,
+      backendPort: backendPorts.get(name) ?? 0,
+      failureDomain: getFailureDomain(name),
+      storeUrl,
+      instancesUrl,
+      historyFile,
+    });
     const changed = options.getSettings?.(name) ?? {};
     for (const [section, values] of Object.entries(changed)) {
       sections[section] = {...sections[section], ...values};
     }
     writeFileSync(file, toIni(sections));
     const role = plan.entries.includes(name) ? 'entry' : 'endpoint';
-    processes.set(name, startProgram(name, [role, '--settings', file]));
+    const started = startProgram(name, [role, '--settings', file]);
+    processes.set(name, started);
+    control.watch(name);
     await list(name, true);
   }
 
-  function apply(draining: ReadonlySet<string>): Promise<number | null> {
-    const declarations = path.join(directory, 'declarations');
-    mkdirSync(declarations, {recursive: true});
-    writeFileSync(
-      path.join(declarations, 'all.json'),
-      JSON.stringify(createDocuments(plan, draining)),
-    );
-    const words = ['apply', declarations, '--store', storeUrl];
-    return startProgram('apply', words).exited;
-  }
+  const applyDeclarations = createDeclarationsOperator({
+    plan,
+    directory,
+    storeUrl,
+    history,
+    startProgram,
+  });
 
   const entryUrls = new Map(
     plan.entries.map((name) => [
@@ -241,22 +244,24 @@
     entryUrls,
     processes,
     start,
+    kill: control.kill,
+    stopOne: control.stopOne,
+    pause: control.pause,
+    resume: control.resume,
+    history,
     list,
-    apply,
+    apply: applyDeclarations,
     waitUntilReady: () =>
       waitFor(async () => {
         const ready = await Promise.all([...entryUrls.values()].map(isReady));
         return ready.every(Boolean);
       }),
     async stop() {
-      for (const started of processes.values()) started.signal('SIGTERM');
-      const timer = setTimeout(() => {
-        for (const started of processes.values()) started.signal('SIGKILL');
-      }, STOP_MILLISECONDS);
-      await Promise.all([...processes.values()].map(({exited}) => exited));
-      clearTimeout(timer);
+      await control.stopAll();
       standIns.signal('SIGTERM');
       await standIns.exited;
+      clearInterval(ticker);
+      history.close();
     },
   };
 }
--- a/packages/hickorywharf-bench/src/loadHistory.ts
+++ b/packages/hickorywharf-bench/src/loadHistory.ts
@@ -1,15 +1,18 @@
 import {readFileSync} from 'node:fs';
 import {err, ok, type Result} from 'neverthrow';
 import type {HistoryEvent} from 'hickorywharf-types/historyEvent';
+import {readHistoryLine} from './history/readHistoryLine.ts';
 
 interface HistoryError {
   readonly file: string;
+  /** From 1; 0 where the file as a whole is wrong. */
   readonly line: number;
   readonly message: string;
 }
 
 /**
- * Reads a recorded history. A last line that was cut by a kill is left out.
+ * Reads a recorded history. A last line that was cut by a kill is left out; a
+ * file without any event is refused, since it proves nothing.
  *
  * @example
  *     loadHistory('history.ndjson');
@@ -17,17 +20,22 @@
 export function loadHistory(
   file: string,
 ): Result<readonly HistoryEvent[], HistoryError> {
-  const lines = readFileSync(file, 'utf8').split('\n');
-  const cut = lines.pop() ?? '';
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    return err({file, line: 0, message: (error as Error).message});
+  }
+  const wholeLines = text.split('\n').slice(0, -1);
   const events: HistoryEvent[] = [];
-  for (const [index, line] of lines.entries()) {
+  for (const [index, line] of wholeLines.entries()) {
     if (line === '') continue;
-    try {
-      events.push(JSON.parse(line) as HistoryEvent);
-    } catch {
-      return err({file, line: index + 1, message: 'is not JSON'});
+    const read = readHistoryLine(line);
+    if (read.isErr()) {
+      return err({file, line: index + 1, message: read.error});
     }
+    events.push(read.value);
   }
-  void cut;
+  if (events.length === 0) return err({file, line: 0, message: 'has no event'});
   return ok(events);
 }
--- a/packages/hickorywharf-bench/src/sendCall.ts
+++ b/packages/hickorywharf-bench/src/sendCall.ts
@@ -120,11 +120,13 @@
     pipeline: pipeline.name,
     idempotencyKey,
     deadlineMilliseconds: pipeline.deadlineMilliseconds,
+    isStream: call.isStream,
+    hasAction: pipeline.stages.some((stage) => !stage.idempotent),
     expectedDigest: digest(sortedJson(expected)),
-    expectedTokens: expected.tokens?.length ?? 0,
+    expectedTokens: expected.tokens ?? [],
   });
-  const onToken = (position: number) =>
-    history.record({tag: 'tokenReceived', callId, position});
+  const onToken = (position: number, token: string) =>
+    history.record({tag: 'tokenReceived', callId, position, token});
   let reply: Reply;
   try {
     reply = await exchange(call, dispatcher, onToken);
