--- /dev/null
+++ b/packages/hickorywharf-bench/src/campaign/formatCampaign.ts
@@ -0,0 +1,33 @@
+import type {runCampaign} from './runCampaign.ts';
+
+type Run = Awaited<ReturnType<typeof runCampaign>>;
+
+function formatRow(run: Run): string {
+  const faults = run.plan.faults.map(({name, target}) => `${name} (${target})`);
+  const broken = [...new Set(run.breaches.map(({promise}) => promise))];
+  const cells = [
+    run.seed,
+    faults.join(', '),
+    run.plan.arrangement,
+    run.sent,
+    run.answered,
+    run.notRun,
+    run.unknown,
+    run.connectionLost,
+    broken.length === 0 ? 'none' : broken.join('; '),
+  ];
+  return `| ${cells.join(' | ')} |`;
+}
+
+/**
+ * The table of a campaign's runs, in Markdown.
+ *
+ * @example
+ *     formatCampaign(runs);
+ */
+export function formatCampaign(runs: readonly Run[]): string {
+  const header =
+    '| Seed | Faults | Arrangement | Calls | Answered | Not run | Unknown | Connection lost | Broken promises |';
+  const ruler = '| --- | --- | --- | --- | --- | --- | --- | --- | --- |';
+  return [header, ruler, ...runs.map(formatRow), ''].join('\n');
+}
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -71,7 +71,7 @@
   const keeper = createConfigurationKeeper({
     onInForce(view) {
       const {sequence} = view;
-      history.record({tag: 'configurationInForce', incarnation, sequence});
+      history.record({tag: 'configurationInForce', sequence});
       feed({tag: 'configurationInForce', view});
       noteDeparture();
     },
@@ -82,7 +82,11 @@
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
     const isLeaving = core.state.leaving || draining === true;
     if (isLeaving && !departureNoted) {
-      history.record({tag: 'endpointLeaving', endpoint: name});
+      const signal = core.state.leaving ? 'stop' : 'record';
+      history.record({tag: 'endpointLeaving', endpoint: name, signal});
+    }
+    if (!isLeaving && departureNoted) {
+      history.record({tag: 'endpointReturned', endpoint: name});
     }
     departureNoted = isLeaving;
   }
@@ -91,7 +95,13 @@
     command: Extract<EndpointCommand, {tag: 'startBackend'}>,
   ): void {
     const {attempt, remainingMilliseconds} = command;
-    const {attemptId} = attempt;
+    const {requestId, attemptId} = attempt;
+    history.record({
+      tag: 'attemptBegan',
+      requestId,
+      attemptId,
+      endpoint: name,
+    });
     const controller = new AbortController();
     running.set(attemptId, controller);
     const onTokens = (tokens: readonly string[]) =>
@@ -104,7 +114,6 @@
       },
       ({outcome, message, step, peer}) => {
         running.delete(attemptId);
-        const {requestId} = attempt;
         logger.warn({requestId, step, peer, outcome}, message);
         feed({tag: 'backendFailed', attemptId, outcome, message});
       },
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -84,7 +84,7 @@
   const keeper = createConfigurationKeeper({
     onInForce(view) {
       const {sequence} = view;
-      history.record({tag: 'configurationInForce', incarnation, sequence});
+      history.record({tag: 'configurationInForce', sequence});
       feed({tag: 'configurationInForce', view});
     },
   });
--- a/packages/hickorywharf-telemetry/src/createHistoryRecorder.ts
+++ b/packages/hickorywharf-telemetry/src/createHistoryRecorder.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {closeSync, openSync, writeSync} from 'node:fs';
 import type {Clock} from 'hickorywharf-utils/clock';
 import type {HistoryRecorder} from './historyRecorder.ts';
@@ -22,11 +23,13 @@
   const {file, clock} = options;
   if (file === '') return {record: () => undefined, close: () => undefined};
   const descriptor = openSync(file, 'a');
+  const incarnation = randomUUID();
   return {
     record(event) {
       const stamped = {
         ...event,
         process: options.process,
+        incarnation,
         monotonicMilliseconds: clock.monotonic(),
         wallMilliseconds: clock.wall(),
       };
--- a/packages/hickorywharf-telemetry/src/historyRecorder.ts
+++ b/packages/hickorywharf-telemetry/src/historyRecorder.ts
@@ -1,7 +1,10 @@
 import type {HistoryEvent} from 'hickorywharf-types/historyEvent';
 
 type Unstamped<Event> = Event extends unknown
-  ? Omit<Event, 'process' | 'monotonicMilliseconds' | 'wallMilliseconds'>
+  ? Omit<
+      Event,
+      'process' | 'incarnation' | 'monotonicMilliseconds' | 'wallMilliseconds'
+    >
   : never;
 
 /** Records the events of one process for `check-history`. */
--- a/packages/hickorywharf-types/src/historyEvent.ts
+++ b/packages/hickorywharf-types/src/historyEvent.ts
@@ -3,6 +3,8 @@
 /** When and where an event was seen. */
 interface HistoryStamp {
   readonly process: string;
+  /** One life of the process; its monotonic times can be compared. */
+  readonly incarnation: string;
   readonly monotonicMilliseconds: number;
   readonly wallMilliseconds: number;
 }
@@ -19,13 +21,17 @@
         readonly pipeline: string;
         readonly idempotencyKey: string | null;
         readonly deadlineMilliseconds: number;
+        readonly isStream: boolean;
+        /** Whether the pipeline has a stage that may run only once. */
+        readonly hasAction: boolean;
         readonly expectedDigest: string;
-        readonly expectedTokens: number;
+        readonly expectedTokens: readonly string[];
       }
     | {
         readonly tag: 'tokenReceived';
         readonly callId: string;
         readonly position: number;
+        readonly token: string;
       }
     | {
         readonly tag: 'outcomeReceived';
@@ -53,7 +59,20 @@
         readonly attemptId: string;
         readonly endpoint: string;
       }
-    | {readonly tag: 'endpointLeaving'; readonly endpoint: string}
+    | {
+        /** The backend was given the attempt. */
+        readonly tag: 'attemptBegan';
+        readonly requestId: string;
+        readonly attemptId: string;
+        readonly endpoint: string;
+      }
+    | {
+        readonly tag: 'endpointLeaving';
+        readonly endpoint: string;
+        /** A record holds over restarts; a stop ends with the process. */
+        readonly signal: 'record' | 'stop' | 'list';
+      }
+    | {readonly tag: 'endpointReturned'; readonly endpoint: string}
     | {
         readonly tag: 'actionRan';
         readonly idempotencyKey: string;
@@ -73,12 +92,38 @@
       }
     | {
         readonly tag: 'configurationInForce';
-        readonly incarnation: string;
         readonly sequence: number;
       }
     | {
+        readonly tag: 'processStarted';
+        readonly name: string;
+        readonly role: 'entry' | 'endpoint';
+      }
+    | {
+        /** Planned: by the process itself. Otherwise by who killed it. */
         readonly tag: 'processStopped';
         readonly name: string;
         readonly planned: boolean;
       }
+    | {
+        /** It ended though nobody stopped or killed it. */
+        readonly tag: 'processCrashed';
+        readonly name: string;
+        readonly exitCode: number | null;
+      }
+    /** Recorded regularly by one process, so that every wait can be measured. */
+    | {readonly tag: 'timePassed'}
+    | {readonly tag: 'processPaused'; readonly name: string}
+    | {readonly tag: 'processResumed'; readonly name: string}
+    | {
+        readonly tag: 'faultBegan';
+        readonly fault: string;
+        /** The process that is cut off, or null for the platform's store. */
+        readonly target: string | null;
+      }
+    | {
+        readonly tag: 'faultEnded';
+        readonly fault: string;
+        readonly target: string | null;
+      }
   );
--- a/packages/hickorywharf/src/commands/checkHistoryCommand.ts
+++ b/packages/hickorywharf/src/commands/checkHistoryCommand.ts
@@ -13,7 +13,8 @@
     const loaded = loadHistory(positionals[0]!);
     if (loaded.isErr()) {
       const {file, line, message} = loaded.error;
-      console.error(`hickorywharf: ${file}:${line}: ${message}`);
+      const place = line === 0 ? file : `${file}:${line}`;
+      console.error(`hickorywharf: ${place}: ${message}`);
       return exitCodes.failed;
     }
     const breaches = checkHistory(loaded.value);
--- a/packages/hickorywharf/src/commands/endpointCommand.ts
+++ b/packages/hickorywharf/src/commands/endpointCommand.ts
@@ -36,6 +36,7 @@
       logger,
       history,
       name,
+      role: 'endpoint',
       async start() {
         const role = await runEndpoint({
           settings,
--- a/packages/hickorywharf/src/commands/entryCommand.ts
+++ b/packages/hickorywharf/src/commands/entryCommand.ts
@@ -36,6 +36,7 @@
       logger,
       history,
       name,
+      role: 'entry',
       async start() {
         const role = await runEntry({
           settings,
--- a/packages/hickorywharf/src/runRole.ts
+++ b/packages/hickorywharf/src/runRole.ts
@@ -10,6 +10,7 @@
   readonly logger: bunyan;
   readonly history: HistoryRecorder;
   readonly name: string;
+  readonly role: 'entry' | 'endpoint';
   readonly start: () => Promise<Role>;
 }
 
@@ -19,23 +20,24 @@
  *
  * @returns the exit code
  * @example
- *     await runRole({logger, history, name: 'entry-1', start});
+ *     await runRole({logger, history, name, role: 'entry', start});
  */
 export async function runRole(options: RunRoleOptions): Promise<number> {
-  const {logger, history, name, start} = options;
+  const {logger, history, name, role, start} = options;
   const {promise: asked, resolve: onAsked} = Promise.withResolvers<void>();
   process.on('SIGTERM', () => onAsked());
   process.on('SIGINT', () => onAsked());
-  let role: Role;
+  history.record({tag: 'processStarted', name, role});
+  let running: Role;
   try {
-    role = await start();
+    running = await start();
   } catch (error) {
     logger.fatal({step: 'admit', peer: null}, (error as Error).message);
     return exitCodes.failed;
   }
   await asked;
   logger.info('stopping');
-  await role.stop();
+  await running.stop();
   history.record({tag: 'processStopped', name, planned: true});
   history.close();
   // Idle keep-alive connections would hold the process up for no request.
