--- /dev/null
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -0,0 +1,67 @@
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import test from 'ava';
+import {createTcpRelay} from '../createTcpRelay.ts';
+
+const ADDRESS = '127.0.0.1';
+
+async function createEcho(t: {teardown(end: () => void): void}) {
+  const server = createServer((socket) => {
+    socket.on('error', () => socket.destroy());
+    socket.pipe(socket);
+  });
+  server.listen(0, ADDRESS);
+  await once(server, 'listening');
+  const relay = await createTcpRelay({address: ADDRESS, delayMilliseconds: 50});
+  relay.setTarget((server.address() as AddressInfo).port);
+  t.teardown(() => {
+    relay.close();
+    server.close();
+  });
+  const socket = connect(relay.port, ADDRESS);
+  await once(socket, 'connect');
+  return {relay, socket};
+}
+
+async function readNext(socket: Socket): Promise<string> {
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  return bytes.toString();
+}
+
+test('bytes pass, and come in order after a delay', async (t) => {
+  const {relay, socket} = await createEcho(t);
+  socket.write('one');
+  t.is(await readNext(socket), 'one');
+  relay.setMode('delay');
+  socket.write('two');
+  t.is(await readNext(socket), 'two');
+});
+
+test('held bytes come once the relay passes again', async (t) => {
+  const {relay, socket} = await createEcho(t);
+  relay.setMode('hold');
+  socket.write('held');
+  const next = readNext(socket);
+  relay.setMode('pass');
+  t.is(await next, 'held');
+});
+
+test('a reset ends the connection with an error', async (t) => {
+  const {relay, socket} = await createEcho(t);
+  socket.write('one');
+  await readNext(socket);
+  const failed = once(socket, 'error') as Promise<[NodeJS.ErrnoException]>;
+  relay.reset();
+  const [{code}] = await failed.catch((error) => [error]);
+  t.is(code, 'ECONNRESET');
+});
+
+test('a half-closed connection ends in one direction', async (t) => {
+  const {relay, socket} = await createEcho(t);
+  socket.write('one');
+  await readNext(socket);
+  const ended = once(socket, 'end');
+  relay.halfClose('client');
+  await ended;
+  t.true(socket.readableEnded);
+});
