--- a/packages/hickorywharf-bench/src/sendCall.ts
+++ b/packages/hickorywharf-bench/src/sendCall.ts
@@ -125,11 +125,13 @@
     pipeline: pipeline.name,
     idempotencyKey,
     deadlineMilliseconds: pipeline.deadlineMilliseconds,
+    isStream: call.isStream,
+    hasAction: pipeline.stages.some((stage) => !stage.idempotent),
     expectedDigest,
-    expectedTokens: expected.tokens?.length ?? 0,
+    expectedTokens: expected.tokens ?? [],
   });
-  const onToken = (position: number) => {
-    history.record({tag: 'tokenReceived', callId, position});
+  const onToken = (position: number, token: string) => {
+    history.record({tag: 'tokenReceived', callId, position, token});
     call.onToken?.();
   };
   let reply: Reply;
