Index endpoint records by pool

Cause: each dispatch read every endpoint record. Change: the view in force groups them by pool once for each change.

--- a/packages/hickorywharf-decisions/src/configuration/configurationView.ts
+++ b/packages/hickorywharf-decisions/src/configuration/configurationView.ts
@@ -10,4 +10,8 @@
   readonly routes: ReadonlyMap<string, RecordOf<'route'>>;
   readonly accountsByKeyHash: ReadonlyMap<string, RecordOf<'account'>>;
   readonly endpoints: ReadonlyMap<string, RecordOf<'endpoint'>>;
+  readonly endpointsByPool: ReadonlyMap<
+    string,
+    readonly RecordOf<'endpoint'>[]
+  >;
 }
--- a/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
+++ b/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
@@ -36,11 +36,16 @@
   const pipelines = new Map();
   const routes = new Map();
   const accountsByKeyHash = new Map();
-  const endpoints = new Map();
+  const endpoints = new Map<
+    string,
+    Extract<ConfigurationRecord, {kind: 'endpoint'}>
+  >();
   const indexes: Record<string, (record: ConfigurationRecord) => void> = {
     pipeline: (record) => pipelines.set(record.name, record),
     route: (record) => routes.set(record.name, record),
-    endpoint: (record) => endpoints.set(record.name, record),
+    endpoint: (record) => {
+      if (record.kind === 'endpoint') endpoints.set(record.name, record);
+    },
     account: (record) => {
       if (record.kind === 'account') {
         accountsByKeyHash.set(record.keyHash, record);
@@ -48,7 +53,14 @@
     },
   };
   for (const record of records) indexes[record.kind]!(record);
-  return {sequence, pipelines, routes, accountsByKeyHash, endpoints};
+  return {
+    sequence,
+    pipelines,
+    routes,
+    accountsByKeyHash,
+    endpoints,
+    endpointsByPool: Map.groupBy(endpoints.values(), ({pool}) => pool),
+  };
 }
 
 /**
--- a/packages/hickorywharf-decisions/src/entry/getCandidates.ts
+++ b/packages/hickorywharf-decisions/src/entry/getCandidates.ts
@@ -20,8 +20,8 @@
 ): EntryRows['endpoint'][] {
   const {pool} = getCurrentStage(request);
   const candidates: EntryRows['endpoint'][] = [];
-  for (const record of state.configuration?.endpoints.values() ?? []) {
-    if (record.pool !== pool || record.draining) continue;
+  for (const record of state.configuration?.endpointsByPool.get(pool) ?? []) {
+    if (record.draining) continue;
     if (!isOfHalf(record.half, request.half)) continue;
     const endpoint = state.endpoints.get(record.name);
     if (endpoint === undefined || !endpoint.connected) continue;
