--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -1,17 +1,20 @@
 import {randomUUID} from 'node:crypto';
 import type bunyan from 'bunyan';
 import {createConfigurationKeeper} from 'hickorywharf-configuration/createConfigurationKeeper';
+import {followConfiguration} from 'hickorywharf-configuration/followConfiguration';
 import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
 import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
+import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
 import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
 import {loadTlsCredentials} from 'hickorywharf-transport/loadTlsCredentials';
 import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
 import type {Frame} from 'hickorywharf-types/frame';
+import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {Clock} from 'hickorywharf-utils/clock';
 import {createEventLoop} from 'hickorywharf-utils/createEventLoop';
 import {sleep} from 'hickorywharf-utils/sleep';
@@ -75,10 +78,20 @@
     getNow: clock.monotonic,
   });
 
+  const identity: ProcessIdentity = {
+    name,
+    incarnation,
+    role: 'endpoint',
+    failureDomain,
+  };
+  const lifetime = new AbortController();
+
   const keeper = createConfigurationKeeper({
+    now: clock.monotonic,
+    relay: settings.configuration.relay,
     onInForce(view) {
       const {sequence} = view;
-      history.record({tag: 'configurationInForce', incarnation, sequence});
+      history.record({tag: 'configurationInForce', sequence});
       feed({tag: 'configurationInForce', view});
       noteDeparture();
     },
@@ -89,7 +102,11 @@
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
     const isLeaving = core.state.leaving || draining === true;
     if (isLeaving && !departureNoted) {
-      history.record({tag: 'endpointLeaving', endpoint: name});
+      const signal = core.state.leaving ? 'stop' : 'record';
+      history.record({tag: 'endpointLeaving', endpoint: name, signal});
+    }
+    if (!isLeaving && departureNoted) {
+      history.record({tag: 'endpointReturned', endpoint: name});
     }
     departureNoted = isLeaving;
   }
@@ -105,7 +122,16 @@
         'attemptId' in frame ? core.state.attempts.get(frame.attemptId) : null;
       peers.send(peer, frame, attempt?.deadlineAt ?? 0);
     },
-    startBackend: (command) => runner.start(command),
+    startBackend(command) {
+      const {requestId, attemptId} = command.attempt;
+      history.record({
+        tag: 'attemptBegan',
+        requestId,
+        attemptId,
+        endpoint: name,
+      });
+      runner.start(command);
+    },
     cancelBackend: ({attemptId}) => runner.cancel(attemptId),
     accepted: ({attempt: {requestId, attemptId}}) =>
       history.record({
@@ -128,7 +154,7 @@
   const backend = backendKinds[settings.backend.kind](settings.backend.url);
   const runner = createBackendRunner({backend, logger, feed});
 
-  function createHeartbeat(): Frame {
+  function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
     return {
       tag: 'heartbeat',
@@ -142,7 +168,7 @@
 
   const server = await createPeerServer({
     ...settings.listen,
-    identity: {name, incarnation, role: 'endpoint', failureDomain},
+    identity,
     credentials: credentials.value,
     handlers: {
       onUp(connection) {
@@ -162,11 +188,32 @@
     },
   });
 
+  const store = createStoreClient(settings.platform.storeUrl);
+  void followConfiguration({
+    store,
+    keeper,
+    role: 'endpoint',
+    policy: settings.configuration.follow,
+    isWatcher: () => false,
+    getEntries: () => 0,
+    createOperation: randomUUID,
+    random,
+    signal: lifetime.signal,
+  });
+  const operators = startOperatorsServer({
+    ...settings.operators,
+    getState: () => ({
+      process: identity,
+      configuration: {...keeper.getStatus(), isWatcher: false},
+      membership: {instances: [], leaving: createHeartbeat().leaving},
+      queue: core.getLoad(),
+    }),
+  });
   const homeKeeper = createHomeKeeper({
     settings,
     incarnation,
     state: core.state,
-    store: createStoreClient(settings.platform.storeUrl),
+    store,
     clock,
     random,
     onKnown: (homes) => feed({tag: 'homesKnown', homes}),
@@ -196,6 +243,8 @@
       await finishWork();
       clearInterval(ticker);
       clearInterval(beater);
+      lifetime.abort();
+      operators.close();
       await server.close();
     },
   };
--- a/packages/hickorywharf-validation/src/endpointSettings.ts
+++ b/packages/hickorywharf-validation/src/endpointSettings.ts
@@ -13,6 +13,7 @@
   traces: commonSections.traces,
   operators: commonSections.operators,
   tls: commonSections.tls,
+  configuration: commonSections.configuration,
   listen: z.strictObject({address, port}),
   backend: z.strictObject({
     kind: z.enum(['engine', 'pool', 'service']),
--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -13,6 +13,7 @@
   traces: commonSections.traces,
   operators: commonSections.operators,
   tls: commonSections.tls,
+  configuration: commonSections.configuration,
   http: z.strictObject({address, port}),
   limits: z
     .strictObject({
@@ -29,6 +30,9 @@
   policy: z
     .strictObject({
       routing: z.string().default('twoChoices'),
+      admission: z.string().default('none'),
+      ejection: z.string().default('none'),
+      hedging: z.string().default('none'),
     })
     .prefault({}),
   stop: z
