Test both roles over real connections

Cause: stops, disconnects, lost connections, slow callers and starts in a store outage were tried by the demo alone. Change: seven tests with in-process roles, a relay that is cut and an engine that counts, and one with a real process and three SIGTERMs. One found a fault: a generation of 12 MB was given again in one frame, over the frame limit, and never came. It is given again in frames of 500 tokens now. The stop's wait for open responses is not shown by a test of its own.

--- /dev/null
+++ b/packages/hickorywharf-bench/src/__tests__/roles.test.ts
@@ -0,0 +1,185 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import test from 'ava';
+import {startProcess} from '../deployment/startProcess.ts';
+import {findFreePorts} from '../deployment/findFreePorts.ts';
+import {startRoles} from './startRoles.ts';
+
+const STEADY = {tokens: 30, tokenMilliseconds: 20, tokenCharacters: 4};
+const BULKY = {tokens: 6000, tokenMilliseconds: 0, tokenCharacters: 2000};
+
+function countTo(count: number): number[] {
+  return Array.from({length: count}, (_, index) => index);
+}
+
+test('a caller that goes has its generation cancelled at the engine', async (t) => {
+  const roles = await startRoles(t, {...STEADY, tokens: 10_000});
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(entry.port);
+  const caller = new AbortController();
+  const {body} = await roles.send(entry.port, caller.signal);
+  await body[Symbol.asyncIterator]().next();
+  caller.abort();
+  await roles.waitFor(() => roles.engine.counts.cancelled === 1);
+  t.is(roles.engine.counts.begun, 1);
+  await Promise.all([entry.stop(), endpoint.stop()]);
+});
+
+test('a slow caller holds up no other and still gets its whole answer', async (t) => {
+  const roles = await startRoles(t, BULKY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(entry.port);
+  const slow = await roles.send(entry.port);
+  const quick = await roles.send(entry.port);
+  const quickEvents = roles.readEvents(await quick.body.text());
+  t.is(quickEvents.last, 'answer');
+  t.deepEqual(quickEvents.positions, countTo(BULKY.tokens));
+  await roles.waitFor(() => roles.engine.counts.finished === 2);
+  // A planned stop waits for what the slow caller has not taken yet.
+  const stopped = entry.stop();
+  const slowEvents = roles.readEvents(await slow.body.text());
+  t.deepEqual(slowEvents.positions, countTo(BULKY.tokens));
+  t.is(slowEvents.last, 'answer');
+  await Promise.all([stopped, endpoint.stop()]);
+});
+
+test('a stream goes on, without gap or repeat, over a connection made anew', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(entry.port);
+  const {body} = await roles.send(entry.port);
+  const cutter = setInterval(() => endpoint.cut(), 150);
+  const {positions, last} = roles.readEvents(await body.text());
+  clearInterval(cutter);
+  t.deepEqual(positions, countTo(STEADY.tokens));
+  t.is(last, 'answer');
+  await Promise.all([entry.stop(), endpoint.stop()]);
+});
+
+test('an entry that stops in a store outage cuts no stream', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(entry.port);
+  roles.store.faults.unavailable = true;
+  const before = await roles.send(entry.port);
+  const stopped = entry.stop();
+  const readiness = await roles.getReadiness(entry.port);
+  t.is(readiness.statusCode, 503);
+  t.regex(readiness.reason!, /stopping/);
+  // The balancer has not noticed yet.
+  const late = await roles.send(entry.port);
+  t.is(late.headers['connection'], 'close');
+  for (const {body} of [before, late]) {
+    const {positions, last} = roles.readEvents(await body.text());
+    t.deepEqual(positions, countTo(STEADY.tokens));
+    t.is(last, 'answer');
+  }
+  await stopped;
+  await endpoint.stop();
+});
+
+test('an endpoint process that stops in a store outage cuts no stream', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  await roles.apply(['engine-1', 'engine-2']);
+  const first = await roles.startEndpoint('engine-1');
+  const entry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(entry.port);
+  const before = await roles.send(entry.port);
+  const second = await roles.startEndpoint('engine-2');
+  roles.store.faults.unavailable = true;
+  const stopped = first.stop();
+  const after = await roles.send(entry.port);
+  for (const {body} of [before, after]) {
+    const {positions, last} = roles.readEvents(await body.text());
+    t.deepEqual(positions, countTo(STEADY.tokens));
+    t.is(last, 'answer');
+  }
+  await stopped;
+  await Promise.all([entry.stop(), second.stop()]);
+});
+
+test('a start in a store outage takes the configuration from peers', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  await roles.apply(['engine-1', 'engine-2']);
+  const first = await roles.startEndpoint('engine-1');
+  const firstEntry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(firstEntry.port);
+  roles.store.faults.unavailable = true;
+  const second = await roles.startEndpoint('engine-2');
+  const secondEntry = await roles.startEntry('entry-2');
+  await roles.waitUntilReady(secondEntry.port);
+  const {statusCode, body} = await roles.send(secondEntry.port);
+  t.is(statusCode, 200);
+  t.is(roles.readEvents(await body.text()).last, 'answer');
+  const stops = [first, second, firstEntry, secondEntry];
+  await Promise.all(stops.map((role) => role.stop()));
+});
+
+test('an entry with neither store nor peers says why it is not ready', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  roles.store.faults.unavailable = true;
+  const entry = await roles.startEntry('entry-1');
+  const {statusCode, reason} = await roles.getReadiness(entry.port);
+  t.is(statusCode, 503);
+  t.regex(reason!, /no configuration yet: .* no peer is connected/);
+  const refused = await roles.send(entry.port);
+  t.is(refused.statusCode, 503);
+  t.like(await refused.body.json(), {outcome: 'notRun', step: 'admit'});
+  await entry.stop();
+});
+
+test('a second SIGTERM cuts nothing, and the entry exits with 0', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const directory = mkdtempSync(path.join(os.tmpdir(), 'hickorywharf-test-'));
+  const [port] = await findFreePorts('127.0.0.1', 1);
+  const {storeUrl, instancesUrl} = roles.platform;
+  const assignments = [
+    'process.name=entry-1',
+    'process.failureDomain=a',
+    `platform.storeUrl=${storeUrl}`,
+    `platform.instancesUrl=${instancesUrl}`,
+    'http.address=127.0.0.1',
+    `http.port=${port}`,
+    'stop.balancerMilliseconds=100',
+  ].flatMap((assignment) => ['--set', assignment]);
+  const program = path.resolve(
+    import.meta.dirname,
+    '../../../hickorywharf/bin/hickorywharf.ts',
+  );
+  const entry = startProcess({
+    program: process.execPath,
+    words: [program, 'entry', ...assignments],
+    logFile: path.join(directory, 'entry.log'),
+  });
+  t.teardown(() => {
+    entry.signal('SIGKILL');
+    rmSync(directory, {recursive: true});
+  });
+  await roles.waitFor(async () => {
+    try {
+      return (await roles.getReadiness(port!)).statusCode === 200;
+    } catch {
+      return false;
+    }
+  });
+  const {body} = await roles.send(port!);
+  entry.signal('SIGTERM');
+  entry.signal('SIGTERM');
+  const {positions, last} = roles.readEvents(await body.text());
+  entry.signal('SIGTERM');
+  t.deepEqual(positions, countTo(STEADY.tokens));
+  t.is(last, 'answer');
+  t.is(await entry.exited, 0);
+  await endpoint.stop();
+});
--- a/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
@@ -9,6 +9,8 @@
   begunActionMilliseconds: 7_200_000,
   /** How long a finished action's answer is kept for its key. */
   actionMilliseconds: 600_000,
+  /** Tokens of one frame when a generation is given again. */
+  replayTokens: 500,
   /** Actions kept at most. */
   maximumActions: 50_000,
 } as const;
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/handlePeerFrame.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handlePeerFrame.ts
@@ -1,4 +1,6 @@
 import type {Frame} from 'hickorywharf-types/frame';
+import {ENDPOINT_LIMITS} from '../endpointLimits.ts';
+import type {EndpointRows} from '../endpointRows.ts';
 import type {EndpointState} from '../endpointState.ts';
 import {handleAttempt} from './handleAttempt.ts';
 import {findEnding} from './findEnding.ts';
@@ -40,6 +42,29 @@
   });
 }
 
+/** In several frames, since a whole generation may be over a frame's limit. */
+function replayTokens(
+  state: EndpointState,
+  attempt: EndpointRows['attempt'],
+  fromPosition: number,
+): void {
+  const {requestId, stageIndex, attemptId} = attempt.frame;
+  const {peer, tokens, firstPosition} = attempt;
+  const size = ENDPOINT_LIMITS.replayTokens;
+  let start = Math.max(0, fromPosition - firstPosition);
+  for (; start < tokens.length; start += size) {
+    const frame: Frame = {
+      tag: 'tokens',
+      requestId,
+      stageIndex,
+      attemptId,
+      position: firstPosition + start,
+      tokens: tokens.slice(start, start + size),
+    };
+    state.commands.push({tag: 'send', peer, frame});
+  }
+}
+
 function handleRecover(
   state: EndpointState,
   peer: string,
@@ -54,20 +79,7 @@
     state.commands.push({tag: 'send', peer, frame: answer});
     return;
   }
-  const skipped = Math.max(0, fromPosition - attempt.firstPosition);
-  const tokens = attempt.tokens.slice(skipped);
-  if (tokens.length > 0) {
-    const position = attempt.firstPosition + skipped;
-    const replay: Frame = {
-      tag: 'tokens',
-      requestId,
-      stageIndex,
-      attemptId,
-      position,
-      tokens,
-    };
-    state.commands.push({tag: 'send', peer, frame: replay});
-  }
+  replayTokens(state, attempt, fromPosition);
   if (attempt.ending !== null) {
     state.commands.push({tag: 'send', peer, frame: attempt.ending});
   }
