--- /dev/null
+++ b/packages/hickorywharf-bench/src/slopes/startFakeEntries.ts
@@ -0,0 +1,72 @@
+import {createPeerClient} from 'hickorywharf-transport/createPeerClient';
+import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
+import type {Frame} from 'hickorywharf-types/frame';
+
+interface FakeEntries {
+  close(): void;
+}
+
+interface FakeEntriesOptions {
+  readonly count: number;
+  readonly address: string;
+  readonly port: number;
+}
+
+const HEARTBEAT: Frame = {
+  tag: 'heartbeat',
+  leaving: false,
+  load: null,
+  configurationSequence: 0,
+};
+
+function startOne(name: string, options: FakeEntriesOptions) {
+  const {address, port} = options;
+  let send: ((frame: Frame) => boolean) | null = null;
+  const client = createPeerClient({
+    address,
+    port,
+    identity: {
+      name,
+      incarnation: name,
+      role: 'entry',
+      failureDomain: 'domain-1',
+    },
+    random: () => 0,
+    handlers: {
+      onUp(_peer, opened) {
+        send = opened;
+      },
+      onFrame: () => undefined,
+      onDown() {
+        send = null;
+      },
+      onError: () => undefined,
+    },
+  });
+  const beater = setInterval(
+    () => send?.(HEARTBEAT),
+    TRANSPORT_LIMITS.heartbeatMilliseconds,
+  );
+  return {client, beater};
+}
+
+/**
+ * Connects, from this process, as entries that send heartbeats and do nothing
+ * else.
+ *
+ * @example
+ *     startFakeEntries({count: 8, address: '127.0.0.1', port}).close();
+ */
+export function startFakeEntries(options: FakeEntriesOptions): FakeEntries {
+  const started = Array.from({length: options.count}, (_, number) =>
+    startOne(`entry-${number}`, options),
+  );
+  return {
+    close() {
+      for (const {client, beater} of started) {
+        clearInterval(beater);
+        client.close();
+      }
+    },
+  };
+}
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -18,7 +18,12 @@
   test: (rest) => [node, bin('ava'), ...rest],
   build: () => [node, path.join(root, 'scripts/build.mjs')],
   demo: (rest) => [node, source('hickorywharf-bench/bin/demo.ts'), ...rest],
-  slopes: (rest) => [node, source('hickorywharf-bench/bin/slopes.ts'), ...rest],
+  slopes: (rest) => [
+    node,
+    '--expose-gc',
+    source('hickorywharf-bench/bin/slopes.ts'),
+    ...rest,
+  ],
   benchmark: (rest) => [
     node,
     source('hickorywharf-bench/bin/benchmark.ts'),
