--- a/packages/hickorywharf-configuration/src/followConfiguration.ts
+++ b/packages/hickorywharf-configuration/src/followConfiguration.ts
@@ -1,7 +1,9 @@
+import {followPolicies} from 'hickorywharf-decisions/configuration/followPolicies';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {catchUp} from './catchUp.ts';
 import {createPause} from './createPause.ts';
 import type {FollowOptions} from './followOptions.ts';
+import {getFollowInput} from './getFollowInput.ts';
 import {probeStore} from './probeStore.ts';
 import {watchLog} from './watchLog.ts';
 
@@ -33,7 +35,11 @@
 export async function followConfiguration(
   options: FollowOptions,
 ): Promise<void> {
-  const isFollower = options.role === 'entry' || options.policy !== 'watchers';
+  const policy = followPolicies[options.policy];
+  const input = {...getFollowInput(options), isWatcher: true};
+  const isFollower =
+    policy.isWatching(input) || policy.getProbeMilliseconds(input) !== null;
+  // An endpoint process may leave the store to the entries that it talks to.
   if (!isFollower) return;
   await bootstrap(options);
   await Promise.all([watchLog(options), probeStore(options)]);
--- a/packages/hickorywharf-decisions/src/configuration/followPolicies.ts
+++ b/packages/hickorywharf-decisions/src/configuration/followPolicies.ts
@@ -22,23 +22,29 @@
 const MINIMUM_PROBE_MILLISECONDS = 1000;
 const POLL_MILLISECONDS = 2000;
 
+function getSharedProbeMilliseconds(input: FollowInput): number | null {
+  if (input.role !== 'entry') return null;
+  const shared =
+    (input.entries / FLEET_PROBES_PER_SECOND) * MILLISECONDS_PER_SECOND;
+  return Math.max(MINIMUM_PROBE_MILLISECONDS, shared);
+}
+
 /**
  * The ways of following the log. With `watchers`, few entries hold a watch,
  * and all entries probe at a rate that is shared by the whole fleet, so that
- * a change is found with every watcher dead or wrong. The others are for
- * comparison.
+ * a change is found with every watcher dead or wrong; `probes` is the same
+ * without any watcher. The others are for comparison.
  */
 export const followPolicies: Readonly<
-  Record<'watchers' | 'watchEach' | 'poll', FollowPolicy>
+  Record<'watchers' | 'probes' | 'watchEach' | 'poll', FollowPolicy>
 > = {
   watchers: {
     isWatching: ({role, isWatcher}) => role === 'entry' && isWatcher,
-    getProbeMilliseconds({role, entries}) {
-      if (role !== 'entry') return null;
-      const shared =
-        (entries / FLEET_PROBES_PER_SECOND) * MILLISECONDS_PER_SECOND;
-      return Math.max(MINIMUM_PROBE_MILLISECONDS, shared);
-    },
+    getProbeMilliseconds: getSharedProbeMilliseconds,
+  },
+  probes: {
+    isWatching: () => false,
+    getProbeMilliseconds: getSharedProbeMilliseconds,
   },
   watchEach: {
     isWatching: () => true,
--- a/packages/hickorywharf-validation/src/commonSections.ts
+++ b/packages/hickorywharf-validation/src/commonSections.ts
@@ -46,7 +46,9 @@
   configuration: z
     .strictObject({
       /** How the log in the store is followed. */
-      follow: z.enum(['watchers', 'watchEach', 'poll']).default('watchers'),
+      follow: z
+        .enum(['watchers', 'probes', 'watchEach', 'poll'])
+        .default('watchers'),
       /** How a change is passed on to connected processes. */
       relay: z.enum(['announce', 'push', 'none']).default('announce'),
     })
