--- a/packages/hickorywharf-configuration/src/__tests__/changeConfiguration.test.ts
+++ b/packages/hickorywharf-configuration/src/__tests__/changeConfiguration.test.ts
@@ -187,6 +187,8 @@
   await Promise.all(raced);
   store.beforeWrite = inner;
   await compactConfiguration(store, fresh, 'again');
+  const late = await compactConfiguration(store, old, 'late');
+  t.false(late._unsafeUnwrap());
   const {log, snapshotSequence} = await load(store);
   t.is(snapshotSequence, 2);
   t.deepEqual(log.getSnapshot(), fresh);
