--- /dev/null
+++ b/packages/hickorywharf-bench/src/experiments/configuration/createSplitSteps.ts
@@ -0,0 +1,61 @@
+import {digest} from 'hickorywharf-utils/digest';
+import type {ConfigurationEntry} from 'hickorywharf-types/configurationEntry';
+import {splitPlan} from './splitPlan.ts';
+
+type Change = ConfigurationEntry['changes'][number];
+
+const REQUESTS_PER_SECOND = 1000;
+
+function createAccount(half: keyof typeof splitPlan.halves, isSplit: boolean) {
+  const {account: name, accountKey} = splitPlan.halves[half];
+  const document = {
+    kind: 'account',
+    schemaVersion: 2,
+    name,
+    keyHash: digest(accountKey),
+    requestsPerSecond: REQUESTS_PER_SECOND,
+    weight: 1,
+    half: isSplit ? half : null,
+  };
+  return {kind: 'account', name, document};
+}
+
+function createEndpoint(half: string, name: string): Change {
+  const {pool} = splitPlan.deployment.endpoints.find(
+    (endpoint) => endpoint.name === name,
+  )!;
+  const document = {kind: 'endpoint', schemaVersion: 2, name, pool, half};
+  return {kind: 'endpoint', name, document};
+}
+
+const HALVES = Object.keys(
+  splitPlan.halves,
+) as (keyof typeof splitPlan.halves)[];
+
+/**
+ * The changes of a split, as the steps in which an operator makes them: first
+ * the accounts are told apart, then the endpoints move.
+ *
+ * @example
+ *     createSplitSteps.allAtOnce().length; // 1
+ */
+export const createSplitSteps = {
+  /** Two accounts that are shared by both halves still. */
+  beforeSplit: (): Change[] => HALVES.map((half) => createAccount(half, false)),
+  allAtOnce: (): Change[][] => [
+    HALVES.flatMap((half) => [
+      createAccount(half, true),
+      ...splitPlan.halves[half].endpoints.map((name) =>
+        createEndpoint(half, name),
+      ),
+    ]),
+  ],
+  endpointByEndpoint: (): Change[][] => [
+    HALVES.map((half) => createAccount(half, true)),
+    ...HALVES.flatMap((half) =>
+      splitPlan.halves[half].endpoints.map((name) => [
+        createEndpoint(half, name),
+      ]),
+    ),
+  ],
+} as const;
--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -5,4 +5,5 @@
   {
     propagation: async () =>
       (await import('./propagationExperiment.ts')).propagationExperiment,
+    split: async () => (await import('./splitExperiment.ts')).splitExperiment,
   };
