--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -5,5 +5,7 @@
   {
     propagation: async () =>
       (await import('./propagationExperiment.ts')).propagationExperiment,
+    'store-outage': async () =>
+      (await import('./storeOutageExperiment.ts')).storeOutageExperiment,
     split: async () => (await import('./splitExperiment.ts')).splitExperiment,
   };
