--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -8,4 +8,9 @@
     'store-outage': async () =>
       (await import('./storeOutageExperiment.ts')).storeOutageExperiment,
     split: async () => (await import('./splitExperiment.ts')).splitExperiment,
+    steady: async () => {
+      const {steadyScenario} = await import('./policy/steadyScenario.ts');
+      const {runScenario} = await import('./policy/runScenario.ts');
+      return runScenario(steadyScenario);
+    },
   };
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -87,7 +87,7 @@
     relay: settings.configuration.relay,
     onInForce(view) {
       const {sequence} = view;
-      history.record({tag: 'configurationInForce', incarnation, sequence});
+      history.record({tag: 'configurationInForce', sequence});
       feed({tag: 'configurationInForce', view});
     },
   });
--- a/packages/hickorywharf-standins/src/startStandIns.ts
+++ b/packages/hickorywharf-standins/src/startStandIns.ts
@@ -16,6 +16,8 @@
       workMilliseconds: z.number().default(5),
       tokenMilliseconds: z.number().default(5),
       lagMilliseconds: z.number().default(500),
+      sizeMilliseconds: z.number().default(0),
+      capacity: z.int().min(1).default(16),
     }),
   ),
 });
