--- a/packages/hickorywharf-bench/src/slopes/startFakeEndpoints.ts
+++ b/packages/hickorywharf-bench/src/slopes/startFakeEndpoints.ts
@@ -28,7 +28,7 @@
       failureDomain: 'domain-1',
     },
     handlers: {
-      onUp: (_peer, send) => void senders.add(send),
+      onUp: ({send}) => void senders.add(send),
       onFrame: () => undefined,
       onDown: () => senders.clear(),
       onError: () => undefined,
