--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -1,22 +1,16 @@
 import type {Frame} from 'hickorywharf-types/frame';
+import {frameChecks} from './frameChecks.ts';
 
 type Check = (value: unknown) => boolean;
 
-const isText: Check = (value) =>
-  typeof value === 'string' && value.length <= 1024;
-const isCount: Check = (value) =>
-  Number.isSafeInteger(value) && (value as number) >= 0;
-const isNumber: Check = (value) => Number.isFinite(value);
-const isFlag: Check = (value) => typeof value === 'boolean';
-const isObject: Check = (value) => typeof value === 'object' && value !== null;
-const isList: Check = (value) => Array.isArray(value);
-const isTextList: Check = (value) =>
-  Array.isArray(value) && value.every((item) => typeof item === 'string');
+const {isCount, isFlag, isListOf, isName, isNullOr, isNumber, isText} =
+  frameChecks;
+const isNullOrName = isNullOr(isName);
 
 const ATTEMPT_KEY = {
-  requestId: isText,
+  requestId: isName,
   stageIndex: isCount,
-  attemptId: isText,
+  attemptId: isName,
 } as const;
 
 /** The fields that the handlers of a frame rely on. */
@@ -24,35 +18,70 @@
   hello: {
     protocolMinimum: isCount,
     protocolMaximum: isCount,
-    identity: isObject,
+    identity: frameChecks.isIdentity,
   },
-  helloRefused: {},
+  helloRefused: {protocolMinimum: isCount, protocolMaximum: isCount},
   attempt: {
     ...ATTEMPT_KEY,
-    kind: isText,
-    pool: isText,
+    kind: frameChecks.isStageKind,
+    pool: isName,
     idempotent: isFlag,
-    account: isText,
+    half: isNullOrName,
+    account: isName,
+    accountWeight: isNumber,
     remainingMilliseconds: isNumber,
     laterMilliseconds: isNumber,
-    input: (value) =>
-      isObject(value) && typeof (value as {text?: unknown}).text === 'string',
+    input: frameChecks.isStageInput,
+    idempotencyKey: isNullOrName,
+    bodyDigest: isNullOrName,
+    traceparent: isNullOrName,
+  },
+  tokens: {
+    ...ATTEMPT_KEY,
+    position: isCount,
+    tokens: frameChecks.isTextList,
+  },
+  result: {
+    ...ATTEMPT_KEY,
+    output: frameChecks.isStageOutput,
+    queuedMilliseconds: isNumber,
+    backendMilliseconds: isNumber,
+  },
+  refused: {
+    ...ATTEMPT_KEY,
+    reason: isName,
+    message: isText,
+    homes: frameChecks.isOptional(isListOf(frameChecks.isHomeInterval)),
+  },
+  failed: {
+    ...ATTEMPT_KEY,
+    outcome: frameChecks.isOutcome,
+    conflict: isFlag,
+    message: isText,
   },
-  tokens: {...ATTEMPT_KEY, position: isCount, tokens: isTextList},
-  result: {...ATTEMPT_KEY, output: isObject},
-  refused: {...ATTEMPT_KEY, reason: isText},
-  failed: {...ATTEMPT_KEY, outcome: isText, conflict: isFlag},
   cancel: ATTEMPT_KEY,
   tombstone: ATTEMPT_KEY,
-  tombstoned: {...ATTEMPT_KEY, state: isText},
+  tombstoned: {...ATTEMPT_KEY, state: frameChecks.isOneOf('neverRan', 'begun')},
   recover: {...ATTEMPT_KEY, fromPosition: isCount},
   attemptUnknown: ATTEMPT_KEY,
-  heartbeat: {leaving: isFlag, configurationSequence: isCount},
+  heartbeat: {
+    leaving: isFlag,
+    load: frameChecks.isLoad,
+    configurationSequence: isCount,
+  },
   configurationAt: {sequence: isCount},
   fetchConfiguration: {afterSequence: isCount},
-  configuration: {entries: isList},
-  configurationSnapshot: {sequence: isCount, documents: isList},
-  instances: {instances: isList},
+  configuration: {entries: isListOf(frameChecks.isConfigurationEntry)},
+  configurationSnapshot: {
+    sequence: isCount,
+    documents: isListOf(frameChecks.isStoredDocument),
+    deletions: frameChecks.isOptional(
+      isListOf(
+        frameChecks.hasFields({kind: isName, name: isName, sequence: isCount}),
+      ),
+    ),
+  },
+  instances: {instances: isListOf(frameChecks.hasFields({name: isName}))},
 };
 
 /**
@@ -63,7 +92,7 @@
  *     checkFrame({tag: 'nonsense'}); // false
  */
 export function checkFrame(value: unknown): value is Frame {
-  if (!isObject(value)) return false;
+  if (typeof value !== 'object' || value === null) return false;
   const fields = value as Record<string, unknown>;
   const tag = fields['tag'];
   if (typeof tag !== 'string' || !Object.hasOwn(REQUIRED_FIELDS, tag)) {
