--- a/packages/hickorywharf-bench/src/demo/runDemo.ts
+++ b/packages/hickorywharf-bench/src/demo/runDemo.ts
@@ -24,8 +24,23 @@
 const SEED = 7;
 const KILLED_ENDPOINT = 'engine-1';
 const KILLED_ENTRY = 'entry-2';
+const STOPPED_ENDPOINT = 'engine-2';
 const DRAINED_ENDPOINT = 'encoder-2';
 
+async function checkStop(
+  name: string,
+  exited: Promise<number | null>,
+): Promise<void> {
+  const code = await exited;
+  if (code !== 0) throw new Error(`${name}: the planned stop gave ${code}`);
+}
+
+async function checkStops({processes}: Deployment): Promise<void> {
+  for (const [name, {exited}] of processes) {
+    if (name !== KILLED_ENTRY) await checkStop(name, exited);
+  }
+}
+
 async function disturb(
   deployment: Deployment,
   entries: string[],
@@ -38,6 +53,10 @@
   say(`start it anew`);
   await deployment.start(KILLED_ENDPOINT);
   await sleep(PHASE_MILLISECONDS);
+  say(`stop ${STOPPED_ENDPOINT} as planned, and start it anew`);
+  await checkStop(STOPPED_ENDPOINT, deployment.stopOne(STOPPED_ENDPOINT));
+  await deployment.start(STOPPED_ENDPOINT);
+  await sleep(PHASE_MILLISECONDS / 3);
   say(`kill ${KILLED_ENTRY}`);
   await deployment.kill(KILLED_ENTRY);
   entries.splice(entries.indexOf(KILLED_ENTRY), 1);
@@ -80,7 +99,10 @@
   await disturb(deployment, entries, say);
   stopTraffic.abort();
   const rows = await traffic;
-  if (!options.keep) await deployment.stop();
+  if (!options.keep) {
+    await deployment.stop();
+    await checkStops(deployment);
+  }
   const events = loadHistory(deployment.historyFile);
   if (events.isErr()) throw new Error(events.error.message);
   const breaches = checkHistory(events.value);
