--- /dev/null
+++ b/packages/hickorywharf-utils/src/__tests__/createEventLoop.test.ts
@@ -0,0 +1,15 @@
+import test from 'ava';
+import {createEventLoop} from '../createEventLoop.ts';
+
+test('an event that arises from a command waits for the other commands', (t) => {
+  const executed: string[] = [];
+  const feed = createEventLoop<string, string>({
+    decide: (event) => (event === 'first' ? ['a', 'b'] : ['c']),
+    execute(command) {
+      executed.push(command);
+      if (command === 'a') feed('second');
+    },
+  });
+  feed('first');
+  t.deepEqual(executed, ['a', 'b', 'c']);
+});
