Pause before an action that could not be sent, and test each departure

Cause: an action whose home's connection was just closing was sent to it again in the same event, and could be without end once a home is chosen whether or not it failed before. Departures by record, heartbeat, loss and silence had no test at the entry.

--- a/packages/hickorywharf-decisions/src/entry/__tests__/entryFaults.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/__tests__/entryFaults.test.ts
@@ -83,6 +83,12 @@
   });
   log.applyEntries([{sequence: 1, operation: 'first', changes}]);
   feed({tag: 'configurationInForce', view: log.getView()});
+  function apply(document: Readonly<Record<string, unknown>>): void {
+    const {kind, name} = document as {kind: string; name: string};
+    const change = {kind, name, document};
+    log.applyEntries([{sequence: 2, operation: 'second', changes: [change]}]);
+    feed({tag: 'configurationInForce', view: log.getView()});
+  }
   const instances = ENDPOINTS.map((name) => createInstance(name));
   feed({tag: 'instancesListed', instances});
   for (const endpoint of ENDPOINTS) {
@@ -100,6 +106,7 @@
   return {
     core,
     feed,
+    apply,
     getAttempts,
     /** Sends a request and gives its first attempt. */
     begin(pipelineName: string, requestId = 'r') {
@@ -146,10 +153,10 @@
       }),
   };
 
-  function beat(endpoint: string) {
+  function beat(endpoint: string, leaving = false): EntryCommand[] {
     const frame: Frame = {
       tag: 'heartbeat',
-      leaving: false,
+      leaving,
       load: null,
       configurationSequence: 1,
     };
@@ -157,6 +164,8 @@
   }
 }
 
+type Harness = ReturnType<typeof createHarness>;
+
 function getKey({requestId, stageIndex, attemptId}: AttemptFrame) {
   return {requestId, stageIndex, attemptId};
 }
@@ -245,6 +254,29 @@
   }
 });
 
+test('an endpoint that leaves by record, heartbeat or loss gets no new work', (t) => {
+  const leave: Record<string, (harness: Harness, endpoint: string) => void> = {
+    record(harness, endpoint) {
+      const draining = DOCUMENTS.find(({name}) => name === endpoint);
+      harness.apply({...draining, draining: true});
+    },
+    heartbeat: (harness, endpoint) => harness.beat(endpoint, true),
+    loss: (harness, endpoint) => harness.feed({tag: 'endpointLost', endpoint}),
+    silence: (harness, endpoint) =>
+      harness.waitUntil(
+        2000,
+        ENDPOINTS.filter((name) => name !== endpoint),
+      ),
+  };
+  for (const signal of Object.keys(leave)) {
+    for (const endpoint of ['engine-1', 'engine-2']) {
+      const harness = createHarness();
+      leave[signal]!(harness, endpoint);
+      t.not(harness.begin('encode').endpoint, endpoint, signal);
+    }
+  }
+});
+
 test('an endpoint that came back elsewhere is found there', (t) => {
   const {feed} = createHarness();
   const instances = ENDPOINTS.map((name) => createInstance(name, {port: 2}));
@@ -292,6 +324,16 @@
   t.is(harness.getAttempts().length, 1);
 });
 
+test('an action that could not be sent is sent again after a pause', (t) => {
+  const harness = createHarness();
+  const {endpoint, frame} = harness.begin('call');
+  const {attemptId} = frame;
+  const given = harness.feed({tag: 'attemptNotSent', endpoint, attemptId});
+  t.deepEqual(harness.getAttempts(given), []);
+  harness.waitUntil(300, ENDPOINTS);
+  t.is(harness.getAttempts().length, 2);
+});
+
 test('a caller that goes has its work cancelled at the endpoint', (t) => {
   const harness = createHarness();
   harness.begin('generate');
--- a/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
+++ b/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
@@ -4,6 +4,7 @@
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryState} from './entryState.ts';
 import {finishRequest} from './finishRequest.ts';
+import {getCurrentStage} from './getCurrentStage.ts';
 import {getFailureOutcome} from './getFailureOutcome.ts';
 import {handleConnection} from './handlers/handleConnection.ts';
 import {handleFrame} from './handlers/handleFrame.ts';
@@ -71,7 +72,6 @@
     const request = state.requests.get(attempt.requestId);
     if (request?.currentAttemptId !== attempt.attemptId) return;
     request.actionMayHaveRun = false;
-    request.excluded.add(event.endpoint);
     request.lastError = {
       tag: 'peerLost',
       step: 'route',
@@ -79,7 +79,12 @@
       outcome: getFailureOutcome(request),
       message: 'The attempt could not be sent to the endpoint process.',
     };
-    scheduleRetry(request, now);
+    // A home stands for itself alone and may be chosen again at once: without
+    // a pause, this event and its dispatch would follow each other for ever.
+    const {idempotent} = getCurrentStage(request);
+    if (idempotent) request.excluded.add(event.endpoint);
+    const pause = idempotent ? 0 : ENTRY_LIMITS.searchPauseMilliseconds;
+    scheduleRetry(request, now + pause);
   },
   instancesListed: (state, event) =>
     handleInstancesListed(state, event.instances),
--- a/packages/hickorywharf-entry/src/createHttpServer.ts
+++ b/packages/hickorywharf-entry/src/createHttpServer.ts
@@ -1,5 +1,4 @@
-import type {ServerResponse} from 'node:http';
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import {serve} from '@hono/node-server';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {answerClientError} from './answerClientError.ts';
--- a/packages/hickorywharf-entry/src/problemFor.ts
+++ b/packages/hickorywharf-entry/src/problemFor.ts
@@ -37,7 +37,6 @@
   backendFailed: {status: 502, title: 'Backend failed', retryable: true},
   callerGone: {status: 499, title: 'Caller gone', retryable: true},
   unknownPath: {status: 404, title: 'Unknown path', retryable: false},
-  unknownRequest: {status: 404, title: 'Unknown request', retryable: false},
   internalError: {status: 500, title: 'Internal error', retryable: true},
 };
 
--- a/packages/hickorywharf-types/src/serveError.ts
+++ b/packages/hickorywharf-types/src/serveError.ts
@@ -31,6 +31,5 @@
     | {readonly tag: 'backendFailed'}
     | {readonly tag: 'callerGone'}
     | {readonly tag: 'unknownPath'}
-    | {readonly tag: 'unknownRequest'}
     | {readonly tag: 'internalError'}
   );
