Route by cost, admit by estimate, share fairly, eject and hedge

Cause: routing compared two lagging loads, nothing was refused until it was late, and the queue knew neither accounts nor the size of work. Change: each policy is an entry of a table that settings name, beside its baseline: routing by corrected load, failure domain and warm prefix; admission by the usual times and the waits, earlier for accounts over their fair share; account limits by the number of live entries; rounds of work by account, slack with ageing and slots kept for short work at the endpoint; refusal of what cannot finish; ejection with a cap and a trial; hedges within a budget.

--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -1,11 +1,16 @@
 import type {Experiment} from './experiment.ts';
+import {loadScenario} from './policy/loadScenario.ts';
 
 /** The experiments by name, each loaded only when it is run. */
 export const experiments: Readonly<Record<string, () => Promise<Experiment>>> =
   {
-    steady: async () => {
-      const {steadyScenario} = await import('./policy/steadyScenario.ts');
-      const {runScenario} = await import('./policy/runScenario.ts');
-      return runScenario(steadyScenario);
-    },
+    steady: () => loadScenario('steady'),
+    overload: () => loadScenario('overload'),
+    burst: () => loadScenario('burst'),
+    'slow-endpoint': () => loadScenario('slow-endpoint'),
+    'failure-domain': () => loadScenario('failure-domain'),
+    'head-of-line': () => loadScenario('head-of-line'),
+    fairness: () => loadScenario('fairness'),
+    prefix: () => loadScenario('prefix'),
+    'lagging-load': () => loadScenario('lagging-load'),
   };
--- a/packages/hickorywharf-bench/src/experiments/policy/runScenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/runScenario.ts
@@ -81,8 +81,8 @@
     ({pool}) => pool === 'engines',
   ).length;
   const capacity = getCapacity(mix, engines);
-  const phases = scenario.phases.map(({seconds, capacityShare}) => ({
-    seconds,
+  const phases = scenario.phases.map(({capacityShare, ...phase}) => ({
+    ...phase,
     ratePerSecond: capacity * capacityShare,
   }));
   const schedule = createSchedule({seed, phases, mix, accounts});
@@ -100,6 +100,10 @@
   const seconds = (performance.now() - startedAt) / 1000;
   const after = getProcessorSeconds(deployment);
   const work = await fetchWork(deployment.backendUrls.values());
+  // What is measured is over: nothing has to be finished or handed over.
+  for (const started of deployment.processes.values()) {
+    started.signal('SIGKILL');
+  }
   await deployment.stop();
   const busiest = Math.max(
     ...[...after].map(([name, value]) => value - (before.get(name) ?? 0)),
--- a/packages/hickorywharf-bench/src/experiments/policy/scenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/scenario.ts
@@ -21,7 +21,12 @@
   readonly policies: readonly (keyof typeof policySets)[];
   readonly mix: readonly LoadKind[];
   /** Rates are shares of the pools' capacity. The first phase is a warm-up. */
-  readonly phases: readonly {seconds: number; capacityShare: number}[];
+  readonly phases: readonly {
+    readonly seconds: number;
+    readonly capacityShare: number;
+    /** Only calls of this pipeline are sent, at their share of the rate. */
+    readonly only?: string;
+  }[];
   /** Accounts by share of the arrivals; one account without it. */
   readonly accounts?: Readonly<Record<string, number>>;
   /** Requests a second that each account may send; no limit without it. */
--- a/packages/hickorywharf-bench/src/load/createSchedule.ts
+++ b/packages/hickorywharf-bench/src/load/createSchedule.ts
@@ -5,6 +5,8 @@
 interface Phase {
   readonly seconds: number;
   readonly ratePerSecond: number;
+  /** Only calls of this pipeline are sent, at their share of the rate. */
+  readonly only?: string;
 }
 
 interface ScheduleOptions {
@@ -93,13 +95,17 @@
   }
 
   let start = 0;
-  for (const [phase, {seconds, ratePerSecond}] of options.phases.entries()) {
+  for (const [
+    phase,
+    {seconds, ratePerSecond, only},
+  ] of options.phases.entries()) {
     const end = start + seconds * MILLISECONDS;
     let at = start;
     for (;;) {
       at += (-Math.log(1 - random()) / ratePerSecond) * MILLISECONDS;
       if (at >= end) break;
-      calls.push(createCall(at, phase));
+      const call = createCall(at, phase);
+      if (only === undefined || call.pipeline === only) calls.push(call);
     }
     start = end;
   }
--- a/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
@@ -8,6 +8,7 @@
 import {withdrawAttempt} from './handlers/withdrawAttempt.ts';
 import {expireAttempts} from './systems/expireAttempts.ts';
 import {forgetOutcomes} from './systems/forgetOutcomes.ts';
+import {refuseHopeless} from './systems/refuseHopeless.ts';
 import {startAttempts} from './systems/startAttempts.ts';
 
 type Options = Pick<
@@ -87,6 +88,12 @@
 export function createEndpointCore(options: Options): EndpointCore {
   const state: EndpointState = {
     ...options,
+    queueMemory: {
+      servedByAccount: new Map(),
+      floor: 0,
+      shortSeenAt: -Infinity,
+      unitMilliseconds: new Map(),
+    },
     attempts: createTable(),
     tombstones: createTable(),
     actions: createTable(),
@@ -116,6 +123,7 @@
       handler(state, event, now);
       if (event.tag !== 'backendTokens') {
         expireAttempts(state, now);
+        refuseHopeless(state, now);
         startAttempts(state, now);
       }
       const {commands} = state;
--- a/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
@@ -2,6 +2,7 @@
 import type {Table} from '../table.ts';
 import type {EndpointCommand} from './endpointCommand.ts';
 import type {EndpointRows} from './endpointRows.ts';
+import type {QueueMemory} from './policies/queueMemory.ts';
 
 /** Everything that an endpoint process's decisions know. */
 export interface EndpointState {
@@ -9,6 +10,7 @@
   readonly incarnation: string;
   readonly slots: number;
   readonly queueOrder: string;
+  readonly queueMemory: QueueMemory;
   readonly maximumQueueLength: number;
   readonly retentionMilliseconds: number;
   readonly retentionBytes: number;
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/handleBackend.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handleBackend.ts
@@ -3,6 +3,7 @@
 import type {EndpointEvent} from '../endpointEvent.ts';
 import type {EndpointRows} from '../endpointRows.ts';
 import type {EndpointState} from '../endpointState.ts';
+import {learnUnitTime} from '../policies/learnUnitTime.ts';
 
 type EventOf<Tag> = Extract<EndpointEvent, {tag: Tag}>;
 type AttemptRow = EndpointRows['attempt'];
@@ -74,6 +75,7 @@
   ): void {
     const attempt = state.attempts.get(event.attemptId);
     if (attempt?.state !== 'running') return;
+    learnUnitTime(state, attempt, now);
     const ending: EndingFrame = {
       tag: 'result',
       ...getKey(attempt),
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/policies/pickLowest.ts
@@ -0,0 +1,26 @@
+import type {EndpointRows} from '../endpointRows.ts';
+import type {EndpointState} from '../endpointState.ts';
+
+type AttemptRow = EndpointRows['attempt'];
+
+/**
+ * The waiting attempt of the lowest rank.
+ *
+ * @example
+ *     pickLowest(state, ({arrivedAt}) => arrivedAt);
+ */
+export function pickLowest(
+  state: EndpointState,
+  getRank: (attempt: AttemptRow) => number,
+): AttemptRow | null {
+  let next: AttemptRow | null = null;
+  let least = Infinity;
+  for (const attempt of state.attempts.rows()) {
+    if (attempt.state !== 'queued') continue;
+    const rank = getRank(attempt);
+    if (rank >= least) continue;
+    least = rank;
+    next = attempt;
+  }
+  return next;
+}
--- a/packages/hickorywharf-decisions/src/endpoint/policies/queuePolicies.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/policies/queuePolicies.ts
@@ -1,16 +1,33 @@
 import type {EndpointRows} from '../endpointRows.ts';
+import type {EndpointState} from '../endpointState.ts';
+import {pickFairSlack} from './pickFairSlack.ts';
+import {pickLowest} from './pickLowest.ts';
 
-type AttemptRow = EndpointRows['attempt'];
-
-/** Gives a rank to a waiting attempt; the lowest starts first. */
-type QueuePolicy = (attempt: AttemptRow, now: number) => number;
+interface QueuePolicy {
+  /** The attempt to start next; null where what waits has to wait on. */
+  pick(state: EndpointState, now: number): EndpointRows['attempt'] | null;
+  /** Whether attempts that cannot finish in time are refused early. */
+  readonly refusesHopeless: boolean;
+}
 
 /**
  * The orders in which waiting attempts start, by the name that settings and
  * experiments use. `firstInFirstOut` is the baseline; `slack` starts what can
- * least afford to wait for its later stages.
+ * least afford to wait for its later stages; `fairSlack` shares the endpoint
+ * among accounts and keeps slots for short work besides.
  */
 export const queuePolicies: Readonly<Record<string, QueuePolicy>> = {
-  firstInFirstOut: (attempt) => attempt.arrivedAt,
-  slack: (attempt) => attempt.deadlineAt - attempt.frame.laterMilliseconds,
+  firstInFirstOut: {
+    pick: (state) => pickLowest(state, ({arrivedAt}) => arrivedAt),
+    refusesHopeless: false,
+  },
+  slack: {
+    pick: (state) =>
+      pickLowest(
+        state,
+        ({deadlineAt, frame}) => deadlineAt - frame.laterMilliseconds,
+      ),
+    refusesHopeless: true,
+  },
+  fairSlack: {pick: pickFairSlack, refusesHopeless: true},
 };
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/systems/refuseHopeless.ts
@@ -0,0 +1,28 @@
+import {createRefusal} from '../createRefusal.ts';
+import {endAttempt} from '../endAttempt.ts';
+import type {EndpointState} from '../endpointState.ts';
+import {getWorkUnits} from '../policies/getWorkUnits.ts';
+import {QUEUE_LIMITS} from '../policies/queueLimits.ts';
+import {queuePolicies} from '../policies/queuePolicies.ts';
+
+/**
+ * Refuses idempotent attempts that wait and can no longer finish in time, so
+ * that nothing is spent on them.
+ *
+ * @example
+ *     refuseHopeless(state, now);
+ */
+export function refuseHopeless(state: EndpointState, now: number): void {
+  if (state.queued === 0) return;
+  if (!queuePolicies[state.queueOrder]!.refusesHopeless) return;
+  for (const attempt of [...state.attempts.rows()]) {
+    if (attempt.state !== 'queued' || !attempt.frame.idempotent) continue;
+    const {kind, laterMilliseconds} = attempt.frame;
+    const unit = state.queueMemory.unitMilliseconds.get(kind) ?? 0;
+    const needed = unit * getWorkUnits(attempt) + laterMilliseconds;
+    const left = attempt.deadlineAt - now;
+    if (left >= needed * QUEUE_LIMITS.hopelessShare) continue;
+    const refusal = createRefusal(attempt.frame, 'cannotFinish');
+    endAttempt(state, attempt, refusal, now);
+  }
+}
--- a/packages/hickorywharf-decisions/src/entry/completeStage.ts
+++ b/packages/hickorywharf-decisions/src/entry/completeStage.ts
@@ -3,6 +3,7 @@
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
 import {finishRequest} from './finishRequest.ts';
+import {forgetAttempts} from './forgetAttempts.ts';
 
 function learnEstimate(
   state: EntryState,
@@ -35,6 +36,7 @@
   now: number,
 ): void {
   learnEstimate(state, request, now);
+  forgetAttempts(state, request.requestId);
   request.outputs.push(output);
   request.stageIndex += 1;
   if (request.stageIndex >= request.pipeline.stages.length) {
--- a/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
+++ b/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
@@ -1,6 +1,7 @@
 import {createTable} from '../createTable.ts';
 import type {EntryCommand} from './entryCommand.ts';
 import type {EntryEvent} from './entryEvent.ts';
+import type {EntryPolicies} from './entryPolicies.ts';
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryState} from './entryState.ts';
 import {finishRequest} from './finishRequest.ts';
@@ -9,16 +10,21 @@
 import {handleFrame} from './handlers/handleFrame.ts';
 import {handleInstancesListed} from './handlers/handleInstancesListed.ts';
 import {handleRequestArrived} from './handlers/handleRequestArrived.ts';
+import {createEntryLoad} from './load/createEntryLoad.ts';
 import {removeAttempt} from './removeAttempt.ts';
 import {scheduleRetry} from './scheduleRetry.ts';
 import {dispatchRequests} from './systems/dispatchRequests.ts';
+import {ejectSlowEndpoints} from './systems/ejectSlowEndpoints.ts';
 import {enforceDeadlines} from './systems/enforceDeadlines.ts';
+import {hedgeSlowAttempts} from './systems/hedgeSlowAttempts.ts';
 import {supersedeLostAttempts} from './systems/supersedeLostAttempts.ts';
 
 interface EntryCoreOptions {
   readonly failureDomain: string;
   readonly incarnation: string;
   readonly routingPolicy: string;
+  /** Without them: no admission by estimate, no ejection, no hedges. */
+  readonly policies?: EntryPolicies;
   readonly homeParts: number;
   readonly maximumRequests: number;
   /** Numbers in [0, 1). */
@@ -79,11 +85,23 @@
     const current = state.configuration?.sequence ?? 0;
     if (event.view.sequence > current) state.configuration = event.view;
   },
-  ticked: () => undefined,
+  // A judgement of every attempt is not needed at each frame.
+  ticked: (state, _event, now) => ejectSlowEndpoints(state, now),
+};
+
+const NO_POLICIES: EntryPolicies = {
+  admission: 'none',
+  ejection: 'none',
+  hedging: 'none',
 };
 
 /** In the order in which they run on each tick. */
-const SYSTEMS = [enforceDeadlines, supersedeLostAttempts, dispatchRequests];
+const SYSTEMS = [
+  enforceDeadlines,
+  supersedeLostAttempts,
+  hedgeSlowAttempts,
+  dispatchRequests,
+];
 
 /** Events that come too often, and change too little, to run the systems. */
 const QUIET_FRAMES: ReadonlySet<string> = new Set(['tokens', 'heartbeat']);
@@ -104,6 +122,8 @@
 export function createEntryCore(options: EntryCoreOptions): EntryCore {
   const state: EntryState = {
     ...options,
+    policies: options.policies ?? NO_POLICIES,
+    load: createEntryLoad(),
     requests: createTable(),
     attempts: createTable(),
     endpoints: createTable(),
--- a/packages/hickorywharf-decisions/src/entry/entryState.ts
+++ b/packages/hickorywharf-decisions/src/entry/entryState.ts
@@ -1,7 +1,9 @@
 import type {ConfigurationView} from '../configuration/configurationView.ts';
 import type {Table} from '../table.ts';
 import type {EntryCommand} from './entryCommand.ts';
+import type {EntryPolicies} from './entryPolicies.ts';
 import type {EntryRows} from './entryRows.ts';
+import type {EntryLoad} from './load/entryLoad.ts';
 
 /** Everything that an entry's decisions know. */
 export interface EntryState {
@@ -14,6 +16,8 @@
   readonly estimates: Table<EntryRows['estimate']>;
   readonly failureDomain: string;
   readonly routingPolicy: string;
+  readonly policies: EntryPolicies;
+  readonly load: EntryLoad;
   readonly homeParts: number;
   readonly maximumRequests: number;
   configuration: ConfigurationView | null;
--- a/packages/hickorywharf-decisions/src/entry/finishRequest.ts
+++ b/packages/hickorywharf-decisions/src/entry/finishRequest.ts
@@ -2,6 +2,8 @@
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
+import {forgetAttempts} from './forgetAttempts.ts';
+import {LOAD_LIMITS} from './load/loadLimits.ts';
 
 function releaseAccount(state: EntryState, account: string): void {
   const inFlight = (state.inFlightByAccount.get(account) ?? 1) - 1;
@@ -9,21 +11,6 @@
   else state.inFlightByAccount.set(account, inFlight);
 }
 
-function forgetAttempts(state: EntryState, requestId: string): void {
-  for (const attempt of state.attempts.rows()) {
-    if (attempt.requestId !== requestId) continue;
-    const {stageIndex, attemptId, endpoint} = attempt;
-    const endpointRow = state.endpoints.get(endpoint);
-    if (endpointRow !== undefined) endpointRow.inFlight -= 1;
-    state.attempts.remove(attemptId);
-    state.commands.push({
-      tag: 'send',
-      endpoint,
-      frame: {tag: 'cancel', requestId, stageIndex, attemptId},
-    });
-  }
-}
-
 /**
  * Ends a request, whole or with an error. Attempts still out are cancelled.
  *
@@ -48,5 +35,9 @@
     ENTRY_LIMITS.maximumRetryTokens,
     state.retryTokens + ENTRY_LIMITS.retryTokensPerAnswer,
   );
+  state.load.hedgeTokens = Math.min(
+    LOAD_LIMITS.maximumHedgeTokens,
+    state.load.hedgeTokens + LOAD_LIMITS.hedgeTokensPerAnswer,
+  );
   state.commands.push({tag: 'answer', requestId, outputs});
 }
--- a/packages/hickorywharf-decisions/src/entry/getCandidates.ts
+++ b/packages/hickorywharf-decisions/src/entry/getCandidates.ts
@@ -2,6 +2,7 @@
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
 import {getCurrentStage} from './getCurrentStage.ts';
+import {isEjected} from './load/isEjected.ts';
 
 function isOfHalf(half: string | null, wanted: string | null): boolean {
   return half === null || wanted === null || half === wanted;
@@ -29,5 +30,9 @@
     if (now - endpoint.heardAt > ENTRY_LIMITS.silenceMilliseconds) continue;
     candidates.push(endpoint);
   }
-  return candidates;
+  if (!getCurrentStage(request).idempotent) return candidates;
+  const well = candidates.filter(
+    (endpoint) => !isEjected(state, endpoint, now),
+  );
+  return well.length > 0 ? well : candidates;
 }
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -7,6 +7,8 @@
 import type {EntryState} from '../entryState.ts';
 import {finishRequest} from '../finishRequest.ts';
 import {getCurrentStage} from '../getCurrentStage.ts';
+import {getSpeed} from '../load/getSpeed.ts';
+import {learnFromResult} from '../load/learnFromResult.ts';
 import {getFailureOutcome} from '../getFailureOutcome.ts';
 import {removeAttempt} from '../removeAttempt.ts';
 import {scheduleRetry} from '../scheduleRetry.ts';
@@ -108,6 +110,7 @@
     askAgain(state, attempt);
     return;
   }
+  learnFromResult(state, request, attempt, frame, now);
   removeAttempt(state, attempt);
   const output =
     frame.output.kind === 'generate'
@@ -159,6 +162,12 @@
     finishRequest(state, request, {...request.lastError, outcome});
     return;
   }
+  const isHopeless =
+    frame.reason === 'cannotFinish' && request.attemptsMade > 1;
+  if (isHopeless) {
+    finishRequest(state, request, request.lastError);
+    return;
+  }
   if (frame.reason === 'leaving') noteLeaving(state, endpoint);
   if (frame.reason === 'wrongHome' || frame.reason === 'keyOutsideInterval') {
     const isRedirect = frame.homes?.some(({home}) => home !== endpoint);
@@ -277,6 +286,7 @@
     endpoint.load = frame.load;
     endpoint.loadAt = now;
     endpoint.sentSinceReport = 0;
+    getSpeed(state.load, name).endedSinceReport = 0;
   }
 }
 
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
@@ -47,6 +47,10 @@
   state: EntryState,
   instances: readonly Instance[],
 ): void {
+  const entries = instances.filter(
+    ({role, state: known}) => role === 'entry' && known === 'live',
+  );
+  state.load.entryCount = Math.max(1, entries.length);
   const endpoints = instances.filter(({role}) => role === 'endpoint');
   for (const instance of endpoints) {
     const known = state.endpoints.get(instance.name);
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleRequestArrived.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleRequestArrived.ts
@@ -3,6 +3,8 @@
 import {getNearestName} from 'hickorywharf-utils/getNearestName';
 import type {EntryEvent} from '../entryEvent.ts';
 import type {EntryState} from '../entryState.ts';
+import {noteArrival} from '../load/noteArrival.ts';
+import {admissionPolicies} from '../policies/admissionPolicies.ts';
 
 type Arrival = Extract<EntryEvent, {tag: 'requestArrived'}>;
 type RecordOf<Kind> = Extract<ConfigurationRecord, {kind: Kind}>;
@@ -71,17 +73,53 @@
   };
 }
 
-function findLimitError(state: EntryState): ServeError | null {
-  if (state.requests.size < state.maximumRequests) return null;
+function createOverloaded(
+  message: string,
+  retryAfterSeconds: number,
+): ServeError {
   return {
     ...NOT_RUN,
     tag: 'overloaded',
     step: 'admit',
-    retryAfterSeconds: 1,
-    message: 'This entry carries as many requests as it may.',
+    retryAfterSeconds,
+    message,
   };
 }
 
+function getDeadlineMilliseconds(event: Arrival, target: Target): number {
+  const {deadlineMilliseconds} = target.pipeline;
+  return Math.min(
+    event.deadlineMilliseconds ?? deadlineMilliseconds,
+    deadlineMilliseconds,
+  );
+}
+
+function findLimitError(
+  state: EntryState,
+  event: Arrival,
+  target: Target,
+  now: number,
+): ServeError | null {
+  if (!noteArrival(state.load, target.account, now)) {
+    const message = 'The account sends more requests than its limit.';
+    return createOverloaded(message, 1);
+  }
+  if (state.requests.size >= state.maximumRequests) {
+    const message = 'This entry carries as many requests as it may.';
+    return createOverloaded(message, 1);
+  }
+  const retryAfterSeconds = admissionPolicies[state.policies.admission]!(
+    state,
+    {
+      ...target,
+      deadlineMilliseconds: getDeadlineMilliseconds(event, target),
+    },
+  );
+  if (retryAfterSeconds === null) return null;
+  const message = 'This could not be answered within the deadline now.';
+  return createOverloaded(message, retryAfterSeconds);
+}
+
 function insertRequest(
   state: EntryState,
   event: Arrival,
@@ -89,10 +127,7 @@
   now: number,
 ): void {
   const {pipeline, account, half} = target;
-  const deadline = Math.min(
-    event.deadlineMilliseconds ?? pipeline.deadlineMilliseconds,
-    pipeline.deadlineMilliseconds,
-  );
+  const deadline = getDeadlineMilliseconds(event, target);
   const inFlight = state.inFlightByAccount.get(account.name) ?? 0;
   state.inFlightByAccount.set(account.name, inFlight + 1);
   state.requests.insert(event.requestId, {
@@ -139,7 +174,8 @@
   const error =
     'error' in found
       ? found.error
-      : (findKeyError(found.target, event) ?? findLimitError(state));
+      : (findKeyError(found.target, event) ??
+        findLimitError(state, event, found.target, now));
   if (error !== null) {
     const {requestId} = event;
     state.commands.push({tag: 'fail', requestId, error});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/load/createEntryLoad.ts
@@ -0,0 +1,19 @@
+import type {EntryLoad} from './entryLoad.ts';
+import {LOAD_LIMITS} from './loadLimits.ts';
+
+/**
+ * What an entry knows for its policies before it has learnt anything.
+ *
+ * @example
+ *     createEntryLoad().entryCount; // 1
+ */
+export function createEntryLoad(): EntryLoad {
+  return {
+    serviceMilliseconds: new Map(),
+    speeds: new Map(),
+    prefixes: new Map(),
+    accounts: new Map(),
+    entryCount: 1,
+    hedgeTokens: LOAD_LIMITS.maximumHedgeTokens,
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/load/getPoolLoad.ts
@@ -0,0 +1,36 @@
+import type {EntryRows} from '../entryRows.ts';
+import type {EntryState} from '../entryState.ts';
+import {getCorrectedLoad} from './getCorrectedLoad.ts';
+
+interface PoolLoad {
+  /** Attempts that wait or run, as far as is known. */
+  readonly attempts: number;
+  readonly capacity: number;
+}
+
+function canServe(
+  endpoint: EntryRows['endpoint'] | undefined,
+): endpoint is EntryRows['endpoint'] {
+  return endpoint !== undefined && endpoint.connected && !endpoint.leaving;
+}
+
+/**
+ * The load of a whole pool: the reports of its endpoints, corrected, and this
+ * entry's requests that have still to come to it.
+ *
+ * @example
+ *     getPoolLoad(state, 'engines').capacity;
+ */
+export function getPoolLoad(state: EntryState, pool: string): PoolLoad {
+  let attempts = 0;
+  let capacity = 0;
+  for (const record of state.configuration?.endpoints.values() ?? []) {
+    if (record.pool !== pool || record.draining) continue;
+    const endpoint = state.endpoints.get(record.name);
+    if (!canServe(endpoint)) continue;
+    const slots = Math.max(1, endpoint.load?.capacity ?? 1);
+    attempts += getCorrectedLoad(state, endpoint) * slots;
+    capacity += slots;
+  }
+  return {attempts, capacity};
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/load/getPoolMedianSlowness.ts
@@ -0,0 +1,19 @@
+import type {EntryState} from '../entryState.ts';
+
+/**
+ * The median slowness of the endpoints of a pool that have been judged.
+ *
+ * @example
+ *     getPoolMedianSlowness(state, ['engine-1', 'engine-2']);
+ */
+export function getPoolMedianSlowness(
+  state: EntryState,
+  names: readonly string[],
+): number {
+  const values = names
+    .flatMap((name) => state.load.speeds.get(name) ?? [])
+    .filter(({samples}) => samples > 0)
+    .map(({slowness}) => slowness)
+    .sort((left, right) => left - right);
+  return values[Math.floor((values.length - 1) / 2)] ?? 1;
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/load/learnFromResult.ts
@@ -0,0 +1,48 @@
+import type {Frame} from 'hickorywharf-types/frame';
+import type {EntryRows} from '../entryRows.ts';
+import type {EntryState} from '../entryState.ts';
+import {getPrefixRow} from './getPrefixRow.ts';
+import {getSpeed} from './getSpeed.ts';
+import {smooth} from './smooth.ts';
+
+type ResultFrame = Extract<Frame, {tag: 'result'}>;
+
+/**
+ * Learns from a result: the time of the stage, how its endpoint compares, and
+ * whether the prefix was still cached there.
+ *
+ * @example
+ *     learnFromResult(state, request, attempt, frame, now);
+ */
+export function learnFromResult(
+  state: EntryState,
+  request: EntryRows['request'],
+  attempt: EntryRows['attempt'],
+  frame: ResultFrame,
+  now: number,
+): void {
+  const {load} = state;
+  const stage = request.pipeline.stages[attempt.stageIndex];
+  if (stage === undefined) return;
+  const {backendMilliseconds, output} = frame;
+  const key = `${request.pipeline.name}/${attempt.stageIndex}`;
+  const usual = load.serviceMilliseconds.get(key);
+  const speed = getSpeed(load, attempt.endpoint);
+  if (usual !== undefined && usual > 0) {
+    speed.slowness = smooth(speed.slowness, backendMilliseconds / usual);
+    speed.samples += 1;
+    if (backendMilliseconds < 2 * usual) speed.isOnTrial = false;
+  }
+  load.serviceMilliseconds.set(key, smooth(usual, backendMilliseconds));
+  const poolKey = `pool/${stage.pool}`;
+  const ofPool = load.serviceMilliseconds.get(poolKey);
+  load.serviceMilliseconds.set(poolKey, smooth(ofPool, backendMilliseconds));
+  if (output.kind !== 'generate') return;
+  const prefix = getPrefixRow(load, request.input.text);
+  if (prefix === null) return;
+  // A cold engine says nothing of what reuse would have saved.
+  if (output.cachedTokens > 0) {
+    prefix.reusedTokens = smooth(prefix.reusedTokens, output.cachedTokens);
+  }
+  prefix.warmAt.set(attempt.endpoint, now);
+}
--- a/packages/hickorywharf-decisions/src/entry/policies/routingPolicies.ts
+++ b/packages/hickorywharf-decisions/src/entry/policies/routingPolicies.ts
@@ -1,5 +1,6 @@
 import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
+import {chooseByCost} from './chooseByCost.ts';
 import {getExpectedLoad} from './getExpectedLoad.ts';
 import type {RoutingPolicy} from './routingPolicy.ts';
 
@@ -35,6 +36,7 @@
       const load = candidate.load?.queued ?? 0;
       return load < (best.load?.queued ?? 0) ? candidate : best;
     }),
+  cost: chooseByCost,
   twoChoices: (state, candidates) => {
     const first = pickRandom(state, candidates);
     const second = pickRandom(state, candidates);
--- a/packages/hickorywharf-decisions/src/entry/policies/routingPolicy.ts
+++ b/packages/hickorywharf-decisions/src/entry/policies/routingPolicy.ts
@@ -8,4 +8,5 @@
   state: EntryState,
   candidates: readonly EntryRows['endpoint'][],
   now: number,
+  request: EntryRows['request'],
 ) => EntryRows['endpoint'];
--- a/packages/hickorywharf-decisions/src/entry/removeAttempt.ts
+++ b/packages/hickorywharf-decisions/src/entry/removeAttempt.ts
@@ -1,5 +1,6 @@
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
+import {getSpeed} from './load/getSpeed.ts';
 
 /**
  * Removes an attempt that has ended at its endpoint.
@@ -13,5 +14,7 @@
 ): void {
   state.attempts.remove(attempt.attemptId);
   const endpoint = state.endpoints.get(attempt.endpoint);
-  if (endpoint !== undefined) endpoint.inFlight -= 1;
+  if (endpoint === undefined) return;
+  endpoint.inFlight -= 1;
+  getSpeed(state.load, endpoint.name).endedSinceReport += 1;
 }
--- a/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
@@ -38,7 +38,7 @@
   if (!getCurrentStage(request).idempotent) {
     return chooseHome(state, request, candidates);
   }
-  return routingPolicies[state.routingPolicy]!(state, candidates, now);
+  return routingPolicies[state.routingPolicy]!(state, candidates, now, request);
 }
 
 function getLaterMilliseconds(state: EntryState, request: RequestRow): number {
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -70,6 +70,7 @@
     failureDomain,
     incarnation,
     routingPolicy: settings.policy.routing,
+    policies: settings.policy,
     homeParts: HOME_PARTS,
     maximumRequests: settings.limits.requestsInFlight,
     random,
--- a/packages/hickorywharf-validation/src/endpointSettings.ts
+++ b/packages/hickorywharf-validation/src/endpointSettings.ts
@@ -20,7 +20,7 @@
   }),
   queue: z
     .strictObject({
-      order: z.string().default('slack'),
+      order: z.string().default('fairSlack'),
       maximumLength: z.coerce.number().int().min(1).default(500),
       retentionMilliseconds: z.coerce.number().int().min(1000).default(30_000),
       retentionBytes: z.coerce
--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -26,10 +26,10 @@
     .prefault({}),
   policy: z
     .strictObject({
-      routing: z.string().default('twoChoices'),
-      admission: z.string().default('none'),
-      ejection: z.string().default('none'),
-      hedging: z.string().default('none'),
+      routing: z.string().default('cost'),
+      admission: z.enum(['none', 'estimate']).default('estimate'),
+      ejection: z.enum(['none', 'slowness']).default('slowness'),
+      hedging: z.enum(['none', 'late']).default('late'),
     })
     .prefault({}),
   stop: z
