Draw reports, tabulate results and measure the decisions alone

A subset for each endpoint, chosen by its own name, so that none is left idle. Choice by the entry's name was tried and taken out: it left endpoints with no entry (0 to 16).

--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/load/__tests__/chooseEntries.test.ts
@@ -0,0 +1,54 @@
+import test from 'ava';
+import {chooseEntries} from '../chooseEntries.ts';
+
+const ENTRIES = 370;
+const ENDPOINTS = 4200;
+const FAILURE_DOMAINS = 10;
+const PER_ENTRY = 64;
+
+function create(kind: string, count: number) {
+  return Array.from({length: count}, (_, index) => ({
+    name: `${kind}-${index}`,
+    failureDomain: `domain-${index % FAILURE_DOMAINS}`,
+  }));
+}
+
+const allEntries = create('entry', ENTRIES);
+const endpoints = create('endpoint', ENDPOINTS);
+
+function chooseAll(entries: typeof allEntries) {
+  return endpoints.map((endpoint) =>
+    chooseEntries({
+      endpoint,
+      entries,
+      poolSize: ENDPOINTS,
+      endpointsPerEntry: PER_ENTRY,
+    }),
+  );
+}
+
+const chosen = chooseAll(allEntries);
+
+test('at the size to design for, connections are few and even', (t) => {
+  const connections = new Map(allEntries.map(({name}) => [name, 0]));
+  for (const name of chosen.flatMap((names) => [...names])) {
+    connections.set(name, connections.get(name)! + 1);
+  }
+  const counts = [...connections.values()];
+  const perEndpoint = Math.ceil((PER_ENTRY * ENTRIES) / ENDPOINTS);
+  t.log(
+    `${perEndpoint} an endpoint, ${Math.min(...counts)} to ${Math.max(...counts)} an entry`,
+  );
+  t.true(chosen.every(({size}) => size === perEndpoint));
+  t.true(Math.min(...counts) >= PER_ENTRY / 2);
+  t.true(Math.max(...counts) <= PER_ENTRY * 2);
+});
+
+test('an entry that goes changes only the endpoints that it had', (t) => {
+  const gone = 'entry-7';
+  const after = chooseAll(allEntries.filter(({name}) => name !== gone));
+  for (const [index, names] of chosen.entries()) {
+    const lost = [...names].filter((name) => !after[index]!.has(name));
+    t.deepEqual(lost, names.has(gone) ? [gone] : []);
+  }
+});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/load/__tests__/ejectSlowEndpoints.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava';
+import type {ConfigurationView} from '../../../configuration/configurationView.ts';
+import {createEntryCore} from '../../createEntryCore.ts';
+import {ejectSlowEndpoints} from '../../systems/ejectSlowEndpoints.ts';
+import {getSpeed} from '../getSpeed.ts';
+
+const NAMES = ['engine-1', 'engine-2', 'engine-3', 'engine-4', 'engine-5'];
+
+function createState() {
+  const {state} = createEntryCore({
+    failureDomain: 'a',
+    incarnation: 'entry',
+    routingPolicy: 'cost',
+    policies: {admission: 'estimate', ejection: 'slowness', hedging: 'late'},
+    homeParts: 4,
+    maximumRequests: 10,
+    random: () => 0,
+  });
+  const endpoints = new Map(
+    NAMES.map((name) => [
+      name,
+      {
+        kind: 'endpoint' as const,
+        schemaVersion: 1,
+        name,
+        pool: 'engines',
+        half: null,
+        draining: false,
+      },
+    ]),
+  );
+  const view: ConfigurationView = {
+    sequence: 1,
+    pipelines: new Map(),
+    routes: new Map(),
+    accountsByKeyHash: new Map(),
+    endpoints,
+  };
+  state.configuration = view;
+  for (const name of NAMES) getSpeed(state.load, name).samples = 10;
+  return state;
+}
+
+function getEjected(state: ReturnType<typeof createState>, now: number) {
+  return NAMES.filter((name) => getSpeed(state.load, name).ejectedUntil > now);
+}
+
+test('a slow endpoint is ejected, and comes back on trial', (t) => {
+  const state = createState();
+  getSpeed(state.load, 'engine-2').slowness = 10;
+  ejectSlowEndpoints(state, 1000);
+  t.deepEqual(getEjected(state, 1000), ['engine-2']);
+  t.deepEqual(getEjected(state, 7000), []);
+  t.true(getSpeed(state.load, 'engine-2').isOnTrial);
+});
+
+test('no more than a share of a pool is ejected', (t) => {
+  const state = createState();
+  getSpeed(state.load, 'engine-1').slowness = 20;
+  getSpeed(state.load, 'engine-2').slowness = 10;
+  ejectSlowEndpoints(state, 1000);
+  t.is(getEjected(state, 1000).length, 1);
+});
--- a/packages/hickorywharf/src/commands/commands.ts
+++ b/packages/hickorywharf/src/commands/commands.ts
@@ -10,6 +10,7 @@
     (await import('./checkHistoryCommand.ts')).checkHistoryCommand,
   experiment: async () =>
     (await import('./experimentCommand.ts')).experimentCommand,
+  report: async () => (await import('./reportCommand.ts')).reportCommand,
   apply: async () => (await import('./applyCommand.ts')).applyCommand,
   'stand-in': async () => (await import('./standInCommand.ts')).standInCommand,
 };
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -29,6 +29,12 @@
     source('hickorywharf-bench/bin/campaign.ts'),
     ...rest,
   ],
+  experiments: (rest) => [
+    node,
+    source('hickorywharf-bench/bin/experiments.ts'),
+    ...rest,
+  ],
+  decisions: () => [node, source('hickorywharf-bench/bin/decisions.ts')],
   format: () => [node, bin('prettier'), '--check', '.'],
   'format-write': () => [
     node,
