--- a/packages/hickorywharf-decisions/src/entry/load/__tests__/ejectSlowEndpoints.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/load/__tests__/ejectSlowEndpoints.test.ts
@@ -35,6 +35,7 @@
     routes: new Map(),
     accountsByKeyHash: new Map(),
     endpoints,
+    endpointsByPool: new Map([['engines', [...endpoints.values()]]]),
   };
   state.configuration = view;
   for (const name of NAMES) getSpeed(state.load, name).samples = 10;
--- a/packages/hickorywharf-decisions/src/entry/load/getPoolLoad.ts
+++ b/packages/hickorywharf-decisions/src/entry/load/getPoolLoad.ts
@@ -24,8 +24,8 @@
 export function getPoolLoad(state: EntryState, pool: string): PoolLoad {
   let attempts = 0;
   let capacity = 0;
-  for (const record of state.configuration?.endpoints.values() ?? []) {
-    if (record.pool !== pool || record.draining) continue;
+  for (const record of state.configuration?.endpointsByPool.get(pool) ?? []) {
+    if (record.draining) continue;
     const endpoint = state.endpoints.get(record.name);
     if (!canServe(endpoint)) continue;
     const slots = Math.max(1, endpoint.load?.capacity ?? 1);
--- a/packages/hickorywharf-decisions/src/entry/systems/ejectSlowEndpoints.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/ejectSlowEndpoints.ts
@@ -4,16 +4,6 @@
 import {getSpeed} from '../load/getSpeed.ts';
 import {LOAD_LIMITS} from '../load/loadLimits.ts';
 
-function getPools(state: EntryState): Map<string, string[]> {
-  const pools = new Map<string, string[]>();
-  for (const {name, pool} of state.configuration?.endpoints.values() ?? []) {
-    const members = pools.get(pool);
-    if (members === undefined) pools.set(pool, [name]);
-    else members.push(name);
-  }
-  return pools;
-}
-
 /** A slow endpoint gives few results: what is out there counts by its age. */
 function getOldestAge(state: EntryState, now: number): Map<string, number> {
   const ages = new Map<string, number>();
@@ -74,7 +64,8 @@
 export function ejectSlowEndpoints(state: EntryState, now: number): void {
   if (state.policies.ejection === 'none') return;
   const ages = getOldestAge(state, now);
-  for (const names of getPools(state).values()) {
+  for (const members of state.configuration?.endpointsByPool.values() ?? []) {
+    const names = members.map(({name}) => name);
     judgePool(state, names, ages, now);
   }
 }
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -1,16 +1,19 @@
 import {randomUUID} from 'node:crypto';
 import type bunyan from 'bunyan';
 import {createConfigurationKeeper} from 'hickorywharf-configuration/createConfigurationKeeper';
+import {followConfiguration} from 'hickorywharf-configuration/followConfiguration';
 import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
 import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
+import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
 import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
 import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
 import type {Frame} from 'hickorywharf-types/frame';
+import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {Clock} from 'hickorywharf-utils/clock';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
@@ -68,10 +71,20 @@
   const running = new Map<string, AbortController>();
   const peers = new Map<string, (frame: Frame) => boolean>();
 
+  const identity: ProcessIdentity = {
+    name,
+    incarnation,
+    role: 'endpoint',
+    failureDomain,
+  };
+  const lifetime = new AbortController();
+
   const keeper = createConfigurationKeeper({
+    now: clock.monotonic,
+    relay: settings.configuration.relay,
     onInForce(view) {
       const {sequence} = view;
-      history.record({tag: 'configurationInForce', incarnation, sequence});
+      history.record({tag: 'configurationInForce', sequence});
       feed({tag: 'configurationInForce', view});
       noteDeparture();
     },
@@ -82,7 +95,11 @@
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
     const isLeaving = core.state.leaving || draining === true;
     if (isLeaving && !departureNoted) {
-      history.record({tag: 'endpointLeaving', endpoint: name});
+      const signal = core.state.leaving ? 'stop' : 'record';
+      history.record({tag: 'endpointLeaving', endpoint: name, signal});
+    }
+    if (!isLeaving && departureNoted) {
+      history.record({tag: 'endpointReturned', endpoint: name});
     }
     departureNoted = isLeaving;
   }
@@ -91,7 +108,13 @@
     command: Extract<EndpointCommand, {tag: 'startBackend'}>,
   ): void {
     const {attempt, remainingMilliseconds} = command;
-    const {attemptId} = attempt;
+    const {requestId, attemptId} = attempt;
+    history.record({
+      tag: 'attemptBegan',
+      requestId,
+      attemptId,
+      endpoint: name,
+    });
     const controller = new AbortController();
     running.set(attemptId, controller);
     const onTokens = (tokens: readonly string[]) =>
@@ -104,7 +127,6 @@
       },
       ({outcome, message, step, peer}) => {
         running.delete(attemptId);
-        const {requestId} = attempt;
         logger.warn({requestId, step, peer, outcome}, message);
         feed({tag: 'backendFailed', attemptId, outcome, message});
       },
@@ -138,7 +160,7 @@
     }
   }
 
-  function createHeartbeat(): Frame {
+  function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
     return {
       tag: 'heartbeat',
@@ -155,7 +177,7 @@
 
   const server = await createPeerServer({
     ...settings.listen,
-    identity: {name, incarnation, role: 'endpoint', failureDomain},
+    identity,
     handlers: {
       onUp(peer, send) {
         peers.set(peer.name, send);
@@ -180,11 +202,32 @@
     if (!peers.has(peer)) feed({tag: 'peerGone', peer});
   }
 
+  const store = createStoreClient(settings.platform.storeUrl);
+  void followConfiguration({
+    store,
+    keeper,
+    role: 'endpoint',
+    policy: settings.configuration.follow,
+    isWatcher: () => false,
+    getEntries: () => 0,
+    createOperation: randomUUID,
+    random,
+    signal: lifetime.signal,
+  });
+  const operators = startOperatorsServer({
+    ...settings.operators,
+    getState: () => ({
+      process: identity,
+      configuration: {...keeper.getStatus(), isWatcher: false},
+      membership: {instances: [], leaving: createHeartbeat().leaving},
+      queue: core.getLoad(),
+    }),
+  });
   const homeKeeper = createHomeKeeper({
     settings,
     incarnation,
     state: core.state,
-    store: createStoreClient(settings.platform.storeUrl),
+    store,
     clock,
     random,
     onKnown: (homes) => feed({tag: 'homesKnown', homes}),
@@ -213,6 +256,8 @@
       await finishWork();
       clearInterval(ticker);
       clearInterval(beater);
+      lifetime.abort();
+      operators.close();
       server.close();
     },
   };
