--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -4,6 +4,11 @@
 /** The experiments by name, each loaded only when it is run. */
 export const experiments: Readonly<Record<string, () => Promise<Experiment>>> =
   {
+    propagation: async () =>
+      (await import('./propagationExperiment.ts')).propagationExperiment,
+    'store-outage': async () =>
+      (await import('./storeOutageExperiment.ts')).storeOutageExperiment,
+    split: async () => (await import('./splitExperiment.ts')).splitExperiment,
     steady: () => loadScenario('steady'),
     overload: () => loadScenario('overload'),
     burst: () => loadScenario('burst'),
--- a/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
@@ -96,6 +96,7 @@
     },
     attempts: createTable(),
     tombstones: createTable(),
+    begunActions: createTable(),
     actions: createTable(),
     homes: createTable(),
     releases: createTable(),
--- a/packages/hickorywharf-decisions/src/entry/completeStage.ts
+++ b/packages/hickorywharf-decisions/src/entry/completeStage.ts
@@ -36,6 +36,7 @@
   now: number,
 ): void {
   learnEstimate(state, request, now);
+  // Hedges and superseded attempts: the first whole result counts.
   forgetAttempts(state, request.requestId);
   request.outputs.push(output);
   request.stageIndex += 1;
--- a/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
+++ b/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
@@ -11,6 +11,7 @@
 import {handleInstancesListed} from './handlers/handleInstancesListed.ts';
 import {handleRequestArrived} from './handlers/handleRequestArrived.ts';
 import {createEntryLoad} from './load/createEntryLoad.ts';
+import {noteTick} from './noteTick.ts';
 import {removeAttempt} from './removeAttempt.ts';
 import {scheduleRetry} from './scheduleRetry.ts';
 import {dispatchRequests} from './systems/dispatchRequests.ts';
@@ -77,6 +78,13 @@
     if (request?.currentAttemptId !== attempt.attemptId) return;
     request.actionMayHaveRun = false;
     request.excluded.add(event.endpoint);
+    request.lastError = {
+      tag: 'peerLost',
+      step: 'route',
+      peer: event.endpoint,
+      outcome: getFailureOutcome(request),
+      message: 'The attempt could not be sent to the endpoint process.',
+    };
     scheduleRetry(request, now);
   },
   instancesListed: (state, event) =>
@@ -85,8 +93,11 @@
     const current = state.configuration?.sequence ?? 0;
     if (event.view.sequence > current) state.configuration = event.view;
   },
-  // A judgement of every attempt is not needed at each frame.
-  ticked: (state, _event, now) => ejectSlowEndpoints(state, now),
+  ticked(state, _event, now) {
+    noteTick(state, now);
+    // A judgement of every attempt is not needed at each frame.
+    ejectSlowEndpoints(state, now);
+  },
 };
 
 const NO_POLICIES: EntryPolicies = {
@@ -133,6 +144,7 @@
     retryTokens: ENTRY_LIMITS.maximumRetryTokens,
     inFlightByAccount: new Map(),
     nextIdentifier: 0,
+    tickedAt: null,
     commands: [],
   };
   return {
--- a/packages/hickorywharf-decisions/src/entry/forgetAttempts.ts
+++ b/packages/hickorywharf-decisions/src/entry/forgetAttempts.ts
@@ -1,5 +1,5 @@
+import {cancelAttempt} from './cancelAttempt.ts';
 import type {EntryState} from './entryState.ts';
-import {removeAttempt} from './removeAttempt.ts';
 
 /**
  * Cancels the attempts of a request that are still out.
@@ -9,13 +9,6 @@
  */
 export function forgetAttempts(state: EntryState, requestId: string): void {
   for (const attempt of state.attempts.rows()) {
-    if (attempt.requestId !== requestId) continue;
-    const {stageIndex, attemptId, endpoint} = attempt;
-    removeAttempt(state, attempt);
-    state.commands.push({
-      tag: 'send',
-      endpoint,
-      frame: {tag: 'cancel', requestId, stageIndex, attemptId},
-    });
+    if (attempt.requestId === requestId) cancelAttempt(state, attempt);
   }
 }
--- a/packages/hickorywharf-validation/src/commonSections.ts
+++ b/packages/hickorywharf-validation/src/commonSections.ts
@@ -46,7 +46,9 @@
   configuration: z
     .strictObject({
       /** How the log in the store is followed. */
-      follow: z.enum(['watchers', 'watchEach', 'poll']).default('watchers'),
+      follow: z
+        .enum(['watchers', 'probes', 'watchEach', 'poll'])
+        .default('watchers'),
       /** How a change is passed on to connected processes. */
       relay: z.enum(['announce', 'push', 'none']).default('announce'),
     })
@@ -57,4 +59,17 @@
       port: port.default(0),
     })
     .prefault({}),
+  tls: z
+    .strictObject({
+      /** PEM files; all three for mutual TLS, none for plain TCP. */
+      certificateFile: z.string().default(''),
+      keyFile: z.string().default(''),
+      authorityFile: z.string().default(''),
+    })
+    .refine(
+      (files) =>
+        new Set(Object.values(files).map((file) => file === '')).size === 1,
+      'set certificateFile, keyFile and authorityFile, or none of them',
+    )
+    .prefault({}),
 };
