--- a/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
+++ b/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
@@ -95,8 +95,9 @@
   },
   ticked(state, _event, now) {
     noteTick(state, now);
-    // A judgement of every attempt is not needed at each frame.
+    // Judging every attempt is not needed at each frame.
     ejectSlowEndpoints(state, now);
+    hedgeSlowAttempts(state, now);
   },
 };
 
@@ -107,12 +108,7 @@
 };
 
 /** In the order in which they run on each tick. */
-const SYSTEMS = [
-  enforceDeadlines,
-  supersedeLostAttempts,
-  hedgeSlowAttempts,
-  dispatchRequests,
-];
+const SYSTEMS = [enforceDeadlines, supersedeLostAttempts, dispatchRequests];
 
 /** Events that come too often, and change too little, to run the systems. */
 const QUIET_FRAMES: ReadonlySet<string> = new Set(['tokens', 'heartbeat']);
