--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -39,6 +39,7 @@
     source('hickorywharf-bench/bin/experiments.ts'),
     ...rest,
   ],
+  queues: () => [node, source('hickorywharf-bench/bin/queues.ts')],
   decisions: () => [node, source('hickorywharf-bench/bin/decisions.ts')],
   format: () => [node, bin('prettier'), '--check', '.'],
   'format-write': () => [
