Start short work first, with ageing, in place of slack

Cause: work that is long has the least slack, so that ordering by slack put a catalogue question behind every long summary. Change: within an account's round the shortest goes first; a millisecond of work weighs four of waiting. The policy is named fairShortest.

--- a/packages/hickorywharf-bench/src/replay/replayQueue.ts
+++ b/packages/hickorywharf-bench/src/replay/replayQueue.ts
@@ -67,7 +67,7 @@
  * result each time, so that two orders of the queue can be told apart.
  *
  * @example
- *     replayQueue({queueOrder: 'fairSlack', slots: 4, schedule, deadlineMilliseconds: 2000, getServiceMilliseconds});
+ *     replayQueue({queueOrder: 'fairShortest', slots: 4, schedule, deadlineMilliseconds: 2000, getServiceMilliseconds});
  */
 export function replayQueue(options: ReplayOptions): Replayed[] {
   const {schedule, deadlineMilliseconds, getServiceMilliseconds} = options;
--- a/packages/hickorywharf-decisions/src/endpoint/policies/__tests__/pickFairSlack.test.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/policies/__tests__/pickFairShortest.test.ts
@@ -8,7 +8,7 @@
     name: 'engine-1',
     incarnation: '1',
     slots: SLOTS,
-    queueOrder: 'fairSlack',
+    queueOrder: 'fairShortest',
     maximumQueueLength: 1000,
     retentionMilliseconds: 1000,
     retentionBytes: 1 << 20,
--- a/packages/hickorywharf-decisions/src/endpoint/policies/pickFairSlack.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/policies/pickFairShortest.ts
@@ -46,10 +46,15 @@
   return Math.max(floor, servedByAccount.get(account) ?? 0);
 }
 
-function getSlackRank(attempt: AttemptRow, now: number): number {
-  const waited = now - attempt.arrivedAt;
-  const latest = attempt.deadlineAt - attempt.frame.laterMilliseconds;
-  return latest - now - waited * QUEUE_LIMITS.ageing;
+/** What is short goes first, unless longer work has waited for long. */
+function getRank(
+  state: EndpointState,
+  attempt: AttemptRow,
+  now: number,
+): number {
+  const unit = state.queueMemory.unitMilliseconds.get(attempt.frame.kind) ?? 1;
+  const needed = unit * getWorkUnits(attempt);
+  return needed * QUEUE_LIMITS.sizeWeight - (now - attempt.arrivedAt);
 }
 
 function charge(state: EndpointState, attempt: AttemptRow): void {
@@ -74,13 +79,13 @@
 
 /**
  * Chooses the next attempt: first among the accounts that had least, in
- * quanta of work by weight (deficit round robin), then by slack with ageing.
+ * quanta of work by weight (deficit round robin), then the shortest, with ageing.
  * Long work leaves some slots to short work while there is any.
  *
  * @example
- *     pickFairSlack(state, now)?.attemptId;
+ *     pickFairShortest(state, now)?.attemptId;
  */
-export function pickFairSlack(
+export function pickFairShortest(
   state: EndpointState,
   now: number,
 ): AttemptRow | null {
@@ -97,7 +102,7 @@
   for (const attempt of eligible) {
     const served = getServed(state, attempt.frame.account) - floor;
     const round = Math.floor(served / quantumUnits);
-    const rank = getSlackRank(attempt, now);
+    const rank = getRank(state, attempt, now);
     if (round > least || (round === least && rank >= leastRank)) continue;
     least = round;
     leastRank = rank;
--- a/packages/hickorywharf-decisions/src/endpoint/policies/queueLimits.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/policies/queueLimits.ts
@@ -8,8 +8,8 @@
   reservedMilliseconds: 2000,
   /** Work units by which accounts may be apart before it orders the queue. */
   quantumUnits: 32,
-  /** How much earlier an attempt ranks for each millisecond it has waited. */
-  ageing: 1,
+  /** Milliseconds that an attempt may wait for each of its work. */
+  sizeWeight: 4,
   /** Weight of a new sample of the time of a work unit. */
   sampleWeight: 0.1,
   /** Share of the expected time under which an attempt is given up. */
--- a/packages/hickorywharf-decisions/src/endpoint/policies/queuePolicies.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/policies/queuePolicies.ts
@@ -1,6 +1,6 @@
 import type {EndpointRows} from '../endpointRows.ts';
 import type {EndpointState} from '../endpointState.ts';
-import {pickFairSlack} from './pickFairSlack.ts';
+import {pickFairShortest} from './pickFairShortest.ts';
 import {pickLowest} from './pickLowest.ts';
 
 interface QueuePolicy {
@@ -12,9 +12,9 @@
 
 /**
  * The orders in which waiting attempts start, by the name that settings and
- * experiments use. `firstInFirstOut` is the baseline; `slack` starts what can
- * least afford to wait for its later stages; `fairSlack` shares the endpoint
- * among accounts and keeps slots for short work besides.
+ * experiments use. `firstInFirstOut` is the baseline; `slack` starts what can least afford to
+ * wait for its later stages; `fairShortest` shares the endpoint among accounts,
+ * starts what is short first and keeps slots for it.
  */
 export const queuePolicies: Readonly<Record<string, QueuePolicy>> = {
   firstInFirstOut: {
@@ -29,5 +29,5 @@
       ),
     refusesHopeless: true,
   },
-  fairSlack: {pick: pickFairSlack, refusesHopeless: true},
+  fairShortest: {pick: pickFairShortest, refusesHopeless: true},
 };
--- a/packages/hickorywharf-validation/src/endpointSettings.ts
+++ b/packages/hickorywharf-validation/src/endpointSettings.ts
@@ -22,7 +22,7 @@
   }),
   queue: z
     .strictObject({
-      order: z.string().default('fairSlack'),
+      order: z.string().default('fairShortest'),
       maximumLength: z.coerce.number().int().min(1).default(500),
       retentionMilliseconds: z.coerce.number().int().min(1000).default(30_000),
       retentionBytes: z.coerce
