--- a/packages/hickorywharf-bench/src/sendCall.ts
+++ b/packages/hickorywharf-bench/src/sendCall.ts
@@ -18,15 +18,19 @@
   readonly maximumTokens: number;
   readonly isStream: boolean;
   readonly idempotencyKey: string | null;
+  /** Told of each token as it comes. */
+  readonly onToken?: () => void;
 }
 
 interface CallResult {
   readonly outcome: Outcome | 'connectionLost';
   readonly requestId: string | null;
   readonly detail: string;
+  /** Whether the answer is whole and the one that was to be expected. */
+  readonly isCorrect: boolean;
 }
 
-interface Reply extends CallResult {
+interface Reply extends Omit<CallResult, 'isCorrect'> {
   readonly answer: unknown;
 }
 
@@ -114,6 +118,7 @@
 ): Promise<CallResult> {
   const {callId, pipeline, idempotencyKey} = call;
   const expected = createExpectedAnswer(pipeline, call);
+  const expectedDigest = digest(sortedJson(expected));
   history.record({
     tag: 'requestSent',
     callId,
@@ -122,11 +127,13 @@
     deadlineMilliseconds: pipeline.deadlineMilliseconds,
     isStream: call.isStream,
     hasAction: pipeline.stages.some((stage) => !stage.idempotent),
-    expectedDigest: digest(sortedJson(expected)),
+    expectedDigest,
     expectedTokens: expected.tokens ?? [],
   });
-  const onToken = (position: number, token: string) =>
+  const onToken = (position: number, token: string) => {
     history.record({tag: 'tokenReceived', callId, position, token});
+    call.onToken?.();
+  };
   let reply: Reply;
   try {
     reply = await exchange(call, dispatcher, onToken);
@@ -145,5 +152,6 @@
     answerDigest,
     detail,
   });
-  return {outcome, requestId, detail};
+  const isCorrect = answerDigest === expectedDigest;
+  return {outcome, requestId, detail, isCorrect};
 }
--- /dev/null
+++ b/packages/hickorywharf-entry/src/createEntryTelemetry.ts
@@ -0,0 +1,109 @@
+import type {EntryEvent} from 'hickorywharf-decisions/entry/entryEvent';
+import type {Metrics} from 'hickorywharf-telemetry/metrics';
+import type {Tracer} from 'hickorywharf-telemetry/tracer';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {Outcome} from 'hickorywharf-types/outcome';
+import type {Clock} from 'hickorywharf-utils/clock';
+
+type Span = ReturnType<Tracer['start']>;
+type Arrival = Extract<EntryEvent, {tag: 'requestArrived'}>;
+type AttemptFrame = Extract<Frame, {tag: 'attempt'}>;
+
+interface EntryTelemetryOptions {
+  readonly metrics: Metrics;
+  readonly tracer: Tracer;
+  readonly clock: Clock;
+}
+
+/** The metrics and spans of an entry's requests. */
+interface EntryTelemetry {
+  /** Notes a request; gives the arrival with the context of its span. */
+  arrived(arrival: Arrival): Arrival;
+  /** Notes an attempt; gives the frame with the context of its span. */
+  attemptSent(endpoint: string, frame: AttemptFrame): AttemptFrame;
+  frameArrived(frame: Frame): void;
+  tokensDelivered(requestId: string): void;
+  /** @param reason tag of the error, or 'none' */
+  finished(requestId: string, outcome: Outcome, reason: string): void;
+}
+
+interface OpenRequest {
+  readonly span: Span;
+  readonly arrivedAt: number;
+  hasToken: boolean;
+  readonly attempts: Map<string, Span>;
+}
+
+const ENDINGS: ReadonlySet<Frame['tag']> = new Set([
+  'result',
+  'refused',
+  'failed',
+]);
+
+/**
+ * Follows the requests of an entry for metrics and traces.
+ *
+ * @example
+ *     createEntryTelemetry({metrics, tracer, clock}).arrived(arrival);
+ */
+export function createEntryTelemetry(
+  options: EntryTelemetryOptions,
+): EntryTelemetry {
+  const {metrics, tracer, clock} = options;
+  const open = new Map<string, OpenRequest>();
+  const getElapsed = (request: OpenRequest) =>
+    clock.monotonic() - request.arrivedAt;
+
+  return {
+    arrived(arrival) {
+      const {requestId, pipelineName, traceparent} = arrival;
+      const span = tracer.start('entry.request', traceparent, {
+        request: requestId,
+        pipeline: pipelineName,
+      });
+      open.set(requestId, {
+        span,
+        arrivedAt: clock.monotonic(),
+        hasToken: false,
+        attempts: new Map(),
+      });
+      metrics.send('entry.requests_in_flight', open.size, {});
+      return {...arrival, traceparent: span.traceparent};
+    },
+    attemptSent(endpoint, frame) {
+      const {requestId, attemptId, pool, kind, traceparent} = frame;
+      metrics.send('entry.attempts', 1, {pool, kind});
+      const span = tracer.start('entry.attempt', traceparent, {
+        request: requestId,
+        attempt: attemptId,
+        stage: kind,
+        peer: endpoint,
+      });
+      open.get(requestId)?.attempts.set(attemptId, span);
+      return {...frame, traceparent: span.traceparent};
+    },
+    frameArrived(frame) {
+      if (!ENDINGS.has(frame.tag) || !('attemptId' in frame)) return;
+      const request = open.get(frame.requestId);
+      const span = request?.attempts.get(frame.attemptId);
+      request?.attempts.delete(frame.attemptId);
+      span?.end(frame.tag === 'result' ? null : frame.tag);
+    },
+    tokensDelivered(requestId) {
+      const request = open.get(requestId);
+      if (request === undefined || request.hasToken) return;
+      request.hasToken = true;
+      metrics.send('entry.first_token_duration', getElapsed(request), {});
+    },
+    finished(requestId, outcome, reason) {
+      const request = open.get(requestId);
+      if (request === undefined) return;
+      open.delete(requestId);
+      for (const span of request.attempts.values()) span.end('superseded');
+      request.span.end(outcome === 'answered' ? null : reason);
+      metrics.send('entry.requests', 1, {outcome, reason});
+      metrics.send('entry.request_duration', getElapsed(request), {outcome});
+      metrics.send('entry.requests_in_flight', open.size, {});
+    },
+  };
+}
--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -12,6 +12,7 @@
   metrics: commonSections.metrics,
   traces: commonSections.traces,
   operators: commonSections.operators,
+  configuration: commonSections.configuration,
   http: z.strictObject({address, port}),
   limits: z
     .strictObject({
@@ -27,6 +28,9 @@
   policy: z
     .strictObject({
       routing: z.string().default('twoChoices'),
+      admission: z.string().default('none'),
+      ejection: z.string().default('none'),
+      hedging: z.string().default('none'),
     })
     .prefault({}),
   stop: z
