--- a/packages/hickorywharf-endpoint/src/createEndpointTelemetry.ts
+++ b/packages/hickorywharf-endpoint/src/createEndpointTelemetry.ts
@@ -23,6 +23,7 @@
   /** Notes a frame to an entry; those that end an attempt count. */
   sent(frame: Frame): void;
   loadReported(load: LoadReport): void;
+  configurationInForce(sequence: number): void;
 }
 
 /** An attempt that waits, or is at the backend. */
@@ -57,6 +58,8 @@
   }
 
   return {
+    configurationInForce: (sequence) =>
+      metrics.send('configuration.sequence', sequence, {}),
     accepted({requestId: request, attemptId: attempt, kind, traceparent}) {
       const attributes = {request, attempt};
       const span = tracer.start('endpoint.queue', traceparent, attributes);
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -18,6 +18,7 @@
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
+import type {createEndpointTelemetry} from './createEndpointTelemetry.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
 
 interface RunEndpointOptions {
@@ -26,6 +27,7 @@
   readonly history: HistoryRecorder;
   readonly clock: Clock;
   readonly random: () => number;
+  readonly telemetry: ReturnType<typeof createEndpointTelemetry>;
 }
 
 interface RunningEndpoint {
@@ -49,7 +51,7 @@
 export async function runEndpoint(
   options: RunEndpointOptions,
 ): Promise<RunningEndpoint> {
-  const {settings, logger, history, clock, random} = options;
+  const {settings, logger, history, clock, random, telemetry} = options;
   const {name, failureDomain} = settings.process;
   const incarnation = randomUUID();
   if (!Object.hasOwn(queuePolicies, settings.queue.order)) {
@@ -85,6 +87,7 @@
     onInForce(view) {
       const {sequence} = view;
       history.record({tag: 'configurationInForce', sequence});
+      telemetry.configurationInForce(sequence);
       feed({tag: 'configurationInForce', view});
       noteDeparture();
     },
@@ -107,7 +110,8 @@
   function startBackend(
     command: Extract<EndpointCommand, {tag: 'startBackend'}>,
   ): void {
-    const {attempt, remainingMilliseconds} = command;
+    const {remainingMilliseconds} = command;
+    const attempt = telemetry.backendStarted(command.attempt);
     const {requestId, attemptId} = attempt;
     history.record({
       tag: 'attemptBegan',
@@ -123,10 +127,12 @@
     void backend.run({attempt, remainingMilliseconds, onTokens, signal}).match(
       (output) => {
         running.delete(attemptId);
+        telemetry.backendEnded(attemptId, 'answered');
         feed({tag: 'backendFinished', attemptId, output});
       },
       ({outcome, message, step, peer}) => {
         running.delete(attemptId);
+        telemetry.backendEnded(attemptId, outcome);
         logger.warn({requestId, step, peer, outcome}, message);
         feed({tag: 'backendFailed', attemptId, outcome, message});
       },
@@ -139,16 +145,22 @@
     ) => void;
   };
   const commandHandlers: CommandHandlers = {
-    send: ({peer, frame}) => void peers.get(peer)?.(frame),
+    send({peer, frame}) {
+      telemetry.sent(frame);
+      peers.get(peer)?.(frame);
+    },
     startBackend,
     cancelBackend: ({attemptId}) => running.get(attemptId)?.abort(),
-    accepted: ({attempt: {requestId, attemptId}}) =>
+    accepted({attempt}) {
+      const {requestId, attemptId} = attempt;
+      telemetry.accepted(attempt);
       history.record({
         tag: 'attemptAccepted',
         requestId,
         attemptId,
         endpoint: name,
-      }),
+      });
+    },
   };
 
   function feed(event: EndpointEvent): void {
@@ -172,6 +184,7 @@
 
   function sendHeartbeats(): void {
     const heartbeat = createHeartbeat();
+    telemetry.loadReported(core.getLoad());
     for (const send of peers.values()) send(heartbeat);
   }
 
--- a/packages/hickorywharf-endpoints/src/createEngineBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createEngineBackend.ts
@@ -28,12 +28,16 @@
 
   async function execute(options: RunOptions): Promise<StageOutput> {
     const {attempt, remainingMilliseconds, onTokens, signal} = options;
+    const {traceparent} = attempt;
     const {text, documents, continuation, maximumTokens} = attempt.input;
     const reply = await request(`${url}/v1/completions`, {
       method: 'POST',
       dispatcher,
       signal,
-      headers: {'content-type': 'application/json'},
+      headers: {
+        'content-type': 'application/json',
+        ...(traceparent === null ? {} : {traceparent}),
+      },
       body: JSON.stringify({
         requestId: attempt.attemptId,
         pipelineRequestId: attempt.requestId,
--- a/packages/hickorywharf-endpoints/src/createPoolBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createPoolBackend.ts
@@ -27,26 +27,24 @@
 export function createPoolBackend(url: string): Backend {
   const dispatcher = new Agent();
 
-  async function execute(
-    kind: StageKind,
-    body: unknown,
-    signal: AbortSignal,
-  ): Promise<StageOutput> {
+  async function execute({
+    attempt,
+    signal,
+  }: Parameters<Backend['run']>[0]): Promise<StageOutput> {
+    const {kind, input, requestId, traceparent} = attempt;
     const read = READERS[kind];
     if (read === undefined) throw new Error(`a pool has no stage '${kind}'`);
     const target = `${url}/v1/${kind}`;
-    return read(await postJson({url: target, body, dispatcher, signal}));
+    const body = {...input, requestId};
+    return read(
+      await postJson({url: target, body, traceparent, dispatcher, signal}),
+    );
   }
 
   return {
-    run: ({attempt, signal}) =>
-      ResultAsync.fromPromise(
-        execute(
-          attempt.kind,
-          {...attempt.input, requestId: attempt.requestId},
-          signal,
-        ),
-        (error) => toBackendError(error, url),
+    run: (options) =>
+      ResultAsync.fromPromise(execute(options), (error) =>
+        toBackendError(error, url),
       ),
   };
 }
--- a/packages/hickorywharf-endpoints/src/createServiceBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createServiceBackend.ts
@@ -32,6 +32,7 @@
         requestId: attempt.requestId,
         idempotencyKey: attempt.idempotencyKey,
       },
+      traceparent: attempt.traceparent,
       dispatcher,
       signal,
     });
--- a/packages/hickorywharf-endpoints/src/postJson.ts
+++ b/packages/hickorywharf-endpoints/src/postJson.ts
@@ -3,6 +3,8 @@
 interface PostJsonOptions {
   readonly url: string;
   readonly body: unknown;
+  /** W3C trace context of the call, or null. */
+  readonly traceparent: string | null;
   readonly dispatcher: Dispatcher;
   readonly signal: AbortSignal;
 }
@@ -11,15 +13,18 @@
  * Posts JSON and reads a JSON object back. Rejects on any status but 200.
  *
  * @example
- *     await postJson({url, body: {text: 'reel'}, dispatcher, signal});
+ *     await postJson({url, body, traceparent: null, dispatcher, signal});
  */
 export async function postJson(
   options: PostJsonOptions,
 ): Promise<Record<string, unknown>> {
-  const {url, body, dispatcher, signal} = options;
+  const {url, body, traceparent, dispatcher, signal} = options;
   const reply = await request(url, {
     method: 'POST',
-    headers: {'content-type': 'application/json'},
+    headers: {
+      'content-type': 'application/json',
+      ...(traceparent === null ? {} : {traceparent}),
+    },
     body: JSON.stringify(body),
     dispatcher,
     signal,
--- a/packages/hickorywharf-entry/src/createEntryTelemetry.ts
+++ b/packages/hickorywharf-entry/src/createEntryTelemetry.ts
@@ -25,6 +25,7 @@
   tokensDelivered(requestId: string): void;
   /** @param reason tag of the error, or 'none' */
   finished(requestId: string, outcome: Outcome, reason: string): void;
+  configurationInForce(sequence: number): void;
 }
 
 interface OpenRequest {
@@ -55,6 +56,8 @@
     clock.monotonic() - request.arrivedAt;
 
   return {
+    configurationInForce: (sequence) =>
+      metrics.send('configuration.sequence', sequence, {}),
     arrived(arrival) {
       const {requestId, pipelineName, traceparent} = arrival;
       const span = tracer.start('entry.request', traceparent, {
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -23,6 +23,7 @@
 import type {entrySettings} from 'hickorywharf-validation/entrySettings';
 import type {z} from 'zod';
 import type {Caller} from './caller.ts';
+import type {createEntryTelemetry} from './createEntryTelemetry.ts';
 import {createHttpApplication} from './createHttpApplication.ts';
 
 interface RunEntryOptions {
@@ -31,6 +32,7 @@
   readonly history: HistoryRecorder;
   readonly clock: Clock;
   readonly random: () => number;
+  readonly telemetry: ReturnType<typeof createEntryTelemetry>;
 }
 
 interface RunningEntry {
@@ -53,7 +55,7 @@
 export async function runEntry(
   options: RunEntryOptions,
 ): Promise<RunningEntry> {
-  const {settings, logger, history, clock, random} = options;
+  const {settings, logger, history, clock, random, telemetry} = options;
   const {name, failureDomain} = settings.process;
   const incarnation = randomUUID();
   if (!Object.hasOwn(routingPolicies, settings.policy.routing)) {
@@ -88,6 +90,7 @@
     onInForce(view) {
       const {sequence} = view;
       history.record({tag: 'configurationInForce', sequence});
+      telemetry.configurationInForce(sequence);
       feed({tag: 'configurationInForce', view});
     },
   });
@@ -113,6 +116,7 @@
         },
         onFrame(_peer, frame) {
           if (keeper.takeFrame(endpoint, frame)) return;
+          telemetry.frameArrived(frame);
           feed({tag: 'frameArrived', endpoint, frame});
         },
         onDown() {
@@ -127,7 +131,11 @@
   }
 
   function sendFrame(command: Extract<EntryCommand, {tag: 'send'}>): void {
-    const {endpoint, frame} = command;
+    const {endpoint} = command;
+    const frame =
+      command.frame.tag === 'attempt'
+        ? telemetry.attemptSent(endpoint, command.frame)
+        : command.frame;
     const isSent = senders.get(endpoint)?.(frame) ?? false;
     if (isSent || frame.tag !== 'attempt') return;
     feed({tag: 'attemptNotSent', endpoint, attemptId: frame.attemptId});
@@ -145,12 +153,15 @@
       clients.get(endpoint)?.close();
       clients.delete(endpoint);
     },
-    deliverTokens: ({requestId, position, tokens}) =>
-      callers.get(requestId)?.deliverTokens(position, tokens),
+    deliverTokens({requestId, position, tokens}) {
+      telemetry.tokensDelivered(requestId);
+      callers.get(requestId)?.deliverTokens(position, tokens);
+    },
     answer({requestId, outputs}) {
       const caller = callers.get(requestId);
       callers.delete(requestId);
       history.record({tag: 'requestFinished', requestId, outcome: 'answered'});
+      telemetry.finished(requestId, 'answered', 'none');
       caller?.answer(outputs);
     },
     fail({requestId, error}) {
@@ -158,6 +169,7 @@
       callers.delete(requestId);
       const {outcome, step, peer} = error;
       history.record({tag: 'requestFinished', requestId, outcome});
+      telemetry.finished(requestId, outcome, error.tag);
       logger.info(
         {requestId, step, peer, outcome, tag: error.tag},
         error.message,
@@ -194,7 +206,7 @@
         callId,
         idempotencyKey,
       });
-      feed(arrival);
+      feed(telemetry.arrived(arrival));
     },
     onCallerGone(requestId) {
       if (callers.has(requestId)) feed({tag: 'callerGone', requestId});
--- a/packages/hickorywharf-telemetry/src/createOtlpTracer.ts
+++ b/packages/hickorywharf-telemetry/src/createOtlpTracer.ts
@@ -11,24 +11,22 @@
   NodeTracerProvider,
 } from '@opentelemetry/sdk-trace-node';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+import {readTraceparent} from './readTraceparent.ts';
 import type {Tracer} from './tracer.ts';
 
-const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/;
-const NO_TRACE = '0'.repeat(32);
-const NO_SPAN = '0'.repeat(16);
 /** Spans that wait for the collector; more are dropped. */
 const MAXIMUM_WAITING_SPANS = 2048;
 const EXPORT_TIMEOUT_MILLISECONDS = 2000;
 const CLOSE_MILLISECONDS = 1000;
 
 function readParent(traceparent: string | null): Context {
-  const [, traceId, spanId, flags] = TRACEPARENT.exec(traceparent ?? '') ?? [];
-  if (traceId === undefined || spanId === undefined) return ROOT_CONTEXT;
-  if (traceId === NO_TRACE || spanId === NO_SPAN) return ROOT_CONTEXT;
+  const parent = readTraceparent(traceparent);
+  if (parent === null) return ROOT_CONTEXT;
+  const {traceId, spanId, flags} = parent;
   return trace.setSpanContext(ROOT_CONTEXT, {
     traceId,
     spanId,
-    traceFlags: Number.parseInt(flags!, 16),
+    traceFlags: flags,
     isRemote: true,
   });
 }
--- a/packages/hickorywharf-telemetry/src/createTracer.ts
+++ b/packages/hickorywharf-telemetry/src/createTracer.ts
@@ -1,4 +1,5 @@
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+import {readTraceparent} from './readTraceparent.ts';
 import type {Tracer} from './tracer.ts';
 
 interface TracerOptions {
@@ -9,7 +10,11 @@
 
 /** Hands the caller's trace context on and makes no span of its own. */
 const PASSING_TRACER: Tracer = {
-  start: (_name, traceparent) => ({traceparent, end: () => undefined}),
+  start: (_name, traceparent) => ({
+    // What is not well formed must not reach a backend's headers.
+    traceparent: readTraceparent(traceparent) === null ? null : traceparent,
+    end: () => undefined,
+  }),
   close: () => Promise.resolve(),
 };
 
--- a/packages/hickorywharf/src/commands/endpointCommand.ts
+++ b/packages/hickorywharf/src/commands/endpointCommand.ts
@@ -1,9 +1,11 @@
+import {createEndpointTelemetry} from 'hickorywharf-endpoint/createEndpointTelemetry';
 import {runEndpoint} from 'hickorywharf-endpoint/runEndpoint';
 import {createLogger} from 'hickorywharf-logger/createLogger';
 import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {Command} from '../command.ts';
+import {startTelemetry} from '../startTelemetry.ts';
 import {exitCodes} from '../exitCodes.ts';
 import {loadRoleSettings} from '../loadRoleSettings.ts';
 import {runRole} from '../runRole.ts';
@@ -38,15 +40,25 @@
       name,
       role: 'endpoint',
       async start() {
+        const {metrics, tracer, close} = await startTelemetry(
+          settings,
+          'endpoint',
+        );
         const role = await runEndpoint({
           settings,
           logger,
           history,
           clock,
           random: Math.random,
+          telemetry: createEndpointTelemetry({metrics, tracer, clock}),
         });
         logger.info({port: role.port}, 'listening');
-        return role;
+        return {
+          async stop() {
+            await role.stop();
+            await close();
+          },
+        };
       },
     });
   },
--- a/packages/hickorywharf/src/commands/entryCommand.ts
+++ b/packages/hickorywharf/src/commands/entryCommand.ts
@@ -1,9 +1,11 @@
+import {createEntryTelemetry} from 'hickorywharf-entry/createEntryTelemetry';
 import {runEntry} from 'hickorywharf-entry/runEntry';
 import {createLogger} from 'hickorywharf-logger/createLogger';
 import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {entrySettings} from 'hickorywharf-validation/entrySettings';
 import type {Command} from '../command.ts';
+import {startTelemetry} from '../startTelemetry.ts';
 import {exitCodes} from '../exitCodes.ts';
 import {loadRoleSettings} from '../loadRoleSettings.ts';
 import {runRole} from '../runRole.ts';
@@ -38,15 +40,25 @@
       name,
       role: 'entry',
       async start() {
+        const {metrics, tracer, close} = await startTelemetry(
+          settings,
+          'entry',
+        );
         const role = await runEntry({
           settings,
           logger,
           history,
           clock,
           random: Math.random,
+          telemetry: createEntryTelemetry({metrics, tracer, clock}),
         });
         logger.info({port: role.port}, 'listening');
-        return role;
+        return {
+          async stop() {
+            await role.stop();
+            await close();
+          },
+        };
       },
     });
   },
