Check settings at one door and say where a wrong value came from

Cause: names of policies were checked only at start, check-settings took every file for an entry's, '--set x' set a key without its last letter, an empty number counted as 0, and a wrong variable was blamed on the file.

Change: loadRoleSettings is the one door of entry, endpoint and check-settings; errors name file, variable or flag, section, key and what is allowed.

--- a/packages/hickorywharf-validation/src/commonSections.ts
+++ b/packages/hickorywharf-validation/src/commonSections.ts
@@ -42,7 +42,9 @@
       port: port.default(0),
     })
     .prefault({}),
-  traces: z.strictObject({url: z.string().default('')}).prefault({}),
+  traces: z
+    .strictObject({url: z.union([z.literal(''), z.url()]).default('')})
+    .prefault({}),
   configuration: z
     .strictObject({
       /** How the log in the store is followed. */
--- a/packages/hickorywharf-validation/src/loadSettings.ts
+++ b/packages/hickorywharf-validation/src/loadSettings.ts
@@ -50,6 +50,11 @@
   }
 }
 
+function explain(issue: z.core.$ZodIssue): string {
+  const isMissing = issue.code === 'invalid_type' && issue.input === undefined;
+  return isMissing ? `is missing; ${issue.message}` : issue.message;
+}
+
 function toSettingsError(
   file: string,
   issue: z.core.$ZodIssue,
@@ -57,7 +62,7 @@
 ): SettingsError {
   const [section = '', key = ''] = issue.path.map(String);
   if (issue.code !== 'unrecognized_keys') {
-    return {file, section, key, message: issue.message};
+    return {file, section, key, message: explain(issue)};
   }
   const unknown = issue.keys[0] ?? '';
   const inner = schema.shape[section] as unknown as z.ZodObject | undefined;
@@ -70,6 +75,34 @@
     : {file, section, key: unknown, message};
 }
 
+/** An empty value would be read as the number 0. */
+function findEmptyNumber(
+  sections: Sections,
+  parsed: Sections,
+): Omit<SettingsError, 'file'> | null {
+  for (const [section, values] of Object.entries(sections)) {
+    for (const [key, value] of Object.entries(Object(values))) {
+      if (value !== '' || typeof parsed[section]?.[key] === 'string') continue;
+      const message = 'is empty; leave the line out for the default';
+      return {section, key, message};
+    }
+  }
+  return null;
+}
+
+/** Names the variable or the flag where the value came from one. */
+function locate(
+  error: SettingsError,
+  origins: ReadonlyMap<string, string>,
+): SettingsError {
+  const {section, key} = error;
+  const isFrom = (dotted: string) =>
+    dotted === `${section}.${key}` ||
+    (key === '' && dotted.startsWith(`${section}.`));
+  const origin = [...origins.keys()].find(isFrom);
+  return origin === undefined ? error : {...error, file: origins.get(origin)!};
+}
+
 /**
  * Reads settings from an INI file, then the environment, then flags, and
  * validates them against a role's schema of sections. Every error names file,
@@ -86,15 +119,24 @@
   const read = sources.file === null ? ok({}) : readSections(sources.file);
   if (read.isErr()) return err(read.error);
   const sections: Sections = Object.assign({}, read.value);
+  const origins = new Map<string, string>();
   for (const [variable, value] of Object.entries(sources.environment)) {
     if (variable.startsWith(ENVIRONMENT_PREFIX) && value !== undefined) {
-      setValue(sections, toDottedKey(variable), value);
+      const dotted = toDottedKey(variable);
+      setValue(sections, dotted, value);
+      origins.set(dotted, variable);
     }
   }
   for (const [dotted, value] of Object.entries(sources.flags)) {
     setValue(sections, dotted, value);
+    origins.set(dotted, `--set ${dotted}`);
+  }
+  const parsed = schema.safeParse(sections, {reportInput: true});
+  if (parsed.success) {
+    const empty = findEmptyNumber(sections, parsed.data as Sections);
+    if (empty === null) return ok(parsed.data);
+    return err(locate({...empty, file}, origins));
   }
-  const parsed = schema.safeParse(sections);
-  if (parsed.success) return ok(parsed.data);
-  return err(toSettingsError(file, parsed.error.issues[0]!, schema));
+  const error = toSettingsError(file, parsed.error.issues[0]!, schema);
+  return err(locate(error, origins));
 }
--- a/packages/hickorywharf/src/commands/checkSettingsCommand.ts
+++ b/packages/hickorywharf/src/commands/checkSettingsCommand.ts
@@ -1,27 +1,65 @@
-import {endpointSettings} from 'hickorywharf-validation/endpointSettings';
-import {entrySettings} from 'hickorywharf-validation/entrySettings';
+import {readFileSync} from 'node:fs';
+import ini from 'ini';
 import type {Command} from '../command.ts';
 import {exitCodes} from '../exitCodes.ts';
 import {loadRoleSettings} from '../loadRoleSettings.ts';
+import {reportSettingsError} from '../reportSettingsError.ts';
+import {roleSettings} from '../roleSettings.ts';
 
-const SCHEMAS = {entry: entrySettings, endpoint: endpointSettings} as const;
+type Role = keyof typeof roleSettings;
+
+const ROLES = Object.keys(roleSettings) as Role[];
+
+function readSectionNames(file: string): readonly string[] {
+  try {
+    return Object.keys(ini.parse(readFileSync(file, 'utf8')));
+  } catch {
+    // Reading it as settings says what is wrong with the file.
+    return [roleSettings.entry.ownSection];
+  }
+}
+
+/** The role whose own section the file has, or null. */
+function guessRole(file: string): Role | null {
+  const sections = readSectionNames(file);
+  const guessed = ROLES.filter((role) =>
+    sections.includes(roleSettings[role].ownSection),
+  );
+  return guessed.length === 1 ? guessed[0]! : null;
+}
+
+function explainRole(file: string, role: string | undefined): string {
+  if (role !== undefined) return `--role: allowed are ${ROLES.join(' and ')}`;
+  const sections = ROLES.map(
+    (name) => `[${roleSettings[name].ownSection}] for an ${name}`,
+  );
+  return `${file}: has not exactly one of ${sections.join(' and ')}; give --role`;
+}
 
 /** `hickorywharf check-settings FILE`: validates a settings file. */
 export const checkSettingsCommand: Command = {
   summary: 'validates a settings file of an entry or an endpoint process',
   positionals: ['FILE'],
-  options: {role: {type: 'string', default: 'entry'}},
-  optionHelp: {role: 'entry (default) or endpoint'},
+  options: {role: {type: 'string'}},
+  optionHelp: {role: 'entry or endpoint; guessed from the sections without it'},
   async run({values, positionals}) {
-    const role = values['role'] as keyof typeof SCHEMAS;
-    if (!Object.hasOwn(SCHEMAS, role)) {
-      console.error("hickorywharf: --role: allowed are 'entry' and 'endpoint'");
+    const file = positionals[0]!;
+    const given = values['role'] as string | undefined;
+    const role = given ?? guessRole(file);
+    if (role === null || !Object.hasOwn(roleSettings, role)) {
+      console.error(`hickorywharf: ${explainRole(file, given)}`);
       return exitCodes.usage;
     }
-    const file = positionals[0]!;
-    const schema = SCHEMAS[role];
-    const settings = loadRoleSettings({schema, file, assignments: []});
-    if (settings === null) return exitCodes.failed;
+    const loaded = loadRoleSettings({
+      role: role as Role,
+      file,
+      assignments: [],
+      environment: {},
+    });
+    if (loaded.isErr()) {
+      reportSettingsError(loaded.error);
+      return exitCodes.failed;
+    }
     console.log(`${file}: settings of an ${role}, all in order`);
     return exitCodes.succeeded;
   },
--- a/packages/hickorywharf/src/commands/endpointCommand.ts
+++ b/packages/hickorywharf/src/commands/endpointCommand.ts
@@ -3,11 +3,11 @@
 import {createLogger} from 'hickorywharf-logger/createLogger';
 import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
-import {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {Command} from '../command.ts';
 import {startTelemetry} from '../startTelemetry.ts';
 import {exitCodes} from '../exitCodes.ts';
 import {loadRoleSettings} from '../loadRoleSettings.ts';
+import {reportSettingsError} from '../reportSettingsError.ts';
 import {runRole} from '../runRole.ts';
 
 /** `hickorywharf endpoint`: runs the process beside an endpoint. */
@@ -23,12 +23,17 @@
     set: 'section.key=value, over the file; may be repeated',
   },
   async run({values}) {
-    const settings = loadRoleSettings({
-      schema: endpointSettings,
+    const loaded = loadRoleSettings({
+      role: 'endpoint',
       file: (values['settings'] as string | undefined) ?? null,
       assignments: (values['set'] as string[] | undefined) ?? [],
+      environment: process.env,
     });
-    if (settings === null) return exitCodes.usage;
+    if (loaded.isErr()) {
+      reportSettingsError(loaded.error);
+      return exitCodes.usage;
+    }
+    const settings = loaded.value;
     const {name} = settings.process;
     const clock = createSystemClock();
     const logger = createLogger({name, level: settings.logs.level});
--- a/packages/hickorywharf/src/commands/entryCommand.ts
+++ b/packages/hickorywharf/src/commands/entryCommand.ts
@@ -3,11 +3,11 @@
 import {createLogger} from 'hickorywharf-logger/createLogger';
 import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
-import {entrySettings} from 'hickorywharf-validation/entrySettings';
 import type {Command} from '../command.ts';
 import {startTelemetry} from '../startTelemetry.ts';
 import {exitCodes} from '../exitCodes.ts';
 import {loadRoleSettings} from '../loadRoleSettings.ts';
+import {reportSettingsError} from '../reportSettingsError.ts';
 import {runRole} from '../runRole.ts';
 
 /** `hickorywharf entry`: runs an entry, which takes callers' requests. */
@@ -23,12 +23,17 @@
     set: 'section.key=value, over the file; may be repeated',
   },
   async run({values}) {
-    const settings = loadRoleSettings({
-      schema: entrySettings,
+    const loaded = loadRoleSettings({
+      role: 'entry',
       file: (values['settings'] as string | undefined) ?? null,
       assignments: (values['set'] as string[] | undefined) ?? [],
+      environment: process.env,
     });
-    if (settings === null) return exitCodes.usage;
+    if (loaded.isErr()) {
+      reportSettingsError(loaded.error);
+      return exitCodes.usage;
+    }
+    const settings = loaded.value;
     const {name} = settings.process;
     const clock = createSystemClock();
     const logger = createLogger({name, level: settings.logs.level});
--- a/packages/hickorywharf/src/loadRoleSettings.ts
+++ b/packages/hickorywharf/src/loadRoleSettings.ts
@@ -1,40 +1,73 @@
+import {err, ok, type Result} from 'neverthrow';
+import {getNearestName} from 'hickorywharf-utils/getNearestName';
 import {loadSettings} from 'hickorywharf-validation/loadSettings';
+import type {SettingsError} from 'hickorywharf-validation/settingsError';
 import type {z} from 'zod';
+import {roleSettings} from './roleSettings.ts';
 
-interface LoadRoleSettingsOptions<Schema extends z.ZodObject> {
-  readonly schema: Schema;
+type Roles = typeof roleSettings;
+
+interface LoadRoleSettingsOptions<Role extends keyof Roles> {
+  readonly role: Role;
   /** Path of the INI file, or null. */
   readonly file: string | null;
   /** From `--set section.key=value`. */
   readonly assignments: readonly string[];
+  readonly environment: Readonly<Record<string, string | undefined>>;
 }
 
-function toFlags(assignments: readonly string[]): Record<string, string> {
+const ASSIGNMENT = /^([a-z]+\.[a-zA-Z]+)=(.*)$/s;
+
+function readAssignments(
+  assignments: readonly string[],
+): Result<Record<string, string>, SettingsError> {
   const flags: Record<string, string> = {};
   for (const assignment of assignments) {
-    const split = assignment.indexOf('=');
-    flags[assignment.slice(0, split)] = assignment.slice(split + 1);
+    const [, dotted, value] = ASSIGNMENT.exec(assignment) ?? [];
+    if (dotted === undefined || value === undefined) {
+      const message = `'${assignment}' is not of the form section.key=value`;
+      return err({file: '--set', section: '', key: '', message});
+    }
+    flags[dotted] = value;
   }
-  return flags;
+  return ok(flags);
+}
+
+function findWrongName(
+  role: keyof Roles,
+  settings: unknown,
+  file: string,
+): SettingsError | null {
+  const sections = settings as Record<string, Record<string, string>>;
+  for (const {section, key, names} of roleSettings[role].names) {
+    const value = sections[section]![key]!;
+    if (names.includes(value)) continue;
+    const nearest = getNearestName(value, names);
+    const hint = nearest === null ? '' : `; did you mean '${nearest}'?`;
+    const message = `'${value}' is not known${hint} Allowed: ${names.join(', ')}`;
+    return {file, section, key, message};
+  }
+  return null;
 }
 
 /**
- * Loads the settings of a role, or prints what is wrong with them and gives
- * null.
+ * Loads and checks the settings of a role, from a file, then the environment,
+ * then flags. Every door of the program takes settings through here.
  *
  * @example
- *     loadRoleSettings({schema: entrySettings, file: 'e.ini', assignments: []});
+ *     loadRoleSettings({role: 'entry', file: 'e.ini', assignments: [], environment});
  */
-export function loadRoleSettings<Schema extends z.ZodObject>(
-  options: LoadRoleSettingsOptions<Schema>,
-): z.infer<Schema> | null {
-  const loaded = loadSettings(options.schema, {
-    file: options.file,
-    environment: process.env,
-    flags: toFlags(options.assignments),
-  });
-  if (loaded.isOk()) return loaded.value;
-  const {file, section, key, message} = loaded.error;
-  console.error(`hickorywharf: ${file}: [${section}] ${key}: ${message}`);
-  return null;
+export function loadRoleSettings<Role extends keyof Roles>(
+  options: LoadRoleSettingsOptions<Role>,
+): Result<z.infer<Roles[Role]['schema']>, SettingsError> {
+  const {role, file, assignments, environment} = options;
+  const flags = readAssignments(assignments);
+  if (flags.isErr()) return err(flags.error);
+  const {schema} = roleSettings[role];
+  const sources = {file, environment, flags: flags.value};
+  const loaded = loadSettings<z.ZodObject>(schema, sources);
+  if (loaded.isErr()) return err(loaded.error);
+  const wrong = findWrongName(role, loaded.value, file ?? 'settings');
+  if (wrong !== null) return err(wrong);
+  return ok(loaded.value as z.infer<Roles[Role]['schema']>);
 }
