--- a/packages/hickorywharf-endpoint/src/createEndpointTelemetry.ts
+++ b/packages/hickorywharf-endpoint/src/createEndpointTelemetry.ts
@@ -1,8 +1,8 @@
+import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import type {Metrics} from 'hickorywharf-telemetry/metrics';
 import type {Tracer} from 'hickorywharf-telemetry/tracer';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {LoadReport} from 'hickorywharf-types/loadReport';
-import type {Outcome} from 'hickorywharf-types/outcome';
 import type {Clock} from 'hickorywharf-utils/clock';
 
 type Span = ReturnType<Tracer['start']>;
@@ -19,7 +19,8 @@
   accepted(attempt: AttemptFrame): void;
   /** Notes the call; gives the attempt with the context of its span. */
   backendStarted(attempt: AttemptFrame): AttemptFrame;
-  backendEnded(attemptId: string, outcome: Outcome): void;
+  /** Notes what the backend said, where that ends a call. */
+  backendSaid(event: EndpointEvent): void;
   /** Notes a frame to an entry; those that end an attempt count. */
   sent(frame: Frame): void;
   loadReported(load: LoadReport): void;
@@ -79,9 +80,12 @@
       running.set(attemptId, {span, startedAt: now, kind});
       return {...attempt, traceparent: span.traceparent};
     },
-    backendEnded(attemptId, outcome) {
-      const error = outcome === 'answered' ? null : outcome;
-      const ended = close(running, attemptId, error);
+    backendSaid(event) {
+      const isFinished = event.tag === 'backendFinished';
+      if (!isFinished && event.tag !== 'backendFailed') return;
+      const outcome = isFinished ? 'answered' : event.outcome;
+      const error = isFinished ? null : outcome;
+      const ended = close(running, event.attemptId, error);
       if (ended === undefined) return;
       const {kind, startedAt} = ended;
       const took = clock.monotonic() - startedAt;
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -11,14 +11,18 @@
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
 import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
+import {loadTlsCredentials} from 'hickorywharf-transport/loadTlsCredentials';
 import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {Clock} from 'hickorywharf-utils/clock';
+import {createEventLoop} from 'hickorywharf-utils/createEventLoop';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
+import {createBackendRunner} from './createBackendRunner.ts';
 import type {createEndpointTelemetry} from './createEndpointTelemetry.ts';
+import {createEntryPeers} from './createEntryPeers.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
 
 interface RunEndpointOptions {
@@ -59,6 +63,8 @@
       `[queue] order: allowed are ${Object.keys(queuePolicies).join(', ')}`,
     );
   }
+  const credentials = loadTlsCredentials(settings.tls);
+  if (credentials.isErr()) throw new Error(credentials.error.message);
   const core = createEndpointCore({
     name,
     incarnation,
@@ -69,9 +75,10 @@
     retentionBytes: settings.queue.retentionBytes,
     homeParts: settings.homes.parts,
   });
-  const backend = backendKinds[settings.backend.kind](settings.backend.url);
-  const running = new Map<string, AbortController>();
-  const peers = new Map<string, (frame: Frame) => boolean>();
+  const peers = createEntryPeers({
+    onGone: (peer) => feed({tag: 'peerGone', peer}),
+    getNow: clock.monotonic,
+  });
 
   const identity: ProcessIdentity = {
     name,
@@ -107,38 +114,6 @@
     departureNoted = isLeaving;
   }
 
-  function startBackend(
-    command: Extract<EndpointCommand, {tag: 'startBackend'}>,
-  ): void {
-    const {remainingMilliseconds} = command;
-    const attempt = telemetry.backendStarted(command.attempt);
-    const {requestId, attemptId} = attempt;
-    history.record({
-      tag: 'attemptBegan',
-      requestId,
-      attemptId,
-      endpoint: name,
-    });
-    const controller = new AbortController();
-    running.set(attemptId, controller);
-    const onTokens = (tokens: readonly string[]) =>
-      feed({tag: 'backendTokens', attemptId, tokens});
-    const {signal} = controller;
-    void backend.run({attempt, remainingMilliseconds, onTokens, signal}).match(
-      (output) => {
-        running.delete(attemptId);
-        telemetry.backendEnded(attemptId, 'answered');
-        feed({tag: 'backendFinished', attemptId, output});
-      },
-      ({outcome, message, step, peer}) => {
-        running.delete(attemptId);
-        telemetry.backendEnded(attemptId, outcome);
-        logger.warn({requestId, step, peer, outcome}, message);
-        feed({tag: 'backendFailed', attemptId, outcome, message});
-      },
-    );
-  }
-
   type CommandHandlers = {
     [Tag in EndpointCommand['tag']]: (
       command: Extract<EndpointCommand, {tag: Tag}>,
@@ -146,11 +121,23 @@
   };
   const commandHandlers: CommandHandlers = {
     send({peer, frame}) {
+      const attempt =
+        'attemptId' in frame ? core.state.attempts.get(frame.attemptId) : null;
       telemetry.sent(frame);
-      peers.get(peer)?.(frame);
+      peers.send(peer, frame, attempt?.deadlineAt ?? 0);
     },
-    startBackend,
-    cancelBackend: ({attemptId}) => running.get(attemptId)?.abort(),
+    startBackend(command) {
+      const attempt = telemetry.backendStarted(command.attempt);
+      const {requestId, attemptId} = attempt;
+      history.record({
+        tag: 'attemptBegan',
+        requestId,
+        attemptId,
+        endpoint: name,
+      });
+      runner.start({...command, attempt});
+    },
+    cancelBackend: ({attemptId}) => runner.cancel(attemptId),
     accepted({attempt}) {
       const {requestId, attemptId} = attempt;
       telemetry.accepted(attempt);
@@ -163,14 +150,24 @@
     },
   };
 
-  function feed(event: EndpointEvent): void {
-    for (const command of core.handle(event, clock.monotonic())) {
+  const feed = createEventLoop<EndpointEvent, EndpointCommand>({
+    decide: (event) => core.handle(event, clock.monotonic()),
+    execute(command) {
       const handler = commandHandlers[command.tag] as (
         command: EndpointCommand,
       ) => void;
       handler(command);
-    }
-  }
+    },
+  });
+  const backend = backendKinds[settings.backend.kind](settings.backend.url);
+  const runner = createBackendRunner({
+    backend,
+    logger,
+    feed(event) {
+      telemetry.backendSaid(event);
+      feed(event);
+    },
+  });
 
   function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
@@ -183,38 +180,32 @@
   }
 
   function sendHeartbeats(): void {
-    const heartbeat = createHeartbeat();
     telemetry.loadReported(core.getLoad());
-    for (const send of peers.values()) send(heartbeat);
+    peers.sendAll(createHeartbeat());
   }
 
   const server = await createPeerServer({
     ...settings.listen,
     identity,
+    credentials: credentials.value,
     handlers: {
-      onUp(peer, send) {
-        peers.set(peer.name, send);
-        keeper.addPeer(peer.name, send);
-        send(createHeartbeat());
+      onUp(connection) {
+        peers.add(connection);
+        keeper.addPeer(connection.peer.incarnation, connection.send);
+        connection.send(createHeartbeat());
       },
-      onFrame(peer, frame) {
-        if (keeper.takeFrame(peer.name, frame)) return;
-        feed({tag: 'frameArrived', peer: peer.name, frame});
+      onFrame({peer: {incarnation: peer}}, frame) {
+        if (keeper.takeFrame(peer, frame)) return;
+        feed({tag: 'frameArrived', peer, frame});
       },
-      onDown(peer) {
-        peers.delete(peer.name);
-        keeper.removePeer(peer.name);
-        void forgetPeerLater(peer.name);
+      onDown(connection) {
+        const isLast = peers.remove(connection);
+        if (isLast) keeper.removePeer(connection.peer.incarnation);
       },
       onError: (error) => logger.warn(error, error.message),
     },
   });
 
-  async function forgetPeerLater(peer: string): Promise<void> {
-    await sleep(TRANSPORT_LIMITS.silenceMilliseconds);
-    if (!peers.has(peer)) feed({tag: 'peerGone', peer});
-  }
-
   const store = createStoreClient(settings.platform.storeUrl);
   void followConfiguration({
     store,
@@ -253,7 +244,8 @@
   );
 
   async function finishWork(): Promise<void> {
-    while (core.state.running + core.state.queued > 0) {
+    const {state} = core;
+    while (state.running + state.queued > 0 || peers.hasUndelivered()) {
       await sleep(STOP_POLL_MILLISECONDS);
     }
   }
@@ -271,7 +263,7 @@
       clearInterval(beater);
       lifetime.abort();
       operators.close();
-      server.close();
+      await server.close();
     },
   };
 }
--- a/packages/hickorywharf-entry/src/createEntryTelemetry.ts
+++ b/packages/hickorywharf-entry/src/createEntryTelemetry.ts
@@ -7,7 +7,6 @@
 
 type Span = ReturnType<Tracer['start']>;
 type Arrival = Extract<EntryEvent, {tag: 'requestArrived'}>;
-type AttemptFrame = Extract<Frame, {tag: 'attempt'}>;
 
 interface EntryTelemetryOptions {
   readonly metrics: Metrics;
@@ -19,8 +18,8 @@
 interface EntryTelemetry {
   /** Notes a request; gives the arrival with the context of its span. */
   arrived(arrival: Arrival): Arrival;
-  /** Notes an attempt; gives the frame with the context of its span. */
-  attemptSent(endpoint: string, frame: AttemptFrame): AttemptFrame;
+  /** Notes an attempt; gives its frame with the context of its span. */
+  sending(endpoint: string, frame: Frame): Frame;
   frameArrived(frame: Frame): void;
   tokensDelivered(requestId: string): void;
   /** @param reason tag of the error, or 'none' */
@@ -73,7 +72,8 @@
       metrics.send('entry.requests_in_flight', open.size, {});
       return {...arrival, traceparent: span.traceparent};
     },
-    attemptSent(endpoint, frame) {
+    sending(endpoint, frame) {
+      if (frame.tag !== 'attempt') return frame;
       const {requestId, attemptId, pool, kind, traceparent} = frame;
       metrics.send('entry.attempts', 1, {pool, kind});
       const span = tracer.start('entry.attempt', traceparent, {
