--- a/packages/hickorywharf-bench/src/slopes/startFakeEntries.ts
+++ b/packages/hickorywharf-bench/src/slopes/startFakeEntries.ts
@@ -23,6 +23,7 @@
   const {address, port} = options;
   let send: ((frame: Frame) => boolean) | null = null;
   const client = createPeerClient({
+    name: 'measured',
     address,
     port,
     identity: {
@@ -33,7 +34,7 @@
     },
     random: () => 0,
     handlers: {
-      onUp(_peer, opened) {
+      onUp({send: opened}) {
         send = opened;
       },
       onFrame: () => undefined,
