Lint that a file is named after its export and functions have an example

Cause: two house rules that a linter can check were left to readers.

Change: house/file-name and jsdoc/require-example. record.ts, which exports ConfigurationRecord, is excepted until it is renamed by itself.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,7 +33,12 @@
         {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
       ],
       'house/one-export': 'error',
+      'house/file-name': 'error',
       'house/whole-words': 'error',
+      'jsdoc/require-example': [
+        'error',
+        {contexts: ['ExportNamedDeclaration > FunctionDeclaration']},
+      ],
       'jsdoc/require-jsdoc': [
         'error',
         {
@@ -48,6 +53,11 @@
       ],
     },
   },
+  {
+    // To be renamed in a commit of its own: every package imports it.
+    files: ['packages/hickorywharf-types/src/record.ts'],
+    rules: {'house/file-name': 'off'},
+  },
   {
     files: ['packages/*-decisions/src/**/*.ts'],
     ignores: ['**/__tests__/**'],
@@ -63,6 +73,6 @@
   },
   {
     files: ['**/__tests__/**/*.ts'],
-    rules: {'jsdoc/require-jsdoc': 'off'},
+    rules: {'jsdoc/require-jsdoc': 'off', 'jsdoc/require-example': 'off'},
   },
 );
--- a/scripts/houseRules.js
+++ b/scripts/houseRules.js
@@ -1,6 +1,8 @@
+import path from 'node:path';
+
 /**
- * House rules that a linter can check: one export a file, and whole words in
- * names for the common abbreviations.
+ * House rules that a linter can check: one export a file, a file named after
+ * its export, and whole words in names for the common abbreviations.
  */
 const ABBREVIATIONS = {
   req: 'request',
@@ -52,6 +54,33 @@
   },
 };
 
+/** `TRANSPORT_LIMITS` and `TransportLimits` both stand in transportLimits. */
+function toFileName(name) {
+  const words = /^[A-Z0-9_]+$/.test(name)
+    ? name
+        .toLowerCase()
+        .replaceAll(/_([a-z0-9])/g, (_match, letter) => letter.toUpperCase())
+    : name;
+  return words.charAt(0).toLowerCase() + words.slice(1);
+}
+
+const fileName = {
+  meta: {type: 'suggestion', schema: []},
+  create(context) {
+    const file = path.basename(context.filename, '.ts');
+    return {
+      ExportNamedDeclaration(node) {
+        const declared =
+          node.declaration?.declarations?.[0] ?? node.declaration;
+        const name = declared?.id?.name;
+        if (name === undefined || toFileName(name) === file) return;
+        const message = `'${name}' belongs in '${toFileName(name)}.ts'.`;
+        context.report({node, message});
+      },
+    };
+  },
+};
+
 const wholeWords = {
   meta: {type: 'suggestion', schema: []},
   create(context) {
@@ -82,5 +111,9 @@
 };
 
 export const houseRules = {
-  rules: {'one-export': oneExport, 'whole-words': wholeWords},
+  rules: {
+    'one-export': oneExport,
+    'file-name': fileName,
+    'whole-words': wholeWords,
+  },
 };
