Check that a planned stop of an endpoint process cuts no attempt

Cause: a stop that cut work at the backend was hidden by a retry; only what entries owed their callers was verified.

--- a/packages/hickorywharf-bench/src/__tests__/checkHistory.test.ts
+++ b/packages/hickorywharf-bench/src/__tests__/checkHistory.test.ts
@@ -207,6 +207,10 @@
     'orders of the newest holder only',
     append(order, {...order, holder: 'engine-1/b', fencingNumber: 6}),
   ],
+  'a planned stop cuts an attempt at the backend': [
+    'a planned stop cuts no work',
+    remove(select('attemptEnded')[0]!),
+  ],
   'a process ends by itself': ['no process ends by itself', append(crash)],
   'the end of a process is not recorded': [
     'no process ends by itself',
@@ -262,6 +266,15 @@
     incarnation: drained.incarnation,
     monotonicMilliseconds: drained.monotonicMilliseconds + 1,
   }),
+  'a killed endpoint process cuts its attempts': (events) => {
+    const cut = select('attemptEnded')[0]!;
+    return events.flatMap((event) => {
+      if (event === cut) return [];
+      const isItsStop =
+        event.tag === 'processStopped' && event.name === cut.process;
+      return isItsStop ? [{...event, planned: false}] : [event];
+    });
+  },
   'an endpoint that came back takes work': append(
     {...newest, tag: 'endpointReturned', endpoint: drained.endpoint},
     late,
--- a/packages/hickorywharf-bench/src/history/historyChecks.ts
+++ b/packages/hickorywharf-bench/src/history/historyChecks.ts
@@ -9,6 +9,7 @@
 import {checkNotRun} from './checks/checkNotRun.ts';
 import {checkOrders} from './checks/checkOrders.ts';
 import {checkOutcomes} from './checks/checkOutcomes.ts';
+import {checkPlannedStops} from './checks/checkPlannedStops.ts';
 import {checkProcesses} from './checks/checkProcesses.ts';
 import {checkRequestsFinish} from './checks/checkRequestsFinish.ts';
 import {checkTokens} from './checks/checkTokens.ts';
@@ -27,5 +28,6 @@
   'configuration never reverts': checkNeverReverts,
   'accepted configuration is in force within 3 s': checkInForce,
   'orders of the newest holder only': checkOrders,
+  'a planned stop cuts no work': checkPlannedStops,
   'no process ends by itself': checkProcesses,
 } as const satisfies Readonly<Record<string, HistoryCheck>>;
--- a/packages/hickorywharf-bench/src/history/historySchemas.ts
+++ b/packages/hickorywharf-bench/src/history/historySchemas.ts
@@ -54,6 +54,7 @@
   requestFinished: createSchema('requestFinished', {requestId: text, outcome}),
   attemptAccepted: createSchema('attemptAccepted', attempt),
   attemptBegan: createSchema('attemptBegan', attempt),
+  attemptEnded: createSchema('attemptEnded', attempt),
   endpointLeaving: createSchema('endpointLeaving', {
     endpoint: text,
     signal: z.enum(['record', 'stop', 'list']),
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -165,10 +165,20 @@
     logger,
     feed(event) {
       telemetry.backendSaid(event);
+      noteBackendEnd(event);
       feed(event);
     },
   });
 
+  function noteBackendEnd(event: EndpointEvent): void {
+    if (event.tag !== 'backendFinished' && event.tag !== 'backendFailed') {
+      return;
+    }
+    const {attemptId} = event;
+    const requestId = core.state.attempts.get(attemptId)?.frame.requestId ?? '';
+    history.record({tag: 'attemptEnded', requestId, attemptId, endpoint: name});
+  }
+
   function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
     return {
--- a/packages/hickorywharf-types/src/historyEvent.ts
+++ b/packages/hickorywharf-types/src/historyEvent.ts
@@ -66,6 +66,13 @@
         readonly attemptId: string;
         readonly endpoint: string;
       }
+    | {
+        /** The backend's call came to an end, whatever that was. */
+        readonly tag: 'attemptEnded';
+        readonly requestId: string;
+        readonly attemptId: string;
+        readonly endpoint: string;
+      }
     | {
         readonly tag: 'endpointLeaving';
         readonly endpoint: string;
