--- a/packages/hickorywharf-bench/src/campaign/faults.ts
+++ b/packages/hickorywharf-bench/src/campaign/faults.ts
@@ -6,6 +6,8 @@
 type Strike = Fault['strike'];
 
 const SLOW_STORE_MILLISECONDS = 700;
+/** Long enough for a reconnection, so that each reset cuts live streams. */
+const RESET_PAUSE_MILLISECONDS = 250;
 const LOST_ANSWERS = 5;
 const DROPPED_EVENTS = 5;
 /** Longer than the intervals of the homes in a campaign. */
@@ -49,16 +51,26 @@
   deployment.resume(target);
 };
 
+function resetRepeatedly(
+  relay: FaultEnvironmentRelay,
+  milliseconds: number,
+): void {
+  const resets = Math.ceil(milliseconds / RESET_PAUSE_MILLISECONDS);
+  for (let count = 0; count < resets; count += 1) {
+    setTimeout(() => relay.reset(), count * RESET_PAUSE_MILLISECONDS);
+  }
+}
+
 /** A fault of one endpoint's connections, recorded with its times. */
 function strikeConnections(
   fault: string,
-  begin: (relay: FaultEnvironmentRelay) => void,
+  begin: (relay: FaultEnvironmentRelay, milliseconds: number) => void,
 ): Strike {
   return async ({deployment, relays}, target, milliseconds) => {
     const {history} = deployment;
     const relay = relays.get(target)!;
     history.record({tag: 'faultBegan', fault, target});
-    begin(relay);
+    begin(relay, milliseconds);
     await sleep(milliseconds);
     relay.setMode('pass');
     history.record({tag: 'faultEnded', fault, target});
@@ -137,7 +149,9 @@
   },
   'reset-connections': {
     targets: 'endpoint',
-    strike: strikeConnections('reset-connections', (relay) => relay.reset()),
+    strike: strikeConnections('reset-connections', (relay, milliseconds) =>
+      resetRepeatedly(relay, milliseconds),
+    ),
   },
   'half-close-connections': {
     targets: 'endpoint',
--- a/packages/hickorywharf-bench/src/campaign/runCampaign.ts
+++ b/packages/hickorywharf-bench/src/campaign/runCampaign.ts
@@ -32,10 +32,15 @@
   readonly historyFile: string;
 }
 
-const CALLERS = 4;
+const CALLERS = 8;
 const ADDRESS = '127.0.0.1';
 const HOME_INTERVAL_SECONDS = 3;
 const DELAY_MILLISECONDS = 400;
+/** Slow enough that faults mostly strike actions and streams under way. */
+const STAND_INS: Readonly<Record<string, Readonly<Record<string, number>>>> = {
+  desk: {workMilliseconds: 150},
+  engine: {tokenMilliseconds: 15},
+};
 /** Traffic after the last fault has ended. */
 const SETTLE_MILLISECONDS = 1500;
 
@@ -70,6 +75,7 @@
       return relay?.port ?? port;
     },
     getSettings: createSettings,
+    getStandIn: (name) => STAND_INS[name.split('-')[0]!] ?? {},
   });
   const accepted = await deployment.apply(new Set());
   if (accepted !== 0) throw new Error(`apply ended with ${accepted}`);
