Keep a failure domain that vanishes from the list as a whole

Cause: an entry forgot every endpoint of a domain once the list and its own link lost sight of it together, and reconnected only after the list was back; an endpoint replaced under its name at another address kept the old one. Change: membership is judged by pure functions (live, silent, lost, leaving; silent domains; what may be forgotten); what operators still declare of a vanished domain is kept and tried on, and a new address is followed.

--- a/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
@@ -1,4 +1,6 @@
 import type {Instance} from 'hickorywharf-types/instance';
+import {findForgettable} from '../../membership/findForgettable.ts';
+import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
 
 function addEndpoint(state: EntryState, instance: Instance): void {
@@ -20,6 +22,21 @@
   state.commands.push({tag: 'connect', endpoint: name, address, port});
 }
 
+/** A process that is replaced may come back under its name elsewhere. */
+function followAddress(
+  state: EntryState,
+  known: EntryRows['endpoint'],
+  {address, port}: Instance,
+): void {
+  if (known.connected) return;
+  if (known.address === address && known.port === port) return;
+  known.address = address;
+  known.port = port;
+  const endpoint = known.name;
+  state.commands.push({tag: 'disconnect', endpoint});
+  state.commands.push({tag: 'connect', endpoint, address, port});
+}
+
 function hasAttempts(state: EntryState, endpoint: string): boolean {
   for (const attempt of state.attempts.rows()) {
     if (attempt.endpoint === endpoint) return true;
@@ -28,12 +45,16 @@
 }
 
 function removeMissing(state: EntryState, listed: ReadonlySet<string>): void {
-  for (const endpoint of [...state.endpoints.rows()]) {
-    if (listed.has(endpoint.name)) continue;
-    // The list lags: what is connected, or owes an answer, is still there.
-    if (endpoint.connected || hasAttempts(state, endpoint.name)) continue;
-    state.endpoints.remove(endpoint.name);
-    state.commands.push({tag: 'disconnect', endpoint: endpoint.name});
+  const records = state.configuration?.endpoints;
+  const forgettable = findForgettable([...state.endpoints.rows()], {
+    listed,
+    isDeclared: (name) => records?.has(name) ?? true,
+  });
+  for (const name of forgettable) {
+    // The list lags: what owes an answer is still there.
+    if (hasAttempts(state, name)) continue;
+    state.endpoints.remove(name);
+    state.commands.push({tag: 'disconnect', endpoint: name});
   }
 }
 
@@ -52,6 +73,7 @@
     const known = state.endpoints.get(instance.name);
     if (known === undefined) addEndpoint(state, instance);
     else if (instance.state === 'leaving') known.leaving = true;
+    if (known !== undefined) followAddress(state, known, instance);
   }
   removeMissing(state, new Set(endpoints.map(({name}) => name)));
 }
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/membership/__tests__/membership.test.ts
@@ -0,0 +1,120 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type {Instance} from 'hickorywharf-types/instance';
+import {findForgettable} from '../findForgettable.ts';
+import {findSilentDomains} from '../findSilentDomains.ts';
+import {getMemberState} from '../getMemberState.ts';
+import {isConfigurationWatcher} from '../isConfigurationWatcher.ts';
+import type {Member} from '../member.ts';
+
+const SILENCE = 1500;
+const NOW = 10_000;
+
+function createMember(
+  name: string,
+  failureDomain: string,
+  values: Partial<Member> = {},
+): Member {
+  return {
+    name,
+    failureDomain,
+    connected: true,
+    leaving: false,
+    heardAt: NOW,
+    ...values,
+  };
+}
+
+test('a slow member is told apart from a dead one', (t) => {
+  const silent = createMember('a', 'one', {heardAt: NOW - SILENCE - 1});
+  t.is(getMemberState(silent, NOW, SILENCE), 'silent');
+  const lost = createMember('a', 'one', {connected: false});
+  t.is(getMemberState(lost, NOW, SILENCE), 'lost');
+  t.is(getMemberState(createMember('a', 'one'), NOW, SILENCE), 'live');
+});
+
+test('all domains silent may be our own link; one may not', (t) => {
+  const gone = {connected: false};
+  const one = findSilentDomains(
+    [createMember('a', 'one', gone), createMember('b', 'two')],
+    NOW,
+    SILENCE,
+  );
+  t.deepEqual(one, {domains: ['one'], mayBeOwnLink: false});
+  const all = findSilentDomains(
+    [createMember('a', 'one', gone), createMember('b', 'two', gone)],
+    NOW,
+    SILENCE,
+  );
+  t.true(all.mayBeOwnLink);
+});
+
+test('a domain that vanishes as a whole is kept while it is declared', (t) => {
+  const gone = {connected: false};
+  const members = [
+    createMember('a', 'one', gone),
+    createMember('b', 'one', gone),
+    createMember('c', 'two', gone),
+    createMember('d', 'two'),
+  ];
+  const listed = new Set(['d']);
+  const isDeclared = (name: string) => name !== 'b';
+  t.deepEqual(findForgettable(members, {listed, isDeclared}), ['b', 'c']);
+});
+
+function createInstances(names: readonly string[]): Instance[] {
+  return names.map((name) => ({
+    name,
+    role: 'entry',
+    address: '127.0.0.1',
+    port: 1,
+    failureDomain: 'one',
+    state: 'live',
+  }));
+}
+
+test('everyone chooses the same two watchers from the same list', (t) => {
+  fc.assert(
+    fc.property(
+      fc.uniqueArray(fc.string({minLength: 1}), {minLength: 1, maxLength: 40}),
+      (names) => {
+        const instances = createInstances(names);
+        const watchers = names.filter((name) =>
+          isConfigurationWatcher(
+            {name, incarnation: '', role: 'entry', failureDomain: 'one'},
+            instances,
+          ),
+        );
+        return watchers.length === Math.min(2, names.length);
+      },
+    ),
+    {seed: 3},
+  );
+  t.pass();
+});
+
+test('with lists that differ in one name somebody still watches', (t) => {
+  fc.assert(
+    fc.property(
+      fc.uniqueArray(fc.string({minLength: 1}), {minLength: 2, maxLength: 40}),
+      fc.nat(),
+      (names, left) => {
+        const missing = names[left % names.length]!;
+        const watchers = names.filter((name, index) => {
+          const known = names.filter((other) => other !== missing);
+          const list = createInstances(index % 2 === 0 ? names : known);
+          const identity = {
+            name,
+            incarnation: '',
+            role: 'entry',
+            failureDomain: 'one',
+          } as const;
+          return isConfigurationWatcher(identity, list);
+        });
+        return watchers.length >= 1;
+      },
+    ),
+    {seed: 5},
+  );
+  t.pass();
+});
