--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -216,6 +216,8 @@
   });
   const operators = startOperatorsServer({
     ...settings.operators,
+    onError: (error) =>
+      logger.warn({step: 'receive', peer: null}, error.message),
     getState: () => ({
       process: identity,
       configuration: {...keeper.getStatus(), isWatcher: false},
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -228,6 +228,8 @@
   });
   const operators = startOperatorsServer({
     ...settings.operators,
+    onError: (error) =>
+      logger.warn({step: 'receive', peer: null}, error.message),
     getState: () => ({
       process: identity,
       configuration: {...keeper.getStatus(), isWatcher: isWatcher()},
--- a/packages/hickorywharf-operators/src/startOperatorsServer.ts
+++ b/packages/hickorywharf-operators/src/startOperatorsServer.ts
@@ -7,6 +7,8 @@
   /** 0 where the process is to have no address for operators. */
   readonly port: number;
   readonly getState: () => OperatorsState;
+  /** The process serves on where the address cannot be had. */
+  readonly onError: (error: Error) => void;
 }
 
 interface OperatorsServer {
@@ -17,16 +19,17 @@
  * Shows operators the state of a process, as JSON on `GET /v1/state`.
  *
  * @example
- *     const server = startOperatorsServer({address, port, getState});
+ *     const server = startOperatorsServer({address, port, getState, onError});
  *     server.close();
  */
 export function startOperatorsServer(
   options: OperatorsServerOptions,
 ): OperatorsServer {
-  const {address, port, getState} = options;
+  const {address, port, getState, onError} = options;
   if (port === 0) return {close: () => undefined};
   const application = new Hono();
   application.get('/v1/state', (context) => context.json(getState()));
   const server = serve({fetch: application.fetch, hostname: address, port});
+  server.on('error', onError);
   return {close: () => void server.close()};
 }
