--- a/packages/hickorywharf-bench/src/experiments/propagationExperiment.ts
+++ b/packages/hickorywharf-bench/src/experiments/propagationExperiment.ts
@@ -35,6 +35,9 @@
               operatorsUrls: urls,
               seed,
             });
+            for (const {name, value, unit} of figures) {
+              print(`  ${name}: ${value.toFixed(2)} ${unit}`);
+            }
             runs.push({policy, seed, figures, series: {}});
           } finally {
             await deployment.stop();
--- a/packages/hickorywharf-configuration/src/__tests__/changeConfiguration.test.ts
+++ b/packages/hickorywharf-configuration/src/__tests__/changeConfiguration.test.ts
@@ -109,6 +109,15 @@
   await change(store, 'desk-1', 'desks');
   const options = {inForceSequence: 4};
   t.is((await change(store, 'desk-2', 'desks', options)).tag, 'refused');
+  // Nor is it said that nothing is to be done.
+  const unchanged = await changeConfiguration({
+    store,
+    createOperation,
+    plan: () => ok([]),
+    base: null,
+    inForceSequence: 4,
+  });
+  t.is(unchanged.tag, 'refused');
 });
 
 test('the log is compacted and its keys stay bounded', async (t) => {
--- a/packages/hickorywharf-configuration/src/changeConfiguration.ts
+++ b/packages/hickorywharf-configuration/src/changeConfiguration.ts
@@ -63,13 +63,7 @@
   {log}: Loaded,
   entry: ConfigurationEntry,
   base: number,
-  inForceSequence: number,
 ): Refused | null {
-  if (log.sequence < inForceSequence) {
-    return refuse(
-      `the store is at sequence ${log.sequence} and an instance has ${inForceSequence} in force: the store was restored from an older state; apply again once a watcher has written back what is in force`,
-    );
-  }
   const overlap = findOverlap(log.getSnapshot(), entry.changes, base);
   if (overlap.length > 0) {
     const records = overlap.join(', ');
@@ -144,6 +138,12 @@
     if (read.isErr()) return {tag: 'unavailable', message: read.error.message};
     const loaded = read.value;
     const {log} = loaded;
+    // Nothing that is read from a store that went back may be relied on.
+    if (log.sequence < inForceSequence) {
+      return refuse(
+        `the store is at sequence ${log.sequence} and an instance has ${inForceSequence} in force: the store was restored from an older state; apply again once an entry has written back what is in force`,
+      );
+    }
     if (isRingFull(loaded)) {
       await compactIfDue(options, loaded);
       continue;
@@ -156,7 +156,7 @@
     base ??= log.sequence;
     if (changes.length === 0) return {tag: 'unchanged', sequence: log.sequence};
     const entry = {sequence: log.sequence + 1, operation, changes};
-    const refusal = findRefusal(loaded, entry, base, inForceSequence);
+    const refusal = findRefusal(loaded, entry, base);
     if (refusal !== null) return refusal;
     const outcome = await write(options, loaded, entry);
     if (outcome !== 'lost') return outcome;
--- a/packages/hickorywharf/src/commands/planCommand.ts
+++ b/packages/hickorywharf/src/commands/planCommand.ts
@@ -43,7 +43,12 @@
       return reportFailure(`the store: ${loaded.error.message}`);
     }
     const {log} = loaded.value;
-    const {isJson, base} = input.value;
+    const {isJson, base, inForceSequence} = input.value;
+    if (log.sequence < inForceSequence) {
+      return reportFailure(
+        `the store is at sequence ${log.sequence} and an instance has ${inForceSequence} in force: the store was restored from an older state; plan again once an entry has written back what is in force`,
+      );
+    }
     const snapshot = log.getSnapshot();
     const prune = values['prune'] === true;
     const changes = planChanges(declared.value, snapshot.documents, {prune});
