Chain the entries of the log, so that a restored store divides nobody

Cause: an operator's change written to a store that was restored from an older state could land at a sequence that is in force already, or next to it: processes would then hold different records under one sequence, silently. Also a gap that the store cannot fill no longer makes a watcher read without a pause.

--- a/packages/hickorywharf-configuration/src/__tests__/neverReverts.test.ts
+++ b/packages/hickorywharf-configuration/src/__tests__/neverReverts.test.ts
@@ -191,11 +191,18 @@
   }
 }
 
+function endFaults(world: World): void {
+  world.store.isDown = false;
+  world.store.loseWriteAnswers = 0;
+}
+
+/** Rounds of probes after which nobody is on another way. */
+const PROBE_ROUNDS = 2;
 /** Rounds of heartbeats after the faults end, within which all agree. */
 const ROUNDS = 4;
 
 async function heal(world: World): Promise<void> {
-  world.store.isDown = false;
+  endFaults(world);
   world.frames.length = 0;
   // One process alone still reaches the store: the others have their peers.
   await catchUp(world.store, world.processes[0]!.keeper);
@@ -282,6 +289,63 @@
   t.pass();
 });
 
+/** Steps as before, in a world whose store is also restored at times. */
+const RESTORING_ACTIONS: typeof ACTIONS = {
+  ...ACTIONS,
+  backUp: (world) => world.store.state.backUp(),
+  restore: (world) => world.store.state.restore(),
+  writeBack(world, first, second) {
+    const {keeper} = world.processes[first % PROCESSES]!;
+    if (keeper.sequence === 0) return;
+    return writeBack(world.store, keeper, `back-${first}-${second}`);
+  },
+};
+
+const restoringStep = fc.tuple(
+  fc.constantFrom(...Object.keys(RESTORING_ACTIONS), ...COMMON, ...COMMON),
+  fc.nat({max: 500}),
+  fc.nat({max: 500}),
+);
+
+async function runRestoring(steps: readonly Step[]): Promise<void> {
+  const world = createWorld();
+  for (const [action, first, second] of steps) {
+    await RESTORING_ACTIONS[action]!(world, first, second);
+    assertForward(world);
+  }
+  endFaults(world);
+  for (const [index, {keeper}] of world.processes.entries()) {
+    if (keeper.sequence === 0) continue;
+    await writeBack(world.store, keeper, `last-${index}`);
+  }
+  await apply(world, 'desk-1', 'last');
+  for (const {keeper} of world.processes) await catchUp(world.store, keeper);
+  await heal(world);
+  // Probes go on: who went another way finds out.
+  for (let round = 0; round < PROBE_ROUNDS; round += 1) {
+    for (const [index, {keeper}] of world.processes.entries()) {
+      await writeBack(world.store, keeper, `probe-${round}-${index}`);
+    }
+    await heal(world);
+  }
+  assertForward(world);
+  await assertAgreed(world);
+}
+
+test('a store that is restored leaves nobody on another way', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(restoringStep, {
+        minLength: MINIMUM_STEPS,
+        maxLength: MAXIMUM_STEPS,
+      }),
+      runRestoring,
+    ),
+    {seed: 13, numRuns: RUNS},
+  );
+  t.pass();
+});
+
 test('what is in force wins over a store that was restored', async (t) => {
   const world = createWorld();
   const [first, second] = world.processes as [Process, Process];
@@ -304,6 +368,30 @@
   assertForward(world);
 });
 
+test('a change made on a restored store does not divide the fleet', async (t) => {
+  const world = createWorld();
+  const [first, late] = world.processes as [Process, Process];
+  await apply(world, 'desk-1', 'desks');
+  world.store.state.backUp();
+  await apply(world, 'desk-1', 'counters');
+  await catchUp(world.store, first.keeper);
+  world.store.state.restore();
+  // Two changes at sequences that are in force already, or next to them.
+  await apply(world, 'desk-2', 'desks');
+  await apply(world, 'desk-3', 'desks');
+  await catchUp(world.store, late.keeper);
+  await catchUp(world.store, first.keeper);
+  t.is(first.keeper.sequence, 2, 'an entry of the other way is not taken');
+  await writeBack(world.store, first.keeper, 'back');
+  await writeBack(world.store, late.keeper, 'none');
+  await apply(world, 'desk-4', 'desks');
+  await catchUp(world.store, first.keeper);
+  await catchUp(world.store, late.keeper);
+  t.deepEqual(first.keeper.getSnapshot(), late.keeper.getSnapshot());
+  t.is(first.keeper.sequence, 5);
+  assertForward(world);
+});
+
 test('a process too far behind for the ring takes the snapshot', async (t) => {
   const world = createWorld();
   await apply(world, 'desk-0', 'first');
--- a/packages/hickorywharf-configuration/src/catchUp.ts
+++ b/packages/hickorywharf-configuration/src/catchUp.ts
@@ -27,6 +27,8 @@
       return keeper.sequence > before;
     },
   };
+  // What waits is read anew, or it went another way than the store.
+  keeper.forgetWaiting();
   if (keeper.sequence > 0) {
     const tail = await readTail(store, log);
     if (tail.isErr()) return err(tail.error);
--- a/packages/hickorywharf-configuration/src/changeConfiguration.ts
+++ b/packages/hickorywharf-configuration/src/changeConfiguration.ts
@@ -155,7 +155,12 @@
     }
     base ??= log.sequence;
     if (changes.length === 0) return {tag: 'unchanged', sequence: log.sequence};
-    const entry = {sequence: log.sequence + 1, operation, changes};
+    const entry = {
+      sequence: log.sequence + 1,
+      operation,
+      previous: log.operation,
+      changes,
+    };
     const refusal = findRefusal(loaded, entry, base);
     if (refusal !== null) return refusal;
     const outcome = await write(options, loaded, entry);
--- a/packages/hickorywharf-configuration/src/compactConfiguration.ts
+++ b/packages/hickorywharf-configuration/src/compactConfiguration.ts
@@ -74,7 +74,12 @@
   }
   const committed = await store.compareAndSwap(
     configurationKeys.snapshotHead,
-    {sequence: snapshot.sequence, operation, chunks: chunks.length},
+    {
+      sequence: snapshot.sequence,
+      operation,
+      chunks: chunks.length,
+      entryOperation: snapshot.operation ?? null,
+    } satisfies SnapshotHead,
     read.value?.revision ?? 0,
   );
   if (committed.isErr()) return err(committed.error);
--- a/packages/hickorywharf-configuration/src/configurationKeeper.ts
+++ b/packages/hickorywharf-configuration/src/configurationKeeper.ts
@@ -23,6 +23,8 @@
   readonly sequence: number;
   /** Whether entries wait behind one that has not come. */
   readonly hasGap: boolean;
+  /** Forgets the entries that wait behind a gap. */
+  forgetWaiting(): void;
   /** Takes entries that were read from the store. */
   takeEntries(entries: readonly ConfigurationEntry[]): void;
   /** Takes a snapshot that was read from the store. */
--- a/packages/hickorywharf-configuration/src/createConfigurationKeeper.ts
+++ b/packages/hickorywharf-configuration/src/createConfigurationKeeper.ts
@@ -152,6 +152,7 @@
     get hasGap() {
       return log.hasGap();
     },
+    forgetWaiting: log.forgetWaiting,
     takeEntries,
     takeSnapshot(snapshot) {
       if (log.applySnapshot(snapshot)) announce();
--- a/packages/hickorywharf-configuration/src/readSnapshot.ts
+++ b/packages/hickorywharf-configuration/src/readSnapshot.ts
@@ -33,8 +33,14 @@
     documents.push(...chunk.documents);
     deletions.push(...(chunk.deletions ?? []));
   }
-  const {sequence} = head;
-  return ok({tag: 'configurationSnapshot', sequence, documents, deletions});
+  const {sequence, entryOperation = null} = head;
+  return ok({
+    tag: 'configurationSnapshot',
+    sequence,
+    operation: entryOperation,
+    documents,
+    deletions,
+  });
 }
 
 /**
--- a/packages/hickorywharf-configuration/src/snapshotHead.ts
+++ b/packages/hickorywharf-configuration/src/snapshotHead.ts
@@ -7,4 +7,6 @@
   /** Identifies the compaction, and with it the chunks. */
   readonly operation: string;
   readonly chunks: number;
+  /** The operation of the newest entry that the snapshot holds. */
+  readonly entryOperation?: string | null;
 }
--- a/packages/hickorywharf-configuration/src/watchLog.ts
+++ b/packages/hickorywharf-configuration/src/watchLog.ts
@@ -55,8 +55,10 @@
       await pause.wait();
       continue;
     }
-    pause.reset();
     const isLost: boolean = keeper.hasGap || next.value < (revision ?? 0);
     revision = isLost ? null : next.value;
+    // A store that brings a gap each time is not read in a tight loop.
+    if (isLost) await pause.wait();
+    else pause.reset();
   }
 }
--- a/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
+++ b/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
@@ -13,6 +13,8 @@
 
 interface ConfigurationLog {
   readonly sequence: number;
+  /** The operation of the newest entry; null where it is not known. */
+  readonly operation: string | null;
   /** The configuration in force. */
   getView(): ConfigurationView;
   /**
@@ -22,6 +24,8 @@
   applyEntries(entries: readonly ConfigurationEntry[]): boolean;
   /** Whether entries wait behind one that has not come. */
   hasGap(): boolean;
+  /** Forgets the entries that wait, once their source was read again. */
+  forgetWaiting(): void;
   /** Takes a peer's whole copy; an older or equal one changes nothing. */
   applySnapshot(snapshot: Snapshot): boolean;
   /** What a peer at a sequence needs: entries, or a snapshot when too old. */
@@ -73,14 +77,22 @@
  */
 export function createConfigurationLog(): ConfigurationLog {
   let sequence = 0;
+  let operation: string | null = null;
   let recent: ConfigurationEntry[] = [];
   let view: ConfigurationView | null = null;
   const table = createDocumentTable();
   const waiting = new Map<number, ConfigurationEntry>();
 
+  /** Whether an entry follows the newest one, as far as both are known. */
+  function isChained({previous}: ConfigurationEntry): boolean {
+    if (previous === undefined || previous === null) return true;
+    return operation === null || previous === operation;
+  }
+
   function applyOne(entry: ConfigurationEntry): void {
     table.applyEntry(entry);
     sequence = entry.sequence;
+    operation = entry.operation;
     recent.push(entry);
     if (recent.length > MAXIMUM_RECENT_ENTRIES) recent.shift();
   }
@@ -92,6 +104,7 @@
       next = waiting.get(sequence + 1)
     ) {
       waiting.delete(next.sequence);
+      if (!isChained(next)) return;
       applyOne(next);
     }
   }
@@ -100,6 +113,7 @@
     if (entry.sequence <= sequence) return;
     if (entry.sequence === sequence + 1) {
       waiting.delete(entry.sequence);
+      if (!isChained(entry)) return;
       applyOne(entry);
       applyWaiting();
     } else if (waiting.size < MAXIMUM_WAITING_ENTRIES) {
@@ -117,6 +131,9 @@
     get sequence() {
       return sequence;
     },
+    get operation() {
+      return operation;
+    },
     getView() {
       view ??= createView(sequence, table.getRecords());
       return view;
@@ -129,10 +146,12 @@
       return sequence > before;
     },
     hasGap: () => waiting.size > 0,
+    forgetWaiting: () => waiting.clear(),
     applySnapshot(snapshot) {
       if (snapshot.sequence <= sequence) return false;
       table.replace(snapshot.documents, snapshot.deletions ?? []);
       sequence = snapshot.sequence;
+      operation = snapshot.operation ?? null;
       recent = [];
       view = null;
       dropWaitingUpToSequence();
@@ -149,6 +168,7 @@
     getSnapshot: () => ({
       tag: 'configurationSnapshot',
       sequence,
+      operation,
       documents: table.getDocuments(),
       deletions: table.getDeletions(),
     }),
--- a/packages/hickorywharf-types/src/configurationEntry.ts
+++ b/packages/hickorywharf-types/src/configurationEntry.ts
@@ -8,6 +8,11 @@
   readonly sequence: number;
   /** Identifies the operator's command, to settle a lost answer. */
   readonly operation: string;
+  /**
+   * The operation of the entry before, so that entries of a log that went
+   * another way, after a store was restored, are not taken for the next.
+   */
+  readonly previous?: string | null;
   readonly changes: readonly {
     readonly kind: string;
     readonly name: string;
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -94,6 +94,8 @@
   | {
       readonly tag: 'configurationSnapshot';
       readonly sequence: number;
+      /** The operation of the newest entry that the snapshot holds. */
+      readonly operation?: string | null;
       readonly documents: readonly StoredDocument[];
       /** Tombstones: the latest deletions, oldest first. */
       readonly deletions?: readonly StoredDeletion[];
