--- a/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
@@ -12,7 +12,8 @@
     failureDomain,
     connected: false,
     incarnation: '',
-    leaving: instance.state === 'leaving',
+    leaving: false,
+    listedLeaving: instance.state === 'leaving',
     inFlight: 0,
     load: null,
     loadAt: 0,
@@ -22,19 +23,19 @@
   state.commands.push({tag: 'connect', endpoint: name, address, port});
 }
 
-/** A process that is replaced may come back under its name elsewhere. */
-function followAddress(
+function updateEndpoint(
   state: EntryState,
   known: EntryRows['endpoint'],
-  {address, port}: Instance,
+  instance: Instance,
 ): void {
-  if (known.connected) return;
-  if (known.address === address && known.port === port) return;
+  known.listedLeaving = instance.state === 'leaving';
+  const {address, port} = instance;
+  const hasMoved = known.address !== address || known.port !== port;
+  // The list lags: where the process can be reached, it has not moved.
+  if (!hasMoved || known.connected) return;
   known.address = address;
   known.port = port;
-  const endpoint = known.name;
-  state.commands.push({tag: 'disconnect', endpoint});
-  state.commands.push({tag: 'connect', endpoint, address, port});
+  state.commands.push({tag: 'connect', endpoint: known.name, address, port});
 }
 
 function hasAttempts(state: EntryState, endpoint: string): boolean {
@@ -72,8 +73,7 @@
   for (const instance of endpoints) {
     const known = state.endpoints.get(instance.name);
     if (known === undefined) addEndpoint(state, instance);
-    else if (instance.state === 'leaving') known.leaving = true;
-    if (known !== undefined) followAddress(state, known, instance);
+    else updateEndpoint(state, known, instance);
   }
   removeMissing(state, new Set(endpoints.map(({name}) => name)));
 }
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -11,13 +11,17 @@
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
 import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
+import {loadTlsCredentials} from 'hickorywharf-transport/loadTlsCredentials';
 import {TRANSPORT_LIMITS} from 'hickorywharf-transport/transportLimits';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {Clock} from 'hickorywharf-utils/clock';
+import {createEventLoop} from 'hickorywharf-utils/createEventLoop';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
+import {createBackendRunner} from './createBackendRunner.ts';
+import {createEntryPeers} from './createEntryPeers.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
 
 interface RunEndpointOptions {
@@ -57,6 +61,8 @@
       `[queue] order: allowed are ${Object.keys(queuePolicies).join(', ')}`,
     );
   }
+  const credentials = loadTlsCredentials(settings.tls);
+  if (credentials.isErr()) throw new Error(credentials.error.message);
   const core = createEndpointCore({
     name,
     incarnation,
@@ -67,9 +73,10 @@
     retentionBytes: settings.queue.retentionBytes,
     homeParts: settings.homes.parts,
   });
-  const backend = backendKinds[settings.backend.kind](settings.backend.url);
-  const running = new Map<string, AbortController>();
-  const peers = new Map<string, (frame: Frame) => boolean>();
+  const peers = createEntryPeers({
+    onGone: (peer) => feed({tag: 'peerGone', peer}),
+    getNow: clock.monotonic,
+  });
 
   const identity: ProcessIdentity = {
     name,
@@ -104,44 +111,28 @@
     departureNoted = isLeaving;
   }
 
-  function startBackend(
-    command: Extract<EndpointCommand, {tag: 'startBackend'}>,
-  ): void {
-    const {attempt, remainingMilliseconds} = command;
-    const {requestId, attemptId} = attempt;
-    history.record({
-      tag: 'attemptBegan',
-      requestId,
-      attemptId,
-      endpoint: name,
-    });
-    const controller = new AbortController();
-    running.set(attemptId, controller);
-    const onTokens = (tokens: readonly string[]) =>
-      feed({tag: 'backendTokens', attemptId, tokens});
-    const {signal} = controller;
-    void backend.run({attempt, remainingMilliseconds, onTokens, signal}).match(
-      (output) => {
-        running.delete(attemptId);
-        feed({tag: 'backendFinished', attemptId, output});
-      },
-      ({outcome, message, step, peer}) => {
-        running.delete(attemptId);
-        logger.warn({requestId, step, peer, outcome}, message);
-        feed({tag: 'backendFailed', attemptId, outcome, message});
-      },
-    );
-  }
-
   type CommandHandlers = {
     [Tag in EndpointCommand['tag']]: (
       command: Extract<EndpointCommand, {tag: Tag}>,
     ) => void;
   };
   const commandHandlers: CommandHandlers = {
-    send: ({peer, frame}) => void peers.get(peer)?.(frame),
-    startBackend,
-    cancelBackend: ({attemptId}) => running.get(attemptId)?.abort(),
+    send({peer, frame}) {
+      const attempt =
+        'attemptId' in frame ? core.state.attempts.get(frame.attemptId) : null;
+      peers.send(peer, frame, attempt?.deadlineAt ?? 0);
+    },
+    startBackend(command) {
+      const {requestId, attemptId} = command.attempt;
+      history.record({
+        tag: 'attemptBegan',
+        requestId,
+        attemptId,
+        endpoint: name,
+      });
+      runner.start(command);
+    },
+    cancelBackend: ({attemptId}) => runner.cancel(attemptId),
     accepted: ({attempt: {requestId, attemptId}}) =>
       history.record({
         tag: 'attemptAccepted',
@@ -151,14 +142,17 @@
       }),
   };
 
-  function feed(event: EndpointEvent): void {
-    for (const command of core.handle(event, clock.monotonic())) {
+  const feed = createEventLoop<EndpointEvent, EndpointCommand>({
+    decide: (event) => core.handle(event, clock.monotonic()),
+    execute(command) {
       const handler = commandHandlers[command.tag] as (
         command: EndpointCommand,
       ) => void;
       handler(command);
-    }
-  }
+    },
+  });
+  const backend = backendKinds[settings.backend.kind](settings.backend.url);
+  const runner = createBackendRunner({backend, logger, feed});
 
   function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
@@ -170,38 +164,30 @@
     };
   }
 
-  function sendHeartbeats(): void {
-    const heartbeat = createHeartbeat();
-    for (const send of peers.values()) send(heartbeat);
-  }
+  const sendHeartbeats = () => peers.sendAll(createHeartbeat());
 
   const server = await createPeerServer({
     ...settings.listen,
     identity,
+    credentials: credentials.value,
     handlers: {
-      onUp(peer, send) {
-        peers.set(peer.name, send);
-        keeper.addPeer(peer.name, send);
-        send(createHeartbeat());
+      onUp(connection) {
+        peers.add(connection);
+        keeper.addPeer(connection.peer.incarnation, connection.send);
+        connection.send(createHeartbeat());
       },
-      onFrame(peer, frame) {
-        if (keeper.takeFrame(peer.name, frame)) return;
-        feed({tag: 'frameArrived', peer: peer.name, frame});
+      onFrame({peer: {incarnation: peer}}, frame) {
+        if (keeper.takeFrame(peer, frame)) return;
+        feed({tag: 'frameArrived', peer, frame});
       },
-      onDown(peer) {
-        peers.delete(peer.name);
-        keeper.removePeer(peer.name);
-        void forgetPeerLater(peer.name);
+      onDown(connection) {
+        const isLast = peers.remove(connection);
+        if (isLast) keeper.removePeer(connection.peer.incarnation);
       },
       onError: (error) => logger.warn(error, error.message),
     },
   });
 
-  async function forgetPeerLater(peer: string): Promise<void> {
-    await sleep(TRANSPORT_LIMITS.silenceMilliseconds);
-    if (!peers.has(peer)) feed({tag: 'peerGone', peer});
-  }
-
   const store = createStoreClient(settings.platform.storeUrl);
   void followConfiguration({
     store,
@@ -242,7 +228,8 @@
   );
 
   async function finishWork(): Promise<void> {
-    while (core.state.running + core.state.queued > 0) {
+    const {state} = core;
+    while (state.running + state.queued > 0 || peers.hasUndelivered()) {
       await sleep(STOP_POLL_MILLISECONDS);
     }
   }
@@ -260,7 +247,7 @@
       clearInterval(beater);
       lifetime.abort();
       operators.close();
-      server.close();
+      await server.close();
     },
   };
 }
