Show operators whom an entry can hear

Cause: status listed what the platform says, not what the entry sees. Change: observed states of members and silent failure domains, with the hint that it may be the entry's own link, from the pure functions of membership.

--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -7,6 +7,7 @@
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
+import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
@@ -207,7 +208,11 @@
     getState: () => ({
       process: identity,
       configuration: {...keeper.getStatus(), isWatcher: false},
-      membership: {instances: [], leaving: createHeartbeat().leaving},
+      membership: {
+        instances: [],
+        leaving: createHeartbeat().leaving,
+        observed: describeMembers([], 0, 0),
+      },
       queue: core.getLoad(),
     }),
   });
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -5,7 +5,9 @@
 import {createEntryCore} from 'hickorywharf-decisions/entry/createEntryCore';
 import type {EntryCommand} from 'hickorywharf-decisions/entry/entryCommand';
 import type {EntryEvent} from 'hickorywharf-decisions/entry/entryEvent';
+import {ENTRY_LIMITS} from 'hickorywharf-decisions/entry/entryLimits';
 import {routingPolicies} from 'hickorywharf-decisions/entry/policies/routingPolicies';
+import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import {isConfigurationWatcher} from 'hickorywharf-decisions/membership/isConfigurationWatcher';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
@@ -207,7 +209,15 @@
     getState: () => ({
       process: identity,
       configuration: {...keeper.getStatus(), isWatcher: isWatcher()},
-      membership: {instances, leaving: stopping},
+      membership: {
+        instances,
+        leaving: stopping,
+        observed: describeMembers(
+          [...core.state.endpoints.rows()],
+          clock.monotonic(),
+          ENTRY_LIMITS.silenceMilliseconds,
+        ),
+      },
       queue: {queued: 0, running: callers.size},
     }),
   });
--- a/packages/hickorywharf-operators/src/operatorsState.ts
+++ b/packages/hickorywharf-operators/src/operatorsState.ts
@@ -1,3 +1,4 @@
+import type {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import type {Instance} from 'hickorywharf-types/instance';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 
@@ -24,6 +25,8 @@
   readonly membership: {
     readonly instances: readonly Instance[];
     readonly leaving: boolean;
+    /** Other processes as this one has observed them itself. */
+    readonly observed: ReturnType<typeof describeMembers>;
   };
   /** Work that is held: requests of an entry, attempts of an endpoint. */
   readonly queue: {readonly queued: number; readonly running: number};
--- a/packages/hickorywharf/src/commands/statusCommand.ts
+++ b/packages/hickorywharf/src/commands/statusCommand.ts
@@ -41,6 +41,14 @@
   if (configuration.isWatcher) parts.push('watcher');
   if (membership.leaving) parts.push('leaving');
   console.log(parts.join(', '));
+  const {members, silentDomains, mayBeOwnLink} = membership.observed;
+  for (const {name, failureDomain, state} of members) {
+    if (state !== 'live') console.log(`  ${name} (${failureDomain}): ${state}`);
+  }
+  for (const domain of silentDomains) {
+    const hint = mayBeOwnLink ? ', or this process is cut off' : '';
+    console.log(`  nobody in ${domain} can be heard${hint}`);
+  }
   for (const record of configuration.unreadable) {
     console.log(`  cannot read ${record}: a newer schemaVersion`);
   }
