Space the calls of a watch apart

Cause: an answered watch was asked again at once, so that a burst of 200 changes in a second costs 200 calls from each watcher; at 20 watchers that is over the store's 2,000 reads a second. Change: a mean pause of 100 ms after an answer.

--- a/packages/hickorywharf-configuration/src/watchLog.ts
+++ b/packages/hickorywharf-configuration/src/watchLog.ts
@@ -11,6 +11,8 @@
 
 const WATCH_MILLISECONDS = 20_000;
 const IDLE_MILLISECONDS = 200;
+/** Mean pause after an answer, so that a burst of changes is a few calls. */
+const SPACING_MILLISECONDS = 100;
 
 /** Waits for entries after a revision; gives the revision to go on from. */
 async function watchOnce(
@@ -60,5 +62,6 @@
     // A store that brings a gap each time is not read in a tight loop.
     if (isLost) await pause.wait();
     else pause.reset();
+    await sleep(SPACING_MILLISECONDS * (0.5 + options.random()));
   }
 }
