--- a/packages/hickorywharf-configuration/src/createConfigurationKeeper.ts
+++ b/packages/hickorywharf-configuration/src/createConfigurationKeeper.ts
@@ -25,6 +25,8 @@
 const FETCH_MILLISECONDS = 300;
 /** Changes that come within this time are passed on together. */
 const ANNOUNCE_MILLISECONDS = 20;
+/** Peers are told no more often than this, however many changes come. */
+const ANNOUNCE_SPACING_MILLISECONDS = 150;
 
 /**
  * Keeps the configuration in force in one process and passes each change on to
@@ -45,6 +47,7 @@
   const counter = createFrameCounter();
   let fetch = {sequence: 0, at: 0};
   let announcing = false;
+  let announcedAt = -Infinity;
 
   function send(peer: Peer, frame: Frame): boolean {
     const isSent = peer.send(frame);
@@ -68,8 +71,9 @@
     send(peer, {tag: 'fetchConfiguration', afterSequence: log.sequence});
   }
 
-  function tellPeers(): void {
+  function announceToPeers(): void {
     announcing = false;
+    announcedAt = now();
     for (const peer of peers.values()) {
       if (peer.sequence >= log.sequence) continue;
       if (relay.isPushing) bringForward(peer);
@@ -83,7 +87,9 @@
     onInForce(log.getView());
     if (!relay.isRelaying || announcing) return;
     announcing = true;
-    setTimeout(tellPeers, ANNOUNCE_MILLISECONDS).unref();
+    const dueAt = announcedAt + ANNOUNCE_SPACING_MILLISECONDS;
+    const delay = Math.max(ANNOUNCE_MILLISECONDS, dueAt - now());
+    setTimeout(announceToPeers, delay).unref();
   }
 
   function noteSequence(name: string, sequence: number): void {
