--- a/packages/hickorywharf-bench/src/__tests__/startRoles.ts
+++ b/packages/hickorywharf-bench/src/__tests__/startRoles.ts
@@ -3,12 +3,16 @@
 import type {ExecutionContext} from 'ava';
 import bunyan from 'bunyan';
 import {applyChanges} from 'hickorywharf-configuration/applyChanges';
+import {createEndpointTelemetry} from 'hickorywharf-endpoint/createEndpointTelemetry';
 import {runEndpoint} from 'hickorywharf-endpoint/runEndpoint';
+import {createEntryTelemetry} from 'hickorywharf-entry/createEntryTelemetry';
 import {runEntry} from 'hickorywharf-entry/runEntry';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import {createInstancesStandIn} from 'hickorywharf-standins/createInstancesStandIn';
 import {createStoreStandIn} from 'hickorywharf-standins/createStoreStandIn';
 import {listen} from 'hickorywharf-standins/listen';
+import {createMetrics} from 'hickorywharf-telemetry/createMetrics';
+import {createTracer} from 'hickorywharf-telemetry/createTracer';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {digest} from 'hickorywharf-utils/digest';
 import {sleep} from 'hickorywharf-utils/sleep';
@@ -124,6 +128,16 @@
   const instancesUrl = `http://${ADDRESS}:${instances.port}/v1/instances`;
   const platform = {storeUrl, instancesUrl, instancesPollMilliseconds: 100};
   const common = {clock, logger, history, random: Math.random};
+  const identity = {
+    name: 'test',
+    role: 'operator',
+    failureDomain: 'a',
+  } as const;
+  const telemetry = {
+    clock,
+    metrics: createMetrics({address: ADDRESS, port: 0, identity}),
+    tracer: await createTracer({url: '', identity}),
+  };
   const ports: number[] = [];
   t.teardown(() => {
     for (const server of [storeServer, instances, engineServer]) server.close();
@@ -158,7 +172,11 @@
         slots: 64,
       },
     });
-    const endpoint = await runEndpoint({settings, ...common});
+    const endpoint = await runEndpoint({
+      settings,
+      ...common,
+      telemetry: createEndpointTelemetry(telemetry),
+    });
     const relay = await startRelay(t, endpoint.port);
     await list(name, 'endpoint', relay.port);
     return {stop: () => endpoint.stop(), cut: relay.cut};
@@ -171,7 +189,11 @@
       http: local,
       stop: {balancerMilliseconds: BALANCER_MILLISECONDS},
     });
-    const entry = await runEntry({settings, ...common});
+    const entry = await runEntry({
+      settings,
+      ...common,
+      telemetry: createEntryTelemetry(telemetry),
+    });
     ports.push(entry.port);
     await list(name, 'entry', entry.port);
     return entry;
