Bound the answers of pools and services

Cause: an answer over 8 MiB fits into no frame; the endpoint process could not send it, and the entry waited for it until the deadline.

--- a/packages/hickorywharf-endpoints/src/createPoolBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createPoolBackend.ts
@@ -3,6 +3,7 @@
 import type {StageKind} from 'hickorywharf-types/stageKind';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import type {Backend} from './backend.ts';
+import {BACKEND_LIMITS} from './backendLimits.ts';
 import {postJson} from './postJson.ts';
 import {toBackendError} from './toBackendError.ts';
 
@@ -25,7 +26,9 @@
  *     createPoolBackend('http://127.0.0.1:9001');
  */
 export function createPoolBackend(url: string): Backend {
-  const dispatcher = new Agent();
+  const dispatcher = new Agent({
+    maxResponseSize: BACKEND_LIMITS.maximumResponseBytes,
+  });
 
   async function execute(
     kind: StageKind,
--- a/packages/hickorywharf-endpoints/src/createServiceBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createServiceBackend.ts
@@ -3,6 +3,7 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import type {Backend} from './backend.ts';
+import {BACKEND_LIMITS} from './backendLimits.ts';
 import {postJson} from './postJson.ts';
 import {toBackendError} from './toBackendError.ts';
 
@@ -16,7 +17,10 @@
  *     createServiceBackend('http://127.0.0.1:9002');
  */
 export function createServiceBackend(url: string): Backend {
-  const dispatcher = new Agent({pipelining: 1});
+  const dispatcher = new Agent({
+    pipelining: 1,
+    maxResponseSize: BACKEND_LIMITS.maximumResponseBytes,
+  });
 
   async function execute(
     attempt: Extract<Frame, {tag: 'attempt'}>,
