--- a/packages/hickorywharf-bench/src/__tests__/roles.test.ts
+++ b/packages/hickorywharf-bench/src/__tests__/roles.test.ts
@@ -137,6 +137,25 @@
   await entry.stop();
 });
 
+test('with [tls] set in both roles, requests are answered', async (t) => {
+  const directory = path.resolve(
+    import.meta.dirname,
+    '../../../hickorywharf-transport/src/__tests__/certificates',
+  );
+  const roles = await startRoles(t, STEADY, {
+    certificateFile: path.join(directory, 'process.pem'),
+    keyFile: path.join(directory, 'process.key.pem'),
+    authorityFile: path.join(directory, 'authority.pem'),
+  });
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(entry.port);
+  const {body} = await roles.send(entry.port);
+  t.is(roles.readEvents(await body.text()).last, 'answer');
+  await Promise.all([entry.stop(), endpoint.stop()]);
+});
+
 test('a second SIGTERM cuts nothing, and the entry exits with 0', async (t) => {
   const roles = await startRoles(t, STEADY);
   await roles.apply(['engine-1']);
--- a/packages/hickorywharf-bench/src/__tests__/startRoles.ts
+++ b/packages/hickorywharf-bench/src/__tests__/startRoles.ts
@@ -110,6 +110,7 @@
 export async function startRoles(
   t: ExecutionContext,
   engineOptions: EngineOptions,
+  tls: Readonly<Record<string, string>> = {},
 ) {
   const clock = createSystemClock();
   const logger = bunyan.createLogger({name: 'test', level: 'fatal'});
@@ -151,6 +152,7 @@
     const settings = endpointSettings.parse({
       process: {name, failureDomain: 'a'},
       platform,
+      tls,
       listen: local,
       backend: {
         kind: 'engine',
@@ -168,6 +170,7 @@
     const settings = entrySettings.parse({
       process: {name, failureDomain: 'a'},
       platform,
+      tls,
       http: local,
       stop: {balancerMilliseconds: BALANCER_MILLISECONDS},
     });
