Show that a stop waits for a slow caller's open response

Cause: the guard was there, and no test failed without it. Guard taken out: the wait for open responses; this test failed.

--- a/packages/hickorywharf-bench/src/__tests__/roles.test.ts
+++ b/packages/hickorywharf-bench/src/__tests__/roles.test.ts
@@ -1,7 +1,8 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {startProcess} from '../deployment/startProcess.ts';
 import {findFreePorts} from '../deployment/findFreePorts.ts';
 import {startRoles} from './startRoles.ts';
@@ -156,10 +157,11 @@
   await Promise.all([entry.stop(), endpoint.stop()]);
 });
 
-test('a second SIGTERM cuts nothing, and the entry exits with 0', async (t) => {
-  const roles = await startRoles(t, STEADY);
-  await roles.apply(['engine-1']);
-  const endpoint = await roles.startEndpoint('engine-1');
+/** Runs the program's own entry, as a process that a test can signal. */
+async function startEntryProcess(
+  t: ExecutionContext,
+  roles: Awaited<ReturnType<typeof startRoles>>,
+) {
   const directory = mkdtempSync(path.join(os.tmpdir(), 'hickorywharf-test-'));
   const [port] = await findFreePorts('127.0.0.1', 1);
   const {storeUrl, instancesUrl} = roles.platform;
@@ -192,7 +194,15 @@
       return false;
     }
   });
-  const {body} = await roles.send(port!);
+  return {...entry, port: port!};
+}
+
+test('a second SIGTERM cuts nothing, and the entry exits with 0', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await startEntryProcess(t, roles);
+  const {body} = await roles.send(entry.port);
   entry.signal('SIGTERM');
   entry.signal('SIGTERM');
   const {positions, last} = roles.readEvents(await body.text());
@@ -202,3 +212,20 @@
   t.is(await entry.exited, 0);
   await endpoint.stop();
 });
+
+test('an entry exits only once a slow caller has its whole answer', async (t) => {
+  const roles = await startRoles(t, BULKY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await startEntryProcess(t, roles);
+  const {body} = await roles.send(entry.port);
+  entry.signal('SIGTERM');
+  await roles.waitFor(() => roles.engine.counts.finished === 1);
+  // Long enough for an entry that does not wait to be gone.
+  await sleep(1000);
+  const {positions, last} = roles.readEvents(await body.text());
+  t.deepEqual(positions, countTo(BULKY.tokens));
+  t.is(last, 'answer');
+  t.is(await entry.exited, 0);
+  await endpoint.stop();
+});
