--- a/packages/hickorywharf-decisions/src/entry/completeStage.ts
+++ b/packages/hickorywharf-decisions/src/entry/completeStage.ts
@@ -1,9 +1,9 @@
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
-import {cancelAttempt} from './cancelAttempt.ts';
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
 import {finishRequest} from './finishRequest.ts';
+import {forgetAttempts} from './forgetAttempts.ts';
 
 function learnEstimate(
   state: EntryState,
@@ -36,9 +36,8 @@
   now: number,
 ): void {
   learnEstimate(state, request, now);
-  // The result may be that of an attempt which a later one superseded.
-  const current = state.attempts.get(request.currentAttemptId ?? '');
-  if (current !== undefined) cancelAttempt(state, current);
+  // Hedges and superseded attempts: the first whole result counts.
+  forgetAttempts(state, request.requestId);
   request.outputs.push(output);
   request.stageIndex += 1;
   if (request.stageIndex >= request.pipeline.stages.length) {
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/systems/ejectSlowEndpoints.ts
@@ -0,0 +1,70 @@
+import type {EntryState} from '../entryState.ts';
+import {getCurrentStage} from '../getCurrentStage.ts';
+import {ejectEndpoint} from '../load/ejectEndpoint.ts';
+import {getPoolMedianSlowness} from '../load/getPoolMedianSlowness.ts';
+import {LOAD_LIMITS} from '../load/loadLimits.ts';
+
+/** A slow endpoint gives few results: what is out there counts by its age. */
+function getOldestAge(state: EntryState, now: number): Map<string, number> {
+  const ages = new Map<string, number>();
+  for (const attempt of state.attempts.rows()) {
+    const request = state.requests.get(attempt.requestId);
+    if (request?.stageIndex !== attempt.stageIndex) continue;
+    if (!getCurrentStage(request).idempotent) continue;
+    const key = `${request.pipeline.name}/${attempt.stageIndex}`;
+    const usual = state.estimates.get(key)?.milliseconds ?? Infinity;
+    const elapsed = now - attempt.sentAt;
+    if (elapsed - usual < LOAD_LIMITS.ejectionMinimumMilliseconds) continue;
+    const age = elapsed / usual;
+    if (age > (ages.get(attempt.endpoint) ?? 0)) {
+      ages.set(attempt.endpoint, age);
+    }
+  }
+  return ages;
+}
+
+function getMedian(values: readonly number[]): number {
+  const sorted = values.toSorted((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+function judgePool(
+  state: EntryState,
+  names: readonly string[],
+  ages: ReadonlyMap<string, number>,
+  now: number,
+): void {
+  const {ejectionFactor, ejectionSamples, ejectedShare} = LOAD_LIMITS;
+  const limit = getPoolMedianSlowness(state, names) * ejectionFactor;
+  // In an overload attempts grow old everywhere: that is nobody's fault.
+  const usualAge = getMedian(names.map((name) => ages.get(name) ?? 0));
+  const ageLimit = Math.max(1, usualAge) * ejectionFactor;
+  let ejected = names.filter(
+    (name) => (state.load.speeds.get(name)?.ejectedUntil ?? 0) > now,
+  ).length;
+  for (const name of names) {
+    if (ejected + 1 > names.length * ejectedShare) return;
+    const speed = state.load.speeds.get(name);
+    if (speed === undefined || speed.ejectedUntil > now) continue;
+    const isSlow = speed.samples >= ejectionSamples && speed.slowness > limit;
+    if (!isSlow && (ages.get(name) ?? 0) <= ageLimit) continue;
+    ejectEndpoint(state, name, now);
+    ejected += 1;
+  }
+}
+
+/**
+ * Takes endpoints that are much slower than their pool out of it for a time,
+ * and never more than a share of the pool.
+ *
+ * @example
+ *     ejectSlowEndpoints(state, now);
+ */
+export function ejectSlowEndpoints(state: EntryState, now: number): void {
+  if (state.policies.ejection === 'none') return;
+  const ages = getOldestAge(state, now);
+  for (const members of state.configuration?.endpointsByPool.values() ?? []) {
+    const names = members.map(({name}) => name);
+    judgePool(state, names, ages, now);
+  }
+}
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -7,6 +7,7 @@
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
+import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
@@ -21,6 +22,7 @@
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
 import {createBackendRunner} from './createBackendRunner.ts';
+import type {createEndpointTelemetry} from './createEndpointTelemetry.ts';
 import {createEntryPeers} from './createEntryPeers.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
 
@@ -30,6 +32,7 @@
   readonly history: HistoryRecorder;
   readonly clock: Clock;
   readonly random: () => number;
+  readonly telemetry: ReturnType<typeof createEndpointTelemetry>;
 }
 
 interface RunningEndpoint {
@@ -53,7 +56,7 @@
 export async function runEndpoint(
   options: RunEndpointOptions,
 ): Promise<RunningEndpoint> {
-  const {settings, logger, history, clock, random} = options;
+  const {settings, logger, history, clock, random, telemetry} = options;
   const {name, failureDomain} = settings.process;
   const incarnation = randomUUID();
   if (!Object.hasOwn(queuePolicies, settings.queue.order)) {
@@ -92,6 +95,7 @@
     onInForce(view) {
       const {sequence} = view;
       history.record({tag: 'configurationInForce', sequence});
+      telemetry.configurationInForce(sequence);
       feed({tag: 'configurationInForce', view});
       noteDeparture();
     },
@@ -120,26 +124,31 @@
     send({peer, frame}) {
       const attempt =
         'attemptId' in frame ? core.state.attempts.get(frame.attemptId) : null;
+      telemetry.sent(frame);
       peers.send(peer, frame, attempt?.deadlineAt ?? 0);
     },
     startBackend(command) {
-      const {requestId, attemptId} = command.attempt;
+      const attempt = telemetry.backendStarted(command.attempt);
+      const {requestId, attemptId} = attempt;
       history.record({
         tag: 'attemptBegan',
         requestId,
         attemptId,
         endpoint: name,
       });
-      runner.start(command);
+      runner.start({...command, attempt});
     },
     cancelBackend: ({attemptId}) => runner.cancel(attemptId),
-    accepted: ({attempt: {requestId, attemptId}}) =>
+    accepted({attempt}) {
+      const {requestId, attemptId} = attempt;
+      telemetry.accepted(attempt);
       history.record({
         tag: 'attemptAccepted',
         requestId,
         attemptId,
         endpoint: name,
-      }),
+      });
+    },
   };
 
   const feed = createEventLoop<EndpointEvent, EndpointCommand>({
@@ -152,7 +161,24 @@
     },
   });
   const backend = backendKinds[settings.backend.kind](settings.backend.url);
-  const runner = createBackendRunner({backend, logger, feed});
+  const runner = createBackendRunner({
+    backend,
+    logger,
+    feed(event) {
+      telemetry.backendSaid(event);
+      noteBackendEnd(event);
+      feed(event);
+    },
+  });
+
+  function noteBackendEnd(event: EndpointEvent): void {
+    if (event.tag !== 'backendFinished' && event.tag !== 'backendFailed') {
+      return;
+    }
+    const {attemptId} = event;
+    const requestId = core.state.attempts.get(attemptId)?.frame.requestId ?? '';
+    history.record({tag: 'attemptEnded', requestId, attemptId, endpoint: name});
+  }
 
   function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
     const draining = core.state.configuration?.endpoints.get(name)?.draining;
@@ -164,7 +190,10 @@
     };
   }
 
-  const sendHeartbeats = () => peers.sendAll(createHeartbeat());
+  function sendHeartbeats(): void {
+    telemetry.loadReported(core.getLoad());
+    peers.sendAll(createHeartbeat());
+  }
 
   const server = await createPeerServer({
     ...settings.listen,
@@ -202,10 +231,16 @@
   });
   const operators = startOperatorsServer({
     ...settings.operators,
+    onError: (error) =>
+      logger.warn({step: 'receive', peer: null}, error.message),
     getState: () => ({
       process: identity,
       configuration: {...keeper.getStatus(), isWatcher: false},
-      membership: {instances: [], leaving: createHeartbeat().leaving},
+      membership: {
+        instances: [],
+        leaving: createHeartbeat().leaving,
+        observed: describeMembers([], 0, 0),
+      },
       queue: core.getLoad(),
     }),
   });
--- a/packages/hickorywharf-endpoints/src/createServiceBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createServiceBackend.ts
@@ -36,6 +36,7 @@
         requestId: attempt.requestId,
         idempotencyKey: attempt.idempotencyKey,
       },
+      traceparent: attempt.traceparent,
       dispatcher,
       signal,
     });
