--- a/packages/hickorywharf-bench/src/__tests__/loadHistory.test.ts
+++ b/packages/hickorywharf-bench/src/__tests__/loadHistory.test.ts
@@ -2,6 +2,8 @@
 import os from 'node:os';
 import path from 'node:path';
 import test from 'ava';
+import fc from 'fast-check';
+import {readHistoryLine} from '../history/readHistoryLine.ts';
 import {loadHistory} from '../loadHistory.ts';
 
 const STAMP = {
@@ -51,6 +53,21 @@
   });
 }
 
+test('no line makes the reader throw', (t) => {
+  const tag = fc.constantFrom('requestSent', 'processPaused', '__proto__');
+  const line = fc.oneof(
+    fc.string(),
+    fc.json(),
+    fc.record({tag, name: fc.anything()}).map((event) => JSON.stringify(event)),
+  );
+  fc.assert(
+    fc.property(line, (text) => {
+      readHistoryLine(text);
+    }),
+  );
+  t.pass();
+});
+
 test('a file that is not there is an error, not an exception', (t) => {
   t.is(loadHistory('/nowhere/history.ndjson')._unsafeUnwrapErr().line, 0);
 });
