--- a/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
+++ b/packages/hickorywharf-decisions/src/entry/createEntryCore.ts
@@ -1,25 +1,32 @@
 import {createTable} from '../createTable.ts';
 import type {EntryCommand} from './entryCommand.ts';
 import type {EntryEvent} from './entryEvent.ts';
+import type {EntryPolicies} from './entryPolicies.ts';
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryState} from './entryState.ts';
 import {finishRequest} from './finishRequest.ts';
+import {getCurrentStage} from './getCurrentStage.ts';
 import {getFailureOutcome} from './getFailureOutcome.ts';
 import {handleConnection} from './handlers/handleConnection.ts';
 import {handleFrame} from './handlers/handleFrame.ts';
 import {handleInstancesListed} from './handlers/handleInstancesListed.ts';
 import {handleRequestArrived} from './handlers/handleRequestArrived.ts';
+import {createEntryLoad} from './load/createEntryLoad.ts';
 import {noteTick} from './noteTick.ts';
 import {removeAttempt} from './removeAttempt.ts';
 import {scheduleRetry} from './scheduleRetry.ts';
 import {dispatchRequests} from './systems/dispatchRequests.ts';
+import {ejectSlowEndpoints} from './systems/ejectSlowEndpoints.ts';
 import {enforceDeadlines} from './systems/enforceDeadlines.ts';
+import {hedgeSlowAttempts} from './systems/hedgeSlowAttempts.ts';
 import {supersedeLostAttempts} from './systems/supersedeLostAttempts.ts';
 
 interface EntryCoreOptions {
   readonly failureDomain: string;
   readonly incarnation: string;
   readonly routingPolicy: string;
+  /** Without them: no admission by estimate, no ejection, no hedges. */
+  readonly policies?: EntryPolicies;
   readonly homeParts: number;
   readonly maximumRequests: number;
   /** Numbers in [0, 1). */
@@ -71,7 +78,6 @@
     const request = state.requests.get(attempt.requestId);
     if (request?.currentAttemptId !== attempt.attemptId) return;
     request.actionMayHaveRun = false;
-    request.excluded.add(event.endpoint);
     request.lastError = {
       tag: 'peerLost',
       step: 'route',
@@ -79,7 +85,12 @@
       outcome: getFailureOutcome(request),
       message: 'The attempt could not be sent to the endpoint process.',
     };
-    scheduleRetry(request, now);
+    // A home stands for itself alone and may be chosen again at once: without
+    // a pause, this event and its dispatch would follow each other for ever.
+    const {idempotent} = getCurrentStage(request);
+    if (idempotent) request.excluded.add(event.endpoint);
+    const pause = idempotent ? 0 : ENTRY_LIMITS.searchPauseMilliseconds;
+    scheduleRetry(request, now + pause);
   },
   instancesListed: (state, event) =>
     handleInstancesListed(state, event.instances),
@@ -87,7 +98,18 @@
     const current = state.configuration?.sequence ?? 0;
     if (event.view.sequence > current) state.configuration = event.view;
   },
-  ticked: (state, _event, now) => noteTick(state, now),
+  ticked(state, _event, now) {
+    noteTick(state, now);
+    // Judging every attempt is not needed at each frame.
+    ejectSlowEndpoints(state, now);
+    hedgeSlowAttempts(state, now);
+  },
+};
+
+const NO_POLICIES: EntryPolicies = {
+  admission: 'none',
+  ejection: 'none',
+  hedging: 'none',
 };
 
 /** In the order in which they run on each tick. */
@@ -112,6 +134,8 @@
 export function createEntryCore(options: EntryCoreOptions): EntryCore {
   const state: EntryState = {
     ...options,
+    policies: options.policies ?? NO_POLICIES,
+    load: createEntryLoad(),
     requests: createTable(),
     attempts: createTable(),
     endpoints: createTable(),
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -34,6 +34,13 @@
     source('hickorywharf-bench/bin/campaign.ts'),
     ...rest,
   ],
+  experiments: (rest) => [
+    node,
+    source('hickorywharf-bench/bin/experiments.ts'),
+    ...rest,
+  ],
+  queues: () => [node, source('hickorywharf-bench/bin/queues.ts')],
+  decisions: () => [node, source('hickorywharf-bench/bin/decisions.ts')],
   format: () => [node, bin('prettier'), '--check', '.'],
   'format-write': () => [
     node,
