Gather tokens in the endpoint process; read a long instance list seldom

Change: tokens of an attempt after its first wait up to 8 ms for others; the list is read at most at 2 KB/s.

--- a/packages/hickorywharf-bench/src/benchmark/createBenchmarkCalls.ts
+++ b/packages/hickorywharf-bench/src/benchmark/createBenchmarkCalls.ts
@@ -1,3 +1,4 @@
+import {createInterface} from 'node:readline';
 import {Agent, request} from 'undici';
 
 interface BenchmarkCallsOptions {
@@ -16,16 +17,15 @@
   close(): Promise<void>;
 }
 
-const TOKENS_EVENT = Buffer.from('event: tokens');
+const DATA_PREFIX = 'data: ';
 
-function countEvents(bytes: Buffer): number {
-  let count = 0;
-  let position = bytes.indexOf(TOKENS_EVENT);
-  while (position !== -1) {
-    count += 1;
-    position = bytes.indexOf(TOKENS_EVENT, position + TOKENS_EVENT.length);
-  }
-  return count;
+/** Tokens of a line of a stream; the closing answer repeats none here. */
+function countTokens(line: string): number {
+  if (!line.startsWith(DATA_PREFIX)) return 0;
+  const data = JSON.parse(line.slice(DATA_PREFIX.length)) as {
+    tokens?: readonly string[];
+  };
+  return data.tokens?.length ?? 0;
 }
 
 /**
@@ -72,8 +72,8 @@
       const body = {text, maximumTokens: tokens, stream: true};
       const reply = await post(url, body);
       let received = 0;
-      for await (const chunk of reply.body) {
-        received += countEvents(chunk as Buffer);
+      for await (const line of createInterface({input: reply.body})) {
+        received += countTokens(line);
       }
       return received;
     },
--- a/packages/hickorywharf-endpoint/src/createBackendRunner.ts
+++ b/packages/hickorywharf-endpoint/src/createBackendRunner.ts
@@ -2,6 +2,7 @@
 import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import type {Backend} from 'hickorywharf-endpoints/backend';
+import {createTokenBatcher} from './createTokenBatcher.ts';
 
 interface BackendRunnerOptions {
   readonly backend: Backend;
@@ -15,6 +16,12 @@
   cancel(attemptId: string): void;
 }
 
+/**
+ * Longest that a token waits for others; short beside the 35 ms that callers
+ * are promised between tokens.
+ */
+const TOKEN_BATCH_MILLISECONDS = 8;
+
 /**
  * Runs attempts on the backend and feeds back what it says.
  *
@@ -27,6 +34,11 @@
 ): BackendRunner {
   const {backend, logger, feed} = options;
   const running = new Map<string, AbortController>();
+  const batcher = createTokenBatcher({
+    onTokens: (attemptId, tokens) =>
+      feed({tag: 'backendTokens', attemptId, tokens}),
+    schedule: (flush) => void setTimeout(flush, TOKEN_BATCH_MILLISECONDS),
+  });
 
   return {
     start({attempt, remainingMilliseconds}) {
@@ -34,17 +46,19 @@
       const controller = new AbortController();
       running.set(attemptId, controller);
       const onTokens = (tokens: readonly string[]) =>
-        feed({tag: 'backendTokens', attemptId, tokens});
+        batcher.add(attemptId, tokens);
       const {signal} = controller;
       void backend
         .run({attempt, remainingMilliseconds, onTokens, signal})
         .match(
           (output) => {
             running.delete(attemptId);
+            batcher.end(attemptId);
             feed({tag: 'backendFinished', attemptId, output});
           },
           ({outcome, message, step, peer}) => {
             running.delete(attemptId);
+            batcher.end(attemptId);
             logger.warn({requestId, step, peer, outcome}, message);
             feed({tag: 'backendFailed', attemptId, outcome, message});
           },
--- a/packages/hickorywharf-entry/src/followInstances.ts
+++ b/packages/hickorywharf-entry/src/followInstances.ts
@@ -11,9 +11,22 @@
   readonly signal: AbortSignal;
 }
 
+/** About what one instance takes in the platform's answer. */
+const INSTANCE_BYTES = 160;
+/** A quarter of what a process may spend on control. */
+const LIST_BYTES_PER_SECOND = 2000;
+const MILLISECONDS_PER_SECOND = 1000;
+
+function getPause(pollMilliseconds: number, instances: number): number {
+  const seconds = (instances * INSTANCE_BYTES) / LIST_BYTES_PER_SECOND;
+  return Math.max(pollMilliseconds, seconds * MILLISECONDS_PER_SECOND);
+}
+
 /**
  * Reads the platform's list of instances again and again. While the list
- * cannot be read, what was last seen stays.
+ * cannot be read, what was last seen stays. A long list is read less often,
+ * since each read carries the whole of it; departures are learnt sooner from
+ * heartbeats and lost connections.
  *
  * @example
  *     void followInstances({url, pollMilliseconds, onListed, random, signal});
@@ -22,9 +35,13 @@
   options: FollowInstancesOptions,
 ): Promise<void> {
   const {url, pollMilliseconds, onListed, random, signal} = options;
+  let pause = pollMilliseconds;
   while (!signal.aborted) {
     const listed = await fetchInstances(url);
-    if (listed.isOk() && !signal.aborted) onListed(listed.value);
-    await sleep(pollMilliseconds * (0.75 + random() / 2));
+    if (listed.isOk() && !signal.aborted) {
+      onListed(listed.value);
+      pause = getPause(pollMilliseconds, listed.value.length);
+    }
+    await sleep(pause * (0.75 + random() / 2));
   }
 }
