Tick seldom while there is no work

Cause: an idle entry woke 100 times a second. Change: 10 times while nothing is in flight; an arrival wakes it.

--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -19,6 +19,7 @@
 import type {Clock} from 'hickorywharf-utils/clock';
 import {createEventLoop} from 'hickorywharf-utils/createEventLoop';
 import {sleep} from 'hickorywharf-utils/sleep';
+import {startTicker} from 'hickorywharf-utils/startTicker';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
 import {createBackendRunner} from './createBackendRunner.ts';
@@ -42,6 +43,7 @@
 }
 
 const TICK_MILLISECONDS = 25;
+const IDLE_TICK_MILLISECONDS = 100;
 const STOP_POLL_MILLISECONDS = 20;
 /** Time in which entries fetch outcomes and are told of the departure. */
 const STOP_GRACE_MILLISECONDS = 300;
@@ -254,7 +256,13 @@
     onKnown: (homes) => feed({tag: 'homesKnown', homes}),
     onReleasing: (homes) => feed({tag: 'homesReleasing', homes}),
   });
-  const ticker = setInterval(() => feed({tag: 'ticked'}), TICK_MILLISECONDS);
+  const ticker = startTicker({
+    onTick: () => feed({tag: 'ticked'}),
+    getPause: () =>
+      core.state.running + core.state.queued > 0
+        ? TICK_MILLISECONDS
+        : IDLE_TICK_MILLISECONDS,
+  });
   const beater = setInterval(
     sendHeartbeats,
     TRANSPORT_LIMITS.heartbeatMilliseconds,
@@ -276,7 +284,7 @@
       await Promise.all([homeKeeper.stop(), finishWork()]);
       await sleep(STOP_GRACE_MILLISECONDS);
       await finishWork();
-      clearInterval(ticker);
+      ticker.stop();
       clearInterval(beater);
       lifetime.abort();
       operators.close();
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -21,6 +21,7 @@
 import {createEventLoop} from 'hickorywharf-utils/createEventLoop';
 import {createUuid7} from 'hickorywharf-utils/createUuid7';
 import {sleep} from 'hickorywharf-utils/sleep';
+import {startTicker} from 'hickorywharf-utils/startTicker';
 import type {entrySettings} from 'hickorywharf-validation/entrySettings';
 import type {z} from 'zod';
 import {createCallers} from './createCallers.ts';
@@ -47,6 +48,7 @@
 }
 
 const TICK_MILLISECONDS = 10;
+const IDLE_TICK_MILLISECONDS = 100;
 const STOP_POLL_MILLISECONDS = 20;
 /** How long finished answers wait at a stop for callers that read slowly. */
 const STOP_DELIVERY_MILLISECONDS = 30_000;
@@ -188,7 +190,9 @@
         callId,
         idempotencyKey,
       });
+      const wasIdle = core.state.requests.size === 0;
       feed(telemetry.arrived(arrival));
+      if (wasIdle) ticker.wake();
     },
     onCallerGone(requestId) {
       if (callers.has(requestId)) feed({tag: 'callerGone', requestId});
@@ -238,7 +242,11 @@
       queue: {queued: 0, running: callers.size},
     }),
   });
-  const ticker = setInterval(() => feed({tag: 'ticked'}), TICK_MILLISECONDS);
+  const ticker = startTicker({
+    onTick: () => feed({tag: 'ticked'}),
+    getPause: () =>
+      core.state.requests.size > 0 ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS,
+  });
   const beater = setInterval(() => {
     const heartbeat: Frame = {
       tag: 'heartbeat',
@@ -262,7 +270,7 @@
       server.stopListening();
       while (callers.size > 0) await sleep(STOP_POLL_MILLISECONDS);
       await server.finishResponses(STOP_DELIVERY_MILLISECONDS);
-      clearInterval(ticker);
+      ticker.stop();
       clearInterval(beater);
       operators.close();
       lifetime.abort();
--- a/packages/hickorywharf-utils/src/startTicker.ts
+++ b/packages/hickorywharf-utils/src/startTicker.ts
@@ -5,6 +5,8 @@
 }
 
 interface Ticker {
+  /** Asks for the pause anew: there is work since the last tick. */
+  wake(): void;
   stop(): void;
 }
 
@@ -28,5 +30,11 @@
   }
 
   schedule();
-  return {stop: () => clearTimeout(timer)};
+  return {
+    wake() {
+      clearTimeout(timer);
+      schedule();
+    },
+    stop: () => clearTimeout(timer),
+  };
 }
