--- a/packages/hickorywharf-bench/src/__tests__/startRoles.ts
+++ b/packages/hickorywharf-bench/src/__tests__/startRoles.ts
@@ -129,10 +129,16 @@
   const instancesUrl = `http://${ADDRESS}:${instances.port}/v1/instances`;
   const platform = {storeUrl, instancesUrl, instancesPollMilliseconds: 100};
   const common = {clock, logger, history, random: Math.random};
-  const identity = {name: 'test', failureDomain: 'a', role: 'entry'} as const;
-  const metrics = createMetrics({address: ADDRESS, port: 0, identity});
-  const tracer = await createTracer({url: '', identity});
-  const followers = {metrics, tracer, clock};
+  const identity = {
+    name: 'test',
+    role: 'operator',
+    failureDomain: 'a',
+  } as const;
+  const telemetry = {
+    clock,
+    metrics: createMetrics({address: ADDRESS, port: 0, identity}),
+    tracer: await createTracer({url: '', identity}),
+  };
   const ports: number[] = [];
   t.teardown(() => {
     for (const server of [storeServer, instances, engineServer]) server.close();
@@ -171,7 +177,7 @@
     const endpoint = await runEndpoint({
       settings,
       ...common,
-      telemetry: createEndpointTelemetry(followers),
+      telemetry: createEndpointTelemetry(telemetry),
     });
     const relay = await startRelay(t, endpoint.port);
     await list(name, 'endpoint', relay.port);
@@ -189,7 +195,7 @@
     const entry = await runEntry({
       settings,
       ...common,
-      telemetry: createEntryTelemetry(followers),
+      telemetry: createEntryTelemetry(telemetry),
     });
     ports.push(entry.port);
     await list(name, 'entry', entry.port);
