Give the roles that tests start their telemetry

Change: the roles of these tests get telemetry that is sent nowhere.

After: npm run types is clean.

--- a/packages/hickorywharf-bench/src/__tests__/startRoles.ts
+++ b/packages/hickorywharf-bench/src/__tests__/startRoles.ts
@@ -3,12 +3,16 @@
 import type {ExecutionContext} from 'ava';
 import bunyan from 'bunyan';
 import {applyChanges} from 'hickorywharf-configuration/applyChanges';
+import {createEndpointTelemetry} from 'hickorywharf-endpoint/createEndpointTelemetry';
 import {runEndpoint} from 'hickorywharf-endpoint/runEndpoint';
+import {createEntryTelemetry} from 'hickorywharf-entry/createEntryTelemetry';
 import {runEntry} from 'hickorywharf-entry/runEntry';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import {createInstancesStandIn} from 'hickorywharf-standins/createInstancesStandIn';
 import {createStoreStandIn} from 'hickorywharf-standins/createStoreStandIn';
 import {listen} from 'hickorywharf-standins/listen';
+import {createMetrics} from 'hickorywharf-telemetry/createMetrics';
+import {createTracer} from 'hickorywharf-telemetry/createTracer';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {digest} from 'hickorywharf-utils/digest';
 import {sleep} from 'hickorywharf-utils/sleep';
@@ -27,6 +31,16 @@
   readonly tokenCharacters: number;
 }
 
+/** Telemetry that is sent nowhere. */
+async function createSilence(name: string) {
+  const identity = {name, role: 'entry', failureDomain: 'a'} as const;
+  return {
+    metrics: createMetrics({address: ADDRESS, port: 0, identity}),
+    tracer: await createTracer({url: '', identity}),
+    clock: createSystemClock(),
+  };
+}
+
 /** An engine that counts what it began and what was cancelled. */
 function createEngine(options: EngineOptions) {
   const {tokens, tokenMilliseconds, tokenCharacters} = options;
@@ -158,7 +172,8 @@
         slots: 64,
       },
     });
-    const endpoint = await runEndpoint({settings, ...common});
+    const telemetry = createEndpointTelemetry(await createSilence(name));
+    const endpoint = await runEndpoint({settings, telemetry, ...common});
     const relay = await startRelay(t, endpoint.port);
     await list(name, 'endpoint', relay.port);
     return {stop: () => endpoint.stop(), cut: relay.cut};
@@ -171,7 +186,8 @@
       http: local,
       stop: {balancerMilliseconds: BALANCER_MILLISECONDS},
     });
-    const entry = await runEntry({settings, ...common});
+    const telemetry = createEntryTelemetry(await createSilence(name));
+    const entry = await runEntry({settings, telemetry, ...common});
     ports.push(entry.port);
     await list(name, 'entry', entry.port);
     return entry;
