--- a/packages/hickorywharf-bench/src/deployment/__tests__/telemetry.test.ts
+++ b/packages/hickorywharf-bench/src/deployment/__tests__/telemetry.test.ts
@@ -7,6 +7,7 @@
 import path from 'node:path';
 import test from 'ava';
 import {request} from 'undici';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {campaignPlan} from '../../campaign/campaignPlan.ts';
 import {startDeployment} from '../startDeployment.ts';
 
@@ -18,6 +19,9 @@
 const TRACE = '4bf92f3577b34da6a3ce929d0e0e4736';
 const PARENT = '00f067aa0ba902b7';
 const DEAD_PORT = 9;
+const POLL_MILLISECONDS = 20;
+/** Of a request with two stages. */
+const SPANS = 7;
 
 interface ExportedSpan {
   readonly name: string;
@@ -95,6 +99,10 @@
   const url = `http://${ADDRESS}:${port}/v1/traces`;
   await serve(url, socket.address().port, async (deployment) => {
     t.is(await sendOne(deployment), 200);
+    const count = () => spans.filter(({traceId}) => traceId === TRACE).length;
+    while (count() < SPANS || !measures.join().includes('backend_duration')) {
+      await sleep(POLL_MILLISECONDS);
+    }
   });
   collector.close();
   socket.close();
--- a/packages/hickorywharf-telemetry/src/__tests__/createTracer.test.ts
+++ b/packages/hickorywharf-telemetry/src/__tests__/createTracer.test.ts
@@ -2,8 +2,10 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {createTracer} from '../createTracer.ts';
 
+const POLL_MILLISECONDS = 20;
 const TRACE = '4bf92f3577b34da6a3ce929d0e0e4736';
 const PARENT = `00-${TRACE}-00f067aa0ba902b7-01`;
 const identity = {
@@ -27,6 +29,11 @@
   return `http://127.0.0.1:${port}/v1/traces`;
 }
 
+/** Ends with the test's own time-out where it never comes true. */
+async function waitFor(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await sleep(POLL_MILLISECONDS);
+}
+
 async function createCollector() {
   const spans: ExportedSpan[] = [];
   const server = createServer(async (request, response) => {
@@ -53,6 +60,7 @@
   });
   attempt.end('refused');
   request.end();
+  await waitFor(() => spans.length === 2);
   await tracer.close();
   server.close();
   const outer = spans.find(({name}) => name === 'entry.request')!;
@@ -68,6 +76,7 @@
   const tracer = await createTracer({url, identity});
   const malformed = PARENT.replace('00-', 'ff-');
   tracer.start('entry.request', malformed, attributes).end();
+  await waitFor(() => spans.length === 1);
   await tracer.close();
   server.close();
   t.is(spans.length, 1);
--- a/packages/hickorywharf-telemetry/src/createOtlpTracer.ts
+++ b/packages/hickorywharf-telemetry/src/createOtlpTracer.ts
@@ -16,6 +16,7 @@
 
 /** Spans that wait for the collector; more are dropped. */
 const MAXIMUM_WAITING_SPANS = 2048;
+const EXPORT_PAUSE_MILLISECONDS = 1000;
 const EXPORT_TIMEOUT_MILLISECONDS = 2000;
 const CLOSE_MILLISECONDS = 1000;
 
@@ -48,6 +49,7 @@
   });
   const processor = new BatchSpanProcessor(exporter, {
     maxQueueSize: MAXIMUM_WAITING_SPANS,
+    scheduledDelayMillis: EXPORT_PAUSE_MILLISECONDS,
     exportTimeoutMillis: EXPORT_TIMEOUT_MILLISECONDS,
   });
   const provider = new NodeTracerProvider({
