--- a/packages/hickorywharf-bench/src/__tests__/startRoles.ts
+++ b/packages/hickorywharf-bench/src/__tests__/startRoles.ts
@@ -31,16 +31,6 @@
   readonly tokenCharacters: number;
 }
 
-/** Telemetry that is sent nowhere. */
-async function createSilence(name: string) {
-  const identity = {name, role: 'entry', failureDomain: 'a'} as const;
-  return {
-    metrics: createMetrics({address: ADDRESS, port: 0, identity}),
-    tracer: await createTracer({url: '', identity}),
-    clock: createSystemClock(),
-  };
-}
-
 /** An engine that counts what it began and what was cancelled. */
 function createEngine(options: EngineOptions) {
   const {tokens, tokenMilliseconds, tokenCharacters} = options;
@@ -124,6 +114,7 @@
 export async function startRoles(
   t: ExecutionContext,
   engineOptions: EngineOptions,
+  tls: Readonly<Record<string, string>> = {},
 ) {
   const clock = createSystemClock();
   const logger = bunyan.createLogger({name: 'test', level: 'fatal'});
@@ -138,6 +129,16 @@
   const instancesUrl = `http://${ADDRESS}:${instances.port}/v1/instances`;
   const platform = {storeUrl, instancesUrl, instancesPollMilliseconds: 100};
   const common = {clock, logger, history, random: Math.random};
+  const identity = {
+    name: 'test',
+    role: 'operator',
+    failureDomain: 'a',
+  } as const;
+  const telemetry = {
+    clock,
+    metrics: createMetrics({address: ADDRESS, port: 0, identity}),
+    tracer: await createTracer({url: '', identity}),
+  };
   const ports: number[] = [];
   t.teardown(() => {
     for (const server of [storeServer, instances, engineServer]) server.close();
@@ -165,6 +166,7 @@
     const settings = endpointSettings.parse({
       process: {name, failureDomain: 'a'},
       platform,
+      tls,
       listen: local,
       backend: {
         kind: 'engine',
@@ -172,8 +174,11 @@
         slots: 64,
       },
     });
-    const telemetry = createEndpointTelemetry(await createSilence(name));
-    const endpoint = await runEndpoint({settings, telemetry, ...common});
+    const endpoint = await runEndpoint({
+      settings,
+      ...common,
+      telemetry: createEndpointTelemetry(telemetry),
+    });
     const relay = await startRelay(t, endpoint.port);
     await list(name, 'endpoint', relay.port);
     return {stop: () => endpoint.stop(), cut: relay.cut};
@@ -183,11 +188,15 @@
     const settings = entrySettings.parse({
       process: {name, failureDomain: 'a'},
       platform,
+      tls,
       http: local,
       stop: {balancerMilliseconds: BALANCER_MILLISECONDS},
     });
-    const telemetry = createEntryTelemetry(await createSilence(name));
-    const entry = await runEntry({settings, telemetry, ...common});
+    const entry = await runEntry({
+      settings,
+      ...common,
+      telemetry: createEntryTelemetry(telemetry),
+    });
     ports.push(entry.port);
     await list(name, 'entry', entry.port);
     return entry;
