--- a/packages/hickorywharf-bench/src/experiments/policy/burstScenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/burstScenario.ts
@@ -4,7 +4,6 @@
 import {getRecoverySeconds} from './getRecoverySeconds.ts';
 import type {Scenario} from './scenario.ts';
 import {userTargets} from './userTargets.ts';
-import {withTargets} from './withTargets.ts';
 
 const BEFORE_SECONDS = [3, 5] as const;
 const BURST_SECONDS = 10;
@@ -44,7 +43,7 @@
       },
       ...summarizeLoad(before, 'before '),
       ...summarizeLoad(getPhase(records, 2), 'burst '),
-      ...withTargets(summarizeLoad(getPhase(records, 3), 'after '), {}),
+      ...summarizeLoad(getPhase(records, 3), 'after '),
     ];
   },
 };
--- a/packages/hickorywharf-bench/src/experiments/policy/failureDomainScenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/failureDomainScenario.ts
@@ -55,6 +55,7 @@
       },
     },
   ],
+  workTargets: {'extra attempts': userTargets.extraAttempts},
   getFigures({records}) {
     const idempotent = records.filter(
       ({call}) => call.pipeline !== 'toy-checkout',
--- a/packages/hickorywharf-bench/src/experiments/policy/overloadScenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/overloadScenario.ts
@@ -29,6 +29,10 @@
     {seconds: PEAK_SECONDS, capacityShare: 0.95},
     {seconds: OVERLOAD_SECONDS, capacityShare: 2},
   ],
+  workTargets: {
+    'engine waste': userTargets.engineWasteInOverload,
+    'extra attempts': userTargets.extraAttempts,
+  },
   getFigures({records}) {
     const peak = countGood(getPhase(records, 1)) / PEAK_SECONDS;
     const goodput = countGood(getPhase(records, 2)) / OVERLOAD_SECONDS;
--- a/packages/hickorywharf-bench/src/experiments/policy/runScenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/runScenario.ts
@@ -14,6 +14,7 @@
 import {policySets} from './policySets.ts';
 import type {Scenario} from './scenario.ts';
 import {standInCosts} from './standInCosts.ts';
+import {withTargets} from './withTargets.ts';
 
 type Options = Parameters<Experiment['run']>[0];
 type Run = ExperimentReport['runs'][number];
@@ -114,7 +115,10 @@
     seed,
     figures: [
       ...scenario.getFigures({records, work}),
-      ...createWorkFigures(work, records),
+      ...withTargets(
+        createWorkFigures(work, records),
+        scenario.workTargets ?? {},
+      ),
       {
         name: 'processor of the busiest process',
         value: busiest / seconds,
--- a/packages/hickorywharf-bench/src/experiments/policy/scenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/scenario.ts
@@ -35,5 +35,7 @@
     readonly atMilliseconds: number;
     readonly apply: (deployment: Deployment) => Promise<void>;
   }[];
+  /** Bounds on the figures of cost, by name. */
+  readonly workTargets?: Readonly<Record<string, {readonly atMost: number}>>;
   getFigures(run: ScenarioRun): ExperimentReport['runs'][number]['figures'];
 }
--- a/packages/hickorywharf-bench/src/experiments/policy/slowEndpointScenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/slowEndpointScenario.ts
@@ -4,7 +4,6 @@
 import type {Scenario} from './scenario.ts';
 import {setFaults} from './setFaults.ts';
 import {userTargets} from './userTargets.ts';
-import {withTargets} from './withTargets.ts';
 
 const WARM_UP_SECONDS = 4;
 const BEFORE_SECONDS = 8;
@@ -47,7 +46,7 @@
         unit: 'share',
         target: userTargets.slowEndpointLoss,
       },
-      ...withTargets(summarizeLoad(getPhase(records, 3), 'slow '), {}),
+      ...summarizeLoad(getPhase(records, 3), 'slow '),
       ...summarizeLoad(getPhase(records, 2), 'detection '),
     ];
   },
--- a/packages/hickorywharf-bench/src/experiments/policy/steadyScenario.ts
+++ b/packages/hickorywharf-bench/src/experiments/policy/steadyScenario.ts
@@ -15,6 +15,10 @@
     {seconds: 4, capacityShare: 0.5},
     {seconds: 10, capacityShare: 0.7},
   ],
+  workTargets: {
+    'engine waste': userTargets.engineWaste,
+    'extra attempts': userTargets.extraAttempts,
+  },
   getFigures: ({records}) =>
     withTargets(summarizeLoad(records.filter(({call}) => call.phase > 0)), {
       attainment: userTargets.attainment,
