--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -5,7 +5,9 @@
 import {createEntryCore} from 'hickorywharf-decisions/entry/createEntryCore';
 import type {EntryCommand} from 'hickorywharf-decisions/entry/entryCommand';
 import type {EntryEvent} from 'hickorywharf-decisions/entry/entryEvent';
+import {ENTRY_LIMITS} from 'hickorywharf-decisions/entry/entryLimits';
 import {routingPolicies} from 'hickorywharf-decisions/entry/policies/routingPolicies';
+import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import {isConfigurationWatcher} from 'hickorywharf-decisions/membership/isConfigurationWatcher';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
@@ -23,6 +25,7 @@
 import type {z} from 'zod';
 import {createCallers} from './createCallers.ts';
 import {createEndpointLinks} from './createEndpointLinks.ts';
+import type {createEntryTelemetry} from './createEntryTelemetry.ts';
 import {createHttpApplication} from './createHttpApplication.ts';
 import {createHttpServer} from './createHttpServer.ts';
 import {describeUnready} from './describeUnready.ts';
@@ -34,6 +37,7 @@
   readonly history: HistoryRecorder;
   readonly clock: Clock;
   readonly random: () => number;
+  readonly telemetry: ReturnType<typeof createEntryTelemetry>;
 }
 
 interface RunningEntry {
@@ -70,7 +74,7 @@
 export async function runEntry(
   options: RunEntryOptions,
 ): Promise<RunningEntry> {
-  const {settings, logger, history, clock, random} = options;
+  const {settings, logger, history, clock, random, telemetry} = options;
   const {name, failureDomain} = settings.process;
   checkSettings(settings);
   const credentials = loadTlsCredentials(settings.tls);
@@ -102,6 +106,7 @@
     onInForce(view) {
       const {sequence} = view;
       history.record({tag: 'configurationInForce', sequence});
+      telemetry.configurationInForce(sequence);
       feed({tag: 'configurationInForce', view});
     },
   });
@@ -122,6 +127,7 @@
     },
     onFrame(endpoint, frame) {
       if (keeper.takeFrame(endpoint, frame)) return;
+      telemetry.frameArrived(frame);
       feed({tag: 'frameArrived', endpoint, frame});
     },
     onDown(endpoint) {
@@ -131,15 +137,27 @@
   });
 
   const commandHandlers: CommandHandlers = {
-    send({endpoint, frame}) {
+    send(command) {
+      const {endpoint} = command;
+      const frame = telemetry.sending(endpoint, command.frame);
       if (links.send(endpoint, frame) || frame.tag !== 'attempt') return;
       feed({tag: 'attemptNotSent', endpoint, attemptId: frame.attemptId});
     },
     connect: links.connect,
     disconnect: ({endpoint}) => links.disconnect(endpoint),
-    deliverTokens: callers.deliverTokens,
-    answer: callers.answer,
-    fail: callers.fail,
+    deliverTokens(command) {
+      telemetry.tokensDelivered(command.requestId);
+      callers.deliverTokens(command);
+    },
+    answer(command) {
+      telemetry.finished(command.requestId, 'answered', 'none');
+      callers.answer(command);
+    },
+    fail(command) {
+      const {requestId, error} = command;
+      telemetry.finished(requestId, error.outcome, error.tag);
+      callers.fail(command);
+    },
   };
 
   const feed = createEventLoop<EntryEvent, EntryCommand>({
@@ -170,7 +188,7 @@
         callId,
         idempotencyKey,
       });
-      feed(arrival);
+      feed(telemetry.arrived(arrival));
     },
     onCallerGone(requestId) {
       if (callers.has(requestId)) feed({tag: 'callerGone', requestId});
@@ -203,10 +221,20 @@
   });
   const operators = startOperatorsServer({
     ...settings.operators,
+    onError: (error) =>
+      logger.warn({step: 'receive', peer: null}, error.message),
     getState: () => ({
       process: identity,
       configuration: {...keeper.getStatus(), isWatcher: isWatcher()},
-      membership: {instances, leaving: stopping},
+      membership: {
+        instances,
+        leaving: stopping,
+        observed: describeMembers(
+          [...core.state.endpoints.rows()],
+          clock.monotonic(),
+          ENTRY_LIMITS.silenceMilliseconds,
+        ),
+      },
       queue: {queued: 0, running: callers.size},
     }),
   });
