--- a/packages/hickorywharf-bench/src/__tests__/roles.test.ts
+++ b/packages/hickorywharf-bench/src/__tests__/roles.test.ts
@@ -1,7 +1,8 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {startProcess} from '../deployment/startProcess.ts';
 import {findFreePorts} from '../deployment/findFreePorts.ts';
 import {startRoles} from './startRoles.ts';
@@ -137,10 +138,30 @@
   await entry.stop();
 });
 
-test('a second SIGTERM cuts nothing, and the entry exits with 0', async (t) => {
-  const roles = await startRoles(t, STEADY);
+test('with [tls] set in both roles, requests are answered', async (t) => {
+  const directory = path.resolve(
+    import.meta.dirname,
+    '../../../hickorywharf-transport/src/__tests__/certificates',
+  );
+  const roles = await startRoles(t, STEADY, {
+    certificateFile: path.join(directory, 'process.pem'),
+    keyFile: path.join(directory, 'process.key.pem'),
+    authorityFile: path.join(directory, 'authority.pem'),
+  });
   await roles.apply(['engine-1']);
   const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await roles.startEntry('entry-1');
+  await roles.waitUntilReady(entry.port);
+  const {body} = await roles.send(entry.port);
+  t.is(roles.readEvents(await body.text()).last, 'answer');
+  await Promise.all([entry.stop(), endpoint.stop()]);
+});
+
+/** Runs the program's own entry, as a process that a test can signal. */
+async function startEntryProcess(
+  t: ExecutionContext,
+  roles: Awaited<ReturnType<typeof startRoles>>,
+) {
   const directory = mkdtempSync(path.join(os.tmpdir(), 'hickorywharf-test-'));
   const [port] = await findFreePorts('127.0.0.1', 1);
   const {storeUrl, instancesUrl} = roles.platform;
@@ -173,7 +194,15 @@
       return false;
     }
   });
-  const {body} = await roles.send(port!);
+  return {...entry, port: port!};
+}
+
+test('a second SIGTERM cuts nothing, and the entry exits with 0', async (t) => {
+  const roles = await startRoles(t, STEADY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await startEntryProcess(t, roles);
+  const {body} = await roles.send(entry.port);
   entry.signal('SIGTERM');
   entry.signal('SIGTERM');
   const {positions, last} = roles.readEvents(await body.text());
@@ -183,3 +212,20 @@
   t.is(await entry.exited, 0);
   await endpoint.stop();
 });
+
+test('an entry exits only once a slow caller has its whole answer', async (t) => {
+  const roles = await startRoles(t, BULKY);
+  await roles.apply(['engine-1']);
+  const endpoint = await roles.startEndpoint('engine-1');
+  const entry = await startEntryProcess(t, roles);
+  const {body} = await roles.send(entry.port);
+  entry.signal('SIGTERM');
+  await roles.waitFor(() => roles.engine.counts.finished === 1);
+  // Long enough for an entry that does not wait to be gone.
+  await sleep(1000);
+  const {positions, last} = roles.readEvents(await body.text());
+  t.deepEqual(positions, countTo(BULKY.tokens));
+  t.is(last, 'answer');
+  t.is(await entry.exited, 0);
+  await endpoint.stop();
+});
