--- a/packages/hickorywharf-bench/bin/experiments.ts
+++ b/packages/hickorywharf-bench/bin/experiments.ts
@@ -51,6 +51,8 @@
 const seeds = reports.map(
   (report) => `${report.experiment} ${report.seeds.join(', ')}`,
 );
+const missing = NAMES.filter((name) => !existsSync(getFile(name)));
+const notRun = missing.length === 0 ? 'none' : missing.join(', ');
 const page = `# Policy under load and faults
 
 Written by \`npm run experiments -- --seeds 5\`; one experiment alone by
@@ -59,7 +61,7 @@
 today's sizes; each line's baselines ran beside it under the same schedule.
 Values are medians over the seeds, with their spread.
 
-Seeds: ${seeds.join('; ')}.
+Seeds: ${seeds.join('; ')}. Not run: ${notRun}.
 
 ${createResultsTable(reports)}`;
 writeFileSync(path.join(directory, 'policy.md'), page);
