Read the monotonic clock of the kernel

Cause: a home's successor on the same instance has to compare its clock with its predecessor's; performance.now() counts from each process's own start. Change: the system clock's monotonic time is the kernel's, in milliseconds. Conclusion: only differences were used so far, so nothing else changes.

--- a/packages/hickorywharf-utils/src/createSystemClock.ts
+++ b/packages/hickorywharf-utils/src/createSystemClock.ts
@@ -1,7 +1,10 @@
 import type {Clock} from './clock.ts';
 
+const NANOSECONDS = 1_000_000;
+
 /**
- * The clocks of the operating system.
+ * The clocks of the operating system. The monotonic one is the kernel's, which
+ * all processes of an instance share.
  *
  * @example
  *     const clock = createSystemClock();
@@ -9,7 +12,7 @@
  */
 export function createSystemClock(): Clock {
   return {
-    monotonic: () => performance.now(),
+    monotonic: () => Number(process.hrtime.bigint()) / NANOSECONDS,
     wall: () => Date.now(),
   };
 }
