--- a/packages/hickorywharf-decisions/src/configuration/configurationView.ts
+++ b/packages/hickorywharf-decisions/src/configuration/configurationView.ts
@@ -1,3 +1,4 @@
+import type {HalfMove} from 'hickorywharf-types/halfMove';
 import type {ConfigurationRecord} from 'hickorywharf-types/record';
 
 type RecordOf<Kind> = Extract<ConfigurationRecord, {kind: Kind}>;
@@ -10,4 +11,8 @@
   readonly routes: ReadonlyMap<string, RecordOf<'route'>>;
   readonly accountsByKeyHash: ReadonlyMap<string, RecordOf<'account'>>;
   readonly endpoints: ReadonlyMap<string, RecordOf<'endpoint'>>;
+  /** Moves between halves in the order of the log, by record. */
+  readonly halfMoves: ReadonlyMap<string, readonly HalfMove[]>;
+  /** Sequence of the newest of these moves; 0 for none. */
+  readonly assignmentSequence: number;
 }
--- a/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
+++ b/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
@@ -3,6 +3,7 @@
 import type {ConfigurationRecord} from 'hickorywharf-types/record';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ConfigurationView} from './configurationView.ts';
+import {createHalfMoveLog} from './createHalfMoveLog.ts';
 
 type Snapshot = Extract<Frame, {tag: 'configurationSnapshot'}>;
 type StoredDocument = Snapshot['documents'][number];
@@ -33,6 +34,7 @@
 function createView(
   sequence: number,
   records: Iterable<ConfigurationRecord>,
+  moves: Pick<ConfigurationView, 'halfMoves' | 'assignmentSequence'>,
 ): ConfigurationView {
   const pipelines = new Map();
   const routes = new Map();
@@ -49,7 +51,14 @@
     },
   };
   for (const record of records) indexes[record.kind]!(record);
-  return {sequence, pipelines, routes, accountsByKeyHash, endpoints};
+  return {
+    sequence,
+    pipelines,
+    routes,
+    accountsByKeyHash,
+    endpoints,
+    ...moves,
+  };
 }
 
 /**
@@ -67,6 +76,7 @@
   const documents = new Map<string, StoredDocument>();
   const records = new Map<string, ConfigurationRecord>();
   const waiting = new Map<number, ConfigurationEntry>();
+  const halfMoves = createHalfMoveLog();
 
   function setDocument(stored: StoredDocument): void {
     const key = getDocumentKey(stored.kind, stored.name);
@@ -83,8 +93,11 @@
 
   function applyOne(entry: ConfigurationEntry): void {
     for (const {kind, name, document} of entry.changes) {
+      const key = getDocumentKey(kind, name);
+      const before = records.get(key);
       if (document === null) removeDocument(kind, name);
       else setDocument({kind, name, document, sequence: entry.sequence});
+      halfMoves.note(key, before, records.get(key), entry.sequence);
     }
     sequence = entry.sequence;
     recent.push(entry);
@@ -102,7 +115,7 @@
       return sequence;
     },
     getView() {
-      view ??= createView(sequence, records.values());
+      view ??= createView(sequence, records.values(), halfMoves.getView());
       return view;
     },
     applyEntries(entries) {
@@ -126,6 +139,7 @@
       documents.clear();
       records.clear();
       snapshot.documents.forEach(setDocument);
+      halfMoves.replace(snapshot.halfMoves ?? []);
       sequence = snapshot.sequence;
       recent = [];
       view = null;
@@ -144,6 +158,7 @@
       tag: 'configurationSnapshot',
       sequence,
       documents: [...documents.values()],
+      halfMoves: halfMoves.getMoves(),
     }),
   };
 }
--- a/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
@@ -3,8 +3,12 @@
 import type {EndpointCommand} from './endpointCommand.ts';
 import type {EndpointEvent} from './endpointEvent.ts';
 import type {EndpointState} from './endpointState.ts';
+import {createHomeMap} from '../homes/createHomeMap.ts';
+import {emptyHomeRecord} from '../homes/emptyHomeRecord.ts';
+import {getHomeKey} from '../homes/getHomeKey.ts';
 import {handleBackend} from './handlers/handleBackend.ts';
 import {handlePeerFrame} from './handlers/handlePeerFrame.ts';
+import {settleClaim} from './handlers/settleClaim.ts';
 import {withdrawAttempt} from './handlers/withdrawAttempt.ts';
 import {expireAttempts} from './systems/expireAttempts.ts';
 import {forgetOutcomes} from './systems/forgetOutcomes.ts';
@@ -20,6 +24,7 @@
   | 'retentionMilliseconds'
   | 'retentionBytes'
   | 'homeParts'
+  | 'aheadMilliseconds'
 >;
 
 interface EndpointCore {
@@ -53,16 +58,14 @@
     state.leaving = true;
   },
   homesKnown(state, event) {
-    for (const home of event.homes) {
-      const key = `${home.pool}/${home.part}`;
-      const known = state.homes.get(key);
-      if (known !== undefined && known.epoch > home.epoch) continue;
-      state.homes.insert(key, home);
-    }
+    // Reads may arrive out of order: the store's revision decides.
+    if (event.revision <= state.homes.revision) return;
+    state.homes = createHomeMap(event.record, event.revision);
   },
   homesReleasing(state, event) {
-    for (const {pool, part, epoch, until} of event.homes) {
-      const key = `${pool}/${part}`;
+    for (const home of event.homes) {
+      const {epoch, until} = home;
+      const key = getHomeKey(home);
       const known = state.releases.get(key);
       const isFirst = known === undefined || known.epoch < epoch;
       if (isFirst) state.releases.insert(key, {epoch, until});
@@ -72,9 +75,18 @@
     const current = state.configuration?.sequence ?? 0;
     if (event.view.sequence > current) state.configuration = event.view;
   },
+  claimSettled: (state, event, now) =>
+    settleClaim(state, event.attemptId, event.outcome, now),
   ticked: (state, _event, now) => forgetOutcomes(state, now),
 };
 
+function noteDeparture(state: EndpointState, now: number): void {
+  const record = state.configuration?.endpoints.get(state.name);
+  const isLeaving = state.leaving || record?.draining === true;
+  if (!isLeaving) state.leavingSince = null;
+  else state.leavingSince ??= now;
+}
+
 /**
  * The decisions of an endpoint process: queue, attempts, tombstones, and the
  * memory of the actions that it is home to. It does no input or output and
@@ -90,10 +102,11 @@
     attempts: createTable(),
     tombstones: createTable(),
     actions: createTable(),
-    homes: createTable(),
+    homes: createHomeMap(emptyHomeRecord, 0),
     releases: createTable(),
     configuration: null,
     leaving: false,
+    leavingSince: null,
     running: 0,
     queued: 0,
     retainedBytes: 0,
@@ -114,6 +127,7 @@
         now: number,
       ) => void;
       handler(state, event, now);
+      noteDeparture(state, now);
       if (event.tag !== 'backendTokens') {
         expireAttempts(state, now);
         startAttempts(state, now);
--- a/packages/hickorywharf-decisions/src/endpoint/createRefusal.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/createRefusal.ts
@@ -14,7 +14,16 @@
   keyOutsideInterval: 'No endpoint is home to keys of this issue time yet.',
   keyForgotten:
     'The key was issued before this home was in charge, or is no longer remembered; whether it ran cannot be told.',
-  keyInvalid: 'The Idempotency-Key must be a UUID version 7.',
+  keyInvalid: 'The action came without an Idempotency-Key.',
+  keyClaimed:
+    'The key has been used before; whether it ran cannot be told here.',
+  claimUnavailable:
+    'The key has no issue time and the store cannot be asked for a claim.',
+  homeUnsettled:
+    'The interval of the predecessor of this home has not ended yet.',
+  homeLeft: 'The only home of keys of this issue time takes no new work.',
+  staleConfiguration:
+    'Entry and endpoint do not yet know the same moves between halves.',
   otherHalf: 'The endpoint belongs to the other half.',
   backendUnreachable: 'The backend could not be reached.',
   malformed: 'The attempt cannot be read.',
--- a/packages/hickorywharf-decisions/src/endpoint/endpointCommand.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointCommand.ts
@@ -11,4 +11,12 @@
       readonly remainingMilliseconds: number;
     }
   | {readonly tag: 'cancelBackend'; readonly attemptId: string}
+  | {
+      /** Claims a key in the store; `claimSettled` tells what came of it. */
+      readonly tag: 'claim';
+      readonly pool: string;
+      readonly idempotencyKey: string;
+      readonly attemptId: string;
+      readonly remainingMilliseconds: number;
+    }
   | {readonly tag: 'accepted'; readonly attempt: AttemptFrame};
--- a/packages/hickorywharf-decisions/src/endpoint/endpointEvent.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointEvent.ts
@@ -1,4 +1,6 @@
 import type {ConfigurationView} from '../configuration/configurationView.ts';
+import type {ClaimOutcome} from '../homes/claimOutcome.ts';
+import type {HomeRecord} from '../homes/homeRecord.ts';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {HomeInterval} from 'hickorywharf-types/homeInterval';
 import type {Outcome} from 'hickorywharf-types/outcome';
@@ -32,7 +34,9 @@
   | {readonly tag: 'leaveRequested'}
   | {
       readonly tag: 'homesKnown';
-      readonly homes: readonly HomeInterval[];
+      readonly record: HomeRecord;
+      /** Revision of the store at which the record was seen. */
+      readonly revision: number;
     }
   | {
       /** Said before the release is written, since the write may land late. */
@@ -43,4 +47,9 @@
       readonly tag: 'configurationInForce';
       readonly view: ConfigurationView;
     }
+  | {
+      readonly tag: 'claimSettled';
+      readonly attemptId: string;
+      readonly outcome: ClaimOutcome;
+    }
   | {readonly tag: 'ticked'};
--- a/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
@@ -6,4 +6,6 @@
   actionMilliseconds: 600_000,
   /** Actions kept at most. */
   maximumActions: 50_000,
+  /** How long a leaving home takes keys that nobody else may run. */
+  handOverMilliseconds: 1500,
 } as const;
--- a/packages/hickorywharf-decisions/src/endpoint/endpointRows.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointRows.ts
@@ -1,5 +1,4 @@
 import type {Frame} from 'hickorywharf-types/frame';
-import type {HomeInterval} from 'hickorywharf-types/homeInterval';
 
 type AttemptFrame = Extract<Frame, {tag: 'attempt'}>;
 type EndingFrame = Extract<Frame, {tag: 'result' | 'failed' | 'refused'}>;
@@ -11,7 +10,7 @@
     /** Name of the entry that waits for the outcome. */
     readonly peer: string;
     readonly frame: AttemptFrame;
-    state: 'queued' | 'running' | 'joined' | 'finished';
+    state: 'claiming' | 'queued' | 'running' | 'joined' | 'finished';
     readonly arrivedAt: number;
     readonly deadlineAt: number;
     startedAt: number;
@@ -27,17 +26,20 @@
   /** A non-idempotent key that this home has taken. */
   action: {
     readonly idempotencyKey: string;
-    readonly bodyDigest: string;
-    readonly issueTime: number;
+    /** What the request was: another one with the key is a conflict. */
+    readonly fingerprint: string;
+    /** Null where a claim in the store stands for the key. */
+    readonly issueTime: number | null;
+    /** Half and part, as `getHomeKey` names them. */
+    readonly homeKey: string;
     /** The attempt that runs the action. */
     readonly attemptId: string;
     /** Attempts of other requests with the key, which wait for the same end. */
     readonly joined: string[];
-    state: 'queued' | 'running' | 'finished';
+    state: 'claiming' | 'queued' | 'running' | 'finished';
     ending: EndingFrame | null;
     finishedAt: number;
   };
-  home: HomeInterval;
   /** A home that is being given up: no key from `until` on is run again. */
   release: {readonly epoch: number; readonly until: number};
 }
--- a/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
@@ -1,4 +1,5 @@
 import type {ConfigurationView} from '../configuration/configurationView.ts';
+import type {HomeMap} from '../homes/homeMap.ts';
 import type {Table} from '../table.ts';
 import type {EndpointCommand} from './endpointCommand.ts';
 import type {EndpointRows} from './endpointRows.ts';
@@ -16,12 +17,16 @@
   readonly attempts: Table<EndpointRows['attempt']>;
   readonly tombstones: Table<EndpointRows['tombstone']>;
   readonly actions: Table<EndpointRows['action']>;
-  /** By `pool/part`, the newest interval known of each part. */
-  readonly homes: Table<EndpointRows['home']>;
-  /** By `pool/part`. */
+  /** How far callers' clocks may run ahead of this home's. */
+  readonly aheadMilliseconds: number;
+  /** The homes of the pool as last seen in the store. */
+  homes: HomeMap;
+  /** By the name that `getHomeKey` gives. */
   readonly releases: Table<EndpointRows['release']>;
   configuration: ConfigurationView | null;
   leaving: boolean;
+  /** When the endpoint was first seen leaving or draining, or null. */
+  leavingSince: number | null;
   running: number;
   queued: number;
   retainedBytes: number;
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/findActionRefusal.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/findActionRefusal.ts
@@ -1,11 +1,55 @@
 import type {Frame} from 'hickorywharf-types/frame';
-import {getIssueTime} from 'hickorywharf-utils/getIssueTime';
+import type {HomeInterval} from 'hickorywharf-types/homeInterval';
+import {findInterval} from '../../homes/findInterval.ts';
+import {getHomeKey} from '../../homes/getHomeKey.ts';
 import {getHomePart} from '../../homes/getHomePart.ts';
+import {getIssueTimeCeiling} from '../../homes/getIssueTimeCeiling.ts';
 import {createRefusal} from '../createRefusal.ts';
+import {ENDPOINT_LIMITS} from '../endpointLimits.ts';
 import type {EndpointState} from '../endpointState.ts';
+import {findMoveRefusal} from './findMoveRefusal.ts';
 
 type AttemptFrame = Extract<Frame, {tag: 'attempt'}>;
 type RefusedFrame = Extract<Frame, {tag: 'refused'}>;
+type HomePlace =
+  EndpointState['homes']['places'] extends ReadonlyMap<string, infer Place>
+    ? Place
+    : never;
+
+/** The issue time from which on this home runs no key of the part, for now. */
+function getEnd(
+  state: EndpointState,
+  {newest}: HomePlace,
+  homeKey: string,
+  now: number,
+): number {
+  const release = state.releases.get(homeKey);
+  const released =
+    release?.epoch === newest.epoch ? release.until : newest.until;
+  const ceiling = getIssueTimeCeiling(
+    newest.anchor,
+    now,
+    state.aheadMilliseconds,
+  );
+  return Math.min(newest.until, released, ceiling);
+}
+
+function hasLeft(state: EndpointState, now: number): boolean {
+  const {leavingSince} = state;
+  if (leavingSince === null) return false;
+  return now - leavingSince > ENDPOINT_LIMITS.handOverMilliseconds;
+}
+
+/** A predecessor of this process had the interval; what it ran is lost. */
+function findPredecessorReason(
+  newest: HomePlace['newest'],
+  interval: HomeInterval,
+  issueTime: number,
+): RefusedFrame['reason'] {
+  if (issueTime >= newest.until) return 'keyOutsideInterval';
+  const isSettled = interval.epoch !== newest.epoch || newest.released;
+  return isSettled ? 'keyForgotten' : 'homeUnsettled';
+}
 
 /**
  * Whether this process may not run a key that it does not remember. It may
@@ -13,31 +57,34 @@
  * lies in its interval: intervals are disjoint, so no clock has to be right.
  *
  * @example
- *     findActionRefusal(state, frame); // null: it may run
+ *     findActionRefusal(state, frame, issueTime, now); // null: it may run
  */
 export function findActionRefusal(
   state: EndpointState,
   frame: AttemptFrame,
+  issueTime: number,
+  now: number,
 ): RefusedFrame | null {
-  const key = frame.idempotencyKey ?? '';
-  const issueTime = getIssueTime(key);
-  if (issueTime === null) return createRefusal(frame, 'keyInvalid');
-  const part = getHomePart(key, state.homeParts);
-  const home = state.homes.get(`${frame.pool}/${part}`);
-  if (home === undefined) return createRefusal(frame, 'keyOutsideInterval');
-  const isHome =
-    home.home === state.name && home.incarnation === state.incarnation;
-  if (!isHome) return createRefusal(frame, 'wrongHome', [home]);
-  if (issueTime < Math.max(home.from, state.watermark)) {
-    return createRefusal(frame, 'keyForgotten');
+  const {pool, half} = frame;
+  const part = getHomePart(frame.idempotencyKey ?? '', state.homeParts);
+  const homeKey = getHomeKey({pool, half, part});
+  const place = state.homes.places.get(homeKey);
+  if (place === undefined) return createRefusal(frame, 'keyOutsideInterval');
+  const {newest, all} = place;
+  const refuse = (reason: RefusedFrame['reason']) =>
+    createRefusal(frame, reason, all);
+  if (issueTime < all[0]!.from) return refuse('keyForgotten');
+  const interval = findInterval(all, issueTime) ?? newest;
+  if (interval.home !== state.name) return refuse('wrongHome');
+  if (interval.incarnation !== state.incarnation) {
+    return refuse(findPredecessorReason(newest, interval, issueTime));
   }
-  const release = state.releases.get(`${frame.pool}/${part}`);
-  const until =
-    release?.epoch === home.epoch
-      ? Math.min(release.until, home.until)
-      : home.until;
-  if (issueTime >= until) {
-    return createRefusal(frame, 'keyOutsideInterval');
+  if (issueTime < state.watermark) return refuse('keyForgotten');
+  const isNewest = interval.epoch === newest.epoch;
+  if (isNewest && issueTime >= getEnd(state, place, homeKey, now)) {
+    return refuse('keyOutsideInterval');
   }
-  return null;
+  if (hasLeft(state, now)) return refuse('homeLeft');
+  const moved = findMoveRefusal(state, frame, issueTime, part);
+  return moved === null ? null : refuse(moved);
 }
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/handleAttempt.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/handleAttempt.ts
@@ -1,15 +1,18 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {RefusalReason} from 'hickorywharf-types/refusalReason';
 import {getIssueTime} from 'hickorywharf-utils/getIssueTime';
+import {getHomeKey} from '../../homes/getHomeKey.ts';
+import {getHomePart} from '../../homes/getHomePart.ts';
 import {createRefusal} from '../createRefusal.ts';
 import type {EndpointRows} from '../endpointRows.ts';
 import type {EndpointState} from '../endpointState.ts';
 import {findActionRefusal} from './findActionRefusal.ts';
 
 type AttemptFrame = Extract<Frame, {tag: 'attempt'}>;
+type RefusedFrame = Extract<Frame, {tag: 'refused'}>;
 type ActionRow = EndpointRows['action'];
 
-function findRefusalReason(
+function findPlaceReason(
   state: EndpointState,
   frame: AttemptFrame,
 ): RefusalReason | null {
@@ -17,20 +20,50 @@
   const record = state.configuration?.endpoints.get(state.name);
   if (record?.draining) return 'leaving';
   const half = record?.half ?? null;
-  if (half !== null && frame.half !== null && half !== frame.half) {
-    return 'otherHalf';
-  }
+  const isOtherHalf =
+    half !== null && frame.half !== null && half !== frame.half;
+  return isOtherHalf ? 'otherHalf' : null;
+}
+
+function findLoadReason(
+  state: EndpointState,
+  frame: AttemptFrame,
+): RefusalReason | null {
   if (state.queued >= state.maximumQueueLength) return 'queueFull';
   if (frame.remainingMilliseconds <= 0) return 'cannotFinish';
   return null;
 }
 
+function findRefusal(
+  state: EndpointState,
+  frame: AttemptFrame,
+  now: number,
+): RefusedFrame | null {
+  const issueTime = getIssueTime(frame.idempotencyKey ?? '');
+  if (!frame.idempotent && issueTime !== null) {
+    // Its interval, not its assignment, says whether a home may run a key.
+    const refusal = findActionRefusal(state, frame, issueTime, now);
+    if (refusal !== null) return refusal;
+  } else {
+    const reason = findPlaceReason(state, frame);
+    if (reason !== null) return createRefusal(frame, reason);
+  }
+  const reason = findLoadReason(state, frame);
+  return reason === null ? null : createRefusal(frame, reason);
+}
+
+function getFingerprint(frame: AttemptFrame): string {
+  const {account, stageIndex, input, bodyDigest} = frame;
+  const action = input.action?.name ?? '';
+  return `${account}/${stageIndex}/${action}/${bodyDigest ?? ''}`;
+}
+
 function insertAttempt(
   state: EndpointState,
   peer: string,
   frame: AttemptFrame,
   now: number,
-  attemptState: 'queued' | 'joined',
+  attemptState: 'claiming' | 'queued' | 'joined',
 ): void {
   state.attempts.insert(frame.attemptId, {
     attemptId: frame.attemptId,
@@ -52,20 +85,51 @@
   }
 }
 
-function insertAction(state: EndpointState, frame: AttemptFrame): void {
+function insertAction(
+  state: EndpointState,
+  frame: AttemptFrame,
+  actionState: 'claiming' | 'queued',
+): void {
+  const {pool, half} = frame;
   const key = frame.idempotencyKey ?? '';
+  const part = getHomePart(key, state.homeParts);
   state.actions.insert(key, {
     idempotencyKey: key,
-    bodyDigest: frame.bodyDigest ?? '',
-    issueTime: getIssueTime(key) ?? 0,
+    fingerprint: getFingerprint(frame),
+    issueTime: getIssueTime(key),
+    homeKey: getHomeKey({pool, half, part}),
     attemptId: frame.attemptId,
     joined: [],
-    state: 'queued',
+    state: actionState,
     ending: null,
     finishedAt: 0,
   });
 }
 
+function takeAction(
+  state: EndpointState,
+  peer: string,
+  frame: AttemptFrame,
+  now: number,
+): void {
+  const {pool, attemptId, remainingMilliseconds} = frame;
+  const idempotencyKey = frame.idempotencyKey ?? '';
+  if (getIssueTime(idempotencyKey) !== null) {
+    insertAction(state, frame, 'queued');
+    insertAttempt(state, peer, frame, now, 'queued');
+    return;
+  }
+  insertAction(state, frame, 'claiming');
+  insertAttempt(state, peer, frame, now, 'claiming');
+  state.commands.push({
+    tag: 'claim',
+    pool,
+    idempotencyKey,
+    attemptId,
+    remainingMilliseconds,
+  });
+}
+
 /** A key that is remembered gets its own outcome again, and never a new run. */
 function answerKnownAction(
   state: EndpointState,
@@ -75,7 +139,7 @@
   now: number,
 ): void {
   const {requestId, stageIndex, attemptId} = frame;
-  if (action.bodyDigest !== (frame.bodyDigest ?? '')) {
+  if (action.fingerprint !== getFingerprint(frame)) {
     const conflict: Frame = {
       tag: 'failed',
       requestId,
@@ -122,17 +186,16 @@
     answerKnownAction(state, peer, frame, action, now);
     return;
   }
-  const reason = findRefusalReason(state, frame);
-  const refusal =
-    reason !== null
-      ? createRefusal(frame, reason)
-      : frame.idempotent
-        ? null
-        : findActionRefusal(state, frame);
+  if (!frame.idempotent && !frame.idempotencyKey) {
+    const frameRefused = createRefusal(frame, 'keyInvalid');
+    state.commands.push({tag: 'send', peer, frame: frameRefused});
+    return;
+  }
+  const refusal = findRefusal(state, frame, now);
   if (refusal !== null) {
     state.commands.push({tag: 'send', peer, frame: refusal});
     return;
   }
-  if (!frame.idempotent) insertAction(state, frame);
-  insertAttempt(state, peer, frame, now, 'queued');
+  if (frame.idempotent) insertAttempt(state, peer, frame, now, 'queued');
+  else takeAction(state, peer, frame, now);
 }
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/settleClaim.ts
@@ -0,0 +1,51 @@
+import type {ClaimOutcome} from '../../homes/claimOutcome.ts';
+import {createRefusal} from '../createRefusal.ts';
+import {endAttempt} from '../endAttempt.ts';
+import type {EndpointRows} from '../endpointRows.ts';
+import type {EndpointState} from '../endpointState.ts';
+
+type ActionRow = EndpointRows['action'];
+
+const REASONS = {lost: 'keyClaimed', unavailable: 'claimUnavailable'} as const;
+
+function refuseAll(
+  state: EndpointState,
+  action: ActionRow,
+  reason: 'keyClaimed' | 'claimUnavailable',
+  now: number,
+): void {
+  state.actions.remove(action.idempotencyKey);
+  for (const attemptId of [action.attemptId, ...action.joined]) {
+    const attempt = state.attempts.get(attemptId);
+    if (attempt === undefined || attempt.state === 'finished') continue;
+    endAttempt(state, attempt, createRefusal(attempt.frame, reason), now);
+  }
+}
+
+/**
+ * Takes what came of the claim of a key that has no issue time. A claim that
+ * was won for an attempt that no longer waits stays unused: the key is never
+ * run.
+ *
+ * @example
+ *     settleClaim(state, 'a-1', 'won', now);
+ */
+export function settleClaim(
+  state: EndpointState,
+  attemptId: string,
+  outcome: ClaimOutcome,
+  now: number,
+): void {
+  const attempt = state.attempts.get(attemptId);
+  if (attempt?.state !== 'claiming') return;
+  const action = state.actions.get(attempt.frame.idempotencyKey ?? '');
+  if (action?.attemptId !== attemptId) return;
+  if (outcome !== 'won') {
+    refuseAll(state, action, REASONS[outcome], now);
+    return;
+  }
+  action.state = 'queued';
+  attempt.state = 'queued';
+  state.queued += 1;
+  state.commands.push({tag: 'accepted', attempt: attempt.frame});
+}
--- a/packages/hickorywharf-decisions/src/endpoint/handlers/withdrawAttempt.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/handlers/withdrawAttempt.ts
@@ -38,7 +38,8 @@
     state.tombstones.insert(attemptId, {attemptId, writtenAt: now});
     return 'neverRan';
   }
-  if (attempt.state === 'queued' && !hasJoined(state, attempt)) {
+  const isWaiting = attempt.state === 'queued' || attempt.state === 'claiming';
+  if (isWaiting && !hasJoined(state, attempt)) {
     withdrawQueued(state, attempt, now);
     return 'neverRan';
   }
--- a/packages/hickorywharf-decisions/src/endpoint/systems/expireAttempts.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/systems/expireAttempts.ts
@@ -26,7 +26,9 @@
 export function expireAttempts(state: EndpointState, now: number): void {
   for (const attempt of [...state.attempts.rows()]) {
     if (attempt.deadlineAt > now) continue;
-    if (attempt.state === 'queued') refuseLate(state, attempt, now);
+    const isWaiting =
+      attempt.state === 'queued' || attempt.state === 'claiming';
+    if (isWaiting) refuseLate(state, attempt, now);
     if (attempt.state === 'running' && attempt.frame.idempotent) {
       const {attemptId} = attempt;
       state.commands.push({tag: 'cancelBackend', attemptId});
--- a/packages/hickorywharf-decisions/src/endpoint/systems/forgetOutcomes.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/systems/forgetOutcomes.ts
@@ -28,8 +28,10 @@
     const isOld = now - action.finishedAt > ENDPOINT_LIMITS.actionMilliseconds;
     const isOverBound = state.actions.size > ENDPOINT_LIMITS.maximumActions;
     if (!isOld && !isOverBound) return;
-    // The key and the watermark change together, so that it stays refused.
-    state.watermark = Math.max(state.watermark, action.issueTime + 1);
+    // The key and the watermark change together, so that it stays refused. A
+    // key without an issue time stays refused by its claim in the store.
+    const end = action.issueTime === null ? 0 : action.issueTime + 1;
+    state.watermark = Math.max(state.watermark, end);
     state.actions.remove(action.idempotencyKey);
   }
 }
--- a/packages/hickorywharf-decisions/src/entry/entryRows.ts
+++ b/packages/hickorywharf-decisions/src/entry/entryRows.ts
@@ -13,8 +13,14 @@
   request: {
     readonly requestId: string;
     readonly pipeline: PipelineRecord;
-    readonly half: string | null;
+    /** The half that the key's issue time gives. */
+    half: string | null;
+    /** The name that the caller asked for: a route's or a pipeline's. */
+    readonly route: string;
+    /** The newest move between halves that the half takes note of. */
+    assignmentSequence: number;
     readonly account: string;
+    readonly accountKeyHash: string;
     readonly accountWeight: number;
     readonly input: StageInput;
     readonly idempotencyKey: string | null;
@@ -39,6 +45,8 @@
     begun: boolean;
     /** True once the action may have run. */
     actionMayHaveRun: boolean;
+    /** True once a refusal left open whether the key ran for another request. */
+    keyUnproven: boolean;
     tombstoneSent: boolean;
     lastError: ServeError | null;
   };
@@ -66,6 +74,7 @@
     sentSinceReport: number;
     heardAt: number;
   };
-  home: HomeInterval;
+  /** The last intervals of one half and part, oldest first. */
+  home: readonly HomeInterval[];
   estimate: {milliseconds: number; samples: number};
 }
--- a/packages/hickorywharf-decisions/src/entry/entryState.ts
+++ b/packages/hickorywharf-decisions/src/entry/entryState.ts
@@ -8,7 +8,7 @@
   readonly requests: Table<EntryRows['request']>;
   readonly attempts: Table<EntryRows['attempt']>;
   readonly endpoints: Table<EntryRows['endpoint']>;
-  /** By `pool/part`. */
+  /** By the name that `getHomeKey` gives. */
   readonly homes: Table<EntryRows['home']>;
   /** Stage durations by `pipeline/stageIndex`. */
   readonly estimates: Table<EntryRows['estimate']>;
--- a/packages/hickorywharf-decisions/src/entry/getFailureOutcome.ts
+++ b/packages/hickorywharf-decisions/src/entry/getFailureOutcome.ts
@@ -11,6 +11,10 @@
  */
 export function getFailureOutcome(request: EntryRows['request']): Outcome {
   const hasAction = request.pipeline.stages.some((stage) => !stage.idempotent);
-  const mayHaveRun = hasAction ? request.actionMayHaveRun : request.begun;
+  const earlier = request.pipeline.stages.slice(0, request.stageIndex);
+  const isCertain = earlier.some((stage) => !stage.idempotent);
+  const mayHaveRun = hasAction
+    ? request.actionMayHaveRun || request.keyUnproven || isCertain
+    : request.begun;
   return mayHaveRun ? 'unknown' : 'notRun';
 }
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/entry/getRequestHalf.ts
@@ -0,0 +1,31 @@
+import {getIssueTime} from 'hickorywharf-utils/getIssueTime';
+import type {ConfigurationView} from '../configuration/configurationView.ts';
+import {getHalfAt} from '../configuration/getHalfAt.ts';
+
+interface RequestOrigin {
+  readonly route: string;
+  readonly accountKeyHash: string;
+  readonly idempotencyKey: string | null;
+}
+
+/**
+ * The half that serves a request: its route's, or else its client account's,
+ * at the issue time of its key.
+ *
+ * @example
+ *     getRequestHalf(configuration, request); // null: either half
+ */
+export function getRequestHalf(
+  configuration: ConfigurationView,
+  origin: RequestOrigin,
+): string | null {
+  const issueTime = getIssueTime(origin.idempotencyKey ?? '');
+  const route = configuration.routes.get(origin.route);
+  const account = configuration.accountsByKeyHash.get(origin.accountKeyHash);
+  const getHalf = (record: string, half: string | null) =>
+    getHalfAt(half, configuration.halfMoves.get(record) ?? [], issueTime);
+  return (
+    getHalf(`route/${origin.route}`, route?.half ?? null) ??
+    getHalf(`account/${account?.name}`, account?.half ?? null)
+  );
+}
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -1,6 +1,6 @@
 import type {Frame} from 'hickorywharf-types/frame';
-import type {HomeInterval} from 'hickorywharf-types/homeInterval';
 import type {ServeError} from 'hickorywharf-types/serveError';
+import {applyRefusal} from '../applyRefusal.ts';
 import {completeStage} from '../completeStage.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
@@ -8,6 +8,7 @@
 import {finishRequest} from '../finishRequest.ts';
 import {getCurrentStage} from '../getCurrentStage.ts';
 import {getFailureOutcome} from '../getFailureOutcome.ts';
+import {learnHome} from '../learnHome.ts';
 import {removeAttempt} from '../removeAttempt.ts';
 import {scheduleRetry} from '../scheduleRetry.ts';
 
@@ -116,28 +117,6 @@
   completeStage(state, request, output, now);
 }
 
-function toRefusalError(
-  endpoint: string,
-  request: RequestRow,
-  frame: FrameOf<'refused'>,
-): ServeError {
-  return {
-    tag: 'refused',
-    reason: frame.reason,
-    step: 'queue',
-    peer: endpoint,
-    outcome: getFailureOutcome(request),
-    message: frame.message,
-  };
-}
-
-/** Refusals that every endpoint of the pool would repeat. */
-const FINAL_REFUSALS: ReadonlySet<string> = new Set([
-  'keyForgotten',
-  'keyInvalid',
-  'malformed',
-]);
-
 function takeRefused(
   state: EntryState,
   endpoint: string,
@@ -148,38 +127,15 @@
   if (attempt === undefined) return;
   const request = findCurrentRequest(state, attempt);
   removeAttempt(state, attempt);
-  for (const home of frame.homes ?? []) learnHome(state, home);
-  if (request === undefined) return;
-  const {idempotent} = getCurrentStage(request);
-  if (!idempotent) request.actionMayHaveRun = false;
-  request.lastError = toRefusalError(endpoint, request, frame);
-  if (FINAL_REFUSALS.has(frame.reason)) {
-    // The key may have run for an earlier request; only this one did not.
-    const outcome = frame.reason === 'keyForgotten' ? 'unknown' : 'notRun';
-    finishRequest(state, request, {...request.lastError, outcome});
-    return;
-  }
-  if (frame.reason === 'leaving') noteLeaving(state, endpoint);
-  if (frame.reason === 'wrongHome' || frame.reason === 'keyOutsideInterval') {
-    const isRedirect = frame.homes?.some(({home}) => home !== endpoint);
-    const pause = isRedirect ? 0 : ENTRY_LIMITS.searchPauseMilliseconds;
-    scheduleRetry(request, now + pause);
-    return;
-  }
-  request.excluded.add(endpoint);
-  scheduleRetry(request, now);
+  applyRefusal(state, request, endpoint, frame, now);
 }
 
-function learnHome(state: EntryState, home: HomeInterval): void {
-  const key = `${home.pool}/${home.part}`;
-  const known = state.homes.get(key);
-  if (known !== undefined && known.epoch > home.epoch) return;
-  state.homes.insert(key, home);
-}
-
-function noteLeaving(state: EntryState, name: string): void {
-  const endpoint = state.endpoints.get(name);
-  if (endpoint !== undefined) endpoint.leaving = true;
+function takeHomes(
+  state: EntryState,
+  _endpoint: string,
+  frame: FrameOf<'homes'>,
+): void {
+  for (const home of frame.homes) learnHome(state, home);
 }
 
 function takeFailed(
@@ -291,6 +247,7 @@
   tokens: takeTokens,
   result: takeResult,
   refused: takeRefused,
+  homes: takeHomes,
   failed: takeFailed,
   tombstoned: takeTombstoned,
   attemptUnknown: takeAttemptUnknown,
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleRequestArrived.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleRequestArrived.ts
@@ -3,6 +3,7 @@
 import {getNearestName} from 'hickorywharf-utils/getNearestName';
 import type {EntryEvent} from '../entryEvent.ts';
 import type {EntryState} from '../entryState.ts';
+import {getRequestHalf} from '../getRequestHalf.ts';
 
 type Arrival = Extract<EntryEvent, {tag: 'requestArrived'}>;
 type RecordOf<Kind> = Extract<ConfigurationRecord, {kind: Kind}>;
@@ -11,6 +12,7 @@
   readonly pipeline: RecordOf<'pipeline'>;
   readonly account: RecordOf<'account'>;
   readonly half: string | null;
+  readonly route: string;
 }
 
 const NOT_RUN = {peer: null, outcome: 'notRun'} as const;
@@ -56,7 +58,14 @@
       },
     };
   }
-  return {target: {pipeline, account, half: route?.half ?? account.half}};
+  const origin = {
+    // Also where no route has the name: one may have had it before.
+    route: event.pipelineName,
+    accountKeyHash: event.keyHash,
+    idempotencyKey: event.idempotencyKey,
+  };
+  const half = getRequestHalf(configuration, origin);
+  return {target: {pipeline, account, half, route: origin.route}};
 }
 
 function findKeyError(target: Target, event: Arrival): ServeError | null {
@@ -88,7 +97,7 @@
   target: Target,
   now: number,
 ): void {
-  const {pipeline, account, half} = target;
+  const {pipeline, account, half, route} = target;
   const deadline = Math.min(
     event.deadlineMilliseconds ?? pipeline.deadlineMilliseconds,
     pipeline.deadlineMilliseconds,
@@ -99,7 +108,10 @@
     requestId: event.requestId,
     pipeline,
     half,
+    route,
+    assignmentSequence: state.configuration?.assignmentSequence ?? 0,
     account: account.name,
+    accountKeyHash: event.keyHash,
     accountWeight: account.weight,
     input: event.input,
     idempotencyKey: event.idempotencyKey,
@@ -118,6 +130,7 @@
     attemptsMade: 0,
     begun: false,
     actionMayHaveRun: false,
+    keyUnproven: false,
     tombstoneSent: false,
     lastError: null,
   });
--- a/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
@@ -1,4 +1,4 @@
-import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
+import {chooseHome} from '../chooseHome.ts';
 import {composeStageInput} from '../composeStageInput.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
@@ -7,37 +7,21 @@
 import {getCandidates} from '../getCandidates.ts';
 import {getCurrentStage} from '../getCurrentStage.ts';
 import {getFailureOutcome} from '../getFailureOutcome.ts';
-import {getHomePart} from '../../homes/getHomePart.ts';
 import {routingPolicies} from '../policies/routingPolicies.ts';
 
 type Endpoint = EntryRows['endpoint'];
 type RequestRow = EntryRows['request'];
 
-function chooseHome(
-  state: EntryState,
-  request: RequestRow,
-  candidates: readonly Endpoint[],
-): Endpoint {
-  const {pool} = getCurrentStage(request);
-  const part = getHomePart(request.idempotencyKey ?? '', state.homeParts);
-  const home = state.homes.get(`${pool}/${part}`);
-  const known = candidates.find(({name}) => name === home?.home);
-  if (known !== undefined) return known;
-  // Whoever is asked knows better, and says so in its refusal.
-  const names = candidates.map(({name}) => name);
-  const [first] = orderByRendezvous(`${pool}/${part}`, names);
-  return candidates.find(({name}) => name === first)!;
-}
-
 function chooseEndpoint(
   state: EntryState,
   request: RequestRow,
-  candidates: readonly Endpoint[],
   now: number,
-): Endpoint {
+): Endpoint | null {
+  const candidates = getCandidates(state, request, now);
   if (!getCurrentStage(request).idempotent) {
-    return chooseHome(state, request, candidates);
+    return chooseHome(state, request, candidates, now);
   }
+  if (candidates.length === 0) return null;
   return routingPolicies[state.routingPolicy]!(state, candidates, now);
 }
 
@@ -90,6 +74,8 @@
       pool: stage.pool,
       idempotent: stage.idempotent,
       half: request.half,
+      route: request.route,
+      assignmentSequence: request.assignmentSequence,
       account: request.account,
       accountWeight: request.accountWeight,
       remainingMilliseconds: request.deadlineAt - now,
@@ -135,12 +121,11 @@
       finishRequest(state, request, {...request.lastError, outcome});
       continue;
     }
-    const candidates = getCandidates(state, request, now);
-    if (candidates.length === 0) {
+    const endpoint = chooseEndpoint(state, request, now);
+    if (endpoint === null) {
       waitForEndpoint(request, now);
       continue;
     }
-    const endpoint = chooseEndpoint(state, request, candidates, now);
     sendAttempt(state, request, endpoint, now);
   }
 }
--- a/packages/hickorywharf-decisions/src/homes/__tests__/planHomes.test.ts
+++ b/packages/hickorywharf-decisions/src/homes/__tests__/planHomes.test.ts
@@ -1,41 +1,103 @@
 import test from 'ava';
+import {emptyHomeRecord} from '../emptyHomeRecord.ts';
 import {planHomes} from '../planHomes.ts';
+import type {PlanOptions} from '../planOptions.ts';
 
-const OPTIONS = {
+const OPTIONS: PlanOptions = {
   pool: 'desks',
   parts: 1,
   name: 'desk-1',
   incarnation: 'a',
-  members: ['desk-1'],
+  slot: 'slot-1',
+  halves: [null],
+  getMembers: () => ['desk-1'],
   leaving: false,
+  assignmentSequence: 0,
   wallNow: 1000,
+  monotonicNow: 0,
   lengthMilliseconds: 300,
-  latestIssueTimes: new Map<number, number>(),
+  aheadMilliseconds: 20,
+  getRanUntil: () => 0,
+  getPendingRelease: () => undefined,
 };
 
+const first = planHomes(emptyHomeRecord, OPTIONS)!;
+
 test('a successor starts where its predecessor ends', (t) => {
-  const first = planHomes({intervals: []}, OPTIONS)!;
   t.is(first.intervals[0]!.until, 1300);
-  const early = {
+  const early: PlanOptions = {
     ...OPTIONS,
     name: 'desk-2',
-    members: ['desk-2'],
+    slot: 'slot-2',
+    getMembers: () => ['desk-2'],
     wallNow: 1299,
   };
   t.is(planHomes(first, early), null);
   const second = planHomes(first, {...early, wallNow: 1300})!;
-  t.is(second.intervals[0]!.home, 'desk-2');
-  t.is(second.intervals[0]!.from, 1300);
-  t.is(second.intervals[0]!.epoch, 2);
+  t.like(second.intervals[0], {home: 'desk-2', from: 1300, epoch: 2});
+  t.like(second.earlier[0], {home: 'desk-1', until: 1300});
 });
 
 test('a release never ends before a key that has run', (t) => {
-  const first = planHomes({intervals: []}, OPTIONS)!;
   const released = planHomes(first, {
     ...OPTIONS,
     leaving: true,
-    latestIssueTimes: new Map([[0, 1200]]),
+    getRanUntil: () => 1201,
+  })!;
+  t.like(released.intervals[0], {until: 1201, released: true});
+});
+
+test('a release that is tried again keeps its first end', (t) => {
+  const released = planHomes(first, {
+    ...OPTIONS,
+    wallNow: 1100,
+    getPendingRelease: () => 1050,
+  })!;
+  t.like(released.intervals[0], {until: 1050, released: true});
+});
+
+test('a process in the same slot starts above all that ran, by no wall clock', (t) => {
+  const restarted: PlanOptions = {
+    ...OPTIONS,
+    incarnation: 'b',
+    wallNow: 10,
+    monotonicNow: 70,
+  };
+  const ended = planHomes(first, restarted)!;
+  t.like(ended.intervals[0], {until: 1000 + 70 + 20 + 1, released: true});
+  const taken = planHomes(ended, restarted)!;
+  t.like(taken.intervals[0], {incarnation: 'b', from: 1091, epoch: 2});
+});
+
+test('a process in another slot waits the interval out', (t) => {
+  for (const slot of ['slot-2', '']) {
+    const replaced: PlanOptions = {...OPTIONS, incarnation: 'b', slot};
+    t.is(planHomes(first, {...replaced, monotonicNow: 70}), null);
+    const taken = planHomes(first, {...replaced, wallNow: 1300})!;
+    t.is(taken.intervals[0]!.from, 1300);
+  }
+  const unproven = {...first.intervals[0]!, slot: ''};
+  const record = {...first, intervals: [unproven]};
+  const nowhere: PlanOptions = {...OPTIONS, incarnation: 'b', slot: ''};
+  t.is(planHomes(record, nowhere), null);
+});
+
+test('the ceiling does not sink when an extension sees a clock stepped back', (t) => {
+  const extended = planHomes(first, {
+    ...OPTIONS,
+    lengthMilliseconds: 3000,
+    wallNow: 900,
+    monotonicNow: 50,
   })!;
-  t.is(released.intervals[0]!.until, 1201);
-  t.true(released.intervals[0]!.released);
+  t.true(extended.intervals[0]!.anchor.issueTime >= 1050);
+  t.is(extended.intervals[0]!.anchor.monotonic, 50);
+});
+
+test('a home that learns of a move ends its interval and takes a new one', (t) => {
+  const moved: PlanOptions = {...OPTIONS, assignmentSequence: 7, wallNow: 1010};
+  const ended = planHomes(first, moved)!;
+  t.like(ended.intervals[0], {until: 1010, released: true});
+  const taken = planHomes(ended, moved)!;
+  t.like(taken.intervals[0], {from: 1010, assignmentSequence: 7});
+  t.is(planHomes(taken, {...OPTIONS, leaving: true}), null);
 });
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/homes/getHomeKey.ts
@@ -0,0 +1,13 @@
+/**
+ * Names a part of a pool's key space, for one half or for shared requests.
+ *
+ * @example
+ *     getHomeKey({pool: 'desks', half: null, part: 3}); // 'desks//3'
+ */
+export function getHomeKey(place: {
+  readonly pool: string;
+  readonly half: string | null;
+  readonly part: number;
+}): string {
+  return `${place.pool}/${place.half ?? ''}/${place.part}`;
+}
--- a/packages/hickorywharf-decisions/src/homes/planHomes.ts
+++ b/packages/hickorywharf-decisions/src/homes/planHomes.ts
@@ -1,76 +1,50 @@
+import type {HomeInterval} from 'hickorywharf-types/homeInterval';
 import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
+import {getHomeKey} from './getHomeKey.ts';
 import type {HomeRecord} from './homeRecord.ts';
+import type {PlanOptions} from './planOptions.ts';
+import {planPart} from './planPart.ts';
 
 type Interval = HomeRecord['intervals'][number];
 
-interface PlanHomesOptions {
-  readonly pool: string;
-  readonly parts: number;
-  readonly name: string;
-  readonly incarnation: string;
-  /** Endpoints of the pool that are there and not leaving. */
-  readonly members: readonly string[];
-  readonly leaving: boolean;
-  /** This process's wall clock; its error costs refusals, never a double run. */
-  readonly wallNow: number;
-  readonly lengthMilliseconds: number;
-  /** The latest issue time that this process has run, by part. */
-  readonly latestIssueTimes: ReadonlyMap<number, number>;
-}
-
-/** An interval is extended once less than this share of it is left. */
-const EXTEND_BELOW_SHARE = 2 / 3;
+/** Earlier intervals kept of each part. */
+const MAXIMUM_EARLIER = 3;
 
-function takeOver(
-  options: PlanHomesOptions,
+function isOwner(
+  options: PlanOptions,
+  half: string | null,
   part: number,
-  previous: Interval | undefined,
-): Interval {
-  const {pool, name, incarnation, wallNow, lengthMilliseconds} = options;
-  const from = previous?.until ?? 0;
-  return {
-    pool,
-    part,
-    home: name,
-    incarnation,
-    epoch: (previous?.epoch ?? 0) + 1,
-    from,
-    until: Math.max(wallNow, from) + lengthMilliseconds,
-    released: false,
-  };
+): boolean {
+  const {pool, name, leaving} = options;
+  if (leaving) return false;
+  const key = getHomeKey({pool, half, part});
+  return orderByRendezvous(key, options.getMembers(half))[0] === name;
 }
 
-function release(options: PlanHomesOptions, interval: Interval): Interval {
-  const latest = options.latestIssueTimes.get(interval.part) ?? 0;
-  const end = Math.max(options.wallNow, latest + 1, interval.from);
-  const until = Math.min(interval.until, end);
-  return {...interval, until, released: true};
+function toEarlier(interval: Interval): HomeInterval {
+  const {released: _released, slot: _slot, anchor: _anchor, ...rest} = interval;
+  return rest;
 }
 
-function extend(options: PlanHomesOptions, interval: Interval): Interval {
-  const {wallNow, lengthMilliseconds} = options;
-  const left = interval.until - wallNow;
-  if (left > lengthMilliseconds * EXTEND_BELOW_SHARE) return interval;
-  return {...interval, until: wallNow + lengthMilliseconds};
+function addEarlier(
+  earlier: readonly HomeInterval[],
+  replaced: readonly Interval[],
+): HomeInterval[] {
+  const byKey = Map.groupBy(
+    [...earlier, ...replaced.map(toEarlier)],
+    getHomeKey,
+  );
+  return [...byKey.values()].flatMap((intervals) =>
+    intervals.slice(-MAXIMUM_EARLIER),
+  );
 }
 
-function planPart(
-  options: PlanHomesOptions,
-  part: number,
-  current: Interval | undefined,
-): Interval | undefined {
-  const {pool, members, name, incarnation, wallNow} = options;
-  const [owner] = orderByRendezvous(`${pool}/${part}`, members);
-  const isOwner = owner === name && !options.leaving;
-  if (current === undefined) {
-    return isOwner ? takeOver(options, part, undefined) : undefined;
-  }
-  const isMine = current.home === name && current.incarnation === incarnation;
-  if (isMine && !current.released) {
-    return isOwner ? extend(options, current) : release(options, current);
-  }
-  const isOver = current.released || wallNow >= current.until;
-  return isOwner && isOver ? takeOver(options, part, current) : current;
+/** Halves that are no longer configured keep their intervals. */
+function getKnownHalves(record: HomeRecord, options: PlanOptions) {
+  return new Set([
+    ...options.halves,
+    ...record.intervals.map(({half}) => half),
+  ]);
 }
 
 /**
@@ -79,22 +53,44 @@
  * predecessor's ends, so that no key can be run by both.
  *
  * @example
- *     planHomes({intervals: []}, options);
+ *     planHomes(record, options);
  */
 export function planHomes(
   record: HomeRecord,
-  options: PlanHomesOptions,
+  options: PlanOptions,
 ): HomeRecord | null {
-  const byPart = new Map(
-    record.intervals.map((interval) => [interval.part, interval]),
+  // Whoever knows fewer moves could hand keys to the half that lost them.
+  if (options.assignmentSequence < record.assignmentSequence) return null;
+  const newest = new Map(
+    record.intervals.map((interval) => [getHomeKey(interval), interval]),
   );
   const planned: Interval[] = [];
+  const replaced: Interval[] = [];
   let changed = false;
-  for (let part = 0; part < options.parts; part += 1) {
-    const current = byPart.get(part);
-    const next = planPart(options, part, current);
-    if (next !== current) changed = true;
-    if (next !== undefined) planned.push(next);
+  for (const half of getKnownHalves(record, options)) {
+    const isConfigured = options.halves.includes(half);
+    for (let part = 0; part < options.parts; part += 1) {
+      const key = getHomeKey({pool: options.pool, half, part});
+      const current = newest.get(key);
+      const place = {
+        half,
+        part,
+        isOwner: isConfigured && isOwner(options, half, part),
+      };
+      const next = planPart(options, place, current);
+      if (next === undefined) continue;
+      planned.push(next);
+      if (next === current) continue;
+      changed = true;
+      if (current !== undefined && current.epoch !== next.epoch) {
+        replaced.push(current);
+      }
+    }
   }
-  return changed ? {intervals: planned} : null;
+  if (!changed) return null;
+  return {
+    assignmentSequence: options.assignmentSequence,
+    intervals: planned,
+    earlier: addEarlier(record.earlier, replaced),
+  };
 }
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/homes/planOptions.ts
@@ -0,0 +1,33 @@
+import type {HomeRecord} from './homeRecord.ts';
+
+type Interval = HomeRecord['intervals'][number];
+
+/** What an endpoint process knows when it plans its pool's homes. */
+export interface PlanOptions {
+  readonly pool: string;
+  readonly parts: number;
+  readonly name: string;
+  readonly incarnation: string;
+  /**
+   * Names the kernel and the listening address that this process holds, so
+   * that a predecessor under the same one is gone; empty where unknown.
+   */
+  readonly slot: string;
+  /** The halves that requests may belong to, null for shared ones. */
+  readonly halves: readonly (string | null)[];
+  /** Endpoints of the pool for a half that are there and not leaving. */
+  readonly getMembers: (half: string | null) => readonly string[];
+  readonly leaving: boolean;
+  /** Sequence of the newest move between halves that is in force here. */
+  readonly assignmentSequence: number;
+  /** This process's wall clock; its error costs refusals, never a double run. */
+  readonly wallNow: number;
+  /** The monotonic clock of the kernel. */
+  readonly monotonicNow: number;
+  readonly lengthMilliseconds: number;
+  readonly aheadMilliseconds: number;
+  /** Above every issue time that this process has run of a part. */
+  readonly getRanUntil: (half: string | null, part: number) => number;
+  /** The end of a release that was tried before, if any. */
+  readonly getPendingRelease: (interval: Interval) => number | undefined;
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/homes/planPart.ts
@@ -0,0 +1,122 @@
+import {getIssueTimeCeiling} from './getIssueTimeCeiling.ts';
+import type {HomeRecord} from './homeRecord.ts';
+import type {PlanOptions} from './planOptions.ts';
+
+type Interval = HomeRecord['intervals'][number];
+
+interface Place {
+  readonly half: string | null;
+  readonly part: number;
+  readonly isOwner: boolean;
+}
+
+/** An interval is extended once less than this share of it is left. */
+const EXTEND_BELOW_SHARE = 2 / 3;
+
+function takeOver(
+  options: PlanOptions,
+  {half, part}: Place,
+  previous: Interval | undefined,
+): Interval {
+  const {pool, name, incarnation, slot, assignmentSequence} = options;
+  const {wallNow, monotonicNow, lengthMilliseconds} = options;
+  const from = previous?.until ?? 0;
+  return {
+    pool,
+    part,
+    half,
+    home: name,
+    incarnation,
+    epoch: (previous?.epoch ?? 0) + 1,
+    from,
+    until: Math.max(wallNow, from) + lengthMilliseconds,
+    assignmentSequence,
+    released: false,
+    slot,
+    anchor: {issueTime: wallNow, monotonic: monotonicNow},
+  };
+}
+
+function release(
+  options: PlanOptions,
+  interval: Interval,
+  pendingUntil: number | undefined,
+): Interval {
+  const ran = options.getRanUntil(interval.half, interval.part);
+  const end = Math.max(options.wallNow, ran, interval.from);
+  // An earlier try may still land, and keys from its end on were refused.
+  const until = Math.min(interval.until, pendingUntil ?? end);
+  return {...interval, until, released: true};
+}
+
+function extend(options: PlanOptions, interval: Interval): Interval {
+  const {wallNow, monotonicNow, lengthMilliseconds} = options;
+  const left = interval.until - wallNow;
+  if (left > lengthMilliseconds * EXTEND_BELOW_SHARE) return interval;
+  // The ceiling must not sink when the wall clock steps back.
+  const reached = getIssueTimeCeiling(interval.anchor, monotonicNow, 0);
+  return {
+    ...interval,
+    until: wallNow + lengthMilliseconds,
+    anchor: {
+      issueTime: Math.max(wallNow, reached + 1),
+      monotonic: monotonicNow,
+    },
+  };
+}
+
+/** Ends the interval of a predecessor in this slot, which is known to be gone. */
+function endPredecessor(options: PlanOptions, interval: Interval): Interval {
+  const {monotonicNow, aheadMilliseconds} = options;
+  const ceiling = getIssueTimeCeiling(
+    interval.anchor,
+    monotonicNow,
+    aheadMilliseconds,
+  );
+  const reached = Math.max(interval.from, ceiling + 1);
+  return {
+    ...interval,
+    until: Math.min(interval.until, reached),
+    released: true,
+  };
+}
+
+function planOwn(
+  options: PlanOptions,
+  place: Place,
+  current: Interval,
+): Interval {
+  const pending = options.getPendingRelease(current);
+  const isBehind = current.assignmentSequence < options.assignmentSequence;
+  const mustRelease = pending !== undefined || !place.isOwner || isBehind;
+  return mustRelease
+    ? release(options, current, pending)
+    : extend(options, current);
+}
+
+/**
+ * What this endpoint process wants the newest interval of one part to become:
+ * `current` itself where nothing is to change.
+ *
+ * @example
+ *     planPart(options, {half: null, part: 0, isOwner: true}, undefined);
+ */
+export function planPart(
+  options: PlanOptions,
+  place: Place,
+  current: Interval | undefined,
+): Interval | undefined {
+  const {name, incarnation, slot, wallNow} = options;
+  if (current === undefined) {
+    return place.isOwner ? takeOver(options, place, undefined) : undefined;
+  }
+  if (!current.released && current.home === name) {
+    if (current.incarnation === incarnation) {
+      return planOwn(options, place, current);
+    }
+    const isSameSlot = slot !== '' && current.slot === slot;
+    if (isSameSlot) return endPredecessor(options, current);
+  }
+  const isOver = current.released || wallNow >= current.until;
+  return place.isOwner && isOver ? takeOver(options, place, current) : current;
+}
--- a/packages/hickorywharf-endpoint/src/createHomeKeeper.ts
+++ b/packages/hickorywharf-endpoint/src/createHomeKeeper.ts
@@ -1,5 +1,7 @@
 import type {EndpointState} from 'hickorywharf-decisions/endpoint/endpointState';
-import {getHomePart} from 'hickorywharf-decisions/homes/getHomePart';
+import {createHomeAgent} from 'hickorywharf-decisions/homes/createHomeAgent';
+import {createPlanOptions} from 'hickorywharf-decisions/homes/createPlanOptions';
+import type {HomeRecord} from 'hickorywharf-decisions/homes/homeRecord';
 import {fetchInstances} from 'hickorywharf-platform/fetchInstances';
 import type {StoreClient} from 'hickorywharf-platform/storeClient';
 import type {HomeInterval} from 'hickorywharf-types/homeInterval';
@@ -7,16 +9,18 @@
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
-import {keepHomes} from './keepHomes.ts';
 
 interface HomeKeeperOptions {
   readonly settings: z.infer<typeof endpointSettings>;
-  readonly incarnation: string;
   readonly state: EndpointState;
   readonly store: StoreClient;
   readonly clock: Clock;
   readonly random: () => number;
-  readonly onKnown: (homes: readonly HomeInterval[]) => void;
+  /** What proves that a predecessor in this slot is gone; see `getSlot`. */
+  readonly slot: string;
+  /** Told of a record only once it was seen in the store. */
+  readonly onKnown: (record: HomeRecord, revision: number) => void;
+  /** Told of the homes to be given up before that is written. */
   readonly onReleasing: (homes: readonly HomeInterval[]) => void;
 }
 
@@ -26,87 +30,147 @@
 }
 
 const MILLISECONDS_PER_SECOND = 1000;
-const PAUSE_MILLISECONDS = 500;
-const RELEASE_TRIES = 5;
-
-function getLatestIssueTimes(state: EndpointState): Map<number, number> {
-  const latest = new Map<number, number>();
-  for (const {idempotencyKey, issueTime} of state.actions.rows()) {
-    const part = getHomePart(idempotencyKey, state.homeParts);
-    latest.set(part, Math.max(latest.get(part) ?? 0, issueTime));
-  }
-  return latest;
-}
+/** Pause between looks at members and intervals; none of them is a call. */
+const PLAN_MILLISECONDS = 250;
+const MEMBERS_MILLISECONDS = 1000;
+/** How long one watch of the record waits. */
+const WATCH_MILLISECONDS = 30_000;
+const RETRY_MILLISECONDS = 500;
+const MAXIMUM_RETRY_MILLISECONDS = 8000;
+const RELEASE_TRIES = 8;
 
 /**
  * Keeps this endpoint's share of its pool's homes in the store for as long as
- * it runs. Does nothing where the settings name no pool.
+ * it runs: one watch that waits, and a write now and then. Does nothing where
+ * the settings name no pool.
  *
  * @example
  *     const keeper = createHomeKeeper(options);
  *     await keeper.stop();
  */
 export function createHomeKeeper(options: HomeKeeperOptions): HomeKeeper {
-  const {settings, incarnation, state, store, clock, random} = options;
-  const {pool, parts, intervalSeconds} = settings.homes;
-  const {name} = settings.process;
+  const {settings, state, store, clock, random, slot} = options;
+  const {pool, intervalSeconds, aheadSeconds} = settings.homes;
   if (pool === '') return {stop: () => Promise.resolve()};
-  let members: readonly string[] = [];
+  const key = `homes/${pool}`;
+  const agent = createHomeAgent();
+  let listed: ReadonlySet<string> = new Set();
+  let failures = 0;
   let stopped = false;
 
-  function isMember(endpoint: string): boolean {
-    const record = state.configuration?.endpoints.get(endpoint);
-    return record?.pool === pool && !record.draining;
+  function see(record: HomeRecord | null, seenRevision: number): void {
+    agent.see(record, seenRevision);
+    if (record !== null) options.onKnown(record, seenRevision);
+  }
+
+  function pauseAfterFailure(): Promise<void> {
+    failures += 1;
+    const limit = Math.min(
+      MAXIMUM_RETRY_MILLISECONDS,
+      RETRY_MILLISECONDS * 2 ** failures,
+    );
+    return sleep(limit * (0.5 + random() / 2));
   }
 
-  async function refreshMembers(): Promise<void> {
-    const listed = await fetchInstances(settings.platform.instancesUrl);
-    if (listed.isErr()) return;
-    members = listed.value
-      .filter(
-        ({role, state: listedState}) =>
-          role === 'endpoint' && listedState === 'live',
-      )
-      .map((instance) => instance.name)
-      .filter(isMember);
+  async function read(): Promise<boolean> {
+    const item = await store.get(key);
+    if (item.isErr()) return false;
+    const {value = null, revision = 0} = item.value ?? {};
+    see(value as HomeRecord | null, revision);
+    return true;
   }
 
-  function keep(): Promise<boolean> {
-    return keepHomes({
-      store,
-      onReleasing: options.onReleasing,
-      onKnown: ({intervals}) => options.onKnown(intervals),
-      getPlanOptions: () => ({
+  /** One step; false where the store gave no answer. */
+  async function step(): Promise<boolean> {
+    if (agent.needsRead && !(await read())) return false;
+    const write = agent.plan(
+      createPlanOptions(state, {
         pool,
-        parts,
-        name,
-        incarnation,
-        members,
-        leaving: state.leaving,
+        slot,
+        listed,
         wallNow: clock.wall(),
+        monotonicNow: clock.monotonic(),
         lengthMilliseconds: intervalSeconds * MILLISECONDS_PER_SECOND,
-        latestIssueTimes: getLatestIssueTimes(state),
+        aheadMilliseconds: aheadSeconds * MILLISECONDS_PER_SECOND,
       }),
-    });
+    );
+    if (write === null) return true;
+    options.onReleasing(write.releasing);
+    const {record, expectedRevision} = write;
+    const written = await store.compareAndSwap(key, record, expectedRevision);
+    if (written.isErr()) {
+      agent.settle({tag: 'unsettled'});
+      return written.error.tag === 'conflict';
+    }
+    agent.settle({tag: 'written', revision: written.value});
+    options.onKnown(record, written.value);
+    return true;
+  }
+
+  async function followMembers(): Promise<void> {
+    while (!stopped) {
+      const instances = await fetchInstances(settings.platform.instancesUrl);
+      if (instances.isOk()) {
+        const live = instances.value.filter(
+          ({role, state: listedState}) =>
+            role === 'endpoint' && listedState === 'live',
+        );
+        listed = new Set(live.map(({name}) => name));
+      }
+      await sleep(MEMBERS_MILLISECONDS * (0.5 + random()));
+    }
+  }
+
+  async function followRecord(): Promise<void> {
+    // The prefix may match other pools, whose changes must not wake it twice.
+    let watched = 0;
+    while (!stopped) {
+      const changed = await store.watch(key, watched, WATCH_MILLISECONDS);
+      if (stopped) return;
+      if (changed.isErr()) {
+        await sleep(MAXIMUM_RETRY_MILLISECONDS * (0.5 + random() / 2));
+        continue;
+      }
+      for (const item of changed.value.items) {
+        watched = Math.max(watched, item.revision);
+        if (item.key !== key) continue;
+        see(item.value as HomeRecord, item.revision);
+      }
+    }
   }
 
-  async function run(): Promise<void> {
+  async function plan(): Promise<void> {
     while (!stopped) {
-      await refreshMembers();
-      if (members.length > 0) await keep();
-      await sleep(PAUSE_MILLISECONDS * (0.5 + random()));
+      // Without the list nobody could be told from a member that is gone.
+      const isDone = listed.size === 0 || (await step());
+      if (isDone) {
+        failures = 0;
+        await sleep(PLAN_MILLISECONDS * (0.5 + random()));
+      } else {
+        await pauseAfterFailure();
+      }
     }
   }
 
-  const finished = run();
+  const planning = plan();
+  void followMembers();
+  void followRecord();
   return {
     async stop() {
       stopped = true;
-      await finished;
+      await Promise.race([planning, sleep(RETRY_MILLISECONDS)]);
       for (let tries = 0; tries < RELEASE_TRIES; tries += 1) {
-        if (await keep()) return;
-        await sleep(PAUSE_MILLISECONDS * random());
+        const isDone = (await step()) && !holdsHome();
+        if (isDone) return;
+        await sleep(RETRY_MILLISECONDS * random());
       }
     },
   };
+
+  function holdsHome(): boolean {
+    return state.homes.record.intervals.some(
+      ({incarnation, released}) =>
+        incarnation === state.incarnation && !released,
+    );
+  }
 }
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -5,6 +5,8 @@
 import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
+import {findChangedHomes} from 'hickorywharf-decisions/homes/findChangedHomes';
+import type {HomeRecord} from 'hickorywharf-decisions/homes/homeRecord';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
@@ -15,7 +17,9 @@
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import type {z} from 'zod';
+import {claimKey} from './claimKey.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
+import {getSlot} from './getSlot.ts';
 
 interface RunEndpointOptions {
   readonly settings: z.infer<typeof endpointSettings>;
@@ -31,6 +35,7 @@
   stop(): Promise<void>;
 }
 
+const MILLISECONDS_PER_SECOND = 1000;
 const TICK_MILLISECONDS = 25;
 const STOP_POLL_MILLISECONDS = 20;
 /** Time in which entries fetch outcomes and are told of the departure. */
@@ -63,8 +68,10 @@
     retentionMilliseconds: settings.queue.retentionMilliseconds,
     retentionBytes: settings.queue.retentionBytes,
     homeParts: settings.homes.parts,
+    aheadMilliseconds: settings.homes.aheadSeconds * MILLISECONDS_PER_SECOND,
   });
   const backend = backendKinds[settings.backend.kind](settings.backend.url);
+  const store = createStoreClient(settings.platform.storeUrl);
   const running = new Map<string, AbortController>();
   const peers = new Map<string, (frame: Frame) => boolean>();
 
@@ -111,6 +118,29 @@
     );
   }
 
+  async function claim(
+    command: Extract<EndpointCommand, {tag: 'claim'}>,
+  ): Promise<void> {
+    const {attemptId, remainingMilliseconds} = command;
+    const lateAt = clock.monotonic() + remainingMilliseconds;
+    const outcome = await claimKey({
+      ...command,
+      store,
+      random,
+      claimId: `${incarnation}/${attemptId}`,
+      isLate: () => clock.monotonic() >= lateAt,
+    });
+    feed({tag: 'claimSettled', attemptId, outcome});
+  }
+
+  function tellHomes(record: HomeRecord, revision: number): void {
+    const before = core.state.homes;
+    feed({tag: 'homesKnown', record, revision});
+    const homes = findChangedHomes(before, core.state.homes, name);
+    if (homes.length === 0) return;
+    for (const send of peers.values()) send({tag: 'homes', homes});
+  }
+
   type CommandHandlers = {
     [Tag in EndpointCommand['tag']]: (
       command: Extract<EndpointCommand, {tag: Tag}>,
@@ -119,6 +149,7 @@
   const commandHandlers: CommandHandlers = {
     send: ({peer, frame}) => void peers.get(peer)?.(frame),
     startBackend,
+    claim: (command) => void claim(command),
     cancelBackend: ({attemptId}) => running.get(attemptId)?.abort(),
     accepted: ({attempt: {requestId, attemptId}}) =>
       history.record({
@@ -161,6 +192,8 @@
         peers.set(peer.name, send);
         keeper.addPeer(peer.name, send);
         send(createHeartbeat());
+        const homes = findChangedHomes(null, core.state.homes, name);
+        if (homes.length > 0) send({tag: 'homes', homes});
       },
       onFrame(peer, frame) {
         if (keeper.takeFrame(peer.name, frame)) return;
@@ -182,12 +215,13 @@
 
   const homeKeeper = createHomeKeeper({
     settings,
-    incarnation,
     state: core.state,
-    store: createStoreClient(settings.platform.storeUrl),
+    store,
     clock,
     random,
-    onKnown: (homes) => feed({tag: 'homesKnown', homes}),
+    // The server listens by now, so that a predecessor is gone.
+    slot: getSlot(settings.listen),
+    onKnown: tellHomes,
     onReleasing: (homes) => feed({tag: 'homesReleasing', homes}),
   });
   const ticker = setInterval(() => feed({tag: 'ticked'}), TICK_MILLISECONDS);
--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -13,6 +13,19 @@
 const isTextList: Check = (value) =>
   Array.isArray(value) && value.every((item) => typeof item === 'string');
 
+const isHomeList: Check = (value) =>
+  Array.isArray(value) &&
+  value.every(
+    (home) =>
+      isObject(home) &&
+      isText(home.pool) &&
+      isCount(home.part) &&
+      isText(home.home) &&
+      isCount(home.epoch) &&
+      isNumber(home.from) &&
+      isNumber(home.until),
+  );
+
 const ATTEMPT_KEY = {
   requestId: isText,
   stageIndex: isCount,
@@ -40,7 +53,11 @@
   },
   tokens: {...ATTEMPT_KEY, position: isCount, tokens: isTextList},
   result: {...ATTEMPT_KEY, output: isObject},
-  refused: {...ATTEMPT_KEY, reason: isText},
+  refused: {
+    ...ATTEMPT_KEY,
+    reason: isText,
+    homes: (value) => value === undefined || isHomeList(value),
+  },
   failed: {...ATTEMPT_KEY, outcome: isText, conflict: isFlag},
   cancel: ATTEMPT_KEY,
   tombstone: ATTEMPT_KEY,
@@ -48,6 +65,7 @@
   recover: {...ATTEMPT_KEY, fromPosition: isCount},
   attemptUnknown: ATTEMPT_KEY,
   heartbeat: {leaving: isFlag, configurationSequence: isCount},
+  homes: {homes: isHomeList},
   fetchConfiguration: {afterSequence: isCount},
   configuration: {entries: isList},
   configurationSnapshot: {sequence: isCount, documents: isList},
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,5 +1,6 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
+import type {HalfMove} from './halfMove.ts';
 import type {HomeInterval} from './homeInterval.ts';
 import type {Instance} from './instance.ts';
 import type {LoadReport} from './loadReport.ts';
@@ -32,6 +33,10 @@
       readonly pool: string;
       readonly idempotent: boolean;
       readonly half: string | null;
+      /** The name that the caller asked for: a route's or a pipeline's. */
+      readonly route?: string;
+      /** Sequence of the newest move between halves that the entry knows. */
+      readonly assignmentSequence?: number;
       readonly account: string;
       readonly accountWeight: number;
       readonly remainingMilliseconds: number;
@@ -58,7 +63,7 @@
       readonly tag: 'refused';
       readonly reason: RefusalReason;
       readonly message: string;
-      /** For `wrongHome`: the intervals that the endpoint process knows. */
+      /** The intervals of the key's part that the endpoint process knows. */
       readonly homes?: readonly HomeInterval[];
     } & AttemptKey)
   | ({
@@ -82,6 +87,11 @@
       readonly load: LoadReport | null;
       readonly configurationSequence: number;
     }
+  | {
+      /** Intervals that the endpoint process took or released. */
+      readonly tag: 'homes';
+      readonly homes: readonly HomeInterval[];
+    }
   | {readonly tag: 'fetchConfiguration'; readonly afterSequence: number}
   | {
       readonly tag: 'configuration';
@@ -90,6 +100,7 @@
   | {
       readonly tag: 'configurationSnapshot';
       readonly sequence: number;
+      readonly halfMoves?: readonly HalfMove[];
       readonly documents: readonly {
         readonly kind: string;
         readonly name: string;
--- a/packages/hickorywharf-types/src/homeInterval.ts
+++ b/packages/hickorywharf-types/src/homeInterval.ts
@@ -5,6 +5,8 @@
 export interface HomeInterval {
   readonly pool: string;
   readonly part: number;
+  /** The half whose requests the interval is for; null for shared ones. */
+  readonly half: string | null;
   /** Name of the endpoint that is home. */
   readonly home: string;
   readonly incarnation: string;
@@ -13,4 +15,9 @@
   readonly from: number;
   /** Milliseconds of issue time, exclusive. */
   readonly until: number;
+  /**
+   * Sequence of the newest move between halves that the home knew when it took
+   * the interval: it judged every key of the interval with that knowledge.
+   */
+  readonly assignmentSequence: number;
 }
--- a/packages/hickorywharf-types/src/record.ts
+++ b/packages/hickorywharf-types/src/record.ts
@@ -27,6 +27,8 @@
   readonly schemaVersion: number;
   readonly pipeline: string;
   readonly half: Half;
+  /** Keys issued before this time stay with the former half. */
+  readonly movesFrom?: number;
 }
 
 interface AccountRecord {
@@ -38,6 +40,8 @@
   readonly requestsPerSecond: number;
   readonly weight: number;
   readonly half: Half;
+  /** Keys issued before this time stay with the former half. */
+  readonly movesFrom?: number;
 }
 
 interface EndpointRecord {
--- a/packages/hickorywharf-types/src/refusalReason.ts
+++ b/packages/hickorywharf-types/src/refusalReason.ts
@@ -8,6 +8,11 @@
   | 'keyOutsideInterval'
   | 'keyForgotten'
   | 'keyInvalid'
+  | 'keyClaimed'
+  | 'claimUnavailable'
+  | 'homeLeft'
+  | 'homeUnsettled'
+  | 'staleConfiguration'
   | 'otherHalf'
   | 'backendUnreachable'
   | 'malformed';
--- a/packages/hickorywharf-validation/src/normalizeRecord.ts
+++ b/packages/hickorywharf-validation/src/normalizeRecord.ts
@@ -18,6 +18,9 @@
 /** Version 1 records know no halves: what they name is shared. */
 const half = name.nullable().default(null);
 
+/** Milliseconds since the epoch: the half is for keys issued from then on. */
+const movesFrom = z.int().min(0).optional();
+
 const stage = z.looseObject({
   name,
   kind: z.enum(['encode', 'retrieve', 'rerank', 'generate', 'call']),
@@ -41,6 +44,7 @@
     schemaVersion,
     pipeline: name,
     half,
+    movesFrom,
   }),
   account: z.looseObject({
     kind: z.literal('account'),
@@ -50,6 +54,7 @@
     requestsPerSecond: z.number().positive().max(1_000_000),
     weight: z.number().positive().max(1000).default(1),
     half,
+    movesFrom,
   }),
   endpoint: z.looseObject({
     kind: z.literal('endpoint'),
@@ -74,7 +79,7 @@
 }
 
 function forgetHalf(document: Record<string, unknown>) {
-  return {...document, half: null};
+  return {...document, half: null, movesFrom: undefined};
 }
 
 /**
