--- a/packages/hickorywharf-decisions/src/configuration/configurationView.ts
+++ b/packages/hickorywharf-decisions/src/configuration/configurationView.ts
@@ -11,6 +11,10 @@
   readonly routes: ReadonlyMap<string, RecordOf<'route'>>;
   readonly accountsByKeyHash: ReadonlyMap<string, RecordOf<'account'>>;
   readonly endpoints: ReadonlyMap<string, RecordOf<'endpoint'>>;
+  readonly endpointsByPool: ReadonlyMap<
+    string,
+    readonly RecordOf<'endpoint'>[]
+  >;
   /** Moves between halves in the order of the log, by record. */
   readonly halfMoves: ReadonlyMap<string, readonly HalfMove[]>;
   /** Sequence of the newest of these moves; 0 for none. */
--- a/packages/hickorywharf-standins/src/standInKinds.ts
+++ b/packages/hickorywharf-standins/src/standInKinds.ts
@@ -12,6 +12,8 @@
   readonly workMilliseconds: number;
   readonly tokenMilliseconds: number;
   readonly lagMilliseconds: number;
+  readonly sizeMilliseconds: number;
+  readonly capacity: number;
   readonly history: HistoryRecorder;
 }
 
@@ -21,12 +23,9 @@
 export const standInKinds: Readonly<Record<string, StandInKind>> = {
   store: () => createStoreStandIn().application,
   instances: ({lagMilliseconds}) => createInstancesStandIn(lagMilliseconds),
-  engine: ({workMilliseconds, tokenMilliseconds}) =>
-    createEngineStandIn({
-      prefillMilliseconds: workMilliseconds,
-      tokenMilliseconds,
-    }),
-  pool: ({workMilliseconds}) => createPoolStandIn(workMilliseconds),
+  engine: ({workMilliseconds, ...options}) =>
+    createEngineStandIn({prefillMilliseconds: workMilliseconds, ...options}),
+  pool: createPoolStandIn,
   service: ({name, workMilliseconds, history}) =>
     createServiceStandIn({name, workMilliseconds, history}),
 };
--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -66,9 +66,14 @@
   attemptUnknown: ATTEMPT_KEY,
   heartbeat: {leaving: isFlag, configurationSequence: isCount},
   homes: {homes: isHomeList},
+  configurationAt: {sequence: isCount},
   fetchConfiguration: {afterSequence: isCount},
   configuration: {entries: isList},
-  configurationSnapshot: {sequence: isCount, documents: isList},
+  configurationSnapshot: {
+    sequence: isCount,
+    documents: isList,
+    halfMoves: (value) => value === undefined || isList(value),
+  },
   instances: {instances: isList},
 };
 
