--- /dev/null
+++ b/packages/hickorywharf-decisions/src/homes/__tests__/isSettledElsewhere.test.ts
@@ -0,0 +1,40 @@
+import test from 'ava';
+import {createHomeMap} from '../createHomeMap.ts';
+import type {HomeRecord} from '../homeRecord.ts';
+import {isSettledElsewhere} from '../isSettledElsewhere.ts';
+
+const PLACE = {pool: 'desks', half: 'lisbon', part: 0, issueTime: 600};
+const MOVE = 7;
+
+const other: HomeRecord['intervals'][number] = {
+  pool: 'desks',
+  part: 0,
+  half: null,
+  home: 'desk-2',
+  incarnation: 'one',
+  epoch: 2,
+  from: 500,
+  until: 900,
+  assignmentSequence: MOVE,
+  released: false,
+  slot: '',
+  anchor: {issueTime: 0, monotonic: 0},
+};
+
+function check(changes: Partial<typeof other>, record = MOVE): boolean {
+  const intervals = [{...other, ...changes}];
+  const homes = {assignmentSequence: record, intervals, earlier: []};
+  return isSettledElsewhere(createHomeMap(homes, 1), PLACE, MOVE);
+}
+
+test('a moved key is run once every other home has shown that it knows', (t) => {
+  t.true(check({}));
+  t.false(check({assignmentSequence: MOVE - 1}));
+  t.true(check({assignmentSequence: MOVE - 1, until: 600}));
+});
+
+test('a later home must know the move, and unlisted intervals are not trusted', (t) => {
+  t.false(check({}, MOVE - 1));
+  t.false(check({from: 601}));
+  t.true(check({half: 'lisbon', assignmentSequence: 0}));
+});
