--- /dev/null
+++ b/packages/hickorywharf-bench/src/experiments/atMostOnce/measureActionBytes.ts
@@ -0,0 +1,84 @@
+import v8 from 'node:v8';
+import vm from 'node:vm';
+import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
+import type {Frame} from 'hickorywharf-types/frame';
+
+const ACTIONS = 20_000;
+const INTERVAL_END = 2 ** 47;
+
+function collect(): number {
+  v8.setFlagsFromString('--expose-gc');
+  (vm.runInNewContext('gc') as () => void)();
+  return process.memoryUsage().heapUsed;
+}
+
+function createKey(serial: number): string {
+  const last = serial.toString(16).padStart(12, '0');
+  return `018bcfe5-6800-7000-8000-${last}`;
+}
+
+/**
+ * Memory that a home spends on each action that it remembers, in bytes, once
+ * the attempt itself is forgotten.
+ *
+ * @example
+ *     measureActionBytes();
+ */
+export function measureActionBytes(): number {
+  const core = createEndpointCore({
+    name: 'desk-1',
+    incarnation: 'one',
+    slots: 1,
+    queueOrder: 'slack',
+    maximumQueueLength: 10,
+    retentionMilliseconds: 1,
+    retentionBytes: 1,
+    homeParts: 1,
+    aheadMilliseconds: INTERVAL_END,
+  });
+  const interval = {
+    pool: 'desks',
+    part: 0,
+    half: null,
+    home: 'desk-1',
+    incarnation: 'one',
+    epoch: 1,
+    from: 0,
+    until: INTERVAL_END,
+    assignmentSequence: 0,
+    released: false,
+    slot: '',
+    anchor: {issueTime: 0, monotonic: 0},
+  };
+  const record = {assignmentSequence: 0, intervals: [interval], earlier: []};
+  core.handle({tag: 'homesKnown', record, revision: 1}, 0);
+  const before = collect();
+  for (let serial = 0; serial < ACTIONS; serial += 1) {
+    const attemptId = `entry-${serial}`;
+    const frame: Extract<Frame, {tag: 'attempt'}> = {
+      tag: 'attempt',
+      requestId: createKey(serial + ACTIONS),
+      stageIndex: 0,
+      attemptId,
+      kind: 'call',
+      pool: 'desks',
+      idempotent: false,
+      half: null,
+      account: 'portal',
+      accountWeight: 1,
+      remainingMilliseconds: 1000,
+      laterMilliseconds: 0,
+      input: {text: ''},
+      idempotencyKey: createKey(serial),
+      bodyDigest: String(serial).padStart(64, '0'),
+      traceparent: null,
+    };
+    core.handle({tag: 'frameArrived', peer: 'entry', frame}, 0);
+    const content = {loan: `loan-${serial}`, due: '2026-12-24'};
+    const output = {kind: 'call', content} as never;
+    core.handle({tag: 'backendFinished', attemptId, output}, 0);
+    core.handle({tag: 'ticked'}, 0);
+  }
+  const after = collect();
+  return (after - before) / core.state.actions.size;
+}
--- a/packages/hickorywharf-decisions/src/endpoint/__tests__/actions.test.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/__tests__/actions.test.ts
@@ -260,3 +260,11 @@
   );
   t.false(hasStarted(won));
 });
+
+test('an older read of the homes that comes late changes nothing', (t) => {
+  const core = createHome([createInterval({epoch: 2, from: 400})]);
+  const intervals = [createInterval()];
+  const record = {assignmentSequence: 0, intervals, earlier: []};
+  core.handle({tag: 'homesKnown', record, revision: 1}, 0);
+  t.is(core.state.homes.record.intervals[0]?.epoch, 2);
+});
