--- a/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
@@ -101,6 +101,7 @@
     ...options,
     attempts: createTable(),
     tombstones: createTable(),
+    begunActions: createTable(),
     actions: createTable(),
     homes: createHomeMap(emptyHomeRecord, 0),
     releases: createTable(),
--- a/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
@@ -16,6 +16,7 @@
   readonly homeParts: number;
   readonly attempts: Table<EndpointRows['attempt']>;
   readonly tombstones: Table<EndpointRows['tombstone']>;
+  readonly begunActions: Table<EndpointRows['begunAction']>;
   readonly actions: Table<EndpointRows['action']>;
   /** How far callers' clocks may run ahead of this home's. */
   readonly aheadMilliseconds: number;
