--- a/packages/hickorywharf-bench/src/experiments/atMostOnce/simulateIntervals.ts
+++ b/packages/hickorywharf-bench/src/experiments/atMostOnce/simulateIntervals.ts
@@ -1,6 +1,7 @@
 import {createConfigurationLog} from 'hickorywharf-decisions/configuration/createConfigurationLog';
 import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
 import {createHomeAgent} from 'hickorywharf-decisions/homes/createHomeAgent';
+import {createOwnerCache} from 'hickorywharf-decisions/homes/createOwnerCache';
 import {createPlanOptions} from 'hickorywharf-decisions/homes/createPlanOptions';
 import {getHomePart} from 'hickorywharf-decisions/homes/getHomePart';
 import type {HomeRecord} from 'hickorywharf-decisions/homes/homeRecord';
@@ -84,7 +85,13 @@
       aheadMilliseconds: AHEAD_MILLISECONDS,
     });
     core.handle({tag: 'configurationInForce', view}, now);
-    return {core, slot, agent: createHomeAgent(), isUp: true};
+    return {
+      core,
+      slot,
+      agent: createHomeAgent(),
+      ownerCache: createOwnerCache(),
+      isUp: true,
+    };
   }
 
   const homes = new Map(NAMES.map((name) => [name, start(name, name)]));
@@ -116,6 +123,7 @@
         pool: POOL,
         slot: options.knowsSlot ? home.slot : '',
         listed: new Set(NAMES.filter(isListed)),
+        ownerCache: home.ownerCache,
         wallNow: EPOCH + now,
         monotonicNow: now,
         lengthMilliseconds: options.intervalSeconds * 1000,
--- a/packages/hickorywharf-decisions/src/endpoint/__tests__/actions.test.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/__tests__/actions.test.ts
@@ -1,6 +1,7 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {HomeInterval} from 'hickorywharf-types/homeInterval';
 import test from 'ava';
+import {createOwnerCache} from '../../homes/createOwnerCache.ts';
 import {createPlanOptions} from '../../homes/createPlanOptions.ts';
 import type {HomeRecord} from '../../homes/homeRecord.ts';
 import {createEndpointCore} from '../createEndpointCore.ts';
@@ -134,6 +135,7 @@
     pool: 'desks',
     slot: 'slot',
     listed: new Set(['desk-1']),
+    ownerCache: createOwnerCache(),
     wallNow: 10,
     monotonicNow: 600_005,
     lengthMilliseconds: 1000,
@@ -151,6 +153,7 @@
     pool: 'desks',
     slot: 'slot',
     listed: new Set(['desk-1']),
+    ownerCache: createOwnerCache(),
     wallNow: 10,
     monotonicNow: 600_005,
     lengthMilliseconds: 1000,
--- a/packages/hickorywharf-decisions/src/endpoint/__tests__/createHomesModel.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/__tests__/createHomesModel.ts
@@ -3,6 +3,7 @@
 import {getHalfAt} from '../../configuration/getHalfAt.ts';
 import {getHomePart} from '../../homes/getHomePart.ts';
 import {createHomeAgent} from '../../homes/createHomeAgent.ts';
+import {createOwnerCache} from '../../homes/createOwnerCache.ts';
 import {createPlanOptions} from '../../homes/createPlanOptions.ts';
 import type {HomeRecord} from '../../homes/homeRecord.ts';
 import {createEndpointCore} from '../createEndpointCore.ts';
@@ -80,6 +81,7 @@
       kernel,
       slot: `kernel-${kernel}/${name}`,
       agent: createHomeAgent(),
+      ownerCache: createOwnerCache(),
       log: createConfigurationLog(),
       isAlive: true,
     };
@@ -130,6 +132,7 @@
         pool: POOL,
         slot: process.slot,
         listed: new Set(NAMES),
+        ownerCache: process.ownerCache,
         wallNow: getWall(process.kernel),
         monotonicNow: getMonotonic(process),
         lengthMilliseconds: LENGTH_MILLISECONDS,
--- a/packages/hickorywharf-decisions/src/homes/__tests__/planHomes.test.ts
+++ b/packages/hickorywharf-decisions/src/homes/__tests__/planHomes.test.ts
@@ -10,7 +10,7 @@
   incarnation: 'a',
   slot: 'slot-1',
   halves: [null],
-  getMembers: () => ['desk-1'],
+  getOwners: () => () => 'desk-1',
   leaving: false,
   assignmentSequence: 0,
   wallNow: 1000,
@@ -29,7 +29,7 @@
     ...OPTIONS,
     name: 'desk-2',
     slot: 'slot-2',
-    getMembers: () => ['desk-2'],
+    getOwners: () => () => 'desk-2',
     wallNow: 1299,
   };
   t.is(planHomes(first, early), null);
--- a/packages/hickorywharf-decisions/src/homes/createPlanOptions.ts
+++ b/packages/hickorywharf-decisions/src/homes/createPlanOptions.ts
@@ -1,4 +1,5 @@
 import type {EndpointState} from '../endpoint/endpointState.ts';
+import type {createOwnerCache} from './createOwnerCache.ts';
 import {getHomeKey} from './getHomeKey.ts';
 import type {PlanOptions} from './planOptions.ts';
 
@@ -13,6 +14,7 @@
 > & {
   /** Endpoints that are there, as far as the platform's list tells. */
   readonly listed: ReadonlySet<string>;
+  readonly ownerCache: ReturnType<typeof createOwnerCache>;
 };
 
 type Half = string | null;
@@ -83,7 +85,8 @@
   state: EndpointState,
   given: Given,
 ): PlanOptions {
-  const {listed, ...rest} = given;
+  const {listed, ownerCache, ...rest} = given;
+  const getMembers = createMembers(state, given.pool, listed);
   const {name, incarnation, homeParts, configuration} = state;
   const draining = configuration?.endpoints.get(name)?.draining === true;
   return {
@@ -92,7 +95,8 @@
     incarnation,
     parts: homeParts,
     halves: getHalves(state),
-    getMembers: createMembers(state, given.pool, listed),
+    getOwners: (half) =>
+      ownerCache.getOwners(given.pool, half, getMembers(half)),
     leaving: state.leaving || draining,
     assignmentSequence: configuration?.assignmentSequence ?? 0,
     getRanUntil: createRanUntil(state, given.pool),
--- a/packages/hickorywharf-decisions/src/homes/planHomes.ts
+++ b/packages/hickorywharf-decisions/src/homes/planHomes.ts
@@ -1,5 +1,4 @@
 import type {HomeInterval} from 'hickorywharf-types/homeInterval';
-import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
 import {getHomeKey} from './getHomeKey.ts';
 import type {HomeRecord} from './homeRecord.ts';
 import type {PlanOptions} from './planOptions.ts';
@@ -10,17 +9,6 @@
 /** Earlier intervals kept of each part. */
 const MAXIMUM_EARLIER = 3;
 
-function isOwner(
-  options: PlanOptions,
-  half: string | null,
-  part: number,
-): boolean {
-  const {pool, name, leaving} = options;
-  if (leaving) return false;
-  const key = getHomeKey({pool, half, part});
-  return orderByRendezvous(key, options.getMembers(half))[0] === name;
-}
-
 function toEarlier(interval: Interval): HomeInterval {
   const {released: _released, slot: _slot, anchor: _anchor, ...rest} = interval;
   return rest;
@@ -69,14 +57,13 @@
   let changed = false;
   for (const half of getKnownHalves(record, options)) {
     const isConfigured = options.halves.includes(half);
+    const mayOwn = isConfigured && !options.leaving;
+    const getOwner = options.getOwners(half);
     for (let part = 0; part < options.parts; part += 1) {
       const key = getHomeKey({pool: options.pool, half, part});
       const current = newest.get(key);
-      const place = {
-        half,
-        part,
-        isOwner: isConfigured && isOwner(options, half, part),
-      };
+      const isOwner = mayOwn && getOwner(part) === options.name;
+      const place = {half, part, isOwner};
       const next = planPart(options, place, current);
       if (next === undefined) continue;
       planned.push(next);
--- a/packages/hickorywharf-decisions/src/homes/planOptions.ts
+++ b/packages/hickorywharf-decisions/src/homes/planOptions.ts
@@ -15,8 +15,10 @@
   readonly slot: string;
   /** The halves that requests may belong to, null for shared ones. */
   readonly halves: readonly (string | null)[];
-  /** Endpoints of the pool for a half that are there and not leaving. */
-  readonly getMembers: (half: string | null) => readonly string[];
+  /** The owner of each part among the endpoints that serve a half. */
+  readonly getOwners: (
+    half: string | null,
+  ) => (part: number) => string | undefined;
   readonly leaving: boolean;
   /** Sequence of the newest move between halves that is in force here. */
   readonly assignmentSequence: number;
--- a/packages/hickorywharf-endpoint/src/createHomeKeeper.ts
+++ b/packages/hickorywharf-endpoint/src/createHomeKeeper.ts
@@ -1,5 +1,6 @@
 import type {EndpointState} from 'hickorywharf-decisions/endpoint/endpointState';
 import {createHomeAgent} from 'hickorywharf-decisions/homes/createHomeAgent';
+import {createOwnerCache} from 'hickorywharf-decisions/homes/createOwnerCache';
 import {createPlanOptions} from 'hickorywharf-decisions/homes/createPlanOptions';
 import type {HomeRecord} from 'hickorywharf-decisions/homes/homeRecord';
 import {fetchInstances} from 'hickorywharf-platform/fetchInstances';
@@ -54,6 +55,7 @@
   if (pool === '') return {stop: () => Promise.resolve()};
   const key = `homes/${pool}`;
   const agent = createHomeAgent();
+  const ownerCache = createOwnerCache();
   let listed: ReadonlySet<string> = new Set();
   let failures = 0;
   let stopped = false;
@@ -88,6 +90,7 @@
         pool,
         slot,
         listed,
+        ownerCache,
         wallNow: clock.wall(),
         monotonicNow: clock.monotonic(),
         lengthMilliseconds: intervalSeconds * MILLISECONDS_PER_SECOND,
