--- a/packages/hickorywharf-configuration/src/readSnapshot.ts
+++ b/packages/hickorywharf-configuration/src/readSnapshot.ts
@@ -35,10 +35,11 @@
     deletions.push(...(chunk.deletions ?? []));
     halfMoves.push(...(chunk.halfMoves ?? []));
   }
-  const {sequence} = head;
+  const {sequence, entryOperation = null} = head;
   return ok({
     tag: 'configurationSnapshot',
     sequence,
+    operation: entryOperation,
     documents,
     deletions,
     halfMoves,
--- a/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
+++ b/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
@@ -15,6 +15,8 @@
 
 interface ConfigurationLog {
   readonly sequence: number;
+  /** The operation of the newest entry; null where it is not known. */
+  readonly operation: string | null;
   /** The configuration in force. */
   getView(): ConfigurationView;
   /**
@@ -24,6 +26,8 @@
   applyEntries(entries: readonly ConfigurationEntry[]): boolean;
   /** Whether entries wait behind one that has not come. */
   hasGap(): boolean;
+  /** Forgets the entries that wait, once their source was read again. */
+  forgetWaiting(): void;
   /** Takes a peer's whole copy; an older or equal one changes nothing. */
   applySnapshot(snapshot: Snapshot): boolean;
   /** What a peer at a sequence needs: entries, or a snapshot when too old. */
@@ -77,12 +81,19 @@
  */
 export function createConfigurationLog(): ConfigurationLog {
   let sequence = 0;
+  let operation: string | null = null;
   let recent: ConfigurationEntry[] = [];
   let view: ConfigurationView | null = null;
   const table = createDocumentTable();
   const waiting = new Map<number, ConfigurationEntry>();
   const halfMoves = createHalfMoveLog();
 
+  /** Whether an entry follows the newest one, as far as both are known. */
+  function isChained({previous}: ConfigurationEntry): boolean {
+    if (previous === undefined || previous === null) return true;
+    return operation === null || previous === operation;
+  }
+
   function applyOne(entry: ConfigurationEntry): void {
     const keys = entry.changes.map(({kind, name}) =>
       getDocumentKey(kind, name),
@@ -93,6 +104,7 @@
       halfMoves.note(key, before[index], table.getRecord(key), entry.sequence);
     }
     sequence = entry.sequence;
+    operation = entry.operation;
     recent.push(entry);
     if (recent.length > MAXIMUM_RECENT_ENTRIES) recent.shift();
   }
@@ -104,6 +116,7 @@
       next = waiting.get(sequence + 1)
     ) {
       waiting.delete(next.sequence);
+      if (!isChained(next)) return;
       applyOne(next);
     }
   }
@@ -112,6 +125,7 @@
     if (entry.sequence <= sequence) return;
     if (entry.sequence === sequence + 1) {
       waiting.delete(entry.sequence);
+      if (!isChained(entry)) return;
       applyOne(entry);
       applyWaiting();
     } else if (waiting.size < MAXIMUM_WAITING_ENTRIES) {
@@ -129,6 +143,9 @@
     get sequence() {
       return sequence;
     },
+    get operation() {
+      return operation;
+    },
     getView() {
       view ??= createView(sequence, table.getRecords(), halfMoves.getView());
       return view;
@@ -141,11 +158,13 @@
       return sequence > before;
     },
     hasGap: () => waiting.size > 0,
+    forgetWaiting: () => waiting.clear(),
     applySnapshot(snapshot) {
       if (snapshot.sequence <= sequence) return false;
       table.replace(snapshot.documents, snapshot.deletions ?? []);
       halfMoves.replace(snapshot.halfMoves ?? []);
       sequence = snapshot.sequence;
+      operation = snapshot.operation ?? null;
       recent = [];
       view = null;
       dropWaitingUpToSequence();
@@ -162,6 +181,7 @@
     getSnapshot: () => ({
       tag: 'configurationSnapshot',
       sequence,
+      operation,
       documents: table.getDocuments(),
       deletions: table.getDeletions(),
       halfMoves: halfMoves.getMoves(),
--- a/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/createEndpointCore.ts
@@ -12,6 +12,7 @@
 import {withdrawAttempt} from './handlers/withdrawAttempt.ts';
 import {expireAttempts} from './systems/expireAttempts.ts';
 import {forgetOutcomes} from './systems/forgetOutcomes.ts';
+import {refuseHopeless} from './systems/refuseHopeless.ts';
 import {startAttempts} from './systems/startAttempts.ts';
 
 type Options = Pick<
@@ -99,6 +100,12 @@
 export function createEndpointCore(options: Options): EndpointCore {
   const state: EndpointState = {
     ...options,
+    queueMemory: {
+      servedByAccount: new Map(),
+      floor: 0,
+      shortSeenAt: -Infinity,
+      unitMilliseconds: new Map(),
+    },
     attempts: createTable(),
     tombstones: createTable(),
     begunActions: createTable(),
@@ -131,6 +138,7 @@
       noteDeparture(state, now);
       if (event.tag !== 'backendTokens') {
         expireAttempts(state, now);
+        refuseHopeless(state, now);
         startAttempts(state, now);
       }
       const {commands} = state;
--- a/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointState.ts
@@ -3,6 +3,7 @@
 import type {Table} from '../table.ts';
 import type {EndpointCommand} from './endpointCommand.ts';
 import type {EndpointRows} from './endpointRows.ts';
+import type {QueueMemory} from './policies/queueMemory.ts';
 
 /** Everything that an endpoint process's decisions know. */
 export interface EndpointState {
@@ -10,6 +11,7 @@
   readonly incarnation: string;
   readonly slots: number;
   readonly queueOrder: string;
+  readonly queueMemory: QueueMemory;
   readonly maximumQueueLength: number;
   readonly retentionMilliseconds: number;
   readonly retentionBytes: number;
--- a/packages/hickorywharf-decisions/src/entry/applyRefusal.ts
+++ b/packages/hickorywharf-decisions/src/entry/applyRefusal.ts
@@ -93,7 +93,8 @@
     request.keyUnproven = UNPROVEN_REASONS.has(reason);
   }
   request.lastError = toError(endpoint, request, frame);
-  if (FINAL_REASONS.has(reason)) {
+  const isHopeless = reason === 'cannotFinish' && request.attemptsMade > 1;
+  if (FINAL_REASONS.has(reason) || isHopeless) {
     finishRequest(state, request, request.lastError);
     return;
   }
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -7,6 +7,8 @@
 import type {EntryState} from '../entryState.ts';
 import {finishRequest} from '../finishRequest.ts';
 import {getCurrentStage} from '../getCurrentStage.ts';
+import {getSpeed} from '../load/getSpeed.ts';
+import {learnFromResult} from '../load/learnFromResult.ts';
 import {getFailureOutcome} from '../getFailureOutcome.ts';
 import {learnHome} from '../learnHome.ts';
 import {removeAttempt} from '../removeAttempt.ts';
@@ -109,6 +111,7 @@
     askAgain(state, attempt);
     return;
   }
+  learnFromResult(state, request, attempt, frame, now);
   removeAttempt(state, attempt);
   const output =
     frame.output.kind === 'generate'
@@ -228,6 +231,7 @@
     endpoint.load = frame.load;
     endpoint.loadAt = now;
     endpoint.sentSinceReport = 0;
+    getSpeed(state.load, name).endedSinceReport = 0;
   }
 }
 
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleInstancesListed.ts
@@ -1,4 +1,5 @@
 import type {Instance} from 'hickorywharf-types/instance';
+import {findForgettable} from '../../membership/findForgettable.ts';
 import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
 
@@ -45,12 +46,16 @@
 }
 
 function removeMissing(state: EntryState, listed: ReadonlySet<string>): void {
-  for (const endpoint of [...state.endpoints.rows()]) {
-    if (listed.has(endpoint.name)) continue;
-    // The list lags: what is connected, or owes an answer, is still there.
-    if (endpoint.connected || hasAttempts(state, endpoint.name)) continue;
-    state.endpoints.remove(endpoint.name);
-    state.commands.push({tag: 'disconnect', endpoint: endpoint.name});
+  const records = state.configuration?.endpoints;
+  const forgettable = findForgettable([...state.endpoints.rows()], {
+    listed,
+    isDeclared: (name) => records?.has(name) ?? true,
+  });
+  for (const name of forgettable) {
+    // The list lags: what owes an answer is still there.
+    if (hasAttempts(state, name)) continue;
+    state.endpoints.remove(name);
+    state.commands.push({tag: 'disconnect', endpoint: name});
   }
 }
 
@@ -64,6 +69,10 @@
   state: EntryState,
   instances: readonly Instance[],
 ): void {
+  const entries = instances.filter(
+    ({role, state: known}) => role === 'entry' && known === 'live',
+  );
+  state.load.entryCount = Math.max(1, entries.length);
   const endpoints = instances.filter(({role}) => role === 'endpoint');
   for (const instance of endpoints) {
     const known = state.endpoints.get(instance.name);
--- a/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
@@ -22,7 +22,7 @@
     return chooseHome(state, request, candidates, now);
   }
   if (candidates.length === 0) return null;
-  return routingPolicies[state.routingPolicy]!(state, candidates, now);
+  return routingPolicies[state.routingPolicy]!(state, candidates, now, request);
 }
 
 function getLaterMilliseconds(state: EntryState, request: RequestRow): number {
--- a/packages/hickorywharf-endpoints/src/createPoolBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createPoolBackend.ts
@@ -3,6 +3,7 @@
 import type {StageKind} from 'hickorywharf-types/stageKind';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import type {Backend} from './backend.ts';
+import {BACKEND_LIMITS} from './backendLimits.ts';
 import {postJson} from './postJson.ts';
 import {toBackendError} from './toBackendError.ts';
 
@@ -25,28 +26,28 @@
  *     createPoolBackend('http://127.0.0.1:9001');
  */
 export function createPoolBackend(url: string): Backend {
-  const dispatcher = new Agent();
+  const dispatcher = new Agent({
+    maxResponseSize: BACKEND_LIMITS.maximumResponseBytes,
+  });
 
-  async function execute(
-    kind: StageKind,
-    body: unknown,
-    signal: AbortSignal,
-  ): Promise<StageOutput> {
+  async function execute({
+    attempt,
+    signal,
+  }: Parameters<Backend['run']>[0]): Promise<StageOutput> {
+    const {kind, input, requestId, traceparent} = attempt;
     const read = READERS[kind];
     if (read === undefined) throw new Error(`a pool has no stage '${kind}'`);
     const target = `${url}/v1/${kind}`;
-    return read(await postJson({url: target, body, dispatcher, signal}));
+    const body = {...input, requestId};
+    return read(
+      await postJson({url: target, body, traceparent, dispatcher, signal}),
+    );
   }
 
   return {
-    run: ({attempt, signal}) =>
-      ResultAsync.fromPromise(
-        execute(
-          attempt.kind,
-          {...attempt.input, requestId: attempt.requestId},
-          signal,
-        ),
-        (error) => toBackendError(error, url),
+    run: (options) =>
+      ResultAsync.fromPromise(execute(options), (error) =>
+        toBackendError(error, url),
       ),
   };
 }
