--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -4,6 +4,9 @@
 /** The experiments by name, each loaded only when it is run. */
 export const experiments: Readonly<Record<string, () => Promise<Experiment>>> =
   {
+    'at-most-once': async () =>
+      (await import('./atMostOnce/atMostOnceExperiment.ts'))
+        .atMostOnceExperiment,
     propagation: async () =>
       (await import('./propagationExperiment.ts')).propagationExperiment,
     'store-outage': async () =>
--- a/packages/hickorywharf-bench/src/replay/replayQueue.ts
+++ b/packages/hickorywharf-bench/src/replay/replayQueue.ts
@@ -84,6 +84,7 @@
       options.retentionMilliseconds ?? RETENTION_MILLISECONDS,
     retentionBytes: 1 << 24,
     homeParts: 1,
+    aheadMilliseconds: Number.MAX_SAFE_INTEGER,
   });
   const latencies = new Map<number, number>();
   const due: Due[] = schedule.map((call, number) => ({
--- a/packages/hickorywharf-configuration/src/compactConfiguration.ts
+++ b/packages/hickorywharf-configuration/src/compactConfiguration.ts
@@ -8,15 +8,15 @@
 import type {SnapshotHead} from './snapshotHead.ts';
 
 type Snapshot = Extract<Frame, {tag: 'configurationSnapshot'}>;
-type Chunk = Pick<Snapshot, 'documents' | 'deletions'>;
+type Chunk = Pick<Snapshot, 'documents' | 'deletions' | 'halfMoves'>;
 
 /** Well under the megabyte that the store takes as a value. */
 const MAXIMUM_CHUNK_BYTES = 700_000;
 
 function splitIntoChunks(snapshot: Snapshot): Chunk[] {
-  const deletions = snapshot.deletions ?? [];
+  const {deletions = [], halfMoves = []} = snapshot;
   const lists: StoredDocument[][] = [[]];
-  let bytes = Buffer.byteLength(JSON.stringify(deletions));
+  let bytes = Buffer.byteLength(JSON.stringify([deletions, halfMoves]));
   for (const stored of snapshot.documents) {
     const size = Buffer.byteLength(JSON.stringify(stored)) + 1;
     if (bytes + size > MAXIMUM_CHUNK_BYTES) {
@@ -27,7 +27,7 @@
     bytes += size;
   }
   return lists.map((documents, index) =>
-    index === 0 ? {documents, deletions} : {documents},
+    index === 0 ? {documents, deletions, halfMoves} : {documents},
   );
 }
 
--- a/packages/hickorywharf-configuration/src/readSnapshot.ts
+++ b/packages/hickorywharf-configuration/src/readSnapshot.ts
@@ -6,7 +6,7 @@
 import type {SnapshotHead} from './snapshotHead.ts';
 
 type Snapshot = Extract<Frame, {tag: 'configurationSnapshot'}>;
-type Chunk = Pick<Snapshot, 'documents' | 'deletions'>;
+type Chunk = Pick<Snapshot, 'documents' | 'deletions' | 'halfMoves'>;
 
 interface StoredSnapshot {
   readonly snapshot: Snapshot | null;
@@ -23,6 +23,7 @@
 ): Promise<Result<Snapshot | null, StoreError>> {
   const documents: Snapshot['documents'][number][] = [];
   const deletions: NonNullable<Snapshot['deletions']>[number][] = [];
+  const halfMoves: NonNullable<Snapshot['halfMoves']>[number][] = [];
   for (let index = 0; index < head.chunks; index += 1) {
     const key = configurationKeys.getChunkKey(head.operation, index);
     const read = await store.get(key);
@@ -32,6 +33,7 @@
     const chunk = read.value.value as Chunk;
     documents.push(...chunk.documents);
     deletions.push(...(chunk.deletions ?? []));
+    halfMoves.push(...(chunk.halfMoves ?? []));
   }
   const {sequence, entryOperation = null} = head;
   return ok({
@@ -40,6 +42,7 @@
     operation: entryOperation,
     documents,
     deletions,
+    halfMoves,
   });
 }
 
--- a/packages/hickorywharf-decisions/src/__tests__/requestLife.test.ts
+++ b/packages/hickorywharf-decisions/src/__tests__/requestLife.test.ts
@@ -113,22 +113,33 @@
       retentionMilliseconds: 300,
       retentionBytes: 2000,
       homeParts: 1,
+      aheadMilliseconds: Number.MAX_SAFE_INTEGER,
     });
     core.handle(
       {
         tag: 'homesKnown',
-        homes: [
-          {
-            pool: 'desks',
-            part: 0,
-            home: 'desk-1',
-            incarnation: `desk-1-${life}`,
-            epoch: life,
-            // The first keys after a restart are the new home's.
-            from: life === 1 ? 0 : now + 1,
-            until: Number.MAX_SAFE_INTEGER,
-          },
-        ],
+        revision: life,
+        record: {
+          assignmentSequence: 0,
+          earlier: [],
+          intervals: [
+            {
+              pool: 'desks',
+              part: 0,
+              half: null,
+              home: 'desk-1',
+              incarnation: `desk-1-${life}`,
+              epoch: life,
+              // The first keys after a restart are the new home's.
+              from: life === 1 ? 0 : now + 1,
+              until: Number.MAX_SAFE_INTEGER,
+              assignmentSequence: 0,
+              released: false,
+              slot: '',
+              anchor: {issueTime: 0, monotonic: 0},
+            },
+          ],
+        },
       },
       now,
     );
--- a/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
+++ b/packages/hickorywharf-decisions/src/configuration/createConfigurationLog.ts
@@ -3,6 +3,8 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ConfigurationView} from './configurationView.ts';
 import {createDocumentTable} from './createDocumentTable.ts';
+import {createHalfMoveLog} from './createHalfMoveLog.ts';
+import {getDocumentKey} from './getDocumentKey.ts';
 
 type Snapshot = Extract<Frame, {tag: 'configurationSnapshot'}>;
 
@@ -36,6 +38,7 @@
 function createView(
   sequence: number,
   records: Iterable<ConfigurationRecord>,
+  moves: Pick<ConfigurationView, 'halfMoves' | 'assignmentSequence'>,
 ): ConfigurationView {
   const pipelines = new Map();
   const routes = new Map();
@@ -64,6 +67,7 @@
     accountsByKeyHash,
     endpoints,
     endpointsByPool: Map.groupBy(endpoints.values(), ({pool}) => pool),
+    ...moves,
   };
 }
 
@@ -82,6 +86,7 @@
   let view: ConfigurationView | null = null;
   const table = createDocumentTable();
   const waiting = new Map<number, ConfigurationEntry>();
+  const halfMoves = createHalfMoveLog();
 
   /** Whether an entry follows the newest one, as far as both are known. */
   function isChained({previous}: ConfigurationEntry): boolean {
@@ -90,7 +95,14 @@
   }
 
   function applyOne(entry: ConfigurationEntry): void {
+    const keys = entry.changes.map(({kind, name}) =>
+      getDocumentKey(kind, name),
+    );
+    const before = keys.map((key) => table.getRecord(key));
     table.applyEntry(entry);
+    for (const [index, key] of keys.entries()) {
+      halfMoves.note(key, before[index], table.getRecord(key), entry.sequence);
+    }
     sequence = entry.sequence;
     operation = entry.operation;
     recent.push(entry);
@@ -135,7 +147,7 @@
       return operation;
     },
     getView() {
-      view ??= createView(sequence, table.getRecords());
+      view ??= createView(sequence, table.getRecords(), halfMoves.getView());
       return view;
     },
     applyEntries(entries) {
@@ -150,6 +162,7 @@
     applySnapshot(snapshot) {
       if (snapshot.sequence <= sequence) return false;
       table.replace(snapshot.documents, snapshot.deletions ?? []);
+      halfMoves.replace(snapshot.halfMoves ?? []);
       sequence = snapshot.sequence;
       operation = snapshot.operation ?? null;
       recent = [];
@@ -171,6 +184,7 @@
       operation,
       documents: table.getDocuments(),
       deletions: table.getDeletions(),
+      halfMoves: halfMoves.getMoves(),
     }),
   };
 }
--- a/packages/hickorywharf-decisions/src/configuration/createDocumentTable.ts
+++ b/packages/hickorywharf-decisions/src/configuration/createDocumentTable.ts
@@ -15,6 +15,7 @@
   ): void;
   getDocuments(): StoredDocument[];
   getDeletions(): StoredDeletion[];
+  getRecord(key: string): ConfigurationRecord | undefined;
   /** The records that this version can read. */
   getRecords(): Iterable<ConfigurationRecord>;
 }
@@ -106,6 +107,7 @@
     },
     getDocuments: () => [...documents.values()],
     getDeletions: () => [...deletions.values()],
+    getRecord: (key) => records.get(key),
     getRecords: () => records.values(),
   };
 }
--- a/packages/hickorywharf-decisions/src/endpoint/__tests__/createEndpointCore.test.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/__tests__/createEndpointCore.test.ts
@@ -55,6 +55,7 @@
     retentionMilliseconds: 100,
     retentionBytes: 1_000_000,
     homeParts: 1,
+    aheadMilliseconds: Number.MAX_SAFE_INTEGER,
   });
   let now = 0;
   const commands: EndpointCommand[] = [];
@@ -65,17 +66,27 @@
   }
   feed({
     tag: 'homesKnown',
-    homes: [
-      {
-        pool: 'desks',
-        part: 0,
-        home: 'desk-1',
-        incarnation: 'd1',
-        epoch: 1,
-        from: 0,
-        until: Number.MAX_SAFE_INTEGER,
-      },
-    ],
+    revision: 1,
+    record: {
+      assignmentSequence: 0,
+      earlier: [],
+      intervals: [
+        {
+          pool: 'desks',
+          part: 0,
+          half: null,
+          home: 'desk-1',
+          incarnation: 'd1',
+          epoch: 1,
+          from: 0,
+          until: Number.MAX_SAFE_INTEGER,
+          assignmentSequence: 0,
+          released: false,
+          slot: '',
+          anchor: {issueTime: 0, monotonic: 0},
+        },
+      ],
+    },
   });
   return {
     feed,
--- a/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/endpointLimits.ts
@@ -13,4 +13,6 @@
   replayTokens: 500,
   /** Actions kept at most. */
   maximumActions: 50_000,
+  /** How long a leaving home takes keys that nobody else may run. */
+  handOverMilliseconds: 1500,
 } as const;
--- a/packages/hickorywharf-decisions/src/endpoint/policies/__tests__/pickFairShortest.test.ts
+++ b/packages/hickorywharf-decisions/src/endpoint/policies/__tests__/pickFairShortest.test.ts
@@ -13,6 +13,7 @@
     retentionMilliseconds: 1000,
     retentionBytes: 1 << 20,
     homeParts: 4,
+    aheadMilliseconds: Number.MAX_SAFE_INTEGER,
   });
 }
 
--- a/packages/hickorywharf-decisions/src/entry/load/__tests__/ejectSlowEndpoints.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/load/__tests__/ejectSlowEndpoints.test.ts
@@ -35,6 +35,8 @@
     routes: new Map(),
     accountsByKeyHash: new Map(),
     endpoints,
+    halfMoves: new Map(),
+    assignmentSequence: 0,
     endpointsByPool: new Map([['engines', [...endpoints.values()]]]),
   };
   state.configuration = view;
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -6,6 +6,8 @@
 import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
+import {findChangedHomes} from 'hickorywharf-decisions/homes/findChangedHomes';
+import type {HomeRecord} from 'hickorywharf-decisions/homes/homeRecord';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
 import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
@@ -25,7 +27,9 @@
 import {createBackendRunner} from './createBackendRunner.ts';
 import type {createEndpointTelemetry} from './createEndpointTelemetry.ts';
 import {createEntryPeers} from './createEntryPeers.ts';
+import {claimKey} from './claimKey.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
+import {getSlot} from './getSlot.ts';
 
 interface RunEndpointOptions {
   readonly settings: z.infer<typeof endpointSettings>;
@@ -42,6 +46,7 @@
   stop(): Promise<void>;
 }
 
+const MILLISECONDS_PER_SECOND = 1000;
 const TICK_MILLISECONDS = 25;
 const IDLE_TICK_MILLISECONDS = 100;
 const STOP_POLL_MILLISECONDS = 20;
@@ -77,7 +82,9 @@
     retentionMilliseconds: settings.queue.retentionMilliseconds,
     retentionBytes: settings.queue.retentionBytes,
     homeParts: settings.homes.parts,
+    aheadMilliseconds: settings.homes.aheadSeconds * MILLISECONDS_PER_SECOND,
   });
+  const store = createStoreClient(settings.platform.storeUrl);
   const peers = createEntryPeers({
     onGone: (peer) => feed({tag: 'peerGone', peer}),
     getNow: clock.monotonic,
@@ -117,6 +124,28 @@
     departureNoted = isLeaving;
   }
 
+  async function claim(
+    command: Extract<EndpointCommand, {tag: 'claim'}>,
+  ): Promise<void> {
+    const {attemptId, remainingMilliseconds} = command;
+    const lateAt = clock.monotonic() + remainingMilliseconds;
+    const outcome = await claimKey({
+      ...command,
+      store,
+      random,
+      claimId: `${incarnation}/${attemptId}`,
+      isLate: () => clock.monotonic() >= lateAt,
+    });
+    feed({tag: 'claimSettled', attemptId, outcome});
+  }
+
+  function tellHomes(record: HomeRecord, revision: number): void {
+    const before = core.state.homes;
+    feed({tag: 'homesKnown', record, revision});
+    const homes = findChangedHomes(before, core.state.homes, name);
+    if (homes.length > 0) peers.sendAll({tag: 'homes', homes});
+  }
+
   type CommandHandlers = {
     [Tag in EndpointCommand['tag']]: (
       command: Extract<EndpointCommand, {tag: Tag}>,
@@ -140,6 +169,7 @@
       });
       runner.start({...command, attempt});
     },
+    claim: (command) => void claim(command),
     cancelBackend: ({attemptId}) => runner.cancel(attemptId),
     accepted({attempt}) {
       const {requestId, attemptId} = attempt;
@@ -206,6 +236,8 @@
         peers.add(connection);
         keeper.addPeer(connection.peer.incarnation, connection.send);
         connection.send(createHeartbeat());
+        const homes = findChangedHomes(null, core.state.homes, name);
+        if (homes.length > 0) connection.send({tag: 'homes', homes});
       },
       onFrame({peer: {incarnation: peer}}, frame) {
         if (keeper.takeFrame(peer, frame)) return;
@@ -219,7 +251,6 @@
     },
   });
 
-  const store = createStoreClient(settings.platform.storeUrl);
   void followConfiguration({
     store,
     keeper,
@@ -248,12 +279,13 @@
   });
   const homeKeeper = createHomeKeeper({
     settings,
-    incarnation,
     state: core.state,
     store,
     clock,
     random,
-    onKnown: (homes) => feed({tag: 'homesKnown', homes}),
+    // The server listens by now, so that a predecessor is gone.
+    slot: getSlot(settings.listen),
+    onKnown: tellHomes,
     onReleasing: (homes) => feed({tag: 'homesReleasing', homes}),
   });
   const ticker = startTicker({
--- a/packages/hickorywharf-entry/src/__tests__/frames.test.ts
+++ b/packages/hickorywharf-entry/src/__tests__/frames.test.ts
@@ -84,6 +84,7 @@
       retentionMilliseconds: 1000,
       retentionBytes: 100_000,
       homeParts: 4,
+      aheadMilliseconds: Number.MAX_SAFE_INTEGER,
     }),
   };
 }
--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -7,6 +7,8 @@
   frameChecks;
 const isNullOrName = isNullOr(isName);
 
+const isHomeList = isListOf(frameChecks.isHomeInterval);
+
 const ATTEMPT_KEY = {
   requestId: isName,
   stageIndex: isCount,
@@ -51,7 +53,7 @@
     ...ATTEMPT_KEY,
     reason: isName,
     message: isText,
-    homes: frameChecks.isOptional(isListOf(frameChecks.isHomeInterval)),
+    homes: frameChecks.isOptional(isHomeList),
   },
   failed: {
     ...ATTEMPT_KEY,
@@ -69,12 +71,14 @@
     load: frameChecks.isLoad,
     configurationSequence: isCount,
   },
+  homes: {homes: isHomeList},
   configurationAt: {sequence: isCount},
   fetchConfiguration: {afterSequence: isCount},
   configuration: {entries: isListOf(frameChecks.isConfigurationEntry)},
   configurationSnapshot: {
     sequence: isCount,
     documents: isListOf(frameChecks.isStoredDocument),
+    halfMoves: frameChecks.isOptional(isListOf(frameChecks.isHalfMove)),
     deletions: frameChecks.isOptional(
       isListOf(
         frameChecks.hasFields({kind: isName, name: isName, sequence: isCount}),
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -106,9 +106,17 @@
     sequence: isCount,
     document: isObject,
   }),
+  isHalfMove: hasFields({
+    record: isName,
+    sequence: isCount,
+    issuedFrom: isNumber,
+    from: isNullOr(isName),
+    to: isNullOr(isName),
+  }),
   isHomeInterval: hasFields({
     pool: isName,
     part: isCount,
+    half: isNullOr(isName),
     home: isName,
     incarnation: isName,
     epoch: isCount,
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,5 +1,6 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
+import type {HalfMove} from './halfMove.ts';
 import type {HomeInterval} from './homeInterval.ts';
 import type {Instance} from './instance.ts';
 import type {LoadReport} from './loadReport.ts';
@@ -34,6 +35,10 @@
       readonly pool: string;
       readonly idempotent: boolean;
       readonly half: string | null;
+      /** The name that the caller asked for: a route's or a pipeline's. */
+      readonly route?: string;
+      /** Sequence of the newest move between halves that the entry knows. */
+      readonly assignmentSequence?: number;
       readonly account: string;
       readonly accountWeight: number;
       readonly remainingMilliseconds: number;
@@ -60,7 +65,7 @@
       readonly tag: 'refused';
       readonly reason: RefusalReason;
       readonly message: string;
-      /** For `wrongHome`: the intervals that the endpoint process knows. */
+      /** The intervals of the key's part that the endpoint process knows. */
       readonly homes?: readonly HomeInterval[];
     } & AttemptKey)
   | ({
@@ -84,6 +89,11 @@
       readonly load: LoadReport | null;
       readonly configurationSequence: number;
     }
+  | {
+      /** Intervals that the endpoint process took or released. */
+      readonly tag: 'homes';
+      readonly homes: readonly HomeInterval[];
+    }
   /** Tells a peer how new the configuration is that it can fetch here. */
   | {readonly tag: 'configurationAt'; readonly sequence: number}
   | {readonly tag: 'fetchConfiguration'; readonly afterSequence: number}
@@ -99,5 +109,7 @@
       readonly documents: readonly StoredDocument[];
       /** Tombstones: the latest deletions, oldest first. */
       readonly deletions?: readonly StoredDeletion[];
+      /** Moves between halves, in the order of the log. */
+      readonly halfMoves?: readonly HalfMove[];
     }
   | {readonly tag: 'instances'; readonly instances: readonly Instance[]};
