--- a/packages/hickorywharf-bench/src/deployment/findFreePorts.ts
+++ b/packages/hickorywharf-bench/src/deployment/findFreePorts.ts
@@ -1,8 +1,9 @@
 import {createServer, type Server} from 'node:net';
 
 /** Below the ports that the system gives to outgoing connections. */
-const FIRST_PORT = 10_000;
-const LAST_PORT = 32_000;
+const LOWEST_PORT = 12_000;
+const HIGHEST_PORT = 32_000;
+const MAXIMUM_TRIES = 1000;
 
 function open(address: string, port: number): Promise<Server | null> {
   return new Promise((resolve) => {
@@ -12,10 +13,14 @@
   });
 }
 
+function choosePort(): number {
+  const count = HIGHEST_PORT - LOWEST_PORT;
+  return LOWEST_PORT + Math.floor(Math.random() * count);
+}
+
 /**
- * Ports of an address that are free just now. They are taken from below those
- * of outgoing connections, so that no process of a deployment that starts
- * takes one that another is to listen on.
+ * Ports of an address that are free just now. They are outside the range of
+ * outgoing connections, one of which could take a port before it is used.
  *
  * @example
  *     const [first] = await findFreePorts('127.0.0.1', 3);
@@ -24,19 +29,16 @@
   address: string,
   count: number,
 ): Promise<number[]> {
-  const span = LAST_PORT - FIRST_PORT;
-  const start = Math.floor(Math.random() * span);
-  const servers = new Map<number, Server>();
-  for (let tries = 0; tries < span && servers.size < count; tries += 1) {
-    const port = FIRST_PORT + ((start + tries) % span);
+  const found = new Map<number, Server>();
+  for (let tries = 0; found.size < count; tries += 1) {
+    if (tries > MAXIMUM_TRIES) throw new Error(`no ports left on ${address}`);
+    const port = choosePort();
     const server = await open(address, port);
-    if (server !== null) servers.set(port, server);
+    if (server !== null) found.set(port, server);
   }
-  await Promise.all(
-    Array.from(
-      servers.values(),
-      (server) => new Promise((resolve) => server.close(resolve)),
-    ),
+  const closed = [...found.values()].map(
+    (server) => new Promise((resolve) => server.close(resolve)),
   );
-  return [...servers.keys()];
+  await Promise.all(closed);
+  return [...found.keys()];
 }
--- a/packages/hickorywharf-decisions/src/entry/finishRequest.ts
+++ b/packages/hickorywharf-decisions/src/entry/finishRequest.ts
@@ -1,8 +1,9 @@
 import type {ServeError} from 'hickorywharf-types/serveError';
-import {cancelAttempt} from './cancelAttempt.ts';
 import {ENTRY_LIMITS} from './entryLimits.ts';
 import type {EntryRows} from './entryRows.ts';
 import type {EntryState} from './entryState.ts';
+import {forgetAttempts} from './forgetAttempts.ts';
+import {LOAD_LIMITS} from './load/loadLimits.ts';
 
 function releaseAccount(state: EntryState, account: string): void {
   const inFlight = (state.inFlightByAccount.get(account) ?? 1) - 1;
@@ -10,13 +11,6 @@
   else state.inFlightByAccount.set(account, inFlight);
 }
 
-function cancelAttempts(state: EntryState, requestId: string): void {
-  for (const attempt of state.attempts.rows()) {
-    if (attempt.requestId !== requestId) continue;
-    cancelAttempt(state, attempt);
-  }
-}
-
 /**
  * Ends a request, whole or with an error. Attempts still out are cancelled.
  *
@@ -32,7 +26,7 @@
   request.phase = 'finished';
   state.requests.remove(requestId);
   releaseAccount(state, account);
-  cancelAttempts(state, requestId);
+  forgetAttempts(state, requestId);
   if (error !== null) {
     state.commands.push({tag: 'fail', requestId, error});
     return;
@@ -41,5 +35,9 @@
     ENTRY_LIMITS.maximumRetryTokens,
     state.retryTokens + ENTRY_LIMITS.retryTokensPerAnswer,
   );
+  state.load.hedgeTokens = Math.min(
+    LOAD_LIMITS.maximumHedgeTokens,
+    state.load.hedgeTokens + LOAD_LIMITS.hedgeTokensPerAnswer,
+  );
   state.commands.push({tag: 'answer', requestId, outputs});
 }
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -25,6 +25,7 @@
 import type {z} from 'zod';
 import {createCallers} from './createCallers.ts';
 import {createEndpointLinks} from './createEndpointLinks.ts';
+import type {createEntryTelemetry} from './createEntryTelemetry.ts';
 import {createHttpApplication} from './createHttpApplication.ts';
 import {createHttpServer} from './createHttpServer.ts';
 import {describeUnready} from './describeUnready.ts';
@@ -36,6 +37,7 @@
   readonly history: HistoryRecorder;
   readonly clock: Clock;
   readonly random: () => number;
+  readonly telemetry: ReturnType<typeof createEntryTelemetry>;
 }
 
 interface RunningEntry {
@@ -72,7 +74,7 @@
 export async function runEntry(
   options: RunEntryOptions,
 ): Promise<RunningEntry> {
-  const {settings, logger, history, clock, random} = options;
+  const {settings, logger, history, clock, random, telemetry} = options;
   const {name, failureDomain} = settings.process;
   checkSettings(settings);
   const credentials = loadTlsCredentials(settings.tls);
@@ -88,6 +90,7 @@
     failureDomain,
     incarnation,
     routingPolicy: settings.policy.routing,
+    policies: settings.policy,
     homeParts: HOME_PARTS,
     maximumRequests: settings.limits.requestsInFlight,
     random,
@@ -103,6 +106,7 @@
     onInForce(view) {
       const {sequence} = view;
       history.record({tag: 'configurationInForce', sequence});
+      telemetry.configurationInForce(sequence);
       feed({tag: 'configurationInForce', view});
     },
   });
@@ -123,6 +127,7 @@
     },
     onFrame(endpoint, frame) {
       if (keeper.takeFrame(endpoint, frame)) return;
+      telemetry.frameArrived(frame);
       feed({tag: 'frameArrived', endpoint, frame});
     },
     onDown(endpoint) {
@@ -132,15 +137,27 @@
   });
 
   const commandHandlers: CommandHandlers = {
-    send({endpoint, frame}) {
+    send(command) {
+      const {endpoint} = command;
+      const frame = telemetry.sending(endpoint, command.frame);
       if (links.send(endpoint, frame) || frame.tag !== 'attempt') return;
       feed({tag: 'attemptNotSent', endpoint, attemptId: frame.attemptId});
     },
     connect: links.connect,
     disconnect: ({endpoint}) => links.disconnect(endpoint),
-    deliverTokens: callers.deliverTokens,
-    answer: callers.answer,
-    fail: callers.fail,
+    deliverTokens(command) {
+      telemetry.tokensDelivered(command.requestId);
+      callers.deliverTokens(command);
+    },
+    answer(command) {
+      telemetry.finished(command.requestId, 'answered', 'none');
+      callers.answer(command);
+    },
+    fail(command) {
+      const {requestId, error} = command;
+      telemetry.finished(requestId, error.outcome, error.tag);
+      callers.fail(command);
+    },
   };
 
   const feed = createEventLoop<EntryEvent, EntryCommand>({
@@ -171,7 +188,7 @@
         callId,
         idempotencyKey,
       });
-      feed(arrival);
+      feed(telemetry.arrived(arrival));
     },
     onCallerGone(requestId) {
       if (callers.has(requestId)) feed({tag: 'callerGone', requestId});
