--- a/packages/hickorywharf-bench/src/experiments/configuration/runSplit.ts
+++ b/packages/hickorywharf-bench/src/experiments/configuration/runSplit.ts
@@ -48,10 +48,9 @@
 
 /** Leaves one entry on the older revision for a while. */
 async function pauseEntry(deployment: Deployment): Promise<void> {
-  const paused = deployment.processes.get(PAUSED_ENTRY)!;
-  paused.signal('SIGSTOP');
+  deployment.pause(PAUSED_ENTRY);
   await sleep(PAUSED_MILLISECONDS);
-  paused.signal('SIGCONT');
+  deployment.resume(PAUSED_ENTRY);
 }
 
 async function interruptStore(storeUrl: string): Promise<void> {
@@ -64,9 +63,7 @@
   deployment: Deployment,
   entries: string[],
 ): Promise<void> {
-  const killed = deployment.processes.get(KILLED_ENTRY)!;
-  killed.signal('SIGKILL');
-  await killed.exited;
+  await deployment.kill(KILLED_ENTRY);
   entries.splice(entries.indexOf(KILLED_ENTRY), 1);
   await deployment.list(KILLED_ENTRY, false);
 }
--- a/packages/hickorywharf-bench/src/experiments/configuration/runStoreOutage.ts
+++ b/packages/hickorywharf-bench/src/experiments/configuration/runStoreOutage.ts
@@ -63,9 +63,7 @@
 } as const;
 
 async function restart(deployment: Deployment, name: string): Promise<void> {
-  const started = deployment.processes.get(name)!;
-  started.signal('SIGTERM');
-  await started.exited;
+  await deployment.stopOne(name);
   await deployment.start(name);
 }
 
