--- a/packages/hickorywharf-bench/src/benchmark/runBenchmark.ts
+++ b/packages/hickorywharf-bench/src/benchmark/runBenchmark.ts
@@ -34,6 +34,8 @@
 /** Load that an entry carries more when a region of three is lost. */
 const REGION_LOST_FACTOR = 1.5;
 const TOKEN_MILLISECONDS = 6;
+/** Streams of an engine stand-in at once; more than the load needs. */
+const STAND_IN_CAPACITY = 256;
 const STAGE_CALLS_PER_SECOND = 25;
 const PHASE_MILLISECONDS = 10_000;
 const WARM_UP_MILLISECONDS = 4000;
@@ -217,6 +219,7 @@
     getStandIn: () => ({
       workMilliseconds: 1,
       tokenMilliseconds: TOKEN_MILLISECONDS,
+      capacity: STAND_IN_CAPACITY,
     }),
   });
   const runs: Run[] = [];
