Refuse a field that frames cannot carry unchanged

Cause: the codec renames a field '__proto__', so that a service was given other parameters than its caller sent. Found by a property of the codec. Change: the entry refuses such a body, as an invalid request that was not run. The test fails without the check (tried).

--- a/packages/hickorywharf-entry/src/readRequest.ts
+++ b/packages/hickorywharf-entry/src/readRequest.ts
@@ -22,6 +22,8 @@
 
 const MAXIMUM_KEY_LENGTH = 255;
 const MAXIMUM_DEADLINE_MILLISECONDS = 3_600_000;
+/** The codec of frames renames this field, which would change the request. */
+const UNSAFE_NAME = '__proto__';
 const BEARER = /^Bearer ([!-~]{1,512})$/;
 
 function toInvalid(field: string, message: string): ServeError {
@@ -65,11 +67,18 @@
 function readBody(text: string) {
   if (isTooDeep(text)) return err(toInvalid('body', 'Nested too deep.'));
   let json: unknown;
+  let isLossy = false;
   try {
-    json = JSON.parse(text);
+    json = JSON.parse(text, (name, value: unknown) => {
+      isLossy ||= name === UNSAFE_NAME;
+      return value;
+    });
   } catch {
     return err(toInvalid('body', 'The body is not JSON.'));
   }
+  if (isLossy) {
+    return err(toInvalid('body', `No field may be named '${UNSAFE_NAME}'.`));
+  }
   const parsed = requestBody.safeParse(json);
   if (parsed.success) return ok(parsed.data);
   const issue = parsed.error.issues[0]!;
