--- a/packages/hickorywharf-decisions/src/entry/__tests__/actionHomes.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/__tests__/actionHomes.test.ts
@@ -2,9 +2,8 @@
 import type {HomeInterval} from 'hickorywharf-types/homeInterval';
 import type {RefusalReason} from 'hickorywharf-types/refusalReason';
 import test from 'ava';
-import {createConfigurationLog} from '../../configuration/createConfigurationLog.ts';
-import {createEntryCore} from '../createEntryCore.ts';
 import type {EntryCommand} from '../entryCommand.ts';
+import {createConnectedCore} from './createConnectedCore.ts';
 
 const KEY_HASH = 'a'.repeat(64);
 const KEY = '000000000064-7000-8000-000000000000'.replace(/^(.{8})/, '$1-');
@@ -37,35 +36,11 @@
 }
 
 function createReadyCore() {
-  const core = createEntryCore({
-    failureDomain: 'a',
-    incarnation: 'entry',
-    routingPolicy: 'roundRobin',
-    homeParts: 1,
-    maximumRequests: 10,
-    random: () => 0,
+  return createConnectedCore({
+    core: {homeParts: 1, maximumRequests: 10},
+    documents: DOCUMENTS,
+    endpoints: ENDPOINTS,
   });
-  const log = createConfigurationLog();
-  const changes = DOCUMENTS.map((document) => ({
-    kind: String(document['kind']),
-    name: String(document['name']),
-    document: {schemaVersion: 1, ...document},
-  }));
-  log.applyEntries([{sequence: 1, operation: 'first', changes}]);
-  core.handle({tag: 'configurationInForce', view: log.getView()}, 0);
-  const instances = ENDPOINTS.map((name) => ({
-    name,
-    role: 'endpoint' as const,
-    address: '127.0.0.1',
-    port: 1,
-    failureDomain: 'a',
-    state: 'live' as const,
-  }));
-  core.handle({tag: 'instancesListed', instances}, 0);
-  for (const endpoint of ENDPOINTS) {
-    core.handle({tag: 'endpointConnected', endpoint, incarnation: '1'}, 0);
-  }
-  return core;
 }
 
 type Core = ReturnType<typeof createReadyCore>;
--- a/packages/hickorywharf-decisions/src/entry/__tests__/createEntryCore.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/__tests__/createEntryCore.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
-import {createConfigurationLog} from '../../configuration/createConfigurationLog.ts';
-import {createEntryCore} from '../createEntryCore.ts';
 import type {EntryEvent} from '../entryEvent.ts';
+import {createConnectedCore} from './createConnectedCore.ts';
 
 const KEY_HASH = 'a'.repeat(64);
 const DOCUMENTS = [
@@ -29,40 +28,11 @@
 const ENDPOINTS = ['encoder-1', 'encoder-2', 'desk-1'];
 
 function createReadyCore() {
-  const core = createEntryCore({
-    failureDomain: 'a',
-    incarnation: 'entry',
-    routingPolicy: 'roundRobin',
-    homeParts: 4,
-    maximumRequests: 10,
-    random: () => 0,
+  return createConnectedCore({
+    core: {maximumRequests: 10},
+    documents: DOCUMENTS,
+    endpoints: ENDPOINTS,
   });
-  const log = createConfigurationLog();
-  log.applyEntries([
-    {
-      sequence: 1,
-      operation: 'first',
-      changes: DOCUMENTS.map((document) => ({
-        kind: document.kind,
-        name: document.name,
-        document,
-      })),
-    },
-  ]);
-  core.handle({tag: 'configurationInForce', view: log.getView()}, 0);
-  const instances = ENDPOINTS.map((name) => ({
-    name,
-    role: 'endpoint' as const,
-    address: '127.0.0.1',
-    port: 1,
-    failureDomain: 'a',
-    state: 'live' as const,
-  }));
-  core.handle({tag: 'instancesListed', instances}, 0);
-  for (const endpoint of ENDPOINTS) {
-    core.handle({tag: 'endpointConnected', endpoint, incarnation: '1'}, 0);
-  }
-  return core;
 }
 
 const ARRIVAL: EntryEvent = {
--- a/packages/hickorywharf-decisions/src/entry/load/__tests__/admissionPolicies.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/load/__tests__/admissionPolicies.test.ts
@@ -1,6 +1,5 @@
 import test from 'ava';
-import {createConfigurationLog} from '../../../configuration/createConfigurationLog.ts';
-import {createEntryCore} from '../../createEntryCore.ts';
+import {createConnectedCore} from '../../__tests__/createConnectedCore.ts';
 import type {EntryEvent} from '../../entryEvent.ts';
 
 const KEYS = {small: 'a'.repeat(64), large: 'b'.repeat(64)};
@@ -25,34 +24,15 @@
 ];
 
 function createCore(queued: number) {
-  const core = createEntryCore({
-    failureDomain: 'a',
-    incarnation: 'entry',
-    routingPolicy: 'cost',
-    policies: {admission: 'estimate', ejection: 'none', hedging: 'none'},
-    homeParts: 4,
-    maximumRequests: 100,
-    random: () => 0,
+  const endpoint = 'encoder-1';
+  const core = createConnectedCore({
+    core: {
+      routingPolicy: 'cost',
+      policies: {admission: 'estimate', ejection: 'none', hedging: 'none'},
+    },
+    documents: DOCUMENTS,
+    endpoints: [endpoint],
   });
-  const log = createConfigurationLog();
-  const changes = DOCUMENTS.map((document) => ({
-    kind: document.kind,
-    name: document.name,
-    document,
-  }));
-  log.applyEntries([{sequence: 1, operation: 'first', changes}]);
-  core.handle({tag: 'configurationInForce', view: log.getView()}, 0);
-  const instance = {
-    name: 'encoder-1',
-    role: 'endpoint',
-    address: '127.0.0.1',
-    port: 1,
-    failureDomain: 'a',
-    state: 'live',
-  } as const;
-  const endpoint = instance.name;
-  core.handle({tag: 'instancesListed', instances: [instance]}, 0);
-  core.handle({tag: 'endpointConnected', endpoint, incarnation: '1'}, 0);
   const {serviceMilliseconds} = core.state.load;
   serviceMilliseconds.set('pool/encoders', SERVICE_MILLISECONDS);
   serviceMilliseconds.set('encode-only/0', SERVICE_MILLISECONDS);
--- a/packages/hickorywharf-decisions/src/entry/load/__tests__/hedgeSlowAttempts.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/load/__tests__/hedgeSlowAttempts.test.ts
@@ -1,6 +1,5 @@
 import test from 'ava';
-import {createConfigurationLog} from '../../../configuration/createConfigurationLog.ts';
-import {createEntryCore} from '../../createEntryCore.ts';
+import {createConnectedCore} from '../../__tests__/createConnectedCore.ts';
 
 const KEY_HASH = 'a'.repeat(64);
 const ENDPOINTS = ['encoder-1', 'encoder-2', 'encoder-3', 'encoder-4'];
@@ -29,36 +28,14 @@
 ];
 
 function createCore() {
-  const core = createEntryCore({
-    failureDomain: 'a',
-    incarnation: 'entry',
-    routingPolicy: 'cost',
-    policies: {admission: 'estimate', ejection: 'slowness', hedging: 'late'},
-    homeParts: 4,
-    maximumRequests: 100,
-    random: () => 0,
+  return createConnectedCore({
+    core: {
+      routingPolicy: 'cost',
+      policies: {admission: 'estimate', ejection: 'slowness', hedging: 'late'},
+    },
+    documents: DOCUMENTS,
+    endpoints: ENDPOINTS,
   });
-  const log = createConfigurationLog();
-  const changes = DOCUMENTS.map((document) => ({
-    kind: document.kind,
-    name: document.name,
-    document,
-  }));
-  log.applyEntries([{sequence: 1, operation: 'first', changes}]);
-  core.handle({tag: 'configurationInForce', view: log.getView()}, 0);
-  const instances = ENDPOINTS.map((name) => ({
-    name,
-    role: 'endpoint' as const,
-    address: '127.0.0.1',
-    port: 1,
-    failureDomain: 'a',
-    state: 'live' as const,
-  }));
-  core.handle({tag: 'instancesListed', instances}, 0);
-  for (const endpoint of ENDPOINTS) {
-    core.handle({tag: 'endpointConnected', endpoint, incarnation: '1'}, 0);
-  }
-  return core;
 }
 
 type Core = ReturnType<typeof createCore>;
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/homes/homeParts.ts
@@ -0,0 +1,5 @@
+/**
+ * Parts that a pool's key space is cut into. Entries and endpoint processes
+ * must agree on it, and the store's records keep it, so that it is no setting.
+ */
+export const HOME_PARTS = 32;
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -8,6 +8,7 @@
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {findChangedHomes} from 'hickorywharf-decisions/homes/findChangedHomes';
 import type {HomeRecord} from 'hickorywharf-decisions/homes/homeRecord';
+import {HOME_PARTS} from 'hickorywharf-decisions/homes/homeParts';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
 import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
@@ -81,7 +82,7 @@
     maximumQueueLength: settings.queue.maximumLength,
     retentionMilliseconds: settings.queue.retentionMilliseconds,
     retentionBytes: settings.queue.retentionBytes,
-    homeParts: settings.homes.parts,
+    homeParts: HOME_PARTS,
     aheadMilliseconds: settings.homes.aheadSeconds * MILLISECONDS_PER_SECOND,
   });
   const store = createStoreClient(settings.platform.storeUrl);
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -8,6 +8,7 @@
 import {ENTRY_LIMITS} from 'hickorywharf-decisions/entry/entryLimits';
 import {routingPolicies} from 'hickorywharf-decisions/entry/policies/routingPolicies';
 import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
+import {HOME_PARTS} from 'hickorywharf-decisions/homes/homeParts';
 import {isConfigurationWatcher} from 'hickorywharf-decisions/membership/isConfigurationWatcher';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
 import {createStoreClient} from 'hickorywharf-platform/createStoreClient';
@@ -52,7 +53,6 @@
 const STOP_POLL_MILLISECONDS = 20;
 /** How long finished answers wait at a stop for callers that read slowly. */
 const STOP_DELIVERY_MILLISECONDS = 30_000;
-const HOME_PARTS = 32;
 
 type CommandHandlers = {
   [Tag in EntryCommand['tag']]: (
--- a/packages/hickorywharf-validation/src/endpointSettings.ts
+++ b/packages/hickorywharf-validation/src/endpointSettings.ts
@@ -39,7 +39,6 @@
       intervalSeconds: z.coerce.number().int().min(1).default(900),
       /** How far a home runs keys ahead of its clock. */
       aheadSeconds: z.coerce.number().min(0).max(3600).default(5),
-      parts: z.coerce.number().int().min(1).max(4096).default(32),
     })
     .prefault({}),
 });
