Put the departure and the core of an endpoint process in modules of their own

Heartbeats every 550 ms: 8.3 KB/s at 60 peers was over 8 at 500 ms, and 700 ms made load reports older.

--- /dev/null
+++ b/packages/hickorywharf-endpoint/src/createCoreFromSettings.ts
@@ -0,0 +1,36 @@
+import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
+import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
+import {HOME_PARTS} from 'hickorywharf-decisions/homes/homeParts';
+import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
+import type {z} from 'zod';
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/**
+ * The decision core of an endpoint process, as its settings ask for it.
+ * Throws where they name a queue order that does not exist.
+ *
+ * @example
+ *     createCoreFromSettings(settings, randomUUID());
+ */
+export function createCoreFromSettings(
+  settings: z.infer<typeof endpointSettings>,
+  incarnation: string,
+): ReturnType<typeof createEndpointCore> {
+  const {queue, homes, backend} = settings;
+  if (!Object.hasOwn(queuePolicies, queue.order)) {
+    const allowed = Object.keys(queuePolicies).join(', ');
+    throw new Error(`[queue] order: allowed are ${allowed}`);
+  }
+  return createEndpointCore({
+    name: settings.process.name,
+    incarnation,
+    slots: backend.slots,
+    queueOrder: queue.order,
+    maximumQueueLength: queue.maximumLength,
+    retentionMilliseconds: queue.retentionMilliseconds,
+    retentionBytes: queue.retentionBytes,
+    homeParts: HOME_PARTS,
+    aheadMilliseconds: homes.aheadSeconds * MILLISECONDS_PER_SECOND,
+  });
+}
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -2,13 +2,10 @@
 import type bunyan from 'bunyan';
 import {createConfigurationKeeper} from 'hickorywharf-configuration/createConfigurationKeeper';
 import {followConfiguration} from 'hickorywharf-configuration/followConfiguration';
-import {createEndpointCore} from 'hickorywharf-decisions/endpoint/createEndpointCore';
 import type {EndpointCommand} from 'hickorywharf-decisions/endpoint/endpointCommand';
 import type {EndpointEvent} from 'hickorywharf-decisions/endpoint/endpointEvent';
-import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {findChangedHomes} from 'hickorywharf-decisions/homes/findChangedHomes';
 import type {HomeRecord} from 'hickorywharf-decisions/homes/homeRecord';
-import {HOME_PARTS} from 'hickorywharf-decisions/homes/homeParts';
 import {backendKinds} from 'hickorywharf-endpoints/backendKinds';
 import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
@@ -27,6 +24,8 @@
 import type {z} from 'zod';
 import {createBackendRunner} from './createBackendRunner.ts';
 import type {createEndpointTelemetry} from './createEndpointTelemetry.ts';
+import {createCoreFromSettings} from './createCoreFromSettings.ts';
+import {createDepartures} from './createDepartures.ts';
 import {createEntryPeers} from './createEntryPeers.ts';
 import {claimKey} from './claimKey.ts';
 import {createHomeKeeper} from './createHomeKeeper.ts';
@@ -47,7 +46,6 @@
   stop(): Promise<void>;
 }
 
-const MILLISECONDS_PER_SECOND = 1000;
 const TICK_MILLISECONDS = 25;
 const IDLE_TICK_MILLISECONDS = 100;
 const STOP_POLL_MILLISECONDS = 20;
@@ -67,24 +65,10 @@
   const {settings, logger, history, clock, random, telemetry} = options;
   const {name, failureDomain} = settings.process;
   const incarnation = randomUUID();
-  if (!Object.hasOwn(queuePolicies, settings.queue.order)) {
-    throw new Error(
-      `[queue] order: allowed are ${Object.keys(queuePolicies).join(', ')}`,
-    );
-  }
   const credentials = loadTlsCredentials(settings.tls);
   if (credentials.isErr()) throw new Error(credentials.error.message);
-  const core = createEndpointCore({
-    name,
-    incarnation,
-    slots: settings.backend.slots,
-    queueOrder: settings.queue.order,
-    maximumQueueLength: settings.queue.maximumLength,
-    retentionMilliseconds: settings.queue.retentionMilliseconds,
-    retentionBytes: settings.queue.retentionBytes,
-    homeParts: HOME_PARTS,
-    aheadMilliseconds: settings.homes.aheadSeconds * MILLISECONDS_PER_SECOND,
-  });
+  const core = createCoreFromSettings(settings, incarnation);
+  const departures = createDepartures({name, state: core.state, history});
   const store = createStoreClient(settings.platform.storeUrl);
   const peers = createEntryPeers({
     onGone: (peer) => feed({tag: 'peerGone', peer}),
@@ -107,24 +91,10 @@
       history.record({tag: 'configurationInForce', sequence});
       telemetry.configurationInForce(sequence);
       feed({tag: 'configurationInForce', view});
-      noteDeparture();
+      departures.note();
     },
   });
 
-  let departureNoted = false;
-  function noteDeparture(): void {
-    const draining = core.state.configuration?.endpoints.get(name)?.draining;
-    const isLeaving = core.state.leaving || draining === true;
-    if (isLeaving && !departureNoted) {
-      const signal = core.state.leaving ? 'stop' : 'record';
-      history.record({tag: 'endpointLeaving', endpoint: name, signal});
-    }
-    if (!isLeaving && departureNoted) {
-      history.record({tag: 'endpointReturned', endpoint: name});
-    }
-    departureNoted = isLeaving;
-  }
-
   async function claim(
     command: Extract<EndpointCommand, {tag: 'claim'}>,
   ): Promise<void> {
@@ -214,10 +184,9 @@
   }
 
   function createHeartbeat(): Extract<Frame, {tag: 'heartbeat'}> {
-    const draining = core.state.configuration?.endpoints.get(name)?.draining;
     return {
       tag: 'heartbeat',
-      leaving: core.state.leaving || draining === true,
+      leaving: departures.isLeaving(),
       load: core.getLoad(),
       configurationSequence: keeper.sequence,
     };
@@ -272,7 +241,7 @@
       configuration: {...keeper.getStatus(), isWatcher: false},
       membership: {
         instances: [],
-        leaving: createHeartbeat().leaving,
+        leaving: departures.isLeaving(),
         observed: describeMembers([], 0, 0),
       },
       queue: core.getLoad(),
@@ -312,7 +281,7 @@
     port: server.port,
     async stop() {
       feed({tag: 'leaveRequested'});
-      noteDeparture();
+      departures.note();
       sendHeartbeats();
       await Promise.all([homeKeeper.stop(), finishWork()]);
       await sleep(STOP_GRACE_MILLISECONDS);
--- a/packages/hickorywharf-entry/src/followInstances.ts
+++ b/packages/hickorywharf-entry/src/followInstances.ts
@@ -13,8 +13,8 @@
 
 /** About what one instance takes in the platform's answer. */
 const INSTANCE_BYTES = 160;
-/** A quarter of what a process may spend on control. */
-const LIST_BYTES_PER_SECOND = 2000;
+/** Half of what a process may spend on control. */
+const LIST_BYTES_PER_SECOND = 4000;
 const MILLISECONDS_PER_SECOND = 1000;
 
 function getPause(pollMilliseconds: number, instances: number): number {
--- a/packages/hickorywharf-transport/src/transportLimits.ts
+++ b/packages/hickorywharf-transport/src/transportLimits.ts
@@ -5,7 +5,7 @@
   maximumFrameBytes: 8 * 1024 * 1024,
   /** A connection with more unsent bytes is closed and made anew. */
   maximumUnsentBytes: 16 * 1024 * 1024,
-  heartbeatMilliseconds: 700,
+  heartbeatMilliseconds: 550,
   /** Silence after which a connection is taken for lost. */
   silenceMilliseconds: 3000,
   helloMilliseconds: 2000,
