Keep two generations of one pipeline apart

A pipeline with two generate stages went on with the tokens of the first as the continuation of the second, and streamed both. Change: a stage's end clears the tokens; the caller is streamed the last generation; an earlier one is a document of the later. The test fails before and passes after.

--- a/packages/hickorywharf-decisions/src/entry/completeStage.ts
+++ b/packages/hickorywharf-decisions/src/entry/completeStage.ts
@@ -39,6 +39,8 @@
   // Hedges and superseded attempts: the first whole result counts.
   forgetAttempts(state, request.requestId);
   request.outputs.push(output);
+  // A later generation counts its positions from 0.
+  request.tokens.length = 0;
   request.stageIndex += 1;
   if (request.stageIndex >= request.pipeline.stages.length) {
     finishRequest(state, request, null);
--- a/packages/hickorywharf-decisions/src/entry/composeStageInput.ts
+++ b/packages/hickorywharf-decisions/src/entry/composeStageInput.ts
@@ -11,6 +11,12 @@
   return last !== undefined && 'documents' in last ? last.documents : [];
 }
 
+function getGenerations(outputs: readonly StageOutput[]): string[] {
+  return outputs.flatMap((output) =>
+    output.kind === 'generate' ? [output.tokens.join(' ')] : [],
+  );
+}
+
 function getVector(outputs: readonly StageOutput[]): readonly number[] {
   const last = outputs.findLast((output) => output.kind === 'encode');
   return last?.kind === 'encode' ? last.vector : [];
@@ -38,7 +44,10 @@
   }),
   generate: (request) => ({
     text: request.input.text,
-    documents: getDocuments(request.outputs),
+    documents: [
+      ...getDocuments(request.outputs),
+      ...getGenerations(request.outputs),
+    ],
     continuation: [...request.tokens],
     maximumTokens: getMaximumTokens(request),
   }),
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -58,6 +58,12 @@
   });
 }
 
+/** Whether the current generation is the answer, and not a later one. */
+function isAnswering({pipeline, stageIndex}: RequestRow): boolean {
+  const later = pipeline.stages.slice(stageIndex + 1);
+  return later.every(({kind}) => kind !== 'generate');
+}
+
 function takeTokens(
   state: EntryState,
   endpoint: string,
@@ -76,6 +82,7 @@
   attempt.nextPosition += fresh.length;
   attempt.recoverSent = false;
   request.tokens.push(...fresh);
+  if (!isAnswering(request)) return;
   const {requestId} = request;
   state.commands.push({
     tag: 'deliverTokens',
