Find a frame's attempt and request in one place

Cause: five handlers began with the same lines. Change: one table for what is said of attempts, which are found once, and one for what an endpoint process says of itself.

--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -1,3 +1,4 @@
+import type {AttemptKey} from 'hickorywharf-types/attemptKey';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ServeError} from 'hickorywharf-types/serveError';
 import {applyRefusal} from '../applyRefusal.ts';
@@ -18,27 +19,30 @@
 type AttemptRow = EntryRows['attempt'];
 type RequestRow = EntryRows['request'];
 
-function findAttempt(
+/** A frame's attempt, and its request where the attempt still counts. */
+interface AttemptContext {
+  readonly state: EntryState;
+  readonly attempt: AttemptRow;
+  readonly request: RequestRow | undefined;
+  readonly now: number;
+}
+
+function findContext(
   state: EntryState,
   endpoint: string,
-  frame: {attemptId: string; requestId: string; stageIndex: number},
-): AttemptRow | undefined {
+  frame: AttemptKey,
+  now: number,
+): AttemptContext | null {
   const attempt = state.attempts.get(frame.attemptId);
   const matches =
     attempt !== undefined &&
     attempt.endpoint === endpoint &&
     attempt.requestId === frame.requestId &&
     attempt.stageIndex === frame.stageIndex;
-  return matches ? attempt : undefined;
-}
-
-function findCurrentRequest(
-  state: EntryState,
-  attempt: AttemptRow | undefined,
-): RequestRow | undefined {
-  if (attempt === undefined) return undefined;
-  const request = state.requests.get(attempt.requestId);
-  return request?.currentAttemptId === attempt.attemptId ? request : undefined;
+  if (!matches) return null;
+  const found = state.requests.get(attempt.requestId);
+  const isCurrent = found?.currentAttemptId === attempt.attemptId;
+  return {state, attempt, request: isCurrent ? found : undefined, now};
 }
 
 function askAgain(state: EntryState, attempt: AttemptRow): void {
@@ -65,13 +69,10 @@
 }
 
 function takeTokens(
-  state: EntryState,
-  endpoint: string,
+  {state, attempt, request}: AttemptContext,
   frame: FrameOf<'tokens'>,
 ): void {
-  const attempt = findAttempt(state, endpoint, frame);
-  const request = findCurrentRequest(state, attempt);
-  if (attempt === undefined || request === undefined) return;
+  if (request === undefined) return;
   if (frame.position > attempt.nextPosition) {
     askAgain(state, attempt);
     return;
@@ -93,13 +94,9 @@
 }
 
 function takeResult(
-  state: EntryState,
-  endpoint: string,
+  {state, attempt, now}: AttemptContext,
   frame: FrameOf<'result'>,
-  now: number,
 ): void {
-  const attempt = findAttempt(state, endpoint, frame);
-  if (attempt === undefined) return;
   const request = state.requests.get(attempt.requestId);
   const isCurrent = request?.currentAttemptId === attempt.attemptId;
   const isGeneration = frame.output.kind === 'generate';
@@ -128,16 +125,11 @@
 }
 
 function takeRefused(
-  state: EntryState,
-  endpoint: string,
+  {state, attempt, request, now}: AttemptContext,
   frame: FrameOf<'refused'>,
-  now: number,
 ): void {
-  const attempt = findAttempt(state, endpoint, frame);
-  if (attempt === undefined) return;
-  const request = findCurrentRequest(state, attempt);
   removeAttempt(state, attempt);
-  applyRefusal(state, request, endpoint, frame, now);
+  applyRefusal(state, request, attempt.endpoint, frame, now);
 }
 
 function takeHomes(
@@ -149,14 +141,10 @@
 }
 
 function takeFailed(
-  state: EntryState,
-  endpoint: string,
+  {state, attempt, request, now}: AttemptContext,
   frame: FrameOf<'failed'>,
-  now: number,
 ): void {
-  const attempt = findAttempt(state, endpoint, frame);
-  if (attempt === undefined) return;
-  const request = findCurrentRequest(state, attempt);
+  const {endpoint} = attempt;
   removeAttempt(state, attempt);
   if (request === undefined) return;
   const {idempotent} = getCurrentStage(request);
@@ -184,29 +172,22 @@
 }
 
 function takeTombstoned(
-  state: EntryState,
-  endpoint: string,
+  {state, attempt, request, now}: AttemptContext,
   frame: FrameOf<'tombstoned'>,
-  now: number,
 ): void {
-  const attempt = findAttempt(state, endpoint, frame);
-  const request = findCurrentRequest(state, attempt);
-  if (attempt === undefined || request === undefined) return;
-  if (frame.state === 'begun') return;
+  if (request === undefined || frame.state === 'begun') return;
   removeAttempt(state, attempt);
   request.actionMayHaveRun = false;
   scheduleRetry(request, now);
 }
 
-function takeAttemptUnknown(
-  state: EntryState,
-  endpoint: string,
-  frame: FrameOf<'attemptUnknown'>,
-  now: number,
-): void {
-  const attempt = findAttempt(state, endpoint, frame);
-  if (attempt === undefined) return;
-  const request = findCurrentRequest(state, attempt);
+function takeAttemptUnknown({
+  state,
+  attempt,
+  request,
+  now,
+}: AttemptContext): void {
+  const {endpoint} = attempt;
   if (request !== undefined && !getCurrentStage(request).idempotent) {
     // The attempt's frame may still be under way: only a tombstone proves.
     const {requestId, stageIndex, attemptId} = attempt;
@@ -242,21 +223,28 @@
   }
 }
 
-type FrameHandler = (
-  state: EntryState,
-  endpoint: string,
-  frame: never,
-  now: number,
-) => void;
+type AttemptHandler = (context: AttemptContext, frame: never) => void;
 
-const FRAME_HANDLERS: Partial<Record<Frame['tag'], FrameHandler>> = {
+/** What is said of an attempt that this entry made. */
+const ATTEMPT_HANDLERS: Partial<Record<Frame['tag'], AttemptHandler>> = {
   tokens: takeTokens,
   result: takeResult,
   refused: takeRefused,
-  homes: takeHomes,
   failed: takeFailed,
   tombstoned: takeTombstoned,
   attemptUnknown: takeAttemptUnknown,
+};
+
+type EndpointHandler = (
+  state: EntryState,
+  endpoint: string,
+  frame: never,
+  now: number,
+) => void;
+
+/** What an endpoint process says of itself. */
+const ENDPOINT_HANDLERS: Partial<Record<Frame['tag'], EndpointHandler>> = {
+  homes: takeHomes,
   heartbeat: takeHeartbeat,
 };
 
@@ -275,5 +263,9 @@
 ): void {
   const endpointRow = state.endpoints.get(endpoint);
   if (endpointRow !== undefined) endpointRow.heardAt = now;
-  FRAME_HANDLERS[frame.tag]?.(state, endpoint, frame as never, now);
+  ENDPOINT_HANDLERS[frame.tag]?.(state, endpoint, frame as never, now);
+  if (!('attemptId' in frame)) return;
+  const context = findContext(state, endpoint, frame, now);
+  if (context === null) return;
+  ATTEMPT_HANDLERS[frame.tag]?.(context, frame as never);
 }
