--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,10 +3,17 @@
 import {houseRules} from './scripts/houseRules.js';
 
 export default tseslint.config(
-  {ignores: ['**/node_modules/**', 'dist/**', '**/__fixtures__/**']},
+  {
+    ignores: [
+      '**/node_modules/**',
+      'dist/**',
+      'target/**',
+      '**/__fixtures__/**',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     plugins: {jsdoc, house: houseRules},
     rules: {
       eqeqeq: 'error',
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/createFreshness.ts
@@ -0,0 +1,31 @@
+import {getElapsed} from './getElapsed.ts';
+import type {Instant} from './instant.ts';
+
+interface Freshness {
+  /** Notes a read of the store that succeeded, by when it was sent. */
+  confirm(sentAt: Instant): void;
+  /** How old what is known may be, in milliseconds; infinite before a read. */
+  getAge(now: Instant): number;
+}
+
+/**
+ * How long ago the store last confirmed what this instance believes. It counts
+ * from the sending of the read, since the answer may show any moment after it.
+ *
+ * @example
+ *     const freshness = createFreshness();
+ *     freshness.confirm(sentAt);
+ *     freshness.getAge(now) < 4500;
+ */
+export function createFreshness(): Freshness {
+  let confirmed: Instant | null = null;
+  return {
+    confirm(sentAt) {
+      if (confirmed === null || sentAt.monotonic > confirmed.monotonic) {
+        confirmed = sentAt;
+      }
+    },
+    getAge: (now) =>
+      confirmed === null ? Infinity : getElapsed(confirmed, now),
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/createRouteTable.ts
@@ -0,0 +1,37 @@
+import type {GatewayRoute} from 'hickorywharf-types/gateway/gatewayRoute';
+
+interface RouteTable {
+  /** The route of a host and a path; undefined if none fits. */
+  find(host: string, path: string): GatewayRoute | undefined;
+}
+
+/**
+ * Routes by host and prefix. The longest prefix of a host that begins the path
+ * wins; a lookup costs one step for each slash in the path, however many routes
+ * there are.
+ *
+ * @example
+ *     createRouteTable(routes).find('desk.example', '/catalogue/17');
+ */
+export function createRouteTable(routes: readonly GatewayRoute[]): RouteTable {
+  const byHost = new Map<string, Map<string, GatewayRoute>>();
+  for (const route of routes) {
+    const host = route.host.toLowerCase();
+    const prefixes = byHost.get(host) ?? new Map<string, GatewayRoute>();
+    prefixes.set(route.prefix, route);
+    byHost.set(host, prefixes);
+  }
+  return {
+    find(host, path) {
+      const prefixes = byHost.get(host.toLowerCase().replace(/:\d+$/, ''));
+      if (prefixes === undefined) return undefined;
+      let end = path.lastIndexOf('/');
+      while (end >= 0) {
+        const route = prefixes.get(path.slice(0, end + 1));
+        if (route !== undefined) return route;
+        end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+      }
+      return undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/getStageInputs.ts
@@ -0,0 +1,24 @@
+import type {GatewayStage} from 'hickorywharf-types/gateway/gatewayStage';
+
+/**
+ * Handles of all results that a stage reads, or those that the call itself
+ * reads, which are the results of the stages that no other stage follows.
+ *
+ * @param handles results by stage and piece
+ * @param stage the stage that reads; null for the call itself
+ * @example
+ *     getStageInputs(route.stages, handles, null);
+ */
+export function getStageInputs(
+  stages: readonly GatewayStage[],
+  handles: ReadonlyArray<readonly string[]>,
+  stage: number | null,
+): string[] {
+  if (stage !== null) {
+    return stages[stage]!.after.flatMap((position) => handles[position] ?? []);
+  }
+  const followed = new Set(stages.flatMap(({after}) => after));
+  return stages.flatMap((_stage, position) =>
+    followed.has(position) ? [] : (handles[position] ?? []),
+  );
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/instant.ts
@@ -0,0 +1,5 @@
+/** One moment on both clocks of an instance, in milliseconds. */
+export interface Instant {
+  readonly monotonic: number;
+  readonly wall: number;
+}
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -0,0 +1,183 @@
+import http from 'node:http';
+import {admitCall} from './admitCall.ts';
+import type {CallContext} from './callContext.ts';
+import {createAnswerRelay} from './createAnswerRelay.ts';
+import {readBody} from './readBody.ts';
+import {serveCall} from './serveCall.ts';
+
+type ServeOptions = Parameters<typeof serveCall>[0];
+
+interface CallServer {
+  listen(host: string, port: number): Promise<void>;
+  /** Calls that have no whole answer yet. */
+  getActive(): number;
+  /** Closes connections on which nothing is under way. */
+  closeIdle(): void;
+  close(): void;
+}
+
+const HEADER_BYTES = 16_384;
+const HEADER_MILLISECONDS = 3000;
+/** Longer than callers keep an idle connection, so that none crosses a close. */
+const IDLE_MILLISECONDS = 15_000;
+const BODY_BYTES = 4_194_304;
+/** An endpoint's own answer at its time limit may take this long to arrive. */
+const DEADLINE_SLACK_MILLISECONDS = 60;
+const STOPPING_RETRY_MILLISECONDS = 100;
+
+/**
+ * Serves callers over HTTP/1.1. Each request gets one answer; a caller that
+ * leaves ends what was begun for it.
+ *
+ * @example
+ *     const server = createCallServer(options);
+ *     await server.listen('10.1.0.41', 8625);
+ */
+export function createCallServer(options: ServeOptions): CallServer {
+  const {settings, state, wire, log, getInstant} = options;
+  let active = 0;
+
+  function endContext(context: CallContext): void {
+    context.isOver = true;
+    for (const cleanup of [...context.cleanups]) cleanup();
+    context.cleanups.clear();
+  }
+
+  function watchDeadline(
+    context: CallContext,
+    relay: ReturnType<typeof createAnswerRelay>,
+  ): NodeJS.Timeout {
+    const left = context.deadlineAt - getInstant().monotonic;
+    return setTimeout(
+      () => {
+        if (context.isOver) return;
+        endContext(context);
+        log.decide('timed out', {
+          requestId: context.call.id,
+          step: 'answer',
+          route: context.route.name,
+          isStarted: relay.isStarted,
+        });
+        if (relay.isStarted) return relay.breakOff();
+        relay.refuse(
+          {tag: 'timedOut', message: 'no answer within the time limit'},
+          context.call.id,
+        );
+      },
+      Math.max(0, left) + DEADLINE_SLACK_MILLISECONDS,
+    );
+  }
+
+  async function handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const relay = createAnswerRelay(response, state);
+    const decoded = wire.readCall(request.rawHeaders);
+    if (decoded.isErr()) {
+      relay.refuse({tag: 'invalidRequest', message: decoded.error}, null);
+      return;
+    }
+    const call = decoded.value;
+    if (state.isClosed) {
+      relay.refuse(
+        {
+          tag: 'stopping',
+          message: 'this instance stops',
+          retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
+        },
+        call.id,
+      );
+      return;
+    }
+    const admitted = admitCall(state, settings, {
+      call,
+      method: request.method ?? 'GET',
+      host: request.headers.host ?? '',
+      target: request.url ?? '/',
+      at: getInstant(),
+    });
+    if (admitted.isErr()) {
+      log.decide('refused', {
+        requestId: call.id,
+        step: 'admit',
+        refusal: admitted.error.tag,
+        reason: admitted.error.message,
+        version: state.configuration?.version ?? null,
+      });
+      relay.refuse(admitted.error, call.id);
+      return;
+    }
+    const context = admitted.value;
+    let isClosed = false;
+    response.on('close', () => {
+      isClosed = true;
+      if (!response.writableFinished && !context.isOver) {
+        log.decide('caller left', {requestId: call.id, step: 'answer'});
+      }
+      endContext(context);
+    });
+    const limit = state.configuration?.limits.bodyBytes ?? BODY_BYTES;
+    const body = await readBody(request, limit);
+    if (body === null || isClosed) return;
+    if (body.isErr()) {
+      relay.refuse(body.error, call.id);
+      return;
+    }
+    const timer = watchDeadline(context, relay);
+    try {
+      await serveCall(options, {context, body: body.value, relay});
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  const server = http.createServer(
+    {
+      maxHeaderSize: HEADER_BYTES,
+      headersTimeout: HEADER_MILLISECONDS,
+      requestTimeout: 0,
+      keepAliveTimeout: IDLE_MILLISECONDS,
+      noDelay: true,
+    },
+    (request, response) => {
+      active += 1;
+      response.once('close', () => {
+        active -= 1;
+      });
+      void handle(request, response).catch((error: Error) => {
+        log.note('a call broke off', {step: 'answer', error: error.stack});
+        response.destroy();
+      });
+    },
+  );
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    log.decide('bad request', {
+      step: 'admit',
+      reason: error.code ?? error.message,
+    });
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400;
+    const reason = http.STATUS_CODES[status];
+    socket.end(
+      `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+    );
+  });
+
+  return {
+    listen: (host, port) =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen({host, port, backlog: 1024}, () => resolve());
+      }),
+    getActive: () => active,
+    closeIdle: () => server.closeIdleConnections(),
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/refusalStatuses.ts
@@ -0,0 +1,20 @@
+import type {Refusal} from './refusal.ts';
+
+/**
+ * The status of each refusal. 503 promises that the request was not run and
+ * will not be; 502 and 504 promise nothing.
+ */
+export const refusalStatuses: Readonly<Record<Refusal['tag'], number>> = {
+  invalidRequest: 400,
+  bodyTooLarge: 413,
+  unknownRoute: 404,
+  unauthenticated: 401,
+  notReady: 503,
+  unconfirmed: 503,
+  overloaded: 503,
+  noEndpoint: 503,
+  stopping: 503,
+  deadlineExceeded: 503,
+  endpointFailed: 502,
+  timedOut: 504,
+};
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -0,0 +1,141 @@
+import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
+import {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
+import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
+import {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
+import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
+import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
+import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
+import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
+import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
+import {createCallServer} from './createCallServer.ts';
+import {createEndpointChannels} from './createEndpointChannels.ts';
+import {createEndpointLoads} from './createEndpointLoads.ts';
+import {createGatewayLog} from './createGatewayLog.ts';
+import {createInstantClock} from './createInstantClock.ts';
+import {createReadinessServer} from './createReadinessServer.ts';
+import {createStageDispatcher} from './createStageDispatcher.ts';
+import {followSource} from './followSource.ts';
+import type {GatewayState} from './gatewayState.ts';
+import {isKeyConfirmed} from './isKeyConfirmed.ts';
+
+interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly wire: GatewayWire;
+  readonly source: GatewaySource;
+}
+
+interface Gateway {
+  /** Finishes what is under way, within the time of grace. */
+  stop(): Promise<void>;
+}
+
+/** The balancer needs two questions, one a second, to notice a stop. */
+const NOTICE_MILLISECONDS = 2600;
+const STOP_CHECK_MILLISECONDS = 50;
+/** Left of the grace when the process ends by itself. */
+const STOP_MARGIN_MILLISECONDS = 250;
+
+/**
+ * Runs an entry that calls endpoints directly: it serves callers, and follows
+ * the platform's store.
+ *
+ * @example
+ *     const gateway = await runGateway({settings, wire, source});
+ *     await gateway.stop();
+ */
+export async function runGateway(options: GatewayOptions): Promise<Gateway> {
+  const {settings, wire, source} = options;
+  const clock = createSystemClock();
+  const getInstant = createInstantClock(clock);
+  const now = (): number => clock.monotonic();
+  const log = createGatewayLog(settings.name, now);
+  const state: GatewayState = {
+    configuration: null,
+    routes: createRouteTable([]),
+    configurationFreshness: createFreshness(),
+    endpointFreshness: createFreshness(),
+    directory: createEndpointDirectory(settings.lapseMilliseconds),
+    instances: [settings.name],
+    isStopping: false,
+    isClosed: false,
+  };
+  const channels = createEndpointChannels(wire);
+  const health = createEndpointHealth();
+  const budget = createRepeatBudget({
+    ratio: settings.repeatRatio,
+    windowMilliseconds: settings.repeatWindowMilliseconds,
+    allowance: settings.repeatAllowance,
+  });
+  const dispatcher = createStageDispatcher({
+    name: settings.name,
+    state,
+    wire,
+    channels,
+    health,
+    budget,
+    log,
+    now,
+  });
+  const server = createCallServer({
+    settings,
+    state,
+    wire,
+    channels,
+    health,
+    loads: createEndpointLoads(),
+    budget,
+    dispatcher,
+    log,
+    getInstant,
+  });
+
+  function isReady(): boolean {
+    return (
+      !state.isStopping &&
+      state.configuration !== null &&
+      state.endpointFreshness.getAge(getInstant()) < Infinity &&
+      (state.configuration.accountsByKey === null ||
+        isKeyConfirmed(state, settings, getInstant()))
+    );
+  }
+
+  const readiness = createReadinessServer(wire.readinessPath, isReady);
+  await server.listen(settings.listen.host, settings.listen.port);
+  await readiness.listen(settings.readiness.host, settings.readiness.port);
+  const unfollow = followSource({
+    source,
+    state,
+    log,
+    name: settings.name,
+    getInstant,
+    onChange: () => dispatcher.refresh(),
+  });
+  log.note('started', {step: 'start', failureDomain: settings.failureDomain});
+
+  return {
+    async stop() {
+      if (state.isStopping) return;
+      const stoppedAt = now();
+      state.isStopping = true;
+      log.note('stopping', {step: 'stop', active: server.getActive()});
+      const end = settings.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+      void source.withdraw();
+      for (;;) {
+        const elapsed = now() - stoppedAt;
+        if (elapsed >= NOTICE_MILLISECONDS) {
+          state.isClosed = true;
+          server.closeIdle();
+          if (server.getActive() === 0 || elapsed >= end) break;
+        }
+        await new Promise((resolve) =>
+          setTimeout(resolve, STOP_CHECK_MILLISECONDS),
+        );
+      }
+      unfollow();
+      server.close();
+      readiness.close();
+      channels.close();
+      log.note('stopped', {step: 'stop', milliseconds: now() - stoppedAt});
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -0,0 +1,276 @@
+import {chooseEndpoint} from 'hickorywharf-decisions/gateway/chooseEndpoint';
+import {chooseEngine} from 'hickorywharf-decisions/gateway/chooseEngine';
+import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
+import type {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
+import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
+import {attemptCall} from './attemptCall.ts';
+import type {AttemptResult} from './attemptResult.ts';
+import type {CallContext} from './callContext.ts';
+import type {createAnswerRelay} from './createAnswerRelay.ts';
+import type {createEndpointLoads} from './createEndpointLoads.ts';
+import {createEventSplitter} from './createEventSplitter.ts';
+import type {createInstantClock} from './createInstantClock.ts';
+import type {EndpointChannels} from './endpointChannels.ts';
+import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayState} from './gatewayState.ts';
+import {isKeyConfirmed} from './isKeyConfirmed.ts';
+import type {Refusal} from './refusal.ts';
+import {runStages} from './runStages.ts';
+import type {StageDispatcher} from './stageDispatcher.ts';
+
+interface ServeOptions {
+  readonly settings: GatewaySettings;
+  readonly state: GatewayState;
+  readonly wire: GatewayWire;
+  readonly channels: EndpointChannels;
+  readonly health: ReturnType<typeof createEndpointHealth>;
+  readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly budget: ReturnType<typeof createRepeatBudget>;
+  readonly dispatcher: StageDispatcher;
+  readonly log: GatewayLog;
+  readonly getInstant: ReturnType<typeof createInstantClock>;
+}
+
+interface Serving {
+  readonly context: CallContext;
+  readonly body: Buffer;
+  readonly relay: ReturnType<typeof createAnswerRelay>;
+}
+
+/** How often a result that is gone sends a call back to its stages. */
+const MAXIMUM_STAGE_RUNS = 2;
+/** Sends that did not run the call; each costs a repeat of the budget. */
+const MAXIMUM_SENDS = 5;
+/** A plain answer that takes so many times the usual is given up. */
+const PATIENCE_FACTOR = 5;
+const PATIENCE_MILLISECONDS = 250;
+/** An engine reads at least this much before it is thought silent. */
+const ENGINE_PATIENCE_MILLISECONDS = 1500;
+const ENGINE_TOKENS_PER_MILLISECOND = 15;
+/** When to come back where no endpoint can take a call. */
+const NO_ENDPOINT_RETRY_MILLISECONDS = 300;
+
+/**
+ * Serves an admitted call: its stages, then an endpoint, and another one while
+ * the call may be repeated and there is time and budget left. It ends with one
+ * answer, or with none if the caller left.
+ *
+ * @example
+ *     await serveCall(options, {context, body, relay});
+ */
+export async function serveCall(
+  options: ServeOptions,
+  serving: Serving,
+): Promise<void> {
+  const {settings, state, health, loads, budget, log, getInstant} = options;
+  const {context, body, relay} = serving;
+  const {call, route, service} = context;
+  const splitter = createEventSplitter();
+  const tried = new Set<string>();
+  let sends = 0;
+  let runs = 0;
+  let stageRuns = 0;
+  let inputs: readonly string[] = [];
+  let handles: readonly string[] = [];
+  let hasInputs = false;
+
+  function conclude(outcome: string, fields: Record<string, unknown>): void {
+    log.decide(outcome, {
+      requestId: call.id,
+      step: 'answer',
+      route: route.name,
+      milliseconds: Math.round(getInstant().monotonic - context.arrivedAt),
+      sends,
+      ...fields,
+    });
+  }
+
+  function freeInputs(): void {
+    if (handles.length > 0) options.dispatcher.free(handles);
+    handles = [];
+    hasInputs = false;
+  }
+
+  function refuse(refusal: Refusal): void {
+    conclude('refused', {refusal: refusal.tag, reason: refusal.message});
+    relay.refuse(refusal, call.id);
+  }
+
+  /** The last word when nothing more can be tried. */
+  function giveUp(reason: string): void {
+    if (relay.isStarted) {
+      conclude('broken off', {reason});
+      return relay.breakOff();
+    }
+    refuse(
+      runs > 0
+        ? {tag: 'endpointFailed', message: reason}
+        : {
+            tag: 'noEndpoint',
+            message: reason,
+            retryAfterMilliseconds: NO_ENDPOINT_RETRY_MILLISECONDS,
+          },
+    );
+  }
+
+  function choose(): GatewayEndpoint | undefined {
+    const now = getInstant().monotonic;
+    const {failureDomain} = settings;
+    const choices = state.directory
+      .getUsable(service.name)
+      .filter(({id}) => !tried.has(id))
+      .map((endpoint) => ({
+        ...endpoint,
+        endpoint,
+        ...loads.get(endpoint.id),
+        answerMilliseconds: health.getAnswerTime(endpoint.id),
+        penaltyMilliseconds: health.getPenalty(endpoint.id, now),
+      }));
+    const choice = route.isSticky
+      ? chooseEngine(choices, {
+          parts: call.promptParts,
+          promptTokens: call.promptTokens,
+          failureDomain,
+        })
+      : chooseEndpoint(choices, failureDomain);
+    return choice?.endpoint;
+  }
+
+  function getPatience(endpoint: GatewayEndpoint): number {
+    if (!route.isSticky) {
+      const usual = health.getAnswerTime(endpoint.id);
+      return usual * PATIENCE_FACTOR + PATIENCE_MILLISECONDS;
+    }
+    const {pendingTokens} = loads.get(endpoint.id);
+    const tokens = pendingTokens + call.promptTokens;
+    return (
+      ENGINE_PATIENCE_MILLISECONDS + tokens / ENGINE_TOKENS_PER_MILLISECOND
+    );
+  }
+
+  /** Makes what the endpoint reads; false if the call is over. */
+  async function prepare(): Promise<boolean> {
+    const needsStages = call.pieces.some((count) => count > 0);
+    if (!needsStages || route.stages.length === 0 || hasInputs) return true;
+    if (stageRuns >= MAXIMUM_STAGE_RUNS) {
+      giveUp('the results of the stages were lost');
+      return false;
+    }
+    stageRuns += 1;
+    const {services} = state.configuration!;
+    const result = await runStages(context, services, options.dispatcher);
+    if (context.isOver) {
+      if (result.tag === 'made') options.dispatcher.free(result.handles);
+      return false;
+    }
+    if (result.tag === 'failed') {
+      if (relay.isStarted || runs > 0) giveUp(`stages: ${result.reason}`);
+      else {
+        refuse({
+          tag: 'overloaded',
+          message: `stages: ${result.reason}`,
+          retryAfterMilliseconds: NO_ENDPOINT_RETRY_MILLISECONDS,
+        });
+      }
+      return false;
+    }
+    ({inputs, handles} = result);
+    hasInputs = true;
+    return true;
+  }
+
+  async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
+    sends += 1;
+    return attemptCall({
+      context,
+      endpoint,
+      inputs,
+      body,
+      relay,
+      splitter,
+      wire: options.wire,
+      channels: options.channels,
+      health,
+      loads,
+      patienceMilliseconds: getPatience(endpoint),
+      now: () => getInstant().monotonic,
+      onInputsRead: freeInputs,
+    });
+  }
+
+  budget.noteRequest(service.name, context.arrivedAt);
+  context.cleanups.add(freeInputs);
+  while (!context.isOver) {
+    if (!(await prepare())) break;
+    if (
+      context.account !== null &&
+      !isKeyConfirmed(state, settings, getInstant())
+    ) {
+      if (runs > 0 || relay.isStarted) giveUp('keys were not confirmed');
+      else {
+        refuse({
+          tag: 'unconfirmed',
+          message: 'keys were not confirmed for too long',
+          retryAfterMilliseconds: NO_ENDPOINT_RETRY_MILLISECONDS,
+        });
+      }
+      break;
+    }
+    const endpoint = choose();
+    if (endpoint === undefined) {
+      giveUp('no endpoint is left to try');
+      break;
+    }
+    const isRepeat = sends > 0;
+    if (
+      isRepeat &&
+      !budget.tryRepeat(
+        service.name,
+        getInstant().monotonic,
+        state.instances.length,
+      )
+    ) {
+      giveUp('the budget of repeats is used up');
+      break;
+    }
+    const result = await attempt(endpoint);
+    if (context.isOver || result.tag === 'callerGone') break;
+    if (result.tag === 'delivered') {
+      conclude('answered', {peer: endpoint.id});
+      break;
+    }
+    log.decide('attempt failed', {
+      requestId: call.id,
+      step: 'call',
+      peer: endpoint.id,
+      result: result.tag,
+      reason: 'reason' in result ? result.reason : null,
+    });
+    if (result.tag === 'inputGone') {
+      freeInputs();
+      continue;
+    }
+    tried.add(endpoint.id);
+    if (result.tag !== 'notRun') runs += 1;
+    if (result.tag === 'broken') {
+      splitter.reset();
+      freeInputs();
+    }
+    const mayRepeat =
+      sends < MAXIMUM_SENDS &&
+      (result.tag === 'notRun' ||
+        (context.isRepeatable && runs < route.maximumEndpoints));
+    if (mayRepeat) continue;
+    if (result.tag === 'failed') {
+      conclude('failed', {peer: endpoint.id, status: result.head.status});
+      relay.sendWhole(result.head, result.body);
+    } else {
+      giveUp(result.reason);
+    }
+    break;
+  }
+  freeInputs();
+  context.cleanups.delete(freeInputs);
+}
--- /dev/null
+++ b/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
@@ -0,0 +1,20 @@
+/** What an instance of the gateway has to know before it starts. */
+export interface GatewaySettings {
+  readonly name: string;
+  readonly failureDomain: string;
+  /** Where callers are served, as host and port. */
+  readonly listen: {readonly host: string; readonly port: number};
+  readonly readiness: {readonly host: string; readonly port: number};
+  readonly metrics: {readonly host: string; readonly port: number} | null;
+  /** How long a planned stop may take. */
+  readonly graceMilliseconds: number;
+  /** After it no call with a key may go on that the store has not confirmed. */
+  readonly revokeMilliseconds: number;
+  /** How long a missing entry may be a lapse after an outage of the store. */
+  readonly lapseMilliseconds: number;
+  /** Repeats for each request to a service. */
+  readonly repeatRatio: number;
+  readonly repeatWindowMilliseconds: number;
+  /** Repeats that all instances may make beyond the ratio in a window. */
+  readonly repeatAllowance: number;
+}
--- /dev/null
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -0,0 +1,31 @@
+import {z} from 'zod';
+import {commonSections} from './commonSections.ts';
+
+const MAXIMUM_PORT = 65_535;
+
+/** `10.1.0.41:8625`, read as host and port. */
+const socketAddress = z
+  .string()
+  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be IP:PORT')
+  .transform((text) => {
+    const [host = '', port = ''] = text.split(':');
+    return {host, port: Number(port)};
+  })
+  .refine(({port}) => port <= MAXIMUM_PORT, 'the port is at most 65535');
+
+const milliseconds = z.coerce.number().min(0);
+
+/** The settings of an entry that calls endpoints directly. */
+export const gatewaySettings = z.strictObject({
+  process: commonSections.process,
+  listen: z.strictObject({callers: socketAddress, readiness: socketAddress}),
+  store: z.strictObject({address: z.string().min(1)}),
+  bounds: z.strictObject({
+    graceMilliseconds: milliseconds,
+    revokeMilliseconds: milliseconds,
+    lapseMilliseconds: milliseconds.default(2000),
+    repeatRatio: z.coerce.number().min(0),
+    repeatWindowMilliseconds: milliseconds,
+    repeatAllowance: z.coerce.number().min(0),
+  }),
+});
--- a/scripts/declareDependencies.mjs
+++ b/scripts/declareDependencies.mjs
@@ -27,10 +27,14 @@
   return [...found].sort();
 }
 
-for (const name of fs.readdirSync(packages)) {
-  const file = path.join(packages, name, 'package.json');
+const folders = fs
+  .readdirSync(packages)
+  .map((name) => path.join(packages, name));
+for (const folder of [...folders, path.join(root, 'platform')]) {
+  const file = path.join(folder, 'package.json');
   const description = JSON.parse(fs.readFileSync(file, 'utf8'));
-  const imports = getImports(path.join(packages, name));
+  const {name} = description;
+  const imports = getImports(folder);
   description.dependencies = Object.fromEntries(
     imports
       .filter((imported) => imported !== name)
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -50,7 +50,7 @@
     'warn',
     '.',
   ],
-  lint: () => [node, bin('eslint'), 'packages'],
+  lint: () => [node, bin('eslint'), 'packages', 'platform'],
   types: () => [node, bin('tsc')],
 };
 
