Let one instance make the batches of each stage service

Cause: each instance filled a third of the stage servers with its own pieces; bursts met half-filled calls, and full makers refused 483 results. Ruled out: frees that fail (all answered 200), two instances at one server (none).

--- a/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
@@ -13,14 +13,20 @@
 interface EngineDemand {
   /** Parts of the prompt in order; the last one is the call's own. */
   readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
-  readonly promptTokens: number;
   readonly failureDomain: string;
+  /** Where the stage results lie that the call reads. */
+  readonly results: ReadonlyArray<string | undefined>;
+  /** About how large one of them is. */
+  readonly resultBytes: number;
 }
 
 /** How fast prompts are read; from the sheets of both deployments. */
 const PROMPT_TOKENS_PER_MILLISECOND = 50;
 /** A running call slows the others; from the step times of the sheets. */
 const RUNNING_MILLISECONDS = 1.5;
+/** What a megabyte from another failure domain is worth in time. */
+const MEGABYTE_MILLISECONDS = 3.5;
+const MEGABYTE = 1_000_000;
 /** Prefers the own failure domain among equals. */
 const OTHER_DOMAIN_MILLISECONDS = 1;
 
@@ -34,13 +40,13 @@
  *
  * @returns undefined where there is no endpoint
  * @example
- *     chooseEngine(engines, {parts, promptTokens: 1460, failureDomain: 'a'});
+ *     chooseEngine(engines, {parts, failureDomain: 'a', results: [], resultBytes: 0});
  */
 export function chooseEngine<Choice extends EngineChoice>(
   choices: readonly Choice[],
   demand: EngineDemand,
 ): Choice | undefined {
-  const {parts, failureDomain} = demand;
+  const {parts, failureDomain, results, resultBytes} = demand;
   const shared = parts.slice(0, -1);
   const session = shared.at(-1)?.id ?? parts.at(-1)?.id ?? '';
   const sessionTokens = shared.at(-1)?.tokens ?? 0;
@@ -54,7 +60,11 @@
   let bestCost = Infinity;
   for (const choice of choices) {
     const unread = choice.id === owner ? 0 : sessionTokens;
+    const distant = results.filter(
+      (domain) => domain !== undefined && domain !== choice.failureDomain,
+    ).length;
     const cost =
+      ((distant * resultBytes) / MEGABYTE) * MEGABYTE_MILLISECONDS +
       (choice.pendingTokens + unread) / PROMPT_TOKENS_PER_MILLISECOND +
       choice.running * RUNNING_MILLISECONDS +
       choice.penaltyMilliseconds +
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/orderDispatchers.ts
@@ -0,0 +1,31 @@
+import {hashNumber} from 'hickorywharf-utils/hashNumber';
+
+/**
+ * The instances that may make the batches of a stage's service, the first one
+ * in charge and the others its successors. Services are spread over the
+ * instances; every instance that knows the same names comes to the same order.
+ * Two instances that disagree for a moment only make smaller batches.
+ *
+ * Load pattern: a stream of small groups of pieces of which each instance sees
+ * a part, at endpoints that do much more with full calls.
+ *
+ * @param services all services with stages, this one among them
+ * @example
+ *     const [inCharge] = orderDispatchers('scan', ['scan', 'colour'], ['x', 'y']);
+ */
+export function orderDispatchers(
+  service: string,
+  services: readonly string[],
+  instances: readonly string[],
+): string[] {
+  const ordered = instances
+    .map((name) => ({name, weight: hashNumber(`dispatcher/${name}`)}))
+    .sort(
+      (left, right) =>
+        left.weight - right.weight || (left.name < right.name ? -1 : 1),
+    )
+    .map(({name}) => name);
+  const position = [...services].sort().indexOf(service);
+  const first = position < 0 ? 0 : position % Math.max(ordered.length, 1);
+  return [...ordered.slice(first), ...ordered.slice(0, first)];
+}
--- a/packages/hickorywharf-decisions/src/gateway/pieceRow.ts
+++ b/packages/hickorywharf-decisions/src/gateway/pieceRow.ts
@@ -11,4 +11,6 @@
   readonly deadlineAt: number;
   readonly resultBytes: number;
   readonly workMilliseconds: number;
+  /** Where the result will probably be read; null if it does not matter. */
+  readonly failureDomain: string | null;
 }
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -21,8 +21,8 @@
   readonly channels: EndpointChannels;
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
-  /** Silence after which a call that may be repeated goes elsewhere. */
-  readonly patienceMilliseconds: number;
+  /** Silence after which the call goes elsewhere; null if it may not. */
+  readonly patienceMilliseconds: number | null;
   now(): number;
   /** The endpoint has read the stage results. */
   onInputsRead(): void;
@@ -74,7 +74,7 @@
       );
     }
     function watchSilence(milliseconds: number): void {
-      if (!context.isRepeatable) return;
+      if (options.patienceMilliseconds === null) return;
       if (silence !== null) clearTimeout(silence);
       silence = setTimeout(
         () => lose(`silent for ${Math.round(milliseconds)} ms`),
@@ -178,6 +178,6 @@
       },
     });
     context.cleanups.add(abandon);
-    watchSilence(options.patienceMilliseconds);
+    watchSilence(options.patienceMilliseconds ?? 0);
   });
 }
--- a/packages/hickorywharf-gateway/src/createEndpointChannels.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointChannels.ts
@@ -43,8 +43,9 @@
     socket.setTimeout(idle);
     return true;
   };
-  agent.reuseSocket = (stream) => {
+  agent.reuseSocket = (stream, request) => {
     const socket = stream as net.Socket;
+    http.Agent.prototype.reuseSocket.call(agent, stream, request);
     const watcher = watchers.get(socket);
     if (watcher !== undefined) socket.off('data', watcher);
     socket.setTimeout(0);
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createPeerLinks.ts
@@ -0,0 +1,140 @@
+import {createPeerClient} from 'hickorywharf-transport/createPeerClient';
+import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
+import type {Connection} from 'hickorywharf-transport/connection';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
+import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+import type {GatewayLog} from './gatewayLog.ts';
+
+interface PeerLinksOptions {
+  readonly identity: ProcessIdentity;
+  readonly listen: {readonly host: string; readonly port: number};
+  readonly log: GatewayLog;
+  random(): number;
+  /** A frame of an instance that connected here. */
+  onRequest(connection: Connection, frame: Frame): void;
+  onRequesterDown(connection: Connection): void;
+  /** A frame of an instance that this one connected to. */
+  onReply(name: string, frame: Frame): void;
+  onDown(name: string): void;
+}
+
+interface PeerLinks {
+  listen(): Promise<void>;
+  /** Follows the instances that are known. */
+  setInstances(instances: readonly GatewayInstance[]): void;
+  /** Whether frames can go to an instance now; connects if it is known. */
+  isUp(name: string): boolean;
+  send(name: string, frame: Frame): boolean;
+  close(): Promise<void>;
+}
+
+/** A pause or a cut shows after this; a heartbeat comes four times as often. */
+const SILENCE_MILLISECONDS = 800;
+const HEARTBEAT_MILLISECONDS = 200;
+
+const HEARTBEAT: Frame = {
+  tag: 'heartbeat',
+  leaving: false,
+  load: null,
+  configurationSequence: 0,
+};
+
+/**
+ * Connections to the other instances, made when they are first needed and kept
+ * alive by heartbeats.
+ *
+ * @example
+ *     const links = createPeerLinks(options);
+ *     await links.listen();
+ *     links.isUp('front-2') && links.send('front-2', frame);
+ */
+export function createPeerLinks(options: PeerLinksOptions): PeerLinks {
+  const {identity, log, random} = options;
+  const known = new Map<string, GatewayInstance>();
+  const clients = new Map<string, ReturnType<typeof createPeerClient>>();
+  const up = new Map<string, Connection>();
+  const requesters = new Set<Connection>();
+  let server: Awaited<ReturnType<typeof createPeerServer>> | null = null;
+  let heartbeat: NodeJS.Timeout | null = null;
+
+  function onError(error: {readonly message: string; readonly peer: string}) {
+    log.decide('peer connection failed', {
+      step: 'peer',
+      peer: error.peer,
+      reason: error.message,
+    });
+  }
+
+  function connect({name, host, port}: GatewayInstance): void {
+    const client = createPeerClient({
+      name,
+      address: host,
+      port,
+      identity,
+      random,
+      silenceMilliseconds: SILENCE_MILLISECONDS,
+      handlers: {
+        onUp(connection) {
+          up.set(name, connection);
+          log.note('peer connected', {step: 'peer', peer: name});
+        },
+        onDown(connection) {
+          if (up.get(name) === connection) up.delete(name);
+          log.note('peer lost', {step: 'peer', peer: name});
+          options.onDown(name);
+        },
+        onFrame: (_connection, frame) => options.onReply(name, frame),
+        onError,
+      },
+    });
+    clients.set(name, client);
+  }
+
+  function disconnect(name: string): void {
+    clients.get(name)?.close();
+    clients.delete(name);
+  }
+
+  return {
+    async listen() {
+      server = await createPeerServer({
+        address: options.listen.host,
+        port: options.listen.port,
+        identity,
+        silenceMilliseconds: SILENCE_MILLISECONDS,
+        handlers: {
+          onUp: (connection) => void requesters.add(connection),
+          onDown(connection) {
+            requesters.delete(connection);
+            options.onRequesterDown(connection);
+          },
+          onFrame: options.onRequest,
+          onError,
+        },
+      });
+      heartbeat = setInterval(() => {
+        for (const connection of requesters) connection.send(HEARTBEAT);
+        for (const connection of up.values()) connection.send(HEARTBEAT);
+      }, HEARTBEAT_MILLISECONDS);
+    },
+    setInstances(instances) {
+      known.clear();
+      for (const instance of instances) known.set(instance.name, instance);
+      for (const name of [...clients.keys()]) {
+        if (!known.has(name)) disconnect(name);
+      }
+    },
+    isUp(name) {
+      const instance = known.get(name);
+      if (instance !== undefined && !clients.has(name)) connect(instance);
+      return up.has(name);
+    },
+    send: (name, frame) => up.get(name)?.send(frame) ?? false,
+    async close() {
+      if (heartbeat !== null) clearInterval(heartbeat);
+      for (const name of [...clients.keys()]) disconnect(name);
+      await server?.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -0,0 +1,482 @@
+import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
+import type {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
+import type {PieceRow} from 'hickorywharf-decisions/gateway/pieceRow';
+import {planBatch} from 'hickorywharf-decisions/gateway/planBatch';
+import type {AnswerHead} from 'hickorywharf-types/gateway/answerHead';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
+import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
+import type {StageCapacity} from 'hickorywharf-types/gateway/stageCapacity';
+import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
+import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import type {EndpointChannels} from './endpointChannels.ts';
+import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayState} from './gatewayState.ts';
+import type {StageMaker} from './stageMaker.ts';
+
+interface MakerOptions {
+  readonly state: GatewayState;
+  readonly wire: GatewayWire;
+  readonly channels: EndpointChannels;
+  readonly health: ReturnType<typeof createEndpointHealth>;
+  readonly budget: ReturnType<typeof createRepeatBudget>;
+  readonly log: GatewayLog;
+  now(): number;
+}
+
+interface WaitingPiece extends PieceRow {
+  readonly order: StageOrder;
+  onResult(result: StageResult): void;
+  sends: number;
+  isCancelled: boolean;
+}
+
+interface HeldResult {
+  readonly endpoint: GatewayEndpoint;
+  readonly bytes: number;
+  readonly expiresAt: number;
+}
+
+/** What this instance knows of one endpoint's calls and memory. */
+interface Worker {
+  /** When each call under way should be done. */
+  readonly calls: Set<{readonly doneAt: number}>;
+  heldBytes: number;
+  /** It said that it had no room; nothing is sent before. */
+  fullUntil: number;
+}
+
+/** Results of one maker that are given up. */
+interface LeavingResults {
+  readonly endpoint: GatewayEndpoint;
+  readonly handles: string[];
+  bytes: number;
+}
+
+/** A call that takes so many times what it should is taken for lost. */
+const PATIENCE_FACTOR = 3;
+const PATIENCE_MILLISECONDS = 400;
+/** The most times that a piece is sent. */
+const MAXIMUM_SENDS = 4;
+/** Frees of one maker that come within this time share a call. */
+const FREE_DELAY_MILLISECONDS = 10;
+/** Weight of a call's time in what is known of its pieces' times. */
+const LEARNING_WEIGHT = 0.1;
+/** How often pieces are looked for whose time is over, while any wait. */
+const SWEEP_MILLISECONDS = 25;
+/** An endpoint without room is asked again after a result of it is freed. */
+const FULL_MILLISECONDS = 80;
+/** Sizes of results are stated roughly; this is how much larger they may be. */
+const FIRST_SIZE_FACTOR = 1.2;
+const MAXIMUM_SIZE_FACTOR = 2;
+const SIZE_FACTOR_GROWTH = 1.05;
+const SIZE_FACTOR_DECAY = 0.998;
+/** An endpoint that is done so soon is worth waiting for. */
+const SOON_MILLISECONDS = 100;
+
+/**
+ * Makes pieces of stages at all endpoints of their services, one call at a time
+ * on each slot, for the requests of every instance that orders here.
+ *
+ * @example
+ *     const maker = createStageMaker(options);
+ *     const cancel = maker.order(order, (result) => take(result));
+ */
+export function createStageMaker(options: MakerOptions): StageMaker {
+  const {state, wire, channels, health, budget, log, now} = options;
+  const queues = new Map<string, Set<WaitingPiece>>();
+  const workers = new Map<string, Worker>();
+  const held = new Map<string, HeldResult>();
+  const pieceTimes = new Map<string, number>();
+  const sizeFactors = new Map<string, number>();
+  const leaving = new Map<string, LeavingResults>();
+  let sweep: NodeJS.Timeout | null = null;
+
+  function getQueue(service: string): Set<WaitingPiece> {
+    let queue = queues.get(service);
+    if (queue === undefined) queues.set(service, (queue = new Set()));
+    return queue;
+  }
+
+  function getWorker(id: string): Worker {
+    let worker = workers.get(id);
+    if (worker === undefined) {
+      worker = {calls: new Set(), heldBytes: 0, fullUntil: -Infinity};
+      workers.set(id, worker);
+    }
+    return worker;
+  }
+
+  /** Undefined where the configuration no longer has the stage. */
+  function getCapacity(service: string): StageCapacity | undefined {
+    return state.configuration?.services.get(service)?.stage ?? undefined;
+  }
+
+  function getPieceTime(service: string, kind: string): number {
+    return pieceTimes.get(kind) ?? getCapacity(service)?.pieceMilliseconds ?? 0;
+  }
+
+  function getSizeFactor(service: string): number {
+    return sizeFactors.get(service) ?? FIRST_SIZE_FACTOR;
+  }
+
+  /** The endpoints that are well; without any, all of them. */
+  function getEndpoints(service: string): readonly GatewayEndpoint[] {
+    const usable = state.directory.getUsable(service);
+    const time = now();
+    const well = usable.filter(({id}) => health.getPenalty(id, time) === 0);
+    return well.length > 0 ? well : usable;
+  }
+
+  function release(endpoint: GatewayEndpoint, bytes: number): void {
+    const worker = getWorker(endpoint.id);
+    worker.heldBytes -= bytes;
+    worker.fullUntil = -Infinity;
+    pump(endpoint.service);
+  }
+
+  function dropExpired(): void {
+    const time = now();
+    for (const [handle, {endpoint, bytes, expiresAt}] of held) {
+      if (expiresAt > time) break;
+      held.delete(handle);
+      release(endpoint, bytes);
+    }
+    for (const queue of queues.values()) {
+      for (const piece of queue) {
+        if (time + piece.workMilliseconds < piece.deadlineAt) continue;
+        queue.delete(piece);
+        piece.onResult({tag: 'expired', piece: piece.piece});
+      }
+    }
+  }
+
+  function startSweep(): void {
+    sweep ??= setTimeout(() => {
+      sweep = null;
+      dropExpired();
+      for (const service of queues.keys()) pump(service);
+      if ([...queues.values()].some(({size}) => size > 0)) startSweep();
+    }, SWEEP_MILLISECONDS);
+  }
+
+  function isFree(id: string, slots: number, time: number): boolean {
+    const {calls, fullUntil} = getWorker(id);
+    return calls.size < slots && fullUntil <= time;
+  }
+
+  /** Where endpoints other than this one are free now or soon. */
+  function getOtherDomains(
+    endpoints: readonly GatewayEndpoint[],
+    endpoint: GatewayEndpoint,
+    slots: number,
+  ): Set<string> {
+    const time = now();
+    const domains = new Set<string>();
+    for (const {id, failureDomain} of endpoints) {
+      if (id === endpoint.id) continue;
+      const {calls} = getWorker(id);
+      const isSoon = [...calls].some(
+        ({doneAt}) => doneAt - time < SOON_MILLISECONDS,
+      );
+      if (isSoon || isFree(id, slots, time)) domains.add(failureDomain);
+    }
+    return domains;
+  }
+
+  function pump(service: string): void {
+    const queue = getQueue(service);
+    if (queue.size === 0) return;
+    const capacity = getCapacity(service);
+    if (capacity === undefined) {
+      for (const piece of queue) {
+        queue.delete(piece);
+        piece.onResult({tag: 'failed', piece: piece.piece});
+      }
+      return;
+    }
+    const endpoints = getEndpoints(service);
+    const time = now();
+    for (const endpoint of endpoints) {
+      if (!isFree(endpoint.id, capacity.slots, time)) continue;
+      const {heldBytes} = getWorker(endpoint.id);
+      const room = capacity.roomBytes / getSizeFactor(service);
+      const batch = planBatch(queue, time, {
+        batch: capacity.batch,
+        callMilliseconds: capacity.callMilliseconds,
+        roomBytes: room - heldBytes,
+        failureDomain: endpoint.failureDomain,
+        otherDomains: getOtherDomains(endpoints, endpoint, capacity.slots),
+      });
+      if (batch.length === 0) continue;
+      for (const piece of batch) queue.delete(piece);
+      sendBatch(capacity, endpoint, batch);
+    }
+  }
+
+  function requeue(piece: WaitingPiece, reason: string): void {
+    if (piece.isCancelled) return;
+    const {service} = piece.order;
+    const mayRepeat =
+      piece.sends < MAXIMUM_SENDS &&
+      budget.tryRepeat(service, now(), state.instances.length);
+    if (mayRepeat) {
+      wait(piece);
+      return;
+    }
+    log.decide('piece given up', {
+      requestId: piece.requestId,
+      step: 'stage',
+      stage: piece.stage,
+      piece: piece.piece,
+      sends: piece.sends,
+      reason,
+    });
+    piece.onResult({tag: 'failed', piece: piece.piece});
+  }
+
+  function wait(piece: WaitingPiece): void {
+    getQueue(piece.order.service).add(piece);
+    startSweep();
+  }
+
+  const outcomeHandlers: {
+    [Tag in PieceOutcome['tag']]: (
+      piece: WaitingPiece,
+      endpoint: GatewayEndpoint,
+      outcome: Extract<PieceOutcome, {tag: Tag}>,
+    ) => void;
+  } = {
+    made(piece, endpoint, {handle}) {
+      const bytes = piece.resultBytes;
+      const keep = getCapacity(piece.order.service)?.keepMilliseconds ?? 0;
+      held.set(handle, {endpoint, bytes, expiresAt: now() + keep});
+      getWorker(endpoint.id).heldBytes += bytes;
+      if (piece.isCancelled) {
+        free([handle]);
+        return;
+      }
+      const endpointId = endpoint.id;
+      piece.onResult({tag: 'made', piece: piece.piece, handle, endpointId});
+    },
+    late(piece) {
+      if (piece.isCancelled) return;
+      piece.onResult({tag: 'expired', piece: piece.piece});
+    },
+    inputGone(piece) {
+      if (piece.isCancelled) return;
+      piece.onResult({tag: 'inputGone', piece: piece.piece});
+    },
+    noRoom(piece, endpoint) {
+      const {service} = piece.order;
+      const factor = getSizeFactor(service) * SIZE_FACTOR_GROWTH;
+      sizeFactors.set(service, Math.min(factor, MAXIMUM_SIZE_FACTOR));
+      getWorker(endpoint.id).fullUntil = now() + FULL_MILLISECONDS;
+      if (!piece.isCancelled) wait(piece);
+    },
+    failed: (piece) => requeue(piece, 'failed'),
+  };
+
+  function learn(
+    capacity: StageCapacity,
+    batch: readonly WaitingPiece[],
+    took: number,
+  ): void {
+    const expected = batch.reduce(
+      (sum, {order}) => sum + getPieceTime(order.service, order.kind),
+      0,
+    );
+    const factor = Math.min(
+      3,
+      Math.max(0.2, (took - capacity.callMilliseconds) / Math.max(expected, 1)),
+    );
+    const {service} = batch[0]!.order;
+    sizeFactors.set(
+      service,
+      Math.max(1, getSizeFactor(service) * SIZE_FACTOR_DECAY),
+    );
+    for (const {order} of batch) {
+      const known = getPieceTime(order.service, order.kind);
+      const share = LEARNING_WEIGHT / batch.length;
+      pieceTimes.set(order.kind, known * (1 + share * (factor - 1)));
+    }
+  }
+
+  function sendBatch(
+    capacity: StageCapacity,
+    endpoint: GatewayEndpoint,
+    batch: readonly WaitingPiece[],
+  ): void {
+    const worker = getWorker(endpoint.id);
+    const startedAt = now();
+    const work = batch.reduce((sum, piece) => sum + piece.workMilliseconds, 0);
+    const usual = capacity.callMilliseconds + work;
+    const call = {doneAt: startedAt + usual};
+    worker.calls.add(call);
+    const reserved = batch.reduce((sum, piece) => sum + piece.resultBytes, 0);
+    worker.heldBytes += reserved;
+    for (const piece of batch) piece.sends += 1;
+
+    let head: AnswerHead | null = null;
+    const chunks: Buffer[] = [];
+    let isOver = false;
+    const finish = (): boolean => {
+      if (isOver) return false;
+      isOver = true;
+      clearTimeout(timer);
+      worker.calls.delete(call);
+      worker.heldBytes -= reserved;
+      return true;
+    };
+    const fail = (reason: string): void => {
+      if (!finish()) return;
+      exchange.abort();
+      health.noteFailure(endpoint.id, now());
+      log.decide('stage call failed', {
+        step: 'stage',
+        peer: endpoint.id,
+        service: endpoint.service,
+        pieces: batch.length,
+        reason,
+      });
+      for (const piece of batch) requeue(piece, reason);
+      pump(endpoint.service);
+    };
+    const timer = setTimeout(
+      () => fail('no answer in time'),
+      usual * PATIENCE_FACTOR + PATIENCE_MILLISECONDS,
+    );
+    const body = wire.writePieces(
+      batch.map(({order, piece, deadlineAt}) => ({
+        requestId: order.requestId,
+        stage: order.stage,
+        piece,
+        timeLeftMilliseconds: Math.max(1, Math.floor(deadlineAt - startedAt)),
+        key: order.key,
+        inputs: order.inputs,
+      })),
+    );
+    const exchange = channels.send({
+      ...describeCall(endpoint, wire.stageRun, body),
+      onHead(answerHead) {
+        head = answerHead;
+      },
+      onData: (chunk) => void chunks.push(chunk),
+      onEnd() {
+        if (head?.status !== 200) return fail(`status ${head?.status}`);
+        const text = Buffer.concat(chunks).toString();
+        const outcomes = wire.readPieces(text, batch.length);
+        if (outcomes.isErr()) return fail(outcomes.error);
+        if (!finish()) return;
+        const took = now() - startedAt;
+        health.noteAnswer(endpoint.id, took, now());
+        learn(capacity, batch, took);
+        outcomes.value.forEach((outcome, index) => {
+          const handle = outcomeHandlers[outcome.tag];
+          handle(batch[index]!, endpoint, outcome as never);
+        });
+        pump(endpoint.service);
+      },
+      onFailure: ({message}) => fail(message),
+    });
+  }
+
+  function describeCall(
+    endpoint: GatewayEndpoint,
+    {method, path}: GatewayWire['stageRun'],
+    body: string,
+  ) {
+    const {id, host, port} = endpoint;
+    const bytes = Buffer.byteLength(body);
+    const headers = wire.writeStageHeaders(id, `${host}:${port}`, bytes);
+    return {host, port, method, path, headers, body, needsNewConnection: false};
+  }
+
+  function leave(
+    endpoint: GatewayEndpoint,
+    handle: string,
+    bytes: number,
+  ): void {
+    const waiting = leaving.get(endpoint.id);
+    if (waiting !== undefined) {
+      waiting.handles.push(handle);
+      waiting.bytes += bytes;
+      return;
+    }
+    leaving.set(endpoint.id, {endpoint, handles: [handle], bytes});
+    setTimeout(() => sendFrees(endpoint.id), FREE_DELAY_MILLISECONDS);
+  }
+
+  function free(handles: readonly string[]): void {
+    for (const handle of handles) {
+      const result = held.get(handle);
+      if (result === undefined) continue;
+      held.delete(handle);
+      leave(result.endpoint, handle, result.bytes);
+    }
+  }
+
+  function sendFrees(id: string): void {
+    const entry = leaving.get(id);
+    leaving.delete(id);
+    if (entry === undefined) return;
+    const {endpoint, handles, bytes} = entry;
+    channels.send({
+      ...describeCall(endpoint, wire.stageFree, wire.writeFree(handles)),
+      onHead: () => undefined,
+      onData: () => undefined,
+      // Only the maker's answer shows that there is room again.
+      onEnd: () => release(endpoint, bytes),
+      onFailure({message}) {
+        log.decide('results not freed', {
+          step: 'stage',
+          peer: endpoint.id,
+          handles: handles.length,
+          reason: message,
+        });
+        release(endpoint, bytes);
+      },
+    });
+  }
+
+  return {
+    order(order, onResult) {
+      const startedAt = now();
+      const rows = order.pieces.map((piece): WaitingPiece => {
+        budget.noteRequest(order.service, startedAt);
+        return {
+          requestId: order.requestId,
+          stage: order.stage,
+          piece,
+          priority: order.priority,
+          targetAt: startedAt + order.targetMilliseconds,
+          deadlineAt: startedAt + order.deadlineMilliseconds,
+          resultBytes: order.resultBytes,
+          workMilliseconds: getPieceTime(order.service, order.kind),
+          failureDomain: order.failureDomain,
+          order,
+          onResult,
+          sends: 0,
+          isCancelled: false,
+        };
+      });
+      rows.forEach(wait);
+      queueMicrotask(() => pump(order.service));
+      return () => {
+        for (const row of rows) {
+          row.isCancelled = true;
+          getQueue(order.service).delete(row);
+        }
+      };
+    },
+    free,
+    freeAt(endpointId, handles) {
+      const endpoint = state.directory.get(endpointId);
+      if (endpoint === undefined) return;
+      for (const handle of handles) leave(endpoint, handle, 0);
+    },
+    refresh() {
+      for (const service of queues.keys()) pump(service);
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createStageRouter.ts
@@ -0,0 +1,234 @@
+import {orderDispatchers} from 'hickorywharf-decisions/gateway/orderDispatchers';
+import type {Connection} from 'hickorywharf-transport/connection';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
+import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import type {createPeerLinks} from './createPeerLinks.ts';
+import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayState} from './gatewayState.ts';
+import type {StageMaker} from './stageMaker.ts';
+import type {StageRouter} from './stageRouter.ts';
+
+interface RouterOptions {
+  readonly name: string;
+  readonly state: GatewayState;
+  readonly maker: StageMaker;
+  readonly log: GatewayLog;
+  getLinks(): ReturnType<typeof createPeerLinks>;
+  now(): number;
+}
+
+interface Router extends StageRouter {
+  /** Takes a frame of an instance that orders here. */
+  takeRequest(connection: Connection, frame: Frame): void;
+  dropRequester(connection: Connection): void;
+  /** Takes a frame of an instance that makes pieces for this one. */
+  takeReply(name: string, frame: Frame): void;
+  /** Orders again what a lost instance should have made. */
+  dropMaker(name: string): void;
+}
+
+interface OpenOrder {
+  readonly order: StageOrder;
+  readonly orderedAt: number;
+  readonly missing: Set<number>;
+  onResult(result: StageResult): void;
+  /** The instance in charge; null while this one makes the pieces. */
+  maker: string | null;
+  cancelLocal: (() => void) | null;
+}
+
+interface KnownResult {
+  /** The instance that keeps the endpoint's account; null for this one. */
+  readonly maker: string | null;
+  readonly endpointId: string;
+}
+
+/** Results that are never freed are forgotten with their makers' time. */
+const MAXIMUM_KNOWN_RESULTS = 20_000;
+
+/**
+ * Sends the pieces of each service to the one instance that makes its batches,
+ * so that pieces of all requests meet there. Where that instance is lost, its
+ * successor gets what is still missing; a piece may be made twice.
+ *
+ * @example
+ *     const router = createStageRouter(options);
+ *     const cancel = router.order(order, (result) => take(result));
+ */
+export function createStageRouter(options: RouterOptions): Router {
+  const {name, state, maker, log, getLinks, now} = options;
+  const open = new Map<number, OpenOrder>();
+  const known = new Map<string, KnownResult>();
+  const requests = new Map<Connection, Map<number, () => void>>();
+  let lastOrderId = 0;
+
+  function findMaker(service: string): string | null {
+    const services = [...(state.configuration?.services.values() ?? [])]
+      .filter(({stage}) => stage !== null)
+      .map((entry) => entry.name);
+    for (const instance of orderDispatchers(
+      service,
+      services,
+      state.instances,
+    )) {
+      if (instance === name) return null;
+      if (getLinks().isUp(instance)) return instance;
+    }
+    return null;
+  }
+
+  function takeResult(id: number, entry: OpenOrder, result: StageResult): void {
+    if (!entry.missing.delete(result.piece)) return;
+    if (entry.missing.size === 0) open.delete(id);
+    if (result.tag === 'made') {
+      const {handle, endpointId} = result;
+      known.set(handle, {maker: entry.maker, endpointId});
+      if (known.size > MAXIMUM_KNOWN_RESULTS) {
+        known.delete(known.keys().next().value!);
+      }
+    }
+    entry.onResult(result);
+  }
+
+  /** The order as far as it is open, with the time that is left. */
+  function getRest(entry: OpenOrder): StageOrder {
+    const elapsed = now() - entry.orderedAt;
+    const {order, missing} = entry;
+    return {
+      ...order,
+      pieces: [...missing],
+      targetMilliseconds: order.targetMilliseconds - elapsed,
+      deadlineMilliseconds: order.deadlineMilliseconds - elapsed,
+    };
+  }
+
+  function place(id: number, entry: OpenOrder): void {
+    const rest = getRest(entry);
+    entry.maker = findMaker(rest.service);
+    if (entry.maker !== null) {
+      const frame: Frame = {tag: 'stageOrder', orderId: id, order: rest};
+      if (getLinks().send(entry.maker, frame)) return;
+      entry.maker = null;
+    }
+    entry.cancelLocal = maker.order(rest, (result) =>
+      takeResult(id, entry, result),
+    );
+  }
+
+  function free(handles: readonly string[]): void {
+    const local: string[] = [];
+    const remote = new Map<string, string[]>();
+    for (const handle of handles) {
+      const result = known.get(handle);
+      if (result === undefined) continue;
+      known.delete(handle);
+      if (result.maker === null) local.push(handle);
+      else if (getLinks().isUp(result.maker)) {
+        const list = remote.get(result.maker) ?? [];
+        list.push(handle);
+        remote.set(result.maker, list);
+      } else maker.freeAt(result.endpointId, [handle]);
+    }
+    maker.free(local);
+    for (const [instance, list] of remote) {
+      getLinks().send(instance, {tag: 'stageFree', handles: list});
+    }
+  }
+
+  function takeOrder(connection: Connection, id: number, order: StageOrder) {
+    const orders = requests.get(connection) ?? new Map<number, () => void>();
+    requests.set(connection, orders);
+    let pending: StageResult[] = [];
+    let left = order.pieces.length;
+    const cancel = maker.order(order, (result) => {
+      left -= 1;
+      if (left === 0) orders.delete(id);
+      pending.push(result);
+      if (pending.length > 1) return;
+      // Results of one call go back in one frame.
+      queueMicrotask(() => {
+        const results = pending;
+        pending = [];
+        const isSent = connection.send({
+          tag: 'stageResults',
+          orderId: id,
+          results,
+        });
+        if (isSent) return;
+        maker.free(
+          results.flatMap((entry) =>
+            entry.tag === 'made' ? [entry.handle] : [],
+          ),
+        );
+      });
+    });
+    orders.set(id, cancel);
+  }
+
+  return {
+    order(order, onResult) {
+      lastOrderId += 1;
+      const id = lastOrderId;
+      const entry: OpenOrder = {
+        order,
+        orderedAt: now(),
+        missing: new Set(order.pieces),
+        onResult,
+        maker: null,
+        cancelLocal: null,
+      };
+      open.set(id, entry);
+      place(id, entry);
+      return () => {
+        if (!open.delete(id)) return;
+        if (entry.maker === null) entry.cancelLocal?.();
+        else getLinks().send(entry.maker, {tag: 'stageCancel', orderId: id});
+      };
+    },
+    free,
+    getFailureDomain(handle) {
+      const result = known.get(handle);
+      return result && state.directory.get(result.endpointId)?.failureDomain;
+    },
+    takeRequest(connection, frame) {
+      if (frame.tag === 'stageOrder') {
+        takeOrder(connection, frame.orderId, frame.order);
+      } else if (frame.tag === 'stageCancel') {
+        const orders = requests.get(connection);
+        orders?.get(frame.orderId)?.();
+        orders?.delete(frame.orderId);
+      } else if (frame.tag === 'stageFree') {
+        maker.free(frame.handles);
+      }
+    },
+    dropRequester(connection) {
+      for (const cancel of requests.get(connection)?.values() ?? []) cancel();
+      requests.delete(connection);
+    },
+    takeReply(instance, frame) {
+      if (frame.tag !== 'stageResults') return;
+      const entry = open.get(frame.orderId);
+      if (entry === undefined || entry.maker !== instance) {
+        const handles = frame.results.flatMap((result) =>
+          result.tag === 'made' ? [result.handle] : [],
+        );
+        getLinks().send(instance, {tag: 'stageFree', handles});
+        return;
+      }
+      for (const result of frame.results) {
+        takeResult(frame.orderId, entry, result);
+      }
+    },
+    dropMaker(instance) {
+      const lost = [...open].filter(([, entry]) => entry.maker === instance);
+      if (lost.length === 0) return;
+      log.note('stage orders moved', {
+        step: 'stage',
+        peer: instance,
+        orders: lost.length,
+      });
+      for (const [id, entry] of lost) place(id, entry);
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/followSource.ts
+++ b/packages/hickorywharf-gateway/src/followSource.ts
@@ -1,4 +1,5 @@
 import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
+import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {GatewayLog} from './gatewayLog.ts';
@@ -10,8 +11,10 @@
   readonly log: GatewayLog;
   readonly name: string;
   readonly getInstant: ReturnType<typeof createInstantClock>;
-  /** Called after endpoints or instances changed. */
+  /** Called after the configuration or the endpoints changed. */
   onChange(): void;
+  /** Called with the other instances after each reading. */
+  onInstances(others: readonly GatewayInstance[]): void;
 }
 
 /** Well within the time in which a change of configuration binds. */
@@ -32,7 +35,7 @@
  *     const stop = followSource(options);
  */
 export function followSource(options: FollowOptions): () => void {
-  const {source, state, log, name, getInstant, onChange} = options;
+  const {source, state, log, name, getInstant, onChange, onInstances} = options;
   let isStopped = false;
   const timers = new Set<NodeJS.Timeout>();
   const lost = new Set<string>();
@@ -106,11 +109,12 @@
       return false;
     }
     noteGain('instances');
-    const instances = [...new Set([...read.value, name])].sort();
+    const others = read.value.filter((instance) => instance.name !== name);
+    onInstances(others);
+    const instances = [...others.map((other) => other.name), name].sort();
     if (instances.join() !== state.instances.join()) {
       log.note('instances known', {step: 'instances', instances});
       state.instances = instances;
-      onChange();
     }
     return true;
   }
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
 import {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
@@ -13,7 +14,9 @@
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createInstantClock} from './createInstantClock.ts';
 import {createReadinessServer} from './createReadinessServer.ts';
-import {createStageDispatcher} from './createStageDispatcher.ts';
+import {createPeerLinks} from './createPeerLinks.ts';
+import {createStageMaker} from './createStageMaker.ts';
+import {createStageRouter} from './createStageRouter.ts';
 import {followSource} from './followSource.ts';
 import type {GatewayState} from './gatewayState.ts';
 import {isKeyConfirmed} from './isKeyConfirmed.ts';
@@ -66,8 +69,7 @@
     windowMilliseconds: settings.repeatWindowMilliseconds,
     allowance: settings.repeatAllowance,
   });
-  const dispatcher = createStageDispatcher({
-    name: settings.name,
+  const maker = createStageMaker({
     state,
     wire,
     channels,
@@ -76,6 +78,29 @@
     log,
     now,
   });
+  const router = createStageRouter({
+    name: settings.name,
+    state,
+    maker,
+    log,
+    now,
+    getLinks: () => links,
+  });
+  const links = createPeerLinks({
+    identity: {
+      name: settings.name,
+      incarnation: randomUUID(),
+      failureDomain: settings.failureDomain,
+      role: 'entry',
+    },
+    listen: settings.peers,
+    log,
+    random: Math.random,
+    onRequest: router.takeRequest,
+    onRequesterDown: router.dropRequester,
+    onReply: router.takeReply,
+    onDown: router.dropMaker,
+  });
   const server = createCallServer({
     settings,
     state,
@@ -84,7 +109,7 @@
     health,
     loads: createEndpointLoads(),
     budget,
-    dispatcher,
+    router,
     log,
     getInstant,
   });
@@ -102,13 +127,15 @@
   const readiness = createReadinessServer(wire.readinessPath, isReady);
   await server.listen(settings.listen.host, settings.listen.port);
   await readiness.listen(settings.readiness.host, settings.readiness.port);
+  await links.listen();
   const unfollow = followSource({
     source,
     state,
     log,
     name: settings.name,
     getInstant,
-    onChange: () => dispatcher.refresh(),
+    onChange: maker.refresh,
+    onInstances: links.setInstances,
   });
   log.note('started', {step: 'start', failureDomain: settings.failureDomain});
 
@@ -134,6 +161,7 @@
       unfollow();
       server.close();
       readiness.close();
+      await links.close();
       channels.close();
       log.note('stopped', {step: 'stop', milliseconds: now() - stoppedAt});
     },
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -1,10 +1,10 @@
 import {getStageInputs} from 'hickorywharf-decisions/gateway/getStageInputs';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {CallContext} from './callContext.ts';
-import type {StageDispatcher} from './stageDispatcher.ts';
+import type {StageRouter} from './stageRouter.ts';
 
 /** Results of the stages of one call. */
-type StageResult =
+type StagesResult =
   | {
       readonly tag: 'made';
       /** What the call itself reads. */
@@ -14,11 +14,22 @@
     }
   | {readonly tag: 'failed'; readonly reason: string};
 
+interface StagesOptions {
+  readonly context: CallContext;
+  readonly services: GatewayConfiguration['services'];
+  readonly router: StageRouter;
+  /** Where the call will probably run; null if it is not known. */
+  readonly readerDomain: string | null;
+  getNow(): number;
+}
+
 /** Time that a call spends after its stages, until its first event. */
 const CALL_MILLISECONDS = 120;
 const PROMPT_TOKENS_PER_MILLISECOND = 50;
 /** A piece waits about half a call for its turn. */
 const TURN_SHARE = 1.5;
+/** Results of this size are made where they will be read. */
+const LARGE_RESULT_BYTES = 500_000;
 /** A result that is gone is made again so many times. */
 const MAXIMUM_ROUNDS = 2;
 
@@ -52,13 +63,10 @@
  * there.
  *
  * @example
- *     const result = await runStages(context, services, dispatcher);
+ *     const result = await runStages(options);
  */
-export function runStages(
-  context: CallContext,
-  services: GatewayConfiguration['services'],
-  dispatcher: StageDispatcher,
-): Promise<StageResult> {
+export function runStages(options: StagesOptions): Promise<StagesResult> {
+  const {context, services, router, readerDomain, getNow} = options;
   const {call, route} = context;
   const {stages} = route;
   const counts = stages.map((_stage, position) => call.pieces[position] ?? 0);
@@ -72,7 +80,7 @@
   return new Promise((resolve) => {
     let isSettled = false;
 
-    function settle(result: StageResult): void {
+    function settle(result: StagesResult): void {
       if (isSettled) return;
       isSettled = true;
       context.cleanups.delete(abandon);
@@ -80,7 +88,7 @@
     }
     function giveUp(reason: string): void {
       for (const cancel of cancels) cancel();
-      dispatcher.free(handles.flat().filter((handle) => handle !== ''));
+      router.free(handles.flat().filter((handle) => handle !== ''));
       settle({tag: 'failed', reason});
     }
     function abandon(): void {
@@ -92,7 +100,7 @@
       if (rounds >= MAXIMUM_ROUNDS) return giveUp('inputGone');
       for (const cancel of cancels) cancel();
       cancels.clear();
-      dispatcher.free(handles.flat().filter((handle) => handle !== ''));
+      router.free(handles.flat().filter((handle) => handle !== ''));
       counts.forEach((count, position) => {
         handles[position] = [];
         missing[position] = count;
@@ -112,36 +120,52 @@
       const round = rounds;
       const results = new Array<string>(counts[position]!).fill('');
       handles[position] = results;
-      for (let piece = 0; piece < counts[position]!; piece += 1) {
-        const cancel = dispatcher.order(
-          {
-            requestId: call.id,
-            stage: position,
-            piece,
-            service,
-            kind: `${route.name}/${position}`,
-            key: stage.after.length === 0 ? call.pieceKey : null,
-            inputs: stage.after.length === 0 ? null : inputs,
-            priority: context.priority,
-            targetAt: context.targetAt - timesAfter[position]!,
-            deadlineAt: context.deadlineAt - timesAfter[position]!,
-            resultBytes: stage.resultBytes,
-          },
-          (result) => {
-            cancels.delete(cancel);
-            if (isSettled || round !== rounds) {
-              if (result.tag === 'made') dispatcher.free([result.handle]);
-              return;
-            }
-            if (result.tag === 'inputGone') return restart();
-            if (result.tag !== 'made') return giveUp(result.tag);
-            results[piece] = result.handle;
-            missing[position]! -= 1;
-            if (missing[position] === 0) advance();
-          },
+      const cancel = router.order(
+        {
+          requestId: call.id,
+          stage: position,
+          service: stage.service,
+          kind: `${route.name}/${position}`,
+          pieces: results.map((_result, piece) => piece),
+          key: stage.after.length === 0 ? call.pieceKey : null,
+          inputs: stage.after.length === 0 ? null : inputs,
+          priority: context.priority,
+          targetMilliseconds:
+            context.targetAt - timesAfter[position]! - getNow(),
+          deadlineMilliseconds:
+            context.deadlineAt - timesAfter[position]! - getNow(),
+          resultBytes: stage.resultBytes,
+          failureDomain:
+            stage.resultBytes < LARGE_RESULT_BYTES ? null : readerDomain,
+        },
+        (result) => {
+          if (isSettled || round !== rounds) {
+            if (result.tag === 'made') router.free([result.handle]);
+            return;
+          }
+          if (result.tag === 'inputGone') return restart();
+          if (result.tag !== 'made') return giveUp(result.tag);
+          results[result.piece] = result.handle;
+          missing[position]! -= 1;
+          if (missing[position]! > 0) return;
+          freeRead();
+          advance();
+        },
+      );
+      cancels.add(cancel);
+    }
+
+    /** Frees results that every stage that reads them has read. */
+    function freeRead(): void {
+      stages.forEach((_stage, position) => {
+        const readers = stages.flatMap(({after}, later) =>
+          after.includes(position) ? [later] : [],
         );
-        cancels.add(cancel);
-      }
+        if (readers.length === 0 || handles[position]!.length === 0) return;
+        if (readers.some((later) => missing[later]! > 0)) return;
+        router.free(handles[position]!);
+        handles[position] = [];
+      });
     }
 
     /** Begins each stage whose inputs are all there. */
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -18,7 +18,7 @@
 import {isKeyConfirmed} from './isKeyConfirmed.ts';
 import type {Refusal} from './refusal.ts';
 import {runStages} from './runStages.ts';
-import type {StageDispatcher} from './stageDispatcher.ts';
+import type {StageRouter} from './stageRouter.ts';
 
 interface ServeOptions {
   readonly settings: GatewaySettings;
@@ -28,7 +28,7 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
   readonly budget: ReturnType<typeof createRepeatBudget>;
-  readonly dispatcher: StageDispatcher;
+  readonly router: StageRouter;
   readonly log: GatewayLog;
   readonly getInstant: ReturnType<typeof createInstantClock>;
 }
@@ -76,6 +76,12 @@
   let handles: readonly string[] = [];
   let hasInputs = false;
 
+  /** About how large a result is that the call itself reads. */
+  const resultBytes = Math.max(
+    0,
+    ...route.stages.map((stage) => stage.resultBytes),
+  );
+
   function conclude(outcome: string, fields: Record<string, unknown>): void {
     log.decide(outcome, {
       requestId: call.id,
@@ -88,7 +94,7 @@
   }
 
   function freeInputs(): void {
-    if (handles.length > 0) options.dispatcher.free(handles);
+    if (handles.length > 0) options.router.free(handles);
     handles = [];
     hasInputs = false;
   }
@@ -131,14 +137,18 @@
     const choice = route.isSticky
       ? chooseEngine(choices, {
           parts: call.promptParts,
-          promptTokens: call.promptTokens,
           failureDomain,
+          results: inputs.map(options.router.getFailureDomain),
+          resultBytes,
         })
       : chooseEndpoint(choices, failureDomain);
     return choice?.endpoint;
   }
 
-  function getPatience(endpoint: GatewayEndpoint): number {
+  function getPatience(endpoint: GatewayEndpoint): number | null {
+    if (!context.isRepeatable || runs + 1 >= route.maximumEndpoints)
+      return null;
+    if (state.directory.getUsable(service.name).length < 2) return null;
     if (!route.isSticky) {
       const usual = health.getAnswerTime(endpoint.id);
       return usual * PATIENCE_FACTOR + PATIENCE_MILLISECONDS;
@@ -160,9 +170,15 @@
     }
     stageRuns += 1;
     const {services} = state.configuration!;
-    const result = await runStages(context, services, options.dispatcher);
+    const result = await runStages({
+      context,
+      services,
+      router: options.router,
+      readerDomain: choose()?.failureDomain ?? null,
+      getNow: () => getInstant().monotonic,
+    });
     if (context.isOver) {
-      if (result.tag === 'made') options.dispatcher.free(result.handles);
+      if (result.tag === 'made') options.router.free(result.handles);
       return false;
     }
     if (result.tag === 'failed') {
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/stageMaker.ts
@@ -0,0 +1,14 @@
+import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
+import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+
+/** Makes pieces of stages at endpoints, in batches across requests. */
+export interface StageMaker {
+  /** Asks for pieces, each with its own result; gives a way to call them off. */
+  order(order: StageOrder, onResult: (result: StageResult) => void): () => void;
+  /** Gives results up, so that their makers have room again. */
+  free(handles: readonly string[]): void;
+  /** Frees results that another instance had made, at their endpoint. */
+  freeAt(endpointId: string, handles: readonly string[]): void;
+  /** Looks for work again, after the endpoints changed. */
+  refresh(): void;
+}
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/stageRouter.ts
@@ -0,0 +1,10 @@
+import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
+import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+
+/** Gets pieces made, here or by the instance that is in charge. */
+export interface StageRouter {
+  order(order: StageOrder, onResult: (result: StageResult) => void): () => void;
+  free(handles: readonly string[]): void;
+  /** Where a result lies; undefined if it is not known. */
+  getFailureDomain(handle: string): string | undefined;
+}
--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -86,6 +86,13 @@
     ),
   },
   instances: {instances: isListOf(frameChecks.hasFields({name: isName}))},
+  stageOrder: {orderId: isCount, order: frameChecks.isStageOrder},
+  stageCancel: {orderId: isCount},
+  stageResults: {
+    orderId: isCount,
+    results: isListOf(frameChecks.isStageResult),
+  },
+  stageFree: {handles: frameChecks.isTextList},
 };
 
 /**
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,5 +1,7 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
+import type {StageOrder} from './gateway/stageOrder.ts';
+import type {StageResult} from './gateway/stageResult.ts';
 import type {HalfMove} from './halfMove.ts';
 import type {HomeInterval} from './homeInterval.ts';
 import type {Instance} from './instance.ts';
@@ -112,4 +114,18 @@
       /** Moves between halves, in the order of the log. */
       readonly halfMoves?: readonly HalfMove[];
     }
-  | {readonly tag: 'instances'; readonly instances: readonly Instance[]};
+  | {readonly tag: 'instances'; readonly instances: readonly Instance[]}
+  /** Asks the instance that makes a service's batches for pieces. */
+  | {
+      readonly tag: 'stageOrder';
+      readonly orderId: number;
+      readonly order: StageOrder;
+    }
+  | {readonly tag: 'stageCancel'; readonly orderId: number}
+  | {
+      readonly tag: 'stageResults';
+      readonly orderId: number;
+      readonly results: readonly StageResult[];
+    }
+  /** Gives up results that the receiver had made. */
+  | {readonly tag: 'stageFree'; readonly handles: readonly string[]};
--- /dev/null
+++ b/packages/hickorywharf-types/src/gateway/gatewayInstance.ts
@@ -0,0 +1,7 @@
+/** One of our instances, as it announces itself to the others. */
+export interface GatewayInstance {
+  readonly name: string;
+  /** Where it takes connections of the others. */
+  readonly host: string;
+  readonly port: number;
+}
--- a/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
@@ -5,6 +5,8 @@
   /** Where callers are served, as host and port. */
   readonly listen: {readonly host: string; readonly port: number};
   readonly readiness: {readonly host: string; readonly port: number};
+  /** Where the other instances connect. */
+  readonly peers: {readonly host: string; readonly port: number};
   readonly metrics: {readonly host: string; readonly port: number} | null;
   /** How long a planned stop may take. */
   readonly graceMilliseconds: number;
--- a/packages/hickorywharf-types/src/gateway/gatewaySource.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySource.ts
@@ -1,6 +1,7 @@
 import type {Result} from 'neverthrow';
 import type {GatewayConfiguration} from './gatewayConfiguration.ts';
 import type {GatewayEndpoint} from './gatewayEndpoint.ts';
+import type {GatewayInstance} from './gatewayInstance.ts';
 
 /** Why the platform's store gave no answer that can be used. */
 interface SourceError {
@@ -21,5 +22,5 @@
   announce(): Promise<Result<null, SourceError>>;
   /** Takes the name back at a planned stop. */
   withdraw(): Promise<Result<null, SourceError>>;
-  readInstances(): Promise<Result<string[], SourceError>>;
+  readInstances(): Promise<Result<GatewayInstance[], SourceError>>;
 }
--- a/packages/hickorywharf-validation/src/gatewaySettings.ts
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -18,7 +18,11 @@
 /** The settings of an entry that calls endpoints directly. */
 export const gatewaySettings = z.strictObject({
   process: commonSections.process,
-  listen: z.strictObject({callers: socketAddress, readiness: socketAddress}),
+  listen: z.strictObject({
+    callers: socketAddress,
+    readiness: socketAddress,
+    peers: socketAddress,
+  }),
   store: z.strictObject({address: z.string().min(1)}),
   bounds: z.strictObject({
     graceMilliseconds: milliseconds,
