--- a/packages/hickorywharf-gateway/src/createEndpointChannels.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointChannels.ts
@@ -1,9 +1,25 @@
-import http from 'node:http';
-import type net from 'node:net';
+import net from 'node:net';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
+import {createResponseReader} from './createResponseReader.ts';
 import type {EndpointChannels} from './endpointChannels.ts';
 import type {EndpointRequest} from './endpointRequest.ts';
 
+/** A connection of its own, and what was learnt of it. */
+interface Channel {
+  readonly socket: net.Socket;
+  readonly address: string;
+  /** Takes what arrives; null while nothing is asked. */
+  user: ChannelUser | null;
+  idleTimer: NodeJS.Timeout | null;
+}
+
+interface ChannelUser {
+  /** False to stop reading until the next turn of the loop. */
+  onBytes(bytes: Buffer): boolean;
+  onEnd(): void;
+  onClose(message: string): void;
+}
+
 /** A connection within a region takes a few milliseconds, or a lost packet. */
 const CONNECT_MILLISECONDS = 400;
 /** Below what endpoints state, since their clock began before ours. */
@@ -12,49 +28,36 @@
 const UNSTATED_KEEP_ALIVE_MILLISECONDS = 300;
 /** Idle connections to one endpoint; others are closed after their answer. */
 const IDLE_CONNECTIONS = 8;
+const READ_BYTES = 16_384;
 
-function getIdleMilliseconds(socket: net.Socket): number {
-  const {_httpMessage: message} = socket as net.Socket & {
-    _httpMessage?: http.ClientRequest & {res?: http.IncomingMessage};
-  };
-  const stated = message?.res?.headers['keep-alive'];
-  const seconds = /(?:^|[\s,])timeout=(\d+)/.exec(String(stated ?? ''))?.[1];
-  return seconds === undefined
-    ? UNSTATED_KEEP_ALIVE_MILLISECONDS
-    : Number(seconds) * 1000 - KEEP_ALIVE_MARGIN_MILLISECONDS;
+/** How long a connection may be kept after an answer; 0 to close it. */
+function getKeepMilliseconds(rawHeaders: readonly string[]): number {
+  let keep = UNSTATED_KEEP_ALIVE_MILLISECONDS;
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!.toLowerCase();
+    const value = rawHeaders[index + 1]!;
+    if (name === 'connection' && /\bclose\b/i.test(value)) return 0;
+    const seconds = /(?:^|[\s,])timeout=(\d+)/.exec(value)?.[1];
+    if (name === 'keep-alive' && seconds !== undefined) {
+      keep = Number(seconds) * 1000 - KEEP_ALIVE_MARGIN_MILLISECONDS;
+    }
+  }
+  return Math.max(0, keep);
 }
 
-/** Keeps connections no longer than their endpoint does. */
-function createKeepingAgent(): http.Agent {
-  const agent = new http.Agent({
-    keepAlive: true,
-    maxFreeSockets: IDLE_CONNECTIONS,
-    scheduling: 'lifo',
-  });
-  const watchers = new WeakMap<object, () => void>();
-  agent.keepSocketAlive = (stream) => {
-    const socket = stream as net.Socket;
-    const idle = getIdleMilliseconds(socket);
-    if (idle <= 0 || socket.readableLength > 0) return false;
-    // Bytes that arrive while nothing is asked belong to no request.
-    const destroy = () => void socket.destroy();
-    watchers.set(socket, destroy);
-    socket.on('data', destroy);
-    socket.setTimeout(idle);
-    return true;
-  };
-  agent.reuseSocket = (stream, request) => {
-    const socket = stream as net.Socket;
-    http.Agent.prototype.reuseSocket.call(agent, stream, request);
-    const watcher = watchers.get(socket);
-    if (watcher !== undefined) socket.off('data', watcher);
-    socket.setTimeout(0);
-  };
-  return agent;
+function formatHead(request: EndpointRequest): string {
+  let head = `${request.method} ${request.path} HTTP/1.1\r\n`;
+  for (let index = 0; index + 1 < request.headers.length; index += 2) {
+    head += `${request.headers[index]}: ${request.headers[index + 1]}\r\n`;
+  }
+  return `${head}\r\n`;
 }
 
 /**
- * Connections to endpoints over HTTP/1.1, one request at a time on each.
+ * Connections to endpoints over HTTP/1.1, one request at a time on each. They
+ * are read with a buffer of their own: where data and a reset arrive together,
+ * Node's streams report an end in place of the reset, and an answer without a
+ * length that was cut off would look whole.
  *
  * @example
  *     const channels = createEndpointChannels(wire);
@@ -62,82 +65,183 @@
  *     exchange.abort();
  */
 export function createEndpointChannels(wire: GatewayWire): EndpointChannels {
-  const keepingAgent = createKeepingAgent();
-  const freshAgent = new http.Agent({keepAlive: false});
+  const idle = new Map<string, Channel[]>();
+  const all = new Set<Channel>();
+
+  function open(host: string, port: number): Channel {
+    const socket = net.connect({
+      host,
+      port,
+      noDelay: true,
+      onread: {
+        buffer: Buffer.allocUnsafe(READ_BYTES),
+        callback(size, buffer) {
+          // Bytes that arrive while nothing is asked belong to no request.
+          if (channel.user === null) {
+            socket.destroy();
+            return false;
+          }
+          const bytes = (buffer as Buffer).subarray(0, size);
+          if (channel.user.onBytes(bytes)) return true;
+          setImmediate(() => {
+            if (!socket.isPaused()) socket.resume();
+          });
+          return false;
+        },
+      },
+    });
+    const channel: Channel = {
+      socket,
+      address: `${host}:${port}`,
+      user: null,
+      idleTimer: null,
+    };
+    all.add(channel);
+    let failure = 'the connection was closed';
+    socket.on('error', ({message}) => {
+      failure = message;
+    });
+    socket.on('end', () => channel.user?.onEnd());
+    socket.on('close', () => {
+      all.delete(channel);
+      leaveIdle(channel);
+      channel.user?.onClose(failure);
+    });
+    return channel;
+  }
+
+  function leaveIdle(channel: Channel): void {
+    if (channel.idleTimer === null) return;
+    clearTimeout(channel.idleTimer);
+    channel.idleTimer = null;
+    const list = idle.get(channel.address) ?? [];
+    list.splice(list.indexOf(channel), 1);
+    if (list.length === 0) idle.delete(channel.address);
+  }
+
+  function keep(channel: Channel, milliseconds: number): void {
+    const list = idle.get(channel.address) ?? [];
+    if (milliseconds <= 0 || list.length >= IDLE_CONNECTIONS) {
+      channel.socket.destroy();
+      return;
+    }
+    idle.set(channel.address, list);
+    list.push(channel);
+    channel.idleTimer = setTimeout(
+      () => channel.socket.destroy(),
+      milliseconds,
+    );
+  }
+
+  function take(input: EndpointRequest): Channel {
+    const {host, port, needsNewConnection} = input;
+    const channel = needsNewConnection
+      ? undefined
+      : idle.get(`${host}:${port}`)?.at(-1);
+    if (channel === undefined) return open(host, port);
+    leaveIdle(channel);
+    return channel;
+  }
 
   function send(input: EndpointRequest): ReturnType<EndpointChannels['send']> {
+    const channel = take(input);
+    const {socket} = channel;
     let isOver = false;
-    let isSent = false;
-    let answer: http.IncomingMessage | null = null;
-
-    const request = http.request({
-      host: input.host,
-      port: input.port,
-      method: input.method,
-      path: input.path,
-      headers: input.headers,
-      agent: input.needsNewConnection ? freshAgent : keepingAgent,
-      setHost: false,
-    });
-    const timer = setTimeout(() => {
-      fail(`no connection within ${CONNECT_MILLISECONDS} ms`);
-    }, CONNECT_MILLISECONDS);
+    let isSent = !socket.connecting;
+    let isWritten = false;
+    let keepMilliseconds = 0;
+    const timer = isSent
+      ? null
+      : setTimeout(
+          () => fail(`no connection within ${CONNECT_MILLISECONDS} ms`),
+          CONNECT_MILLISECONDS,
+        );
 
     function finish(): boolean {
       if (isOver) return false;
       isOver = true;
-      clearTimeout(timer);
+      if (timer !== null) clearTimeout(timer);
+      channel.user = null;
       return true;
     }
     function fail(message: string): void {
       if (!finish()) return;
-      request.destroy();
+      socket.destroy();
       input.onFailure({tag: isSent ? 'unknown' : 'unsent', message});
     }
-    function markSent(): void {
-      isSent = true;
-      clearTimeout(timer);
+    function complete(): void {
+      if (!finish()) return;
+      // An early answer leaves the rest of the body to be read later.
+      if (isWritten) keep(channel, keepMilliseconds);
+      else socket.destroy();
+      input.onEnd();
     }
 
-    request.on('socket', (socket) => {
-      if (!socket.connecting) markSent();
-      else socket.once('connect', markSent);
-    });
-    request.on('error', (error) => fail(error.message));
-    request.on('close', () => fail('the connection was closed'));
-    request.on('response', (incoming) => {
-      answer = incoming;
-      incoming.on('error', (error) => fail(error.message));
-      incoming.on('aborted', () => fail('the answer was cut off'));
-      if (isOver) return;
-      input.onHead(
-        wire.readAnswer(incoming.statusCode ?? 0, incoming.rawHeaders),
-      );
-      incoming.on('data', (chunk: Buffer) => {
-        if (!isOver) input.onData(chunk);
+    const reader = createResponseReader(
+      {
+        onHead(status, rawHeaders) {
+          if (isOver) return;
+          keepMilliseconds = getKeepMilliseconds(rawHeaders);
+          input.onHead(wire.readAnswer(status, rawHeaders));
+        },
+        onBody(bytes) {
+          if (!isOver) input.onData(Buffer.from(bytes));
+        },
+        onEnd: () => undefined,
+      },
+      input.method === 'HEAD',
+    );
+
+    channel.user = {
+      onBytes(bytes) {
+        const isRead = reader.read(bytes);
+        if (isOver) return true;
+        // What follows a whole answer spoils the connection, not the answer.
+        if (reader.isDone()) {
+          if (!isRead) keepMilliseconds = 0;
+          complete();
+          return true;
+        }
+        if (!isRead) fail('bytes that are no answer');
+        return !reader.isUnframed();
+      },
+      onEnd() {
+        keepMilliseconds = 0;
+        if (reader.finish()) complete();
+        else fail('the answer was cut off');
+      },
+      onClose: fail,
+    };
+
+    const head = Buffer.from(formatHead(input), 'latin1');
+    const body = input.body === null ? null : Buffer.from(input.body);
+    const write = (): void => {
+      isSent = true;
+      if (timer !== null) clearTimeout(timer);
+      const bytes = body === null ? head : Buffer.concat([head, body]);
+      socket.write(bytes, () => {
+        isWritten = true;
       });
-      incoming.on('end', () => {
-        if (!incoming.complete) return fail('the answer was cut off');
-        // An early answer leaves the rest of the body to be read later.
-        if (!request.writableFinished) request.destroy();
-        if (finish()) input.onEnd();
+    };
+    if (socket.connecting) {
+      socket.once('connect', () => {
+        if (!isOver) write();
       });
-    });
-    request.end(input.body ?? undefined);
+    } else write();
+
     return {
       abort() {
-        if (finish()) request.destroy();
+        if (finish()) socket.destroy();
       },
-      pause: () => void answer?.pause(),
-      resume: () => void answer?.resume(),
+      pause: () => void socket.pause(),
+      resume: () => void socket.resume(),
     };
   }
 
   return {
     send,
     close() {
-      keepingAgent.destroy();
-      freshAgent.destroy();
+      for (const {socket} of all) socket.destroy();
     },
   };
 }
