Put whole groups of pieces into calls, begun ones first, near their data

Cause: pieces of one request were spread over calls and makers; its results held memory while the rest waited behind more urgent work (makers at their limit with half-filled calls, 1,300 pieces waiting), and each piece of the last stage fetched all its inputs across failure domains.

--- a/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
@@ -22,6 +22,8 @@
 
 /** How fast prompts are read; from the sheets of both deployments. */
 const PROMPT_TOKENS_PER_MILLISECOND = 50;
+/** Reading a session again costs others, too. */
+const READ_AGAIN_FACTOR = 3;
 /** A running call slows the others; from the step times of the sheets. */
 const RUNNING_MILLISECONDS = 1.5;
 /** What a megabyte from another failure domain is worth in time. */
@@ -59,7 +61,7 @@
   let best: Choice | undefined;
   let bestCost = Infinity;
   for (const choice of choices) {
-    const unread = choice.id === owner ? 0 : sessionTokens;
+    const unread = choice.id === owner ? 0 : sessionTokens * READ_AGAIN_FACTOR;
     const distant = results.filter(
       (domain) => domain !== undefined && domain !== choice.failureDomain,
     ).length;
--- a/packages/hickorywharf-decisions/src/gateway/planBatch.ts
+++ b/packages/hickorywharf-decisions/src/gateway/planBatch.ts
@@ -1,4 +1,4 @@
-import type {PieceRow} from './pieceRow.ts';
+import type {PieceGroup} from './pieceGroup.ts';
 
 interface BatchEndpoint {
   readonly batch: number;
@@ -10,52 +10,93 @@
   readonly otherDomains: ReadonlySet<string>;
 }
 
-/** A piece that has more time than this may wait for an endpoint nearer by. */
-const SPARE_MILLISECONDS = 250;
+interface BatchShare<Group> {
+  readonly group: Group;
+  /** Pieces of the group that go into the call. */
+  readonly count: number;
+}
+
+/** A group that has more time than this may wait for an endpoint nearer by. */
+const SPARE_MILLISECONDS = 200;
+
+/** What is begun holds memory until all of it is made. */
+const RANKS = {begun: 0, timely: 1, late: 2} as const;
 
 /**
  * The pieces of the next call of an endpoint, in the order in which they count.
  *
- * Load pattern: bursts above what the endpoints can do. Pieces that can still
+ * Load pattern: bursts above what the endpoints can do. Groups that can still
  * be in time come first, the more urgent kinds before the less urgent ones and
  * the nearest target first; what is late already comes after them, by its
- * deadline, and uses what is left of the batch. A call is never held back to
- * fill: while an endpoint works, the next batch gathers by itself. A piece with
- * time to spare is left to an endpoint in the failure domain that reads it.
+ * deadline, and uses what is left of the call. Results of a group wait for its
+ * last piece and hold memory meanwhile: so groups go whole into a call, and one
+ * that had to be cut goes first next time; groups are cut only while more waits
+ * than a call holds. A call is never held back to fill: while an endpoint works,
+ * the next one gathers by itself. A group with time to spare is left to an
+ * endpoint in the failure domain of its data.
  *
  * @example
  *     planBatch(waiting, now, endpoint);
  */
-export function planBatch<Row extends PieceRow>(
-  waiting: Iterable<Row>,
+export function planBatch<Group extends PieceGroup>(
+  waiting: Iterable<Group>,
   now: number,
   endpoint: BatchEndpoint,
-): Row[] {
-  const timely: Row[] = [];
-  const late: Row[] = [];
-  for (const row of waiting) {
-    const doneAt = now + endpoint.callMilliseconds + row.workMilliseconds;
-    const spare = row.targetAt - doneAt;
+): Array<BatchShare<Group>> {
+  const ranked: Array<{group: Group; rank: number}> = [];
+  let waitingCount = 0;
+  for (const group of waiting) {
+    const doneAt =
+      now +
+      endpoint.callMilliseconds +
+      group.workMilliseconds * Math.min(group.count, endpoint.batch);
+    const spare = group.targetAt - doneAt;
+    waitingCount += group.count;
     const isLeft =
       spare > SPARE_MILLISECONDS &&
-      row.failureDomain !== null &&
-      row.failureDomain !== endpoint.failureDomain &&
-      endpoint.otherDomains.has(row.failureDomain);
+      group.failureDomain !== null &&
+      group.failureDomain !== endpoint.failureDomain &&
+      endpoint.otherDomains.has(group.failureDomain);
     if (isLeft) continue;
-    (spare >= 0 ? timely : late).push(row);
+    const rank = group.isBegun
+      ? RANKS.begun
+      : spare >= 0
+        ? RANKS.timely
+        : RANKS.late;
+    ranked.push({group, rank});
   }
-  timely.sort(
+  ranked.sort(
     (left, right) =>
-      left.priority - right.priority || left.targetAt - right.targetAt,
+      left.rank - right.rank ||
+      (left.rank === RANKS.late
+        ? left.group.deadlineAt - right.group.deadlineAt
+        : left.group.priority - right.group.priority ||
+          left.group.targetAt - right.group.targetAt),
   );
-  late.sort((left, right) => left.deadlineAt - right.deadlineAt);
-  const chosen: Row[] = [];
+
+  const shares: Array<BatchShare<Group>> = [];
+  let slots = endpoint.batch;
   let room = endpoint.roomBytes;
-  for (const row of [...timely, ...late]) {
-    if (chosen.length >= endpoint.batch) break;
-    if (row.resultBytes > room) continue;
-    room -= row.resultBytes;
-    chosen.push(row);
+  let firstLeft: Group | null = null;
+  for (const {group} of ranked) {
+    if (slots === 0) break;
+    const bytes = group.count * group.resultBytes;
+    if (group.count <= slots && bytes <= room) {
+      shares.push({group, count: group.count});
+      slots -= group.count;
+      room -= bytes;
+    } else firstLeft ??= group;
+  }
+  const isCut =
+    firstLeft !== null &&
+    (shares.length === 0 || waitingCount > endpoint.batch);
+  if (isCut && firstLeft !== null) {
+    const fitting =
+      firstLeft.resultBytes > 0
+        ? Math.floor(room / firstLeft.resultBytes)
+        : slots;
+    const count = Math.min(slots, firstLeft.count, Math.max(0, fitting));
+    if (count > 0) shares.push({group: firstLeft, count});
   }
-  return chosen;
+  return shares;
 }
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -1,6 +1,6 @@
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
-import type {PieceRow} from 'hickorywharf-decisions/gateway/pieceRow';
+import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
 import {planBatch} from 'hickorywharf-decisions/gateway/planBatch';
 import type {AnswerHead} from 'hickorywharf-types/gateway/answerHead';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
@@ -24,11 +24,20 @@
   now(): number;
 }
 
-interface WaitingPiece extends PieceRow {
+/** An order whose pieces wait, are under way or made. */
+interface OpenGroup extends PieceGroup {
   readonly order: StageOrder;
-  onResult(result: StageResult): void;
-  sends: number;
+  /** Pieces that wait, by their positions. */
+  readonly waiting: number[];
+  isBegun: boolean;
   isCancelled: boolean;
+  onResult(result: StageResult): void;
+}
+
+/** A piece in a call. */
+interface SentPiece {
+  readonly group: OpenGroup;
+  readonly piece: number;
 }
 
 interface HeldResult {
@@ -46,6 +55,15 @@
   fullUntil: number;
 }
 
+/** What happened at one service since the last summary. */
+interface ServiceTally {
+  calls: number;
+  pieces: number;
+  noRoom: number;
+  expired: number;
+  longestQueue: number;
+}
+
 /** Results of one maker that are given up. */
 interface LeavingResults {
   readonly endpoint: GatewayEndpoint;
@@ -66,11 +84,10 @@
 const SWEEP_MILLISECONDS = 25;
 /** An endpoint without room is asked again after a result of it is freed. */
 const FULL_MILLISECONDS = 80;
-/** Sizes of results are stated roughly; this is how much larger they may be. */
-const FIRST_SIZE_FACTOR = 1.2;
-const MAXIMUM_SIZE_FACTOR = 2;
-const SIZE_FACTOR_GROWTH = 1.05;
-const SIZE_FACTOR_DECAY = 0.998;
+/** Sizes of results are stated roughly; a little room is kept back. */
+const ROOM_SHARE = 0.92;
+/** How often a service with work is summarised in the log. */
+const SUMMARY_MILLISECONDS = 1000;
 /** An endpoint that is done so soon is worth waiting for. */
 const SOON_MILLISECONDS = 100;
 
@@ -84,20 +101,55 @@
  */
 export function createStageMaker(options: MakerOptions): StageMaker {
   const {state, wire, channels, health, budget, log, now} = options;
-  const queues = new Map<string, Set<WaitingPiece>>();
+  const queues = new Map<string, Set<OpenGroup>>();
+  /** How often each piece was sent. */
+  const sends = new WeakMap<OpenGroup, Map<number, number>>();
   const workers = new Map<string, Worker>();
   const held = new Map<string, HeldResult>();
   const pieceTimes = new Map<string, number>();
-  const sizeFactors = new Map<string, number>();
   const leaving = new Map<string, LeavingResults>();
+  const tallies = new Map<string, ServiceTally>();
+  let summarizedAt = 0;
   let sweep: NodeJS.Timeout | null = null;
 
-  function getQueue(service: string): Set<WaitingPiece> {
+  function getTally(service: string): ServiceTally {
+    let tally = tallies.get(service);
+    if (tally === undefined) {
+      tally = {calls: 0, pieces: 0, noRoom: 0, expired: 0, longestQueue: 0};
+      tallies.set(service, tally);
+    }
+    return tally;
+  }
+
+  function summarize(): void {
+    if (now() - summarizedAt < SUMMARY_MILLISECONDS) return;
+    summarizedAt = now();
+    for (const [service, tally] of tallies) {
+      const endpoints = state.directory.getUsable(service);
+      log.decide('stage work', {
+        step: 'stage',
+        service,
+        ...tally,
+        waiting: countWaiting(service),
+        endpoints: endpoints.length,
+        held: endpoints.map(({id}) => getWorker(id).heldBytes),
+      });
+    }
+    tallies.clear();
+  }
+
+  function getQueue(service: string): Set<OpenGroup> {
     let queue = queues.get(service);
     if (queue === undefined) queues.set(service, (queue = new Set()));
     return queue;
   }
 
+  function countWaiting(service: string): number {
+    let count = 0;
+    for (const group of getQueue(service)) count += group.count;
+    return count;
+  }
+
   function getWorker(id: string): Worker {
     let worker = workers.get(id);
     if (worker === undefined) {
@@ -112,14 +164,10 @@
     return state.configuration?.services.get(service)?.stage ?? undefined;
   }
 
-  function getPieceTime(service: string, kind: string): number {
+  function getPieceTime({service, kind}: StageOrder): number {
     return pieceTimes.get(kind) ?? getCapacity(service)?.pieceMilliseconds ?? 0;
   }
 
-  function getSizeFactor(service: string): number {
-    return sizeFactors.get(service) ?? FIRST_SIZE_FACTOR;
-  }
-
   /** The endpoints that are well; without any, all of them. */
   function getEndpoints(service: string): readonly GatewayEndpoint[] {
     const usable = state.directory.getUsable(service);
@@ -143,18 +191,26 @@
       release(endpoint, bytes);
     }
     for (const queue of queues.values()) {
-      for (const piece of queue) {
-        if (time + piece.workMilliseconds < piece.deadlineAt) continue;
-        queue.delete(piece);
-        piece.onResult({tag: 'expired', piece: piece.piece});
+      for (const group of queue) {
+        if (time + group.workMilliseconds < group.deadlineAt) continue;
+        dropWaiting(group, 'expired');
       }
     }
   }
 
+  /** Ends the pieces of a group that wait. */
+  function dropWaiting(group: OpenGroup, tag: 'expired' | 'failed'): void {
+    const {service} = group.order;
+    getQueue(service).delete(group);
+    if (tag === 'expired') getTally(service).expired += group.count;
+    for (const piece of group.waiting.splice(0)) group.onResult({tag, piece});
+  }
+
   function startSweep(): void {
     sweep ??= setTimeout(() => {
       sweep = null;
       dropExpired();
+      summarize();
       for (const service of queues.keys()) pump(service);
       if ([...queues.values()].some(({size}) => size > 0)) startSweep();
     }, SWEEP_MILLISECONDS);
@@ -189,10 +245,7 @@
     if (queue.size === 0) return;
     const capacity = getCapacity(service);
     if (capacity === undefined) {
-      for (const piece of queue) {
-        queue.delete(piece);
-        piece.onResult({tag: 'failed', piece: piece.piece});
-      }
+      for (const group of queue) dropWaiting(group, 'failed');
       return;
     }
     const endpoints = getEndpoints(service);
@@ -200,122 +253,129 @@
     for (const endpoint of endpoints) {
       if (!isFree(endpoint.id, capacity.slots, time)) continue;
       const {heldBytes} = getWorker(endpoint.id);
-      const room = capacity.roomBytes / getSizeFactor(service);
-      const batch = planBatch(queue, time, {
+      const shares = planBatch(queue, time, {
         batch: capacity.batch,
         callMilliseconds: capacity.callMilliseconds,
-        roomBytes: room - heldBytes,
+        roomBytes: capacity.roomBytes * ROOM_SHARE - heldBytes,
         failureDomain: endpoint.failureDomain,
         otherDomains: getOtherDomains(endpoints, endpoint, capacity.slots),
       });
-      if (batch.length === 0) continue;
-      for (const piece of batch) queue.delete(piece);
+      if (shares.length === 0) continue;
+      const batch = shares.flatMap(({group, count}) => {
+        group.isBegun = true;
+        const pieces = group.waiting.splice(0, count);
+        if (group.waiting.length === 0) queue.delete(group);
+        return pieces.map((piece) => ({group, piece}));
+      });
       sendBatch(capacity, endpoint, batch);
     }
   }
 
-  function requeue(piece: WaitingPiece, reason: string): void {
-    if (piece.isCancelled) return;
-    const {service} = piece.order;
+  function requeue({group, piece}: SentPiece, reason: string): void {
+    if (group.isCancelled) return;
+    const {service, requestId, stage} = group.order;
+    const count = sends.get(group)?.get(piece) ?? 0;
     const mayRepeat =
-      piece.sends < MAXIMUM_SENDS &&
+      count < MAXIMUM_SENDS &&
       budget.tryRepeat(service, now(), state.instances.length);
     if (mayRepeat) {
-      wait(piece);
+      wait(group, piece);
       return;
     }
     log.decide('piece given up', {
-      requestId: piece.requestId,
+      requestId,
       step: 'stage',
-      stage: piece.stage,
-      piece: piece.piece,
-      sends: piece.sends,
+      stage,
+      piece,
+      sends: count,
       reason,
     });
-    piece.onResult({tag: 'failed', piece: piece.piece});
+    group.onResult({tag: 'failed', piece});
   }
 
-  function wait(piece: WaitingPiece): void {
-    getQueue(piece.order.service).add(piece);
+  function wait(group: OpenGroup, ...pieces: readonly number[]): void {
+    const {service} = group.order;
+    group.waiting.push(...pieces);
+    getQueue(service).add(group);
+    const tally = getTally(service);
+    tally.longestQueue = Math.max(tally.longestQueue, countWaiting(service));
     startSweep();
   }
 
   const outcomeHandlers: {
     [Tag in PieceOutcome['tag']]: (
-      piece: WaitingPiece,
+      sent: SentPiece,
       endpoint: GatewayEndpoint,
       outcome: Extract<PieceOutcome, {tag: Tag}>,
     ) => void;
   } = {
-    made(piece, endpoint, {handle}) {
-      const bytes = piece.resultBytes;
-      const keep = getCapacity(piece.order.service)?.keepMilliseconds ?? 0;
-      held.set(handle, {endpoint, bytes, expiresAt: now() + keep});
-      getWorker(endpoint.id).heldBytes += bytes;
-      if (piece.isCancelled) {
-        free([handle]);
-        return;
+    made({group, piece}, endpoint, {handle}) {
+      const {service, resultBytes} = group.order;
+      const keep = getCapacity(service)?.keepMilliseconds ?? 0;
+      held.set(handle, {endpoint, bytes: resultBytes, expiresAt: now() + keep});
+      getWorker(endpoint.id).heldBytes += resultBytes;
+      if (group.isCancelled) free([handle]);
+      else {
+        group.onResult({tag: 'made', piece, handle, endpointId: endpoint.id});
       }
-      const endpointId = endpoint.id;
-      piece.onResult({tag: 'made', piece: piece.piece, handle, endpointId});
     },
-    late(piece) {
-      if (piece.isCancelled) return;
-      piece.onResult({tag: 'expired', piece: piece.piece});
+    late({group, piece}) {
+      if (!group.isCancelled) group.onResult({tag: 'expired', piece});
     },
-    inputGone(piece) {
-      if (piece.isCancelled) return;
-      piece.onResult({tag: 'inputGone', piece: piece.piece});
+    inputGone({group, piece}) {
+      if (!group.isCancelled) group.onResult({tag: 'inputGone', piece});
     },
-    noRoom(piece, endpoint) {
-      const {service} = piece.order;
-      const factor = getSizeFactor(service) * SIZE_FACTOR_GROWTH;
-      sizeFactors.set(service, Math.min(factor, MAXIMUM_SIZE_FACTOR));
+    noRoom({group, piece}, endpoint) {
+      getTally(group.order.service).noRoom += 1;
       getWorker(endpoint.id).fullUntil = now() + FULL_MILLISECONDS;
-      if (!piece.isCancelled) wait(piece);
+      if (!group.isCancelled) wait(group, piece);
     },
-    failed: (piece) => requeue(piece, 'failed'),
+    failed: (sent) => requeue(sent, 'failed'),
   };
 
   function learn(
     capacity: StageCapacity,
-    batch: readonly WaitingPiece[],
+    batch: readonly SentPiece[],
     took: number,
   ): void {
     const expected = batch.reduce(
-      (sum, {order}) => sum + getPieceTime(order.service, order.kind),
+      (sum, {group}) => sum + getPieceTime(group.order),
       0,
     );
     const factor = Math.min(
       3,
       Math.max(0.2, (took - capacity.callMilliseconds) / Math.max(expected, 1)),
     );
-    const {service} = batch[0]!.order;
-    sizeFactors.set(
-      service,
-      Math.max(1, getSizeFactor(service) * SIZE_FACTOR_DECAY),
-    );
-    for (const {order} of batch) {
-      const known = getPieceTime(order.service, order.kind);
+    for (const {group} of batch) {
+      const known = getPieceTime(group.order);
       const share = LEARNING_WEIGHT / batch.length;
-      pieceTimes.set(order.kind, known * (1 + share * (factor - 1)));
+      pieceTimes.set(group.order.kind, known * (1 + share * (factor - 1)));
     }
   }
 
   function sendBatch(
     capacity: StageCapacity,
     endpoint: GatewayEndpoint,
-    batch: readonly WaitingPiece[],
+    batch: readonly SentPiece[],
   ): void {
     const worker = getWorker(endpoint.id);
     const startedAt = now();
-    const work = batch.reduce((sum, piece) => sum + piece.workMilliseconds, 0);
+    const work = batch.reduce(
+      (sum, {group}) => sum + group.workMilliseconds,
+      0,
+    );
     const usual = capacity.callMilliseconds + work;
     const call = {doneAt: startedAt + usual};
     worker.calls.add(call);
-    const reserved = batch.reduce((sum, piece) => sum + piece.resultBytes, 0);
+    const reserved = batch.reduce((sum, {group}) => sum + group.resultBytes, 0);
     worker.heldBytes += reserved;
-    for (const piece of batch) piece.sends += 1;
+    for (const {group, piece} of batch) {
+      const counts = sends.get(group) ?? new Map<number, number>();
+      sends.set(group, counts.set(piece, (counts.get(piece) ?? 0) + 1));
+    }
+    const tally = getTally(endpoint.service);
+    tally.calls += 1;
+    tally.pieces += batch.length;
 
     let head: AnswerHead | null = null;
     const chunks: Buffer[] = [];
@@ -339,7 +399,7 @@
         pieces: batch.length,
         reason,
       });
-      for (const piece of batch) requeue(piece, reason);
+      for (const sent of batch) requeue(sent, reason);
       pump(endpoint.service);
     };
     const timer = setTimeout(
@@ -347,7 +407,7 @@
       usual * PATIENCE_FACTOR + PATIENCE_MILLISECONDS,
     );
     const body = wire.writePieces(
-      batch.map(({order, piece, deadlineAt}) => ({
+      batch.map(({group: {order, deadlineAt}, piece}) => ({
         requestId: order.requestId,
         stage: order.stage,
         piece,
@@ -442,31 +502,32 @@
   return {
     order(order, onResult) {
       const startedAt = now();
-      const rows = order.pieces.map((piece): WaitingPiece => {
+      const waiting: number[] = [];
+      const group: OpenGroup = {
+        get count() {
+          return waiting.length;
+        },
+        isBegun: false,
+        priority: order.priority,
+        targetAt: startedAt + order.targetMilliseconds,
+        deadlineAt: startedAt + order.deadlineMilliseconds,
+        resultBytes: order.resultBytes,
+        workMilliseconds: getPieceTime(order),
+        failureDomain: order.failureDomain,
+        order,
+        waiting,
+        isCancelled: false,
+        onResult,
+      };
+      for (const _piece of order.pieces) {
         budget.noteRequest(order.service, startedAt);
-        return {
-          requestId: order.requestId,
-          stage: order.stage,
-          piece,
-          priority: order.priority,
-          targetAt: startedAt + order.targetMilliseconds,
-          deadlineAt: startedAt + order.deadlineMilliseconds,
-          resultBytes: order.resultBytes,
-          workMilliseconds: getPieceTime(order.service, order.kind),
-          failureDomain: order.failureDomain,
-          order,
-          onResult,
-          sends: 0,
-          isCancelled: false,
-        };
-      });
-      rows.forEach(wait);
+      }
+      wait(group, ...order.pieces);
       queueMicrotask(() => pump(order.service));
       return () => {
-        for (const row of rows) {
-          row.isCancelled = true;
-          getQueue(order.service).delete(row);
-        }
+        group.isCancelled = true;
+        group.waiting.length = 0;
+        getQueue(order.service).delete(group);
       };
     },
     free,
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -1,5 +1,7 @@
 import {getStageInputs} from 'hickorywharf-decisions/gateway/getStageInputs';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
+import type {GatewayStage} from 'hickorywharf-types/gateway/gatewayStage';
+import type {GatewayService} from 'hickorywharf-types/gateway/gatewayService';
 import type {CallContext} from './callContext.ts';
 import type {StageRouter} from './stageRouter.ts';
 
@@ -26,13 +28,20 @@
 /** Time that a call spends after its stages, until its first event. */
 const CALL_MILLISECONDS = 120;
 const PROMPT_TOKENS_PER_MILLISECOND = 50;
-/** A piece waits about half a call for its turn. */
-const TURN_SHARE = 1.5;
+/** A group waits about a third of a call for its turn. */
+const TURN_SHARE = 1.3;
 /** Results of this size are made where they will be read. */
 const LARGE_RESULT_BYTES = 500_000;
 /** A result that is gone is made again so many times. */
 const MAXIMUM_ROUNDS = 2;
 
+/** How long a stage takes from its order, where nothing is overloaded. */
+function getStageTime(service: GatewayService | undefined): number {
+  if (service === undefined || service.stage === null) return 0;
+  const {callMilliseconds, pieceMilliseconds, batch} = service.stage;
+  return callMilliseconds * TURN_SHARE + batch * pieceMilliseconds;
+}
+
 /**
  * Times from the beginning of each stage to the first event of the call, in
  * milliseconds, by the position of the stage.
@@ -50,8 +59,7 @@
     const followers = stages.flatMap(({after}, later) => {
       if (!after.includes(position)) return [];
       const service = services.get(stages[later]!.service);
-      const call = service?.stage?.callMilliseconds ?? 0;
-      return [(times[later] ?? callTime) + call * TURN_SHARE];
+      return [(times[later] ?? callTime) + getStageTime(service)];
     });
     times[position] = Math.max(callTime, ...followers);
   }
@@ -109,6 +117,24 @@
       advance();
     }
 
+    /** Where most inputs lie, or where large results will be read. */
+    function getDataDomain(
+      stage: GatewayStage,
+      inputs: readonly string[],
+    ): string | null {
+      if (inputs.length === 0) {
+        return stage.resultBytes < LARGE_RESULT_BYTES ? null : readerDomain;
+      }
+      const counts = new Map<string, number>();
+      for (const input of inputs) {
+        const domain = router.getFailureDomain(input);
+        if (domain === undefined) continue;
+        counts.set(domain, (counts.get(domain) ?? 0) + 1);
+      }
+      const [most] = [...counts].sort((left, right) => right[1] - left[1]);
+      return most?.[0] ?? null;
+    }
+
     function orderStage(position: number): void {
       const stage = stages[position]!;
       const service = services.get(stage.service);
@@ -135,8 +161,7 @@
           deadlineMilliseconds:
             context.deadlineAt - timesAfter[position]! - getNow(),
           resultBytes: stage.resultBytes,
-          failureDomain:
-            stage.resultBytes < LARGE_RESULT_BYTES ? null : readerDomain,
+          failureDomain: getDataDomain(stage, inputs),
         },
         (result) => {
           if (isSettled || round !== rounds) {
