Refuse at the door what the backlog outlasts, and end hopeless groups at once

Makers tell the others their waits; a call is taken if it can be in time, or else served at all; groups that can't be reached in time end at once.

--- a/packages/hickorywharf-decisions/src/gateway/planBatch.ts
+++ b/packages/hickorywharf-decisions/src/gateway/planBatch.ts
@@ -1,4 +1,5 @@
 import type {PieceGroup} from './pieceGroup.ts';
+import {rankGroups} from './rankGroups.ts';
 
 interface BatchEndpoint {
   readonly batch: number;
@@ -19,9 +20,6 @@
 /** A group that has more time than this may wait for an endpoint nearer by. */
 const SPARE_MILLISECONDS = 200;
 
-/** What is begun holds memory until all of it is made. */
-const RANKS = {begun: 0, timely: 1, late: 2} as const;
-
 /**
  * The pieces of the next call of an endpoint, in the order in which they count.
  *
@@ -43,35 +41,14 @@
   now: number,
   endpoint: BatchEndpoint,
 ): Array<BatchShare<Group>> {
-  const ranked: Array<{group: Group; rank: number}> = [];
-  let waitingCount = 0;
-  for (const group of waiting) {
-    const doneAt =
-      now +
-      endpoint.callMilliseconds +
-      group.workMilliseconds * Math.min(group.count, endpoint.batch);
-    const spare = group.targetAt - doneAt;
-    waitingCount += group.count;
-    const isLeft =
-      spare > SPARE_MILLISECONDS &&
-      group.failureDomain !== null &&
-      group.failureDomain !== endpoint.failureDomain &&
-      endpoint.otherDomains.has(group.failureDomain);
-    if (isLeft) continue;
-    const rank = group.isBegun
-      ? RANKS.begun
-      : spare >= 0
-        ? RANKS.timely
-        : RANKS.late;
-    ranked.push({group, rank});
-  }
-  ranked.sort(
-    (left, right) =>
-      left.rank - right.rank ||
-      (left.rank === RANKS.late
-        ? left.group.deadlineAt - right.group.deadlineAt
-        : left.group.priority - right.group.priority ||
-          left.group.targetAt - right.group.targetAt),
+  const groups = [...waiting];
+  const waitingCount = groups.reduce((sum, {count}) => sum + count, 0);
+  const ranked = rankGroups(groups, now, endpoint).filter(
+    ({group, spareMilliseconds}) =>
+      spareMilliseconds <= SPARE_MILLISECONDS ||
+      group.failureDomain === null ||
+      group.failureDomain === endpoint.failureDomain ||
+      !endpoint.otherDomains.has(group.failureDomain),
   );
 
   const shares: Array<BatchShare<Group>> = [];
--- a/packages/hickorywharf-gateway/src/createPeerLinks.ts
+++ b/packages/hickorywharf-gateway/src/createPeerLinks.ts
@@ -11,6 +11,8 @@
   readonly listen: {readonly host: string; readonly port: number};
   readonly log: GatewayLog;
   random(): number;
+  /** What those that connected here are told with each heartbeat. */
+  getNews(): Frame;
   /** A frame of an instance that connected here. */
   onRequest(connection: Connection, frame: Frame): void;
   onRequesterDown(connection: Connection): void;
@@ -31,7 +33,7 @@
 
 /** A pause or a cut shows after this; a heartbeat comes four times as often. */
 const SILENCE_MILLISECONDS = 800;
-const HEARTBEAT_MILLISECONDS = 200;
+const HEARTBEAT_MILLISECONDS = 150;
 
 const HEARTBEAT: Frame = {
   tag: 'heartbeat',
@@ -114,7 +116,8 @@
         },
       });
       heartbeat = setInterval(() => {
-        for (const connection of requesters) connection.send(HEARTBEAT);
+        const news = options.getNews();
+        for (const connection of requesters) connection.send(news);
         for (const connection of up.values()) connection.send(HEARTBEAT);
       }, HEARTBEAT_MILLISECONDS);
     },
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -1,6 +1,7 @@
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
+import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
 import {planBatch} from 'hickorywharf-decisions/gateway/planBatch';
 import type {AnswerHead} from 'hickorywharf-types/gateway/answerHead';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
@@ -53,6 +54,8 @@
   heldBytes: number;
   /** It said that it had no room; nothing is sent before. */
   fullUntil: number;
+  /** Memory that others hold there, as far as a refusal showed it. */
+  foreign: {readonly bytes: number; readonly seenAt: number};
 }
 
 /** What happened at one service since the last summary. */
@@ -86,6 +89,8 @@
 const FULL_MILLISECONDS = 80;
 /** Sizes of results are stated roughly; a little room is kept back. */
 const ROOM_SHARE = 0.92;
+/** For a service without endpoints. */
+const MAXIMUM_BUSY_MILLISECONDS = 10_000;
 /** How often a service with work is summarised in the log. */
 const SUMMARY_MILLISECONDS = 1000;
 /** An endpoint that is done so soon is worth waiting for. */
@@ -153,7 +158,12 @@
   function getWorker(id: string): Worker {
     let worker = workers.get(id);
     if (worker === undefined) {
-      worker = {calls: new Set(), heldBytes: 0, fullUntil: -Infinity};
+      worker = {
+        calls: new Set(),
+        heldBytes: 0,
+        fullUntil: -Infinity,
+        foreign: {bytes: 0, seenAt: -Infinity},
+      };
       workers.set(id, worker);
     }
     return worker;
@@ -196,6 +206,33 @@
         dropWaiting(group, 'expired');
       }
     }
+    for (const service of queues.keys()) {
+      const estimate = getEstimate(service);
+      for (const group of estimate?.hopeless ?? []) {
+        dropWaiting(group, 'expired');
+      }
+    }
+  }
+
+  function getEstimate(service: string) {
+    const capacity = getCapacity(service);
+    if (capacity === undefined) return null;
+    const time = now();
+    const endpoints = getEndpoints(service);
+    const busy = endpoints.map(({id}) => {
+      const {calls} = getWorker(id);
+      if (calls.size < capacity.slots) return 0;
+      return Math.max(
+        0,
+        Math.min(...[...calls].map(({doneAt}) => doneAt - time)),
+      );
+    });
+    return estimateWaits(getQueue(service), time, {
+      endpoints: endpoints.length,
+      batch: capacity.batch,
+      callMilliseconds: capacity.callMilliseconds,
+      busyMilliseconds: Math.min(...busy, MAXIMUM_BUSY_MILLISECONDS),
+    });
   }
 
   /** Ends the pieces of a group that wait. */
@@ -252,11 +289,10 @@
     const time = now();
     for (const endpoint of endpoints) {
       if (!isFree(endpoint.id, capacity.slots, time)) continue;
-      const {heldBytes} = getWorker(endpoint.id);
       const shares = planBatch(queue, time, {
         batch: capacity.batch,
         callMilliseconds: capacity.callMilliseconds,
-        roomBytes: capacity.roomBytes * ROOM_SHARE - heldBytes,
+        roomBytes: getRoom(capacity, endpoint.id),
         failureDomain: endpoint.failureDomain,
         otherDomains: getOtherDomains(endpoints, endpoint, capacity.slots),
       });
@@ -271,6 +307,15 @@
     }
   }
 
+  /** Memory for new results at an endpoint, as far as it is known. */
+  function getRoom(capacity: StageCapacity, id: string): number {
+    const {heldBytes, foreign} = getWorker(id);
+    // What others hold ends by itself, at the latest after the time of a result.
+    const age = (now() - foreign.seenAt) / capacity.keepMilliseconds;
+    const foreignBytes = foreign.bytes * Math.max(0, 1 - age);
+    return capacity.roomBytes * ROOM_SHARE - heldBytes - foreignBytes;
+  }
+
   function requeue({group, piece}: SentPiece, reason: string): void {
     if (group.isCancelled) return;
     const {service, requestId, stage} = group.order;
@@ -327,7 +372,11 @@
     },
     noRoom({group, piece}, endpoint) {
       getTally(group.order.service).noRoom += 1;
-      getWorker(endpoint.id).fullUntil = now() + FULL_MILLISECONDS;
+      const worker = getWorker(endpoint.id);
+      worker.fullUntil = now() + FULL_MILLISECONDS;
+      const room = getCapacity(group.order.service)?.roomBytes ?? 0;
+      const bytes = Math.max(0, room * ROOM_SHARE - worker.heldBytes);
+      worker.foreign = {bytes, seenAt: now()};
       if (!group.isCancelled) wait(group, piece);
     },
     failed: (sent) => requeue(sent, 'failed'),
@@ -530,6 +579,10 @@
         getQueue(order.service).delete(group);
       };
     },
+    getWaits(service) {
+      const estimate = getEstimate(service);
+      return estimate === null ? null : {service, ...estimate.waits};
+    },
     free,
     freeAt(endpointId, handles) {
       const endpoint = state.directory.get(endpointId);
--- a/packages/hickorywharf-gateway/src/createStageRouter.ts
+++ b/packages/hickorywharf-gateway/src/createStageRouter.ts
@@ -3,6 +3,7 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import type {StageWaits} from 'hickorywharf-types/gateway/stageWaits';
 import type {createPeerLinks} from './createPeerLinks.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayState} from './gatewayState.ts';
@@ -22,12 +23,19 @@
   /** Takes a frame of an instance that orders here. */
   takeRequest(connection: Connection, frame: Frame): void;
   dropRequester(connection: Connection): void;
+  /** Waits at the services that this instance is in charge of. */
+  listWaits(): StageWaits[];
   /** Takes a frame of an instance that makes pieces for this one. */
   takeReply(name: string, frame: Frame): void;
   /** Orders again what a lost instance should have made. */
   dropMaker(name: string): void;
 }
 
+interface HeardWaits {
+  readonly waits: StageWaits;
+  readonly heardAt: number;
+}
+
 interface OpenOrder {
   readonly order: StageOrder;
   readonly orderedAt: number;
@@ -44,6 +52,8 @@
   readonly endpointId: string;
 }
 
+/** Waits that a maker told longer ago are not believed. */
+const WAITS_MILLISECONDS = 1000;
 /** Results that are never freed are forgotten with their makers' time. */
 const MAXIMUM_KNOWN_RESULTS = 20_000;
 
@@ -61,12 +71,18 @@
   const open = new Map<number, OpenOrder>();
   const known = new Map<string, KnownResult>();
   const requests = new Map<Connection, Map<number, () => void>>();
+  /** What makers told, by service. */
+  const heard = new Map<string, HeardWaits>();
   let lastOrderId = 0;
 
-  function findMaker(service: string): string | null {
-    const services = [...(state.configuration?.services.values() ?? [])]
+  function getStageServices(): string[] {
+    return [...(state.configuration?.services.values() ?? [])]
       .filter(({stage}) => stage !== null)
       .map((entry) => entry.name);
+  }
+
+  function findMaker(service: string): string | null {
+    const services = getStageServices();
     for (const instance of orderDispatchers(
       service,
       services,
@@ -186,6 +202,20 @@
         else getLinks().send(entry.maker, {tag: 'stageCancel', orderId: id});
       };
     },
+    getWaits(service) {
+      const instance = findMaker(service);
+      if (instance === null) return maker.getWaits(service);
+      const entry = heard.get(service);
+      const isFresh =
+        entry !== undefined && now() - entry.heardAt < WAITS_MILLISECONDS;
+      return isFresh ? entry.waits : null;
+    },
+    listWaits: () =>
+      getStageServices()
+        .flatMap((service) =>
+          findMaker(service) === null ? [maker.getWaits(service) ?? []] : [],
+        )
+        .flat(),
     free,
     getFailureDomain(handle) {
       const result = known.get(handle);
@@ -207,6 +237,11 @@
       requests.delete(connection);
     },
     takeReply(instance, frame) {
+      if (frame.tag === 'stageWaits') {
+        for (const waits of frame.services) {
+          heard.set(waits.service, {waits, heardAt: now()});
+        }
+      }
       if (frame.tag !== 'stageResults') return;
       const entry = open.get(frame.orderId);
       if (entry === undefined || entry.maker !== instance) {
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -96,6 +96,7 @@
     listen: settings.peers,
     log,
     random: Math.random,
+    getNews: () => ({tag: 'stageWaits', services: router.listWaits()}),
     onRequest: router.takeRequest,
     onRequesterDown: router.dropRequester,
     onReply: router.takeReply,
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -1,7 +1,7 @@
 import {getStageInputs} from 'hickorywharf-decisions/gateway/getStageInputs';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayStage} from 'hickorywharf-types/gateway/gatewayStage';
-import type {GatewayService} from 'hickorywharf-types/gateway/gatewayService';
+import {getTimesAfter} from './getTimesAfter.ts';
 import type {CallContext} from './callContext.ts';
 import type {StageRouter} from './stageRouter.ts';
 
@@ -25,47 +25,11 @@
   getNow(): number;
 }
 
-/** Time that a call spends after its stages, until its first event. */
-const CALL_MILLISECONDS = 120;
-const PROMPT_TOKENS_PER_MILLISECOND = 50;
-/** A group waits about a third of a call for its turn. */
-const TURN_SHARE = 1.3;
 /** Results of this size are made where they will be read. */
 const LARGE_RESULT_BYTES = 500_000;
 /** A result that is gone is made again so many times. */
 const MAXIMUM_ROUNDS = 2;
 
-/** How long a stage takes from its order, where nothing is overloaded. */
-function getStageTime(service: GatewayService | undefined): number {
-  if (service === undefined || service.stage === null) return 0;
-  const {callMilliseconds, pieceMilliseconds, batch} = service.stage;
-  return callMilliseconds * TURN_SHARE + batch * pieceMilliseconds;
-}
-
-/**
- * Times from the beginning of each stage to the first event of the call, in
- * milliseconds, by the position of the stage.
- */
-function getTimesAfter(
-  context: CallContext,
-  services: GatewayConfiguration['services'],
-): number[] {
-  const {stages} = context.route;
-  const callTime =
-    CALL_MILLISECONDS +
-    context.call.promptTokens / PROMPT_TOKENS_PER_MILLISECOND;
-  const times: number[] = [];
-  for (let position = stages.length - 1; position >= 0; position -= 1) {
-    const followers = stages.flatMap(({after}, later) => {
-      if (!after.includes(position)) return [];
-      const service = services.get(stages[later]!.service);
-      return [(times[later] ?? callTime) + getStageTime(service)];
-    });
-    times[position] = Math.max(callTime, ...followers);
-  }
-  return times;
-}
-
 /**
  * Makes the pieces of all stages of a call, each as soon as what it reads is
  * there.
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -2,9 +2,11 @@
 import {chooseEngine} from 'hickorywharf-decisions/gateway/chooseEngine';
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
+import {judgeAdmission} from 'hickorywharf-decisions/gateway/judgeAdmission';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
+import {forecastStages} from './forecastStages.ts';
 import {attemptCall} from './attemptCall.ts';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
@@ -168,8 +170,25 @@
       giveUp('the results of the stages were lost');
       return false;
     }
-    stageRuns += 1;
     const {services} = state.configuration!;
+    if (stageRuns === 0) {
+      const forecast = forecastStages(context, services, options.router);
+      const now = getInstant().monotonic;
+      const admission = judgeAdmission({
+        forecast,
+        targetLeftMilliseconds: context.targetAt - now,
+        timeLeftMilliseconds: context.deadlineAt - now,
+      });
+      if (admission.tag === 'refused') {
+        refuse({
+          tag: 'overloaded',
+          message: `about ${Math.round(forecast.totalMilliseconds)} ms of work ahead`,
+          retryAfterMilliseconds: admission.retryAfterMilliseconds,
+        });
+        return false;
+      }
+    }
+    stageRuns += 1;
     const result = await runStages({
       context,
       services,
--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -93,6 +93,7 @@
     results: isListOf(frameChecks.isStageResult),
   },
   stageFree: {handles: frameChecks.isTextList},
+  stageWaits: {services: isListOf(frameChecks.isStageWaits)},
 };
 
 /**
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -127,6 +127,11 @@
     resultBytes: isNumber,
     failureDomain: isNullOr(isName),
   }),
+  isStageWaits: hasFields({
+    service: isName,
+    timelyMilliseconds: isNumberList,
+    totalMilliseconds: isNumber,
+  }),
   isStageResult: hasFields({
     tag: isOneOf('made', 'inputGone', 'expired', 'failed'),
     piece: isCount,
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,6 +1,7 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
 import type {StageOrder} from './gateway/stageOrder.ts';
+import type {StageWaits} from './gateway/stageWaits.ts';
 import type {StageResult} from './gateway/stageResult.ts';
 import type {HalfMove} from './halfMove.ts';
 import type {HomeInterval} from './homeInterval.ts';
@@ -127,5 +128,7 @@
       readonly orderId: number;
       readonly results: readonly StageResult[];
     }
+  /** How long groups would wait at the services that the sender is in charge of. */
+  | {readonly tag: 'stageWaits'; readonly services: readonly StageWaits[]}
   /** Gives up results that the receiver had made. */
   | {readonly tag: 'stageFree'; readonly handles: readonly string[]};
