--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -148,8 +148,9 @@
   }
 
   function getPatience(endpoint: GatewayEndpoint): number | null {
-    if (!context.isRepeatable || runs + 1 >= route.maximumEndpoints)
+    if (!context.isRepeatable || runs + 1 >= route.maximumEndpoints) {
       return null;
+    }
     if (state.directory.getUsable(service.name).length < 2) return null;
     if (!route.isSticky) {
       const usual = health.getAnswerTime(endpoint.id);
