--- a/packages/hickorywharf-bench/src/experiments/experiments.ts
+++ b/packages/hickorywharf-bench/src/experiments/experiments.ts
@@ -12,6 +12,8 @@
     'store-outage': async () =>
       (await import('./storeOutageExperiment.ts')).storeOutageExperiment,
     split: async () => (await import('./splitExperiment.ts')).splitExperiment,
+    'stage-batches': async () =>
+      (await import('./stageBatchesExperiment.ts')).stageBatchesExperiment,
     steady: () => loadScenario('steady'),
     overload: () => loadScenario('overload'),
     burst: () => loadScenario('burst'),
--- /dev/null
+++ b/packages/hickorywharf-bench/src/stages/createArrivals.ts
@@ -0,0 +1,41 @@
+import {createRandom} from 'hickorywharf-utils/createRandom';
+import type {StageLoad} from './stageLoad.ts';
+
+interface Arrival {
+  readonly at: number;
+  readonly kind: string;
+  /** Pieces of each stage. */
+  readonly pieces: readonly number[];
+}
+
+/**
+ * Requests of a load in the order of their arrival, in milliseconds, the same
+ * for the same seed.
+ *
+ * @example
+ *     createArrivals(burstLoad, 1).length;
+ */
+export function createArrivals(load: StageLoad, seed: number): Arrival[] {
+  const random = createRandom(seed);
+  const arrivals: Arrival[] = [];
+  for (const [kind, {perSecond, stages}] of Object.entries(load.kinds)) {
+    let at = 0;
+    while (at < load.seconds * 1000) {
+      const second = at / 1000;
+      const factor = load.bursts
+        .filter(
+          (burst) =>
+            burst.kind === kind &&
+            burst.fromSecond <= second &&
+            second < burst.toSecond,
+        )
+        .reduce((product, burst) => product * burst.factor, 1);
+      at += (-Math.log(1 - random()) * 1000) / (perSecond * factor);
+      const pieces = stages.map((stage) =>
+        Math.max(1, Math.round(stage.pieces * (0.5 + random()))),
+      );
+      arrivals.push({at, kind, pieces});
+    }
+  }
+  return arrivals.sort((left, right) => left.at - right.at);
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/chooseEngine.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava';
+import {chooseEngine} from '../chooseEngine.ts';
+
+const ids = ['e1', 'e2', 'e3', 'e4'];
+const idle = ids.map((id) => ({
+  id,
+  failureDomain: id < 'e3' ? 'a' : 'b',
+  pendingTokens: 0,
+  running: 0,
+  penaltyMilliseconds: 0,
+}));
+
+const demand = (session: string, failureDomain = 'a') => ({
+  parts: [
+    {id: 'shared', tokens: 2500},
+    {id: session, tokens: 3800},
+    {id: 'own', tokens: 2900},
+  ],
+  failureDomain,
+  results: [],
+  resultBytes: 0,
+});
+
+test('all instances send a session to the same endpoint', (t) => {
+  for (const session of ['s1', 's2', 's3', 's4', 's5']) {
+    t.is(
+      chooseEngine(idle, demand(session, 'a'))?.id,
+      chooseEngine([...idle].reverse(), demand(session, 'b'))?.id,
+    );
+  }
+});
+
+test('a session leaves an endpoint that is busier than reading it again', (t) => {
+  const home = chooseEngine(idle, demand('s1'))!.id;
+  const busy = (pendingTokens: number) =>
+    idle.map((engine) =>
+      engine.id === home ? {...engine, pendingTokens} : engine,
+    );
+  t.is(chooseEngine(busy(2000), demand('s1'))?.id, home);
+  t.not(chooseEngine(busy(50_000), demand('s1'))?.id, home);
+});
+
+test('a failing endpoint is left alone', (t) => {
+  const home = chooseEngine(idle, demand('s1'))!.id;
+  const engines = idle.map((engine) =>
+    engine.id === home ? {...engine, penaltyMilliseconds: 400} : engine,
+  );
+  t.not(chooseEngine(engines, demand('s1'))?.id, home);
+});
+
+test('large results draw a call to where they lie', (t) => {
+  const near = {
+    ...demand('s1'),
+    parts: [{id: 'own', tokens: 500}],
+    results: ['b', 'b', 'b'],
+    resultBytes: 3_000_000,
+  };
+  t.is(chooseEngine(idle, near)?.failureDomain, 'b');
+});
+
+test('without endpoints there is no choice', (t) => {
+  t.is(chooseEngine([], demand('s1')), undefined);
+});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import {createEndpointDirectory} from '../createEndpointDirectory.ts';
+
+const LAPSE_MILLISECONDS = 2000;
+
+function endpoint(
+  id: string,
+  changes: Partial<GatewayEndpoint> = {},
+): GatewayEndpoint {
+  return {
+    id,
+    service: 'desk',
+    host: '10.0.0.1',
+    port: 80,
+    failureDomain: 'a',
+    isDraining: false,
+    startedAt: 1,
+    slots: 6,
+    ...changes,
+  };
+}
+
+const at = (time: number) => ({monotonic: time, wall: time});
+const ids = (list: readonly GatewayEndpoint[]) => list.map(({id}) => id);
+
+test('an entry that is missing without an outage has left', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a'), endpoint('b')], at(0));
+  const changes = directory.update([endpoint('a')], at(600));
+  t.deepEqual(
+    changes.map(({tag}) => tag),
+    ['left'],
+  );
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+});
+
+test('an entry that lapsed in an outage is kept until its time is over', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a')], at(0));
+  directory.noteOutage();
+  t.is(directory.update([], at(5000))[0]?.tag, 'lapsed');
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+  directory.update([], at(6900));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+  t.is(directory.update([], at(7100))[0]?.tag, 'left');
+  t.deepEqual(directory.getUsable('desk'), []);
+});
+
+test('a lapsed entry that comes back was never away', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a')], at(0));
+  directory.noteOutage();
+  directory.update([], at(5000));
+  t.deepEqual(directory.update([endpoint('a')], at(6000)), []);
+  directory.update([endpoint('a')], at(9000));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+});
+
+test('draining lasts for one life, whatever the list says later', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a')], at(0));
+  directory.update([endpoint('a', {isDraining: true})], at(600));
+  t.deepEqual(directory.getUsable('desk'), []);
+  directory.update([endpoint('a')], at(1200));
+  t.deepEqual(directory.getUsable('desk'), []);
+  const changes = directory.update([endpoint('a', {startedAt: 2})], at(1800));
+  t.is(changes[0]?.tag, 'restarted');
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+});
+
+test('a suspended instance counts the time that only the wall clock shows', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a')], at(0));
+  directory.noteOutage();
+  directory.update([], at(1000));
+  directory.update([], {monotonic: 1100, wall: 9000});
+  t.deepEqual(directory.getUsable('desk'), []);
+});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
@@ -0,0 +1,24 @@
+import test from 'ava';
+import {createEndpointHealth} from '../createEndpointHealth.ts';
+
+test('failures in a row cost more, and fade', (t) => {
+  const health = createEndpointHealth();
+  health.noteFailure('a', 0);
+  const first = health.getPenalty('a', 0);
+  health.noteFailure('a', 0);
+  t.true(health.getPenalty('a', 0) > first);
+  t.is(health.getPenalty('a', 60_000), 0);
+});
+
+test('an answer ends a series of failures', (t) => {
+  const health = createEndpointHealth();
+  health.noteFailure('a', 0);
+  health.noteAnswer('a', 50, 10);
+  t.is(health.getPenalty('a', 10), 0);
+});
+
+test('the usual time follows the answers', (t) => {
+  const health = createEndpointHealth();
+  for (let round = 0; round < 50; round += 1) health.noteAnswer('a', 400, 0);
+  t.true(health.getAnswerTime('a') > 390);
+});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createRepeatBudget.test.ts
@@ -0,0 +1,57 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {createRepeatBudget} from '../createRepeatBudget.ts';
+
+const OPTIONS = {ratio: 0.2, windowMilliseconds: 10_000, allowance: 52};
+
+test('all instances together stay within the limit in every window', (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record({
+          instance: fc.nat(2),
+          step: fc.nat(200),
+          isRequest: fc.boolean(),
+        }),
+        {maxLength: 1500},
+      ),
+      (events) => {
+        const budgets = [0, 1, 2].map(() => createRepeatBudget(OPTIONS));
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        let now = 0;
+        for (const {instance, step, isRequest} of events) {
+          now += step;
+          if (isRequest) {
+            requests.push(now);
+            budgets[instance]!.noteRequest('desk', now);
+          } else if (budgets[instance]!.tryRepeat('desk', now, 3)) {
+            repeats.push(now);
+          }
+          const isRecent = (time: number) =>
+            time > now - OPTIONS.windowMilliseconds;
+          const limit =
+            OPTIONS.ratio * requests.filter(isRecent).length +
+            OPTIONS.allowance;
+          if (repeats.filter(isRecent).length > limit) return false;
+        }
+        return true;
+      },
+    ),
+    {numRuns: 50},
+  );
+  t.pass();
+});
+
+test('what was used comes back after the window', (t) => {
+  const budget = createRepeatBudget({...OPTIONS, allowance: 2});
+  t.true(budget.tryRepeat('desk', 0, 1));
+  t.false(budget.tryRepeat('desk', 1, 1));
+  t.true(budget.tryRepeat('desk', 10_001, 1));
+});
+
+test('services have budgets of their own', (t) => {
+  const budget = createRepeatBudget({...OPTIONS, allowance: 2});
+  t.true(budget.tryRepeat('desk', 0, 1));
+  t.true(budget.tryRepeat('engine', 0, 1));
+});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/estimateWaits.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import {estimateWaits} from '../estimateWaits.ts';
+import {judgeAdmission} from '../judgeAdmission.ts';
+import type {PieceGroup} from '../pieceGroup.ts';
+
+const CAPACITY = {
+  endpoints: 2,
+  batch: 10,
+  callMilliseconds: 100,
+  busyMilliseconds: 50,
+};
+
+function group(changes: Partial<PieceGroup> = {}): PieceGroup {
+  return {
+    count: 10,
+    isBegun: false,
+    priority: 1,
+    targetAt: 10_000,
+    deadlineAt: 20_000,
+    resultBytes: 0,
+    workMilliseconds: 10,
+    failureDomain: null,
+    ...changes,
+  };
+}
+
+test('a timely group waits for begun and more urgent ones only', (t) => {
+  const {waits} = estimateWaits(
+    [group({priority: 0}), group({priority: 2}), group({isBegun: true})],
+    0,
+    CAPACITY,
+  );
+  t.deepEqual(waits.timelyMilliseconds, [250, 250, 350, 350]);
+  t.is(waits.totalMilliseconds, 350);
+});
+
+test('late groups delay no timely one', (t) => {
+  const late = group({targetAt: 0});
+  const {waits} = estimateWaits([late, late], 0, CAPACITY);
+  t.deepEqual(waits.timelyMilliseconds, [50, 50, 50, 50]);
+  t.is(waits.totalMilliseconds, 250);
+});
+
+test('late groups that can not be reached in time are named', (t) => {
+  const late = {targetAt: 0, deadlineAt: 400};
+  const groups = [group(late), group(late), group(late), group(late)];
+  const {hopeless} = estimateWaits(groups, 0, CAPACITY);
+  t.deepEqual(hopeless, [groups[3]]);
+});
+
+test('without an endpoint nobody can wait', (t) => {
+  const {waits} = estimateWaits([], 0, {...CAPACITY, endpoints: 0});
+  t.true(waits.totalMilliseconds >= 60_000);
+});
+
+test('a call is taken if it can be in time, or else served at all', (t) => {
+  const judge = (timely: number, total: number) =>
+    judgeAdmission({
+      forecast: {timelyMilliseconds: timely, totalMilliseconds: total},
+      targetLeftMilliseconds: 1000,
+      timeLeftMilliseconds: 6000,
+    });
+  t.is(judge(900, 9000).tag, 'timely');
+  t.is(judge(1100, 4000).tag, 'late');
+  t.deepEqual(judge(1100, 5000), {
+    tag: 'refused',
+    retryAfterMilliseconds: 800,
+  });
+});
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -8,7 +8,8 @@
 type ServeOptions = Parameters<typeof serveCall>[0];
 
 interface CallServer {
-  listen(host: string, port: number): Promise<void>;
+  /** Gives the port, which the system chooses for 0. */
+  listen(host: string, port: number): Promise<number>;
   /** Calls that have no whole answer yet. */
   getActive(): number;
   /** Closes connections on which nothing is under way. */
@@ -171,7 +172,11 @@
     listen: (host, port) =>
       new Promise((resolve, reject) => {
         server.once('error', reject);
-        server.listen({host, port, backlog: 1024}, () => resolve());
+        server.listen({host, port, backlog: 1024}, () => {
+          const address = server.address();
+          const isBound = typeof address === 'object' && address !== null;
+          resolve(isBound ? address.port : port);
+        });
       }),
     getActive: () => active,
     closeIdle: () => server.closeIdleConnections(),
--- a/packages/hickorywharf-gateway/src/createGatewayLog.ts
+++ b/packages/hickorywharf-gateway/src/createGatewayLog.ts
@@ -10,12 +10,17 @@
  * written.
  *
  * @param now monotonic milliseconds
+ * @param stream where the lines go
  * @example
  *     const log = createGatewayLog('front-1', () => clock.monotonic());
  *     log.note('started', {step: 'start'});
  */
-export function createGatewayLog(name: string, now: () => number): GatewayLog {
-  const logger = createLogger({name, level: 'info', stream: process.stdout});
+export function createGatewayLog(
+  name: string,
+  now: () => number,
+  stream: NodeJS.WritableStream = process.stdout,
+): GatewayLog {
+  const logger = createLogger({name, level: 'info', stream});
   let second = 0;
   let written = 0;
   let leftOut = 0;
--- a/packages/hickorywharf-gateway/src/createReadinessServer.ts
+++ b/packages/hickorywharf-gateway/src/createReadinessServer.ts
@@ -1,7 +1,8 @@
 import http from 'node:http';
 
 interface ReadinessServer {
-  listen(host: string, port: number): Promise<void>;
+  /** Gives the port, which the system chooses for 0. */
+  listen(host: string, port: number): Promise<number>;
   close(): void;
 }
 
@@ -26,7 +27,11 @@
     listen: (host, port) =>
       new Promise((resolve, reject) => {
         server.once('error', reject);
-        server.listen({host, port}, () => resolve());
+        server.listen({host, port}, () => {
+          const address = server.address();
+          const isBound = typeof address === 'object' && address !== null;
+          resolve(isBound ? address.port : port);
+        });
       }),
     close() {
       server.close();
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -25,9 +25,14 @@
   readonly settings: GatewaySettings;
   readonly wire: GatewayWire;
   readonly source: GatewaySource;
+  /** Where the log goes; standard output without it. */
+  readonly output?: NodeJS.WritableStream;
 }
 
 interface Gateway {
+  /** Where callers are served. */
+  readonly port: number;
+  readonly readinessPort: number;
   /** Finishes what is under way, within the time of grace. */
   stop(): Promise<void>;
 }
@@ -51,7 +56,7 @@
   const clock = createSystemClock();
   const getInstant = createInstantClock(clock);
   const now = (): number => clock.monotonic();
-  const log = createGatewayLog(settings.name, now);
+  const log = createGatewayLog(settings.name, now, options.output);
   const state: GatewayState = {
     configuration: null,
     routes: createRouteTable([]),
@@ -126,8 +131,11 @@
   }
 
   const readiness = createReadinessServer(wire.readinessPath, isReady);
-  await server.listen(settings.listen.host, settings.listen.port);
-  await readiness.listen(settings.readiness.host, settings.readiness.port);
+  const port = await server.listen(settings.listen.host, settings.listen.port);
+  const readinessPort = await readiness.listen(
+    settings.readiness.host,
+    settings.readiness.port,
+  );
   await links.listen();
   const unfollow = followSource({
     source,
@@ -141,6 +149,8 @@
   log.note('started', {step: 'start', failureDomain: settings.failureDomain});
 
   return {
+    port,
+    readinessPort,
     async stop() {
       if (state.isStopping) return;
       const stoppedAt = now();
--- a/packages/hickorywharf/src/commands/experimentCommand.ts
+++ b/packages/hickorywharf/src/commands/experimentCommand.ts
@@ -34,12 +34,14 @@
     seed: {type: 'string', default: '1'},
     seeds: {type: 'string', default: '1'},
     output: {type: 'string'},
+    load: {type: 'string'},
   },
   optionHelp: {
     list: 'names the experiments',
     seed: 'first seed (default 1)',
     seeds: 'number of seeds (default 1)',
     output: 'JSON file for the report; standard output without it',
+    load: 'JSON file with the load, for experiments that read one',
   },
   async run({values, positionals}) {
     if (values['list'] === true) return listExperiments();
@@ -55,6 +57,7 @@
     const experiment = await experiments[name]!();
     const report = await experiment.run({
       seeds,
+      load: (values['load'] as string | undefined) ?? null,
       program: process.execPath,
       directory: mkdtempSync(path.join(os.tmpdir(), `hickorywharf-${name}-`)),
       print: (line) => console.error(line),
