--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -175,8 +175,9 @@
       endpoint.isBusy = true;
       schedule(now + time, () => {
         endpoint.isBusy = false;
-        for (const {group, count} of shares)
+        for (const {group, count} of shares) {
           finishShare(group, endpoint, count);
+        }
         pump(name);
       });
     }
--- a/packages/hickorywharf-decisions/src/gateway/orderDispatchers.ts
+++ b/packages/hickorywharf-decisions/src/gateway/orderDispatchers.ts
@@ -1,9 +1,13 @@
 import {hashNumber} from 'hickorywharf-utils/hashNumber';
 
+/** Instances whose capacity differs by less are alike, in cores. */
+const CAPACITY_STEP = 0.25;
+
 /**
  * The instances that may make the batches of a stage's service, the first one
  * in charge and the others its successors. Services are spread over the
  * instances; every instance that knows the same names comes to the same order.
+ * Instances with more capacity go first.
  * Two instances that disagree for a moment only make smaller batches.
  *
  * Load pattern: a stream of small groups of pieces of which each instance sees
@@ -11,18 +15,24 @@
  *
  * @param services all services with stages, this one among them
  * @example
- *     const [inCharge] = orderDispatchers('scan', ['scan', 'colour'], ['x', 'y']);
+ *     const [inCharge] = orderDispatchers('scan', services, [{name: 'x', capacity: 0.5}]);
  */
 export function orderDispatchers(
   service: string,
   services: readonly string[],
-  instances: readonly string[],
+  instances: ReadonlyArray<{readonly name: string; readonly capacity: number}>,
 ): string[] {
   const ordered = instances
-    .map((name) => ({name, weight: hashNumber(`dispatcher/${name}`)}))
+    .map(({name, capacity}) => ({
+      name,
+      weight: hashNumber(`dispatcher/${name}`),
+      class: Math.floor(capacity / CAPACITY_STEP),
+    }))
     .sort(
       (left, right) =>
-        left.weight - right.weight || (left.name < right.name ? -1 : 1),
+        right.class - left.class ||
+        left.weight - right.weight ||
+        (left.name < right.name ? -1 : 1),
     )
     .map(({name}) => name);
   const position = [...services].sort().indexOf(service);
--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -16,8 +16,11 @@
   readonly at: Instant;
 }
 
-/** Without a store's word younger than this nothing is refused for good. */
-const CERTAIN_MILLISECONDS = 1500;
+/**
+ * Without a word of the store younger than this share of the time in which a
+ * change binds, nothing is refused for good.
+ */
+const CERTAIN_SHARE = 0.75;
 /** When to come back while this instance cannot judge. */
 const JUDGE_AGAIN_MILLISECONDS = 300;
 
@@ -44,7 +47,8 @@
     });
   }
   const isCertain =
-    state.configurationFreshness.getAge(at) < CERTAIN_MILLISECONDS;
+    state.configurationFreshness.getAge(at) <
+    settings.applyMilliseconds * CERTAIN_SHARE;
   const refuse = (refusal: Refusal): Result<CallContext, Refusal> =>
     isCertain
       ? err(refusal)
--- a/packages/hickorywharf-gateway/src/followSource.ts
+++ b/packages/hickorywharf-gateway/src/followSource.ts
@@ -1,5 +1,6 @@
 import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
 import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
+import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {GatewayLog} from './gatewayLog.ts';
@@ -9,7 +10,7 @@
   readonly source: GatewaySource;
   readonly state: GatewayState;
   readonly log: GatewayLog;
-  readonly name: string;
+  readonly settings: GatewaySettings;
   readonly getInstant: ReturnType<typeof createInstantClock>;
   /** Called after the configuration or the endpoints changed. */
   onChange(): void;
@@ -17,10 +18,8 @@
   onInstances(others: readonly GatewayInstance[]): void;
 }
 
-/** Well within the time in which a change of configuration binds. */
-const CONFIGURATION_MILLISECONDS = 600;
-/** Well within the time in which a departure binds. */
-const ENDPOINTS_MILLISECONDS = 600;
+/** Of the time in which a change binds; one read may fail and come again. */
+const INTERVAL_SHARE = 0.45;
 /** A third of the time for which an announcement holds. */
 const INSTANCES_MILLISECONDS = 1000;
 /** After a read that failed, the next one comes sooner. */
@@ -35,7 +34,9 @@
  *     const stop = followSource(options);
  */
 export function followSource(options: FollowOptions): () => void {
-  const {source, state, log, name, getInstant, onChange, onInstances} = options;
+  const {source, state, settings, log, getInstant, onChange, onInstances} =
+    options;
+  const {name} = settings;
   let isStopped = false;
   const timers = new Set<NodeJS.Timeout>();
   const lost = new Set<string>();
@@ -111,11 +112,12 @@
     noteGain('instances');
     const others = read.value.filter((instance) => instance.name !== name);
     onInstances(others);
-    const instances = [...others.map((other) => other.name), name].sort();
-    if (instances.join() !== state.instances.join()) {
-      log.note('instances known', {step: 'instances', instances});
-      state.instances = instances;
+    const names = [...others.map((other) => other.name), name].sort();
+    const known = state.instances.map((instance) => instance.name).sort();
+    if (names.join() !== known.join()) {
+      log.note('instances known', {step: 'instances', instances: names});
     }
+    state.instances = [...others, {name, capacity: settings.capacity}];
     return true;
   }
 
@@ -135,8 +137,8 @@
     void round();
   }
 
-  repeat(readConfiguration, CONFIGURATION_MILLISECONDS);
-  repeat(readEndpoints, ENDPOINTS_MILLISECONDS);
+  repeat(readConfiguration, settings.applyMilliseconds * INTERVAL_SHARE);
+  repeat(readEndpoints, settings.drainMilliseconds * INTERVAL_SHARE);
   repeat(readInstances, INSTANCES_MILLISECONDS);
   return () => {
     isStopped = true;
--- a/packages/hickorywharf-gateway/src/gatewayState.ts
+++ b/packages/hickorywharf-gateway/src/gatewayState.ts
@@ -11,8 +11,8 @@
   readonly configurationFreshness: ReturnType<typeof createFreshness>;
   readonly endpointFreshness: ReturnType<typeof createFreshness>;
   readonly directory: ReturnType<typeof createEndpointDirectory>;
-  /** Names of the instances, this one among them. */
-  instances: readonly string[];
+  /** The instances, this one among them. */
+  instances: ReadonlyArray<{readonly name: string; readonly capacity: number}>;
   isStopping: boolean;
   /** A planned stop takes no more work. */
   isClosed: boolean;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -63,7 +63,7 @@
     configurationFreshness: createFreshness(),
     endpointFreshness: createFreshness(),
     directory: createEndpointDirectory(settings.lapseMilliseconds),
-    instances: [settings.name],
+    instances: [{name: settings.name, capacity: settings.capacity}],
     isStopping: false,
     isClosed: false,
   };
@@ -141,7 +141,7 @@
     source,
     state,
     log,
-    name: settings.name,
+    settings,
     getInstant,
     onChange: maker.refresh,
     onInstances: links.setInstances,
--- a/packages/hickorywharf-types/src/gateway/gatewayInstance.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewayInstance.ts
@@ -4,4 +4,6 @@
   /** Where it takes connections of the others. */
   readonly host: string;
   readonly port: number;
+  /** Share of a core that it can give to work for all. */
+  readonly capacity: number;
 }
--- a/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
@@ -2,6 +2,8 @@
 export interface GatewaySettings {
   readonly name: string;
   readonly failureDomain: string;
+  /** Share of a core, or less where the network allows less. */
+  readonly capacity: number;
   /** Where callers are served, as host and port. */
   readonly listen: {readonly host: string; readonly port: number};
   readonly readiness: {readonly host: string; readonly port: number};
@@ -12,6 +14,9 @@
   readonly graceMilliseconds: number;
   /** After it no call with a key may go on that the store has not confirmed. */
   readonly revokeMilliseconds: number;
+  /** After it an older configuration or a departed endpoint binds no more. */
+  readonly applyMilliseconds: number;
+  readonly drainMilliseconds: number;
   /** How long a missing entry may be a lapse after an outage of the store. */
   readonly lapseMilliseconds: number;
   /** Repeats for each request to a service. */
--- a/packages/hickorywharf-validation/src/gatewaySettings.ts
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -23,10 +23,16 @@
     readiness: socketAddress,
     peers: socketAddress,
   }),
+  limits: z.strictObject({
+    coreShare: z.coerce.number().positive(),
+    linkMegabits: z.coerce.number().positive(),
+  }),
   store: z.strictObject({address: z.string().min(1)}),
   bounds: z.strictObject({
     graceMilliseconds: milliseconds,
     revokeMilliseconds: milliseconds,
+    applyMilliseconds: milliseconds,
+    drainMilliseconds: milliseconds,
     lapseMilliseconds: milliseconds.default(2000),
     repeatRatio: z.coerce.number().min(0),
     repeatWindowMilliseconds: milliseconds,
