--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -161,7 +161,7 @@
         callMilliseconds: service.callMilliseconds,
         roomBytes: service.roomBytes - endpoint.heldBytes,
         failureDomain: '',
-        otherDomains: new Set(),
+        otherDomains: new Map(),
       }) as unknown as Array<{group: Group; count: number}>;
       if (shares.length === 0) continue;
       let time = service.callMilliseconds;
--- a/packages/hickorywharf-decisions/src/gateway/planBatch.ts
+++ b/packages/hickorywharf-decisions/src/gateway/planBatch.ts
@@ -7,8 +7,8 @@
   /** Memory that the endpoint has left for results. */
   readonly roomBytes: number;
   readonly failureDomain: string;
-  /** Failure domains where another endpoint is free now or soon. */
-  readonly otherDomains: ReadonlySet<string>;
+  /** Time until an endpoint in each other failure domain is free. */
+  readonly otherDomains: ReadonlyMap<string, number>;
 }
 
 interface BatchShare<Group> {
@@ -17,8 +17,8 @@
   readonly count: number;
 }
 
-/** A group that has more time than this may wait for an endpoint nearer by. */
-const SPARE_MILLISECONDS = 200;
+/** A group that waits for an endpoint nearer by keeps this much time. */
+const SPARE_MILLISECONDS = 250;
 
 /**
  * The pieces of the next call of an endpoint, in the order in which they count.
@@ -45,10 +45,11 @@
   const waitingCount = groups.reduce((sum, {count}) => sum + count, 0);
   const ranked = rankGroups(groups, now, endpoint).filter(
     ({group, spareMilliseconds}) =>
-      spareMilliseconds <= SPARE_MILLISECONDS ||
       group.failureDomain === null ||
       group.failureDomain === endpoint.failureDomain ||
-      !endpoint.otherDomains.has(group.failureDomain),
+      spareMilliseconds <
+        SPARE_MILLISECONDS +
+          (endpoint.otherDomains.get(group.failureDomain) ?? Infinity),
   );
 
   const shares: Array<BatchShare<Group>> = [];
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -93,8 +93,6 @@
 const MAXIMUM_BUSY_MILLISECONDS = 10_000;
 /** How often a service with work is summarised in the log. */
 const SUMMARY_MILLISECONDS = 1000;
-/** An endpoint that is done so soon is worth waiting for. */
-const SOON_MILLISECONDS = 100;
 
 /**
  * Makes pieces of stages at all endpoints of their services, one call at a time
@@ -258,21 +256,24 @@
     return calls.size < slots && fullUntil <= time;
   }
 
-  /** Where endpoints other than this one are free now or soon. */
+  /** Time until an endpoint in each other failure domain is free. */
   function getOtherDomains(
     endpoints: readonly GatewayEndpoint[],
     endpoint: GatewayEndpoint,
     slots: number,
-  ): Set<string> {
+  ): Map<string, number> {
     const time = now();
-    const domains = new Set<string>();
+    const domains = new Map<string, number>();
     for (const {id, failureDomain} of endpoints) {
-      if (id === endpoint.id) continue;
-      const {calls} = getWorker(id);
-      const isSoon = [...calls].some(
-        ({doneAt}) => doneAt - time < SOON_MILLISECONDS,
+      if (failureDomain === endpoint.failureDomain) continue;
+      const {calls, fullUntil} = getWorker(id);
+      const ends = [...calls].map(({doneAt}) => doneAt - time);
+      const wait = calls.size < slots ? 0 : Math.max(0, Math.min(...ends));
+      const first = domains.get(failureDomain) ?? Infinity;
+      domains.set(
+        failureDomain,
+        Math.min(first, Math.max(wait, fullUntil - time)),
       );
-      if (isSoon || isFree(id, slots, time)) domains.add(failureDomain);
     }
     return domains;
   }
