--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -35,7 +35,7 @@
  *     await server.listen('10.1.0.41', 8625);
  */
 export function createCallServer(options: ServeOptions): CallServer {
-  const {settings, state, wire, log, getInstant} = options;
+  const {settings, state, wire, log, metrics, getInstant} = options;
   let active = 0;
 
   function endContext(context: CallContext): void {
@@ -53,6 +53,7 @@
       () => {
         if (context.isOver) return;
         endContext(context);
+        metrics.count('calls', 'timedOut');
         log.decide('timed out', {
           requestId: context.call.id,
           step: 'answer',
@@ -99,6 +100,8 @@
       at: getInstant(),
     });
     if (admitted.isErr()) {
+      metrics.count('calls', 'refused');
+      metrics.count('refusals', admitted.error.tag);
       log.decide('refused', {
         requestId: call.id,
         step: 'admit',
@@ -114,6 +117,7 @@
     response.on('close', () => {
       isClosed = true;
       if (!response.writableFinished && !context.isOver) {
+        metrics.count('calls', 'callerLeft');
         log.decide('caller left', {requestId: call.id, step: 'answer'});
       }
       endContext(context);
--- a/packages/hickorywharf-gateway/src/createGatewayLog.ts
+++ b/packages/hickorywharf-gateway/src/createGatewayLog.ts
@@ -11,6 +11,7 @@
  *
  * @param now monotonic milliseconds
  * @param stream where the lines go
+ * @param onLeftOut called for each line beyond the bound
  * @example
  *     const log = createGatewayLog('front-1', () => clock.monotonic());
  *     log.note('started', {step: 'start'});
@@ -19,6 +20,7 @@
   name: string,
   now: () => number,
   stream: NodeJS.WritableStream = process.stdout,
+  onLeftOut: () => void = () => undefined,
 ): GatewayLog {
   const logger = createLogger({name, level: 'info', stream});
   let second = 0;
@@ -30,6 +32,7 @@
       if (current !== second) [second, written] = [current, 0];
       if (written >= LINES_PER_SECOND) {
         leftOut += 1;
+        onLeftOut();
         return;
       }
       written += 1;
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -12,6 +12,7 @@
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
 import type {EndpointChannels} from './endpointChannels.ts';
 import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 import type {StageMaker} from './stageMaker.ts';
 
@@ -22,6 +23,7 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly budget: ReturnType<typeof createRepeatBudget>;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   now(): number;
 }
 
@@ -103,7 +105,7 @@
  *     const cancel = maker.order(order, (result) => take(result));
  */
 export function createStageMaker(options: MakerOptions): StageMaker {
-  const {state, wire, channels, health, budget, log, now} = options;
+  const {state, wire, channels, health, budget, log, metrics, now} = options;
   const queues = new Map<string, Set<OpenGroup>>();
   /** How often each piece was sent. */
   const sends = new WeakMap<OpenGroup, Map<number, number>>();
@@ -442,6 +444,7 @@
       if (!finish()) return;
       exchange.abort();
       health.noteFailure(endpoint.id, now());
+      metrics.count('stageCalls', 'failed');
       log.decide('stage call failed', {
         step: 'stage',
         peer: endpoint.id,
@@ -480,8 +483,11 @@
         if (!finish()) return;
         const took = now() - startedAt;
         health.noteAnswer(endpoint.id, took, now());
+        metrics.count('stageCalls', 'answered');
+        metrics.time('stageCall', took);
         learn(capacity, batch, took);
         outcomes.value.forEach((outcome, index) => {
+          metrics.count('pieces', outcome.tag);
           const handle = outcomeHandlers[outcome.tag];
           handle(batch[index]!, endpoint, outcome as never);
         });
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createTextServer.ts
@@ -0,0 +1,50 @@
+import http from 'node:http';
+
+interface TextServer {
+  /** Gives the port, which the system chooses for 0. */
+  listen(host: string, port: number): Promise<number>;
+  close(): void;
+}
+
+interface Page {
+  readonly status: number;
+  readonly text: string;
+}
+
+/**
+ * Answers questions of the platform by their paths: whether this instance takes
+ * callers, and its metrics.
+ *
+ * @param pages made anew at each question
+ * @example
+ *     createTextServer({'/ready': () => ({status: 200, text: ''})});
+ */
+export function createTextServer(
+  pages: Readonly<Record<string, () => Page>>,
+): TextServer {
+  const server = http.createServer((request, response) => {
+    const path = request.url ?? '';
+    const page = Object.hasOwn(pages, path) ? pages[path]!() : null;
+    const {status, text} = page ?? {status: 404, text: ''};
+    response.writeHead(status, {
+      'content-type': 'text/plain; version=0.0.4',
+      'content-length': Buffer.byteLength(text),
+    });
+    response.end(text);
+  });
+  return {
+    listen: (host, port) =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen({host, port}, () => {
+          const address = server.address();
+          const isBound = typeof address === 'object' && address !== null;
+          resolve(isBound ? address.port : port);
+        });
+      }),
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/followSource.ts
+++ b/packages/hickorywharf-gateway/src/followSource.ts
@@ -4,12 +4,14 @@
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 
 interface FollowOptions {
   readonly source: GatewaySource;
   readonly state: GatewayState;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   readonly settings: GatewaySettings;
   readonly getInstant: ReturnType<typeof createInstantClock>;
   /** Called after the configuration or the endpoints changed. */
@@ -20,8 +22,8 @@
 
 /** Of the time in which a change binds; one read may fail and come again. */
 const INTERVAL_SHARE = 0.45;
-/** A third of the time for which an announcement holds. */
-const INSTANCES_MILLISECONDS = 1000;
+/** Instances that come are of use soon; those that go show on connections. */
+const INSTANCES_MILLISECONDS = 2000;
 /** After a read that failed, the next one comes sooner. */
 const RETRY_MILLISECONDS = 150;
 
@@ -34,8 +36,8 @@
  *     const stop = followSource(options);
  */
 export function followSource(options: FollowOptions): () => void {
-  const {source, state, settings, log, getInstant, onChange, onInstances} =
-    options;
+  const {source, state, settings, log, metrics, getInstant} = options;
+  const {onChange, onInstances} = options;
   const {name} = settings;
   let isStopped = false;
   const timers = new Set<NodeJS.Timeout>();
@@ -125,8 +127,10 @@
     const round = async (): Promise<void> => {
       const startedAt = getInstant().monotonic;
       const isRead = await read();
+      metrics.count('storeReads', isRead ? 'read' : 'failed');
       if (isStopped) return;
       const took = getInstant().monotonic - startedAt;
+      if (isRead) metrics.time('storeRead', took);
       const wait = isRead ? Math.max(0, every - took) : RETRY_MILLISECONDS;
       const timer = setTimeout(() => {
         timers.delete(timer);
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -0,0 +1,16 @@
+/** What is counted, with its label and its meaning. */
+export const GATEWAY_COUNTERS = {
+  calls: {label: 'result', meaning: "callers' requests by how they ended"},
+  refusals: {label: 'reason', meaning: 'refusals of our own by their reason'},
+  attempts: {
+    label: 'result',
+    meaning: 'sends to endpoints by what they came to',
+  },
+  pieces: {
+    label: 'outcome',
+    meaning: 'pieces of stages by what became of them',
+  },
+  stageCalls: {label: 'result', meaning: 'calls that make pieces'},
+  storeReads: {label: 'result', meaning: "reads of the platform's store"},
+  logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
+} as const;
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/gatewayTimers.ts
@@ -0,0 +1,7 @@
+/** Times that are kept as histograms, in milliseconds. */
+export const GATEWAY_TIMERS = {
+  answer: {meaning: "from a request's head to the end of its answer"},
+  stageCall: {meaning: 'from sending a call for pieces to its answer'},
+  stages: {meaning: 'all stages of a request'},
+  storeRead: {meaning: "a read of the platform's store that succeeded"},
+} as const;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -12,11 +12,12 @@
 import {createEndpointChannels} from './createEndpointChannels.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
 import {createGatewayLog} from './createGatewayLog.ts';
+import {createGatewayMetrics} from './createGatewayMetrics.ts';
 import {createInstantClock} from './createInstantClock.ts';
-import {createReadinessServer} from './createReadinessServer.ts';
 import {createPeerLinks} from './createPeerLinks.ts';
 import {createStageMaker} from './createStageMaker.ts';
 import {createStageRouter} from './createStageRouter.ts';
+import {createTextServer} from './createTextServer.ts';
 import {followSource} from './followSource.ts';
 import type {GatewayState} from './gatewayState.ts';
 import {isKeyConfirmed} from './isKeyConfirmed.ts';
@@ -30,6 +31,8 @@
 }
 
 interface Gateway {
+  /** Takes over bounds that changed; the rest needs a new start. */
+  reload(changed: GatewaySettings): void;
   /** Where callers are served. */
   readonly port: number;
   readonly readinessPort: number;
@@ -52,11 +55,16 @@
  *     await gateway.stop();
  */
 export async function runGateway(options: GatewayOptions): Promise<Gateway> {
-  const {settings, wire, source} = options;
+  const {wire, source} = options;
+  // Shared with all parts, so that bounds can change while it runs.
+  const settings = {...options.settings};
   const clock = createSystemClock();
   const getInstant = createInstantClock(clock);
   const now = (): number => clock.monotonic();
-  const log = createGatewayLog(settings.name, now, options.output);
+  const metrics = createGatewayMetrics();
+  const log = createGatewayLog(settings.name, now, options.output, () =>
+    metrics.count('logLinesLeftOut', 'bound'),
+  );
   const state: GatewayState = {
     configuration: null,
     routes: createRouteTable([]),
@@ -81,6 +89,7 @@
     health,
     budget,
     log,
+    metrics,
     now,
   });
   const router = createStageRouter({
@@ -117,6 +126,7 @@
     budget,
     router,
     log,
+    metrics,
     getInstant,
   });
 
@@ -130,17 +140,24 @@
     );
   }
 
-  const readiness = createReadinessServer(wire.readinessPath, isReady);
+  const readiness = createTextServer({
+    [wire.readinessPath]: () => ({status: isReady() ? 200 : 503, text: ''}),
+  });
+  const collector = createTextServer({
+    '/metrics': () => ({status: 200, text: metrics.format()}),
+  });
   const port = await server.listen(settings.listen.host, settings.listen.port);
   const readinessPort = await readiness.listen(
     settings.readiness.host,
     settings.readiness.port,
   );
+  await collector.listen(settings.metrics.host, settings.metrics.port);
   await links.listen();
   const unfollow = followSource({
     source,
     state,
     log,
+    metrics,
     settings,
     getInstant,
     onChange: maker.refresh,
@@ -151,6 +168,19 @@
   return {
     port,
     readinessPort,
+    reload(changed) {
+      const {revokeMilliseconds, applyMilliseconds, drainMilliseconds} =
+        changed;
+      const {graceMilliseconds} = changed;
+      const bounds = {
+        graceMilliseconds,
+        revokeMilliseconds,
+        applyMilliseconds,
+        drainMilliseconds,
+      };
+      Object.assign(settings, bounds);
+      log.note('settings reloaded', {step: 'reload', ...bounds});
+    },
     async stop() {
       if (state.isStopping) return;
       const stoppedAt = now();
@@ -172,6 +202,7 @@
       unfollow();
       server.close();
       readiness.close();
+      collector.close();
       await links.close();
       channels.close();
       log.note('stopped', {step: 'stop', milliseconds: now() - stoppedAt});
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -16,6 +16,7 @@
 import type {createInstantClock} from './createInstantClock.ts';
 import type {EndpointChannels} from './endpointChannels.ts';
 import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 import {isKeyConfirmed} from './isKeyConfirmed.ts';
 import type {Refusal} from './refusal.ts';
@@ -32,6 +33,7 @@
   readonly budget: ReturnType<typeof createRepeatBudget>;
   readonly router: StageRouter;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   readonly getInstant: ReturnType<typeof createInstantClock>;
 }
 
@@ -66,7 +68,8 @@
   options: ServeOptions,
   serving: Serving,
 ): Promise<void> {
-  const {settings, state, health, loads, budget, log, getInstant} = options;
+  const {settings, state, health, loads, budget, log, metrics, getInstant} =
+    options;
   const {context, body, relay} = serving;
   const {call, route, service} = context;
   const splitter = createEventSplitter();
@@ -85,11 +88,14 @@
   );
 
   function conclude(outcome: string, fields: Record<string, unknown>): void {
+    const took = getInstant().monotonic - context.arrivedAt;
+    metrics.count('calls', outcome);
+    if (outcome === 'answered') metrics.time('answer', took);
     log.decide(outcome, {
       requestId: call.id,
       step: 'answer',
       route: route.name,
-      milliseconds: Math.round(getInstant().monotonic - context.arrivedAt),
+      milliseconds: Math.round(took),
       sends,
       ...fields,
     });
@@ -102,6 +108,7 @@
   }
 
   function refuse(refusal: Refusal): void {
+    metrics.count('refusals', refusal.tag);
     conclude('refused', {refusal: refusal.tag, reason: refusal.message});
     relay.refuse(refusal, call.id);
   }
@@ -172,9 +179,9 @@
       return false;
     }
     const {services} = state.configuration!;
+    const now = getInstant().monotonic;
     if (stageRuns === 0) {
       const forecast = forecastStages(context, services, options.router);
-      const now = getInstant().monotonic;
       const admission = judgeAdmission({
         forecast,
         targetLeftMilliseconds: context.targetAt - now,
@@ -212,6 +219,7 @@
       }
       return false;
     }
+    metrics.time('stages', getInstant().monotonic - now);
     ({inputs, handles} = result);
     hasInputs = true;
     return true;
@@ -272,6 +280,7 @@
       break;
     }
     const result = await attempt(endpoint);
+    metrics.count('attempts', result.tag);
     if (context.isOver || result.tag === 'callerGone') break;
     if (result.tag === 'delivered') {
       conclude('answered', {peer: endpoint.id});
--- a/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
@@ -9,7 +9,8 @@
   readonly readiness: {readonly host: string; readonly port: number};
   /** Where the other instances connect. */
   readonly peers: {readonly host: string; readonly port: number};
-  readonly metrics: {readonly host: string; readonly port: number} | null;
+  /** Where metrics are read. */
+  readonly metrics: {readonly host: string; readonly port: number};
   /** How long a planned stop may take. */
   readonly graceMilliseconds: number;
   /** After it no call with a key may go on that the store has not confirmed. */
--- a/packages/hickorywharf-validation/src/gatewaySettings.ts
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -22,6 +22,7 @@
     callers: socketAddress,
     readiness: socketAddress,
     peers: socketAddress,
+    metrics: socketAddress,
   }),
   limits: z.strictObject({
     coreShare: z.coerce.number().positive(),
