Hand over orders when leaving, leave slow stage servers alone, repeat lost frees

Cause, from the recorded incidents: a stopping instance stayed in charge of batches; calls to a server five times slower were cut and sent there again (21 pieces lost every half second); frees on a connection that its server had closed were lost, and their room with them.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
@@ -22,3 +22,10 @@
   for (let round = 0; round < 50; round += 1) health.noteAnswer('a', 400, 0);
   t.true(health.getAnswerTime('a') > 390);
 });
+
+test('a slow endpoint is left alone for longer than a failing one', (t) => {
+  const health = createEndpointHealth();
+  health.noteFailure('failing', 0);
+  health.noteSilence('slow', 0);
+  t.true(health.getPenalty('slow', 0) > 4 * health.getPenalty('failing', 0));
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
@@ -3,6 +3,8 @@
   noteAnswer(id: string, milliseconds: number, now: number): void;
   /** Notes a failure of the endpoint itself: no answer, or a false one. */
   noteFailure(id: string, now: number): void;
+  /** Notes that work there took far too long. */
+  noteSilence(id: string, now: number): void;
   /** How long to leave the endpoint alone, as a cost in milliseconds. */
   getPenalty(id: string, now: number): number;
   /** Usual time of an answer, in milliseconds. */
@@ -13,6 +15,8 @@
 interface HealthRow {
   answerMilliseconds: number;
   failures: number;
+  /** Times in a row that work took far too long. */
+  silences: number;
   failedAt: number;
 }
 
@@ -21,6 +25,8 @@
 const LEARNING_WEIGHT = 0.2;
 /** Cost of one failure, doubled with each further one in a row. */
 const FIRST_PENALTY_MILLISECONDS = 200;
+/** A slow endpoint costs all the work that it is given. */
+const SILENCE_PENALTY_MILLISECONDS = 1600;
 const MAXIMUM_PENALTY_MILLISECONDS = 6400;
 
 /**
@@ -42,6 +48,7 @@
       row = {
         answerMilliseconds: FIRST_GUESS_MILLISECONDS,
         failures: 0,
+        silences: 0,
         failedAt: -Infinity,
       };
       rows.set(id, row);
@@ -55,17 +62,28 @@
       row.answerMilliseconds +=
         LEARNING_WEIGHT * (milliseconds - row.answerMilliseconds);
       row.failures = 0;
+      row.silences = 0;
     },
     noteFailure(id, now) {
       const row = getRow(id);
       row.failures += 1;
       row.failedAt = now;
     },
+    noteSilence(id, now) {
+      const row = getRow(id);
+      row.silences += 1;
+      row.failedAt = now;
+    },
     getPenalty(id, now) {
       const row = rows.get(id);
-      if (row === undefined || row.failures === 0) return 0;
+      if (row === undefined) return 0;
+      const {failures, silences} = row;
+      const forFailures =
+        failures === 0 ? 0 : FIRST_PENALTY_MILLISECONDS * 2 ** (failures - 1);
+      const forSilences =
+        silences === 0 ? 0 : SILENCE_PENALTY_MILLISECONDS * 2 ** (silences - 1);
       const full = Math.min(
-        FIRST_PENALTY_MILLISECONDS * 2 ** (row.failures - 1),
+        Math.max(forFailures, forSilences),
         MAXIMUM_PENALTY_MILLISECONDS,
       );
       return Math.max(0, full - (now - row.failedAt));
--- a/packages/hickorywharf-gateway/src/createPeerLinks.ts
+++ b/packages/hickorywharf-gateway/src/createPeerLinks.ts
@@ -25,9 +25,11 @@
   listen(): Promise<void>;
   /** Follows the instances that are known. */
   setInstances(instances: readonly GatewayInstance[]): void;
-  /** Whether frames can go to an instance now; connects if it is known. */
+  /** Whether an instance takes orders now; connects if it is known. */
   isUp(name: string): boolean;
   send(name: string, frame: Frame): boolean;
+  /** Tells the others to order elsewhere; what is ordered is still made. */
+  leave(): void;
   close(): Promise<void>;
 }
 
@@ -35,12 +37,12 @@
 const SILENCE_MILLISECONDS = 800;
 const HEARTBEAT_MILLISECONDS = 150;
 
-const HEARTBEAT: Frame = {
+const heartbeat = (leaving: boolean): Frame => ({
   tag: 'heartbeat',
-  leaving: false,
+  leaving,
   load: null,
   configurationSequence: 0,
-};
+});
 
 /**
  * Connections to the other instances, made when they are first needed and kept
@@ -58,7 +60,9 @@
   const up = new Map<string, Connection>();
   const requesters = new Set<Connection>();
   let server: Awaited<ReturnType<typeof createPeerServer>> | null = null;
-  let heartbeat: NodeJS.Timeout | null = null;
+  const leaving = new Set<string>();
+  let isLeaving = false;
+  let ticker: NodeJS.Timeout | null = null;
 
   function onError(error: {readonly message: string; readonly peer: string}) {
     log.decide('peer connection failed', {
@@ -79,6 +83,7 @@
       handlers: {
         onUp(connection) {
           up.set(name, connection);
+          leaving.delete(name);
           log.note('peer connected', {step: 'peer', peer: name});
         },
         onDown(connection) {
@@ -86,7 +91,10 @@
           log.note('peer lost', {step: 'peer', peer: name});
           options.onDown(name);
         },
-        onFrame: (_connection, frame) => options.onReply(name, frame),
+        onFrame(_connection, frame) {
+          if (frame.tag === 'heartbeat' && frame.leaving) leaving.add(name);
+          options.onReply(name, frame);
+        },
         onError,
       },
     });
@@ -98,7 +106,16 @@
     clients.delete(name);
   }
 
+  function tell(): void {
+    const news = isLeaving ? heartbeat(true) : options.getNews();
+    for (const connection of requesters) connection.send(news);
+  }
+
   return {
+    leave() {
+      isLeaving = true;
+      tell();
+    },
     async listen() {
       server = await createPeerServer({
         address: options.listen.host,
@@ -115,10 +132,11 @@
           onError,
         },
       });
-      heartbeat = setInterval(() => {
-        const news = options.getNews();
-        for (const connection of requesters) connection.send(news);
-        for (const connection of up.values()) connection.send(HEARTBEAT);
+      ticker = setInterval(() => {
+        tell();
+        for (const connection of up.values()) {
+          connection.send(heartbeat(false));
+        }
       }, HEARTBEAT_MILLISECONDS);
     },
     setInstances(instances) {
@@ -131,11 +149,11 @@
     isUp(name) {
       const instance = known.get(name);
       if (instance !== undefined && !clients.has(name)) connect(instance);
-      return up.has(name);
+      return up.has(name) && !leaving.has(name);
     },
     send: (name, frame) => up.get(name)?.send(frame) ?? false,
     async close() {
-      if (heartbeat !== null) clearInterval(heartbeat);
+      if (ticker !== null) clearInterval(ticker);
       for (const name of [...clients.keys()]) disconnect(name);
       await server?.close();
     },
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -56,6 +56,8 @@
   heldBytes: number;
   /** It said that it had no room; nothing is sent before. */
   fullUntil: number;
+  /** How its calls compare with what they should take. */
+  slowness: number;
   /** Memory that others hold there, as far as a refusal showed it. */
   foreign: {readonly bytes: number; readonly seenAt: number};
 }
@@ -76,9 +78,11 @@
   bytes: number;
 }
 
-/** A call that takes so many times what it should is taken for lost. */
-const PATIENCE_FACTOR = 3;
-const PATIENCE_MILLISECONDS = 400;
+/** A call that takes so much longer than usual is taken for lost. */
+const PATIENCE_FACTOR = 2;
+const PATIENCE_MILLISECONDS = 150;
+/** Endpoints of a service differ in speed, by less than this. */
+const MAXIMUM_SLOWNESS = 2;
 /** The most times that a piece is sent. */
 const MAXIMUM_SENDS = 4;
 /** Frees of one maker that come within this time share a call. */
@@ -162,6 +166,7 @@
         calls: new Set(),
         heldBytes: 0,
         fullUntil: -Infinity,
+        slowness: 1,
         foreign: {bytes: 0, seenAt: -Infinity},
       };
       workers.set(id, worker);
@@ -416,7 +421,8 @@
       (sum, {group}) => sum + group.workMilliseconds,
       0,
     );
-    const usual = capacity.callMilliseconds + work;
+    const expected = capacity.callMilliseconds + work;
+    const usual = expected * worker.slowness;
     const call = {doneAt: startedAt + usual};
     worker.calls.add(call);
     const reserved = batch.reduce((sum, {group}) => sum + group.resultBytes, 0);
@@ -456,7 +462,10 @@
       pump(endpoint.service);
     };
     const timer = setTimeout(
-      () => fail('no answer in time'),
+      () => {
+        health.noteSilence(endpoint.id, now());
+        fail('no answer in time');
+      },
       usual * PATIENCE_FACTOR + PATIENCE_MILLISECONDS,
     );
     const body = wire.writePieces(
@@ -485,7 +494,9 @@
         health.noteAnswer(endpoint.id, took, now());
         metrics.count('stageCalls', 'answered');
         metrics.time('stageCall', took);
-        learn(capacity, batch, took);
+        const slowness = Math.min(took / expected, MAXIMUM_SLOWNESS);
+        worker.slowness += LEARNING_WEIGHT * (slowness - worker.slowness);
+        learn(capacity, batch, took / worker.slowness);
         outcomes.value.forEach((outcome, index) => {
           metrics.count('pieces', outcome.tag);
           const handle = outcomeHandlers[outcome.tag];
@@ -535,15 +546,24 @@
   function sendFrees(id: string): void {
     const entry = leaving.get(id);
     leaving.delete(id);
-    if (entry === undefined) return;
+    if (entry !== undefined) sendFree(entry, false);
+  }
+
+  /** Frees may be repeated; a kept connection may have been closed meanwhile. */
+  function sendFree(entry: LeavingResults, isRepeat: boolean): void {
     const {endpoint, handles, bytes} = entry;
     channels.send({
       ...describeCall(endpoint, wire.stageFree, wire.writeFree(handles)),
+      needsNewConnection: isRepeat,
       onHead: () => undefined,
       onData: () => undefined,
       // Only the maker's answer shows that there is room again.
       onEnd: () => release(endpoint, bytes),
       onFailure({message}) {
+        if (!isRepeat) {
+          sendFree(entry, true);
+          return;
+        }
         log.decide('results not freed', {
           step: 'stage',
           peer: endpoint.id,
--- a/packages/hickorywharf-gateway/src/createStageRouter.ts
+++ b/packages/hickorywharf-gateway/src/createStageRouter.ts
@@ -88,8 +88,9 @@
       services,
       state.instances,
     )) {
-      if (instance === name) return null;
-      if (getLinks().isUp(instance)) return instance;
+      const isOwn = instance === name;
+      if (isOwn && !state.isStopping) return null;
+      if (!isOwn && getLinks().isUp(instance)) return instance;
     }
     return null;
   }
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -187,6 +187,7 @@
       state.isStopping = true;
       log.note('stopping', {step: 'stop', active: server.getActive()});
       const end = settings.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
+      links.leave();
       void source.withdraw();
       for (;;) {
         const elapsed = now() - stoppedAt;
