--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -39,6 +39,8 @@
     source('hickorywharf-bench/bin/experiments.ts'),
     ...rest,
   ],
+  soak: (rest) => [node, path.join(root, 'platform/soak/soak.ts'), ...rest],
+  'build-platform': () => [node, path.join(root, 'scripts/buildPlatform.mjs')],
   queues: () => [node, source('hickorywharf-bench/bin/queues.ts')],
   decisions: () => [node, source('hickorywharf-bench/bin/decisions.ts')],
   format: () => [node, bin('prettier'), '--check', '.'],
