--- /dev/null
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
@@ -0,0 +1,230 @@
+import test from 'ava';
+import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
+import {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
+import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
+import {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
+import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
+import type {AnswerHead} from 'hickorywharf-types/gateway/answerHead';
+import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
+import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
+import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
+import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
+import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import {ok} from 'neverthrow';
+import {createGatewayMetrics} from '../createGatewayMetrics.ts';
+import {createStageMaker} from '../createStageMaker.ts';
+import type {EndpointRequest} from '../endpointRequest.ts';
+import type {GatewayState} from '../gatewayState.ts';
+
+interface SentCall {
+  readonly request: EndpointRequest;
+  readonly endpoint: number;
+  readonly path: string;
+  isAborted: boolean;
+}
+
+const CALL_MILLISECONDS = 20;
+const ORDER: StageOrder = {
+  requestId: 'r',
+  stage: 0,
+  service: 'scan',
+  kind: 'scan',
+  pieces: [0, 1],
+  key: 'k',
+  inputs: null,
+  priority: 0,
+  targetMilliseconds: 2000,
+  deadlineMilliseconds: 5000,
+  resultBytes: 100,
+  failureDomain: null,
+};
+
+const sleep = (milliseconds: number) =>
+  new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+/** A maker before endpoints that answer only when a test says so. */
+function createMaker(endpoints: number, roomBytes = 1000) {
+  const calls: SentCall[] = [];
+  const outcomes: PieceOutcome[] = [];
+  const directory = createEndpointDirectory(2000);
+  directory.update(
+    Array.from({length: endpoints}, (_value, index) => ({
+      id: `scan-${index}`,
+      service: 'scan',
+      host: 'h',
+      port: index,
+      failureDomain: 'a',
+      isDraining: false,
+      startedAt: 1,
+      slots: 1,
+    })),
+    {monotonic: 0, wall: 0},
+  );
+  const stage = {
+    slots: 1,
+    waiting: 2,
+    batch: 4,
+    callMilliseconds: CALL_MILLISECONDS,
+    pieceMilliseconds: 1,
+    roomBytes,
+    keepMilliseconds: 4000,
+  };
+  const state: GatewayState = {
+    configuration: {
+      services: new Map([
+        ['scan', {name: 'scan', maximumConnections: 9, stage, engine: null}],
+      ]),
+    } as unknown as GatewayConfiguration,
+    routes: createRouteTable([]),
+    configurationFreshness: createFreshness(),
+    endpointFreshness: createFreshness(),
+    directory,
+    instances: [{name: 'x', capacity: 1}],
+    isStopping: false,
+    isClosed: false,
+  };
+  const maker = createStageMaker({
+    state,
+    wire: {
+      stageRun: {method: 'POST', path: '/run'},
+      stageFree: {method: 'POST', path: '/free'},
+      writePieces: (pieces: readonly unknown[]) => JSON.stringify(pieces),
+      readPieces: () => ok(outcomes.splice(0)),
+      writeFree: (handles: readonly string[]) => JSON.stringify(handles),
+      writeStageHeaders: () => [],
+    } as unknown as GatewayWire,
+    channels: {
+      send(request) {
+        const {port, path} = request;
+        const call = {request, endpoint: port, path, isAborted: false};
+        calls.push(call);
+        return {
+          abort: () => void (call.isAborted = true),
+          pause: () => undefined,
+          resume: () => undefined,
+        };
+      },
+      close: () => undefined,
+    },
+    health: createEndpointHealth(),
+    budget: createRepeatBudget({
+      ratio: 1,
+      windowMilliseconds: 10_000,
+      allowance: 50,
+    }),
+    log: {decide: () => undefined, note: () => undefined},
+    metrics: createGatewayMetrics(),
+    now: () => performance.now(),
+  });
+  function answer(call: SentCall, ...next: readonly PieceOutcome[]): void {
+    outcomes.push(...next);
+    call.request.onHead({status: 200} as AnswerHead);
+    call.request.onEnd();
+  }
+  const made = (...handles: readonly string[]) =>
+    handles.map((handle): PieceOutcome => ({tag: 'made', handle}));
+  return {maker, calls, answer, made};
+}
+
+test('pieces of several requests go into one call', async (t) => {
+  const {maker, calls} = createMaker(1);
+  maker.order(ORDER, () => undefined);
+  maker.order({...ORDER, requestId: 's'}, () => undefined);
+  await sleep(5);
+  t.is(calls.length, 1);
+  t.is(JSON.parse(String(calls[0]!.request.body)).length, 4);
+});
+
+test('a free that a closed connection lost is sent again on a new one', async (t) => {
+  const {maker, calls, answer, made} = createMaker(1);
+  maker.order(ORDER, () => undefined);
+  await sleep(5);
+  answer(calls[0]!, ...made('a', 'b'));
+  maker.free(['a', 'b']);
+  await sleep(30);
+  t.is(calls[1]?.path, '/free');
+  calls[1]!.request.onFailure({tag: 'unknown', message: 'closed'});
+  t.is(calls[2]?.path, '/free');
+  t.true(calls[2]!.request.needsNewConnection);
+  t.deepEqual(JSON.parse(String(calls[2]!.request.body)), ['a', 'b']);
+});
+
+test('room counts as free only when its maker has said so', async (t) => {
+  const {maker, calls, answer, made} = createMaker(1, 220);
+  maker.order(ORDER, () => undefined);
+  await sleep(5);
+  answer(calls[0]!, ...made('a', 'b'));
+  maker.order({...ORDER, requestId: 's'}, () => undefined);
+  maker.free(['a', 'b']);
+  await sleep(30);
+  t.deepEqual(
+    calls.map(({path}) => path),
+    ['/run', '/free'],
+  );
+  answer(calls[1]!);
+  await sleep(5);
+  t.is(calls[2]?.path, '/run');
+});
+
+test('a call that takes far too long goes elsewhere, and its endpoint rests', async (t) => {
+  const {maker, calls, answer, made} = createMaker(2);
+  const results: StageResult[] = [];
+  maker.order(ORDER, (result) => results.push(result));
+  await sleep(5);
+  const slow = calls[0]!;
+  await sleep(CALL_MILLISECONDS * 2 + 200);
+  t.true(slow.isAborted);
+  t.not(calls[1]!.endpoint, slow.endpoint);
+  answer(calls[1]!, ...made('a', 'b'));
+  t.deepEqual(
+    results.map(({tag}) => tag),
+    ['made', 'made'],
+  );
+  for (const requestId of ['s', 'u', 'v']) {
+    maker.order({...ORDER, requestId, pieces: [0, 1, 2, 3]}, () => undefined);
+  }
+  await sleep(30);
+  t.deepEqual(
+    calls.slice(2).map(({endpoint}) => endpoint),
+    [calls[1]!.endpoint],
+  );
+});
+
+test('an endpoint without room is asked again later, at no cost to the piece', async (t) => {
+  const {maker, calls, answer, made} = createMaker(1);
+  const results: StageResult[] = [];
+  maker.order(ORDER, (result) => results.push(result));
+  await sleep(5);
+  answer(calls[0]!, ...made('a'), {tag: 'noRoom'});
+  await sleep(20);
+  t.is(calls.length, 1);
+  t.is(results.length, 1);
+  maker.free(['a']);
+  await sleep(30);
+  answer(calls[1]!);
+  await sleep(50);
+  t.is(calls.filter(({path}) => path === '/run').length, 2);
+});
+
+test('results that come for a request that is over are freed', async (t) => {
+  const {maker, calls, answer, made} = createMaker(1);
+  const cancel = maker.order(ORDER, () => t.fail());
+  await sleep(5);
+  cancel();
+  answer(calls[0]!, ...made('a', 'b'));
+  await sleep(30);
+  t.is(calls[1]?.path, '/free');
+});
+
+test('what can not be made in time ends at once', async (t) => {
+  const {maker} = createMaker(0);
+  const results: StageResult[] = [];
+  maker.order({...ORDER, deadlineMilliseconds: 10}, (result) =>
+    results.push(result),
+  );
+  await sleep(60);
+  t.deepEqual(
+    results.map(({tag}) => tag),
+    ['expired', 'expired'],
+  );
+});
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageRouter.test.ts
@@ -0,0 +1,172 @@
+import test from 'ava';
+import type {Connection} from 'hickorywharf-transport/connection';
+import type {Frame} from 'hickorywharf-types/frame';
+import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
+import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import {createStageRouter} from '../createStageRouter.ts';
+import type {GatewayState} from '../gatewayState.ts';
+import type {StageMaker} from '../stageMaker.ts';
+
+type RouterOptions = Parameters<typeof createStageRouter>[0];
+
+const ORDER: StageOrder = {
+  requestId: 'r',
+  stage: 0,
+  service: 'scan',
+  kind: 'scan',
+  pieces: [0, 1],
+  key: 'k',
+  inputs: null,
+  priority: 0,
+  targetMilliseconds: 1000,
+  deadlineMilliseconds: 5000,
+  resultBytes: 100,
+  failureDomain: null,
+};
+
+/** A router of instance `self` beside `other`, which is in charge of `scan`. */
+function createRouter() {
+  const up = new Set(['other']);
+  const sent: Frame[] = [];
+  const local: Array<{
+    order: StageOrder;
+    onResult: (result: StageResult) => void;
+  }> = [];
+  const freed: string[] = [];
+  const freedAt: string[] = [];
+  const state = {
+    isStopping: false,
+    instances: [
+      {name: 'self', capacity: 0.5},
+      {name: 'other', capacity: 1.5},
+    ],
+    configuration: {
+      services: new Map([['scan', {name: 'scan', stage: {}}]]),
+    },
+  } as unknown as GatewayState;
+  const maker: StageMaker = {
+    order(order, onResult) {
+      local.push({order, onResult});
+      return () => undefined;
+    },
+    free: (handles) => void freed.push(...handles),
+    freeAt: (_endpoint, handles) => void freedAt.push(...handles),
+    getWaits: () => null,
+    refresh: () => undefined,
+  };
+  const router = createStageRouter({
+    name: 'self',
+    state,
+    maker,
+    log: {decide: () => undefined, note: () => undefined},
+    now: () => 0,
+    getLinks: () =>
+      ({
+        isUp: (name: string) => up.has(name),
+        send(_name: string, frame: Frame) {
+          sent.push(frame);
+          return true;
+        },
+      }) as unknown as ReturnType<RouterOptions['getLinks']>,
+  });
+  return {router, state, up, sent, local, freed, freedAt};
+}
+
+const made = (piece: number): StageResult => ({
+  tag: 'made',
+  piece,
+  handle: `h${piece}`,
+  endpointId: 'scan-0',
+});
+
+test('pieces go to the instance that is in charge', (t) => {
+  const {router, sent, local} = createRouter();
+  const results: StageResult[] = [];
+  router.order(ORDER, (result) => results.push(result));
+  t.is(sent[0]?.tag, 'stageOrder');
+  t.is(local.length, 0);
+  router.takeReply('other', {
+    tag: 'stageResults',
+    orderId: 1,
+    results: [made(0), made(1)],
+  });
+  t.is(results.length, 2);
+});
+
+test('what a lost instance had not made is made by its successor', (t) => {
+  const {router, up, local} = createRouter();
+  const results: StageResult[] = [];
+  router.order(ORDER, (result) => results.push(result));
+  router.takeReply('other', {
+    tag: 'stageResults',
+    orderId: 1,
+    results: [made(0)],
+  });
+  up.delete('other');
+  router.dropMaker('other');
+  t.deepEqual(local[0]?.order.pieces, [1]);
+  local[0]!.onResult(made(1));
+  t.is(results.length, 2);
+});
+
+test('results that come late from a lost instance are given up', (t) => {
+  const {router, up, sent} = createRouter();
+  const results: StageResult[] = [];
+  router.order(ORDER, (result) => results.push(result));
+  up.delete('other');
+  router.dropMaker('other');
+  router.takeReply('other', {
+    tag: 'stageResults',
+    orderId: 1,
+    results: [made(0)],
+  });
+  t.is(results.length, 0);
+  t.deepEqual(sent.at(-1), {tag: 'stageFree', handles: ['h0']});
+});
+
+test('results of a lost instance are freed at their endpoint', (t) => {
+  const {router, up, freedAt} = createRouter();
+  router.order(ORDER, () => undefined);
+  router.takeReply('other', {
+    tag: 'stageResults',
+    orderId: 1,
+    results: [made(0)],
+  });
+  up.delete('other');
+  router.free(['h0']);
+  t.deepEqual(freedAt, ['h0']);
+});
+
+test('an instance that stops orders from others while any is up', (t) => {
+  const {router, state, up, sent, local} = createRouter();
+  state.instances = [
+    {name: 'self', capacity: 1.5},
+    {name: 'other', capacity: 0.5},
+  ];
+  router.order(ORDER, () => undefined);
+  t.is(local.length, 1);
+  state.isStopping = true;
+  router.order(ORDER, () => undefined);
+  t.is(sent.length, 1);
+  up.delete('other');
+  router.order(ORDER, () => undefined);
+  t.is(local.length, 2);
+});
+
+test('orders of an instance that is lost are called off', (t) => {
+  const {router, local} = createRouter();
+  const frames: Frame[] = [];
+  const connection = {
+    send(frame: Frame) {
+      frames.push(frame);
+      return true;
+    },
+  } as unknown as Connection;
+  router.takeRequest(connection, {
+    tag: 'stageOrder',
+    orderId: 7,
+    order: ORDER,
+  });
+  t.is(local.length, 1);
+  t.notThrows(() => router.dropRequester(connection));
+});
--- a/packages/hickorywharf/src/__tests__/referencePages.test.ts
+++ b/packages/hickorywharf/src/__tests__/referencePages.test.ts
@@ -1,6 +1,8 @@
 import {readFileSync} from 'node:fs';
 import path from 'node:path';
 import test from 'ava';
+import {GATEWAY_COUNTERS} from 'hickorywharf-gateway/gatewayCounters';
+import {GATEWAY_TIMERS} from 'hickorywharf-gateway/gatewayTimers';
 import {metricDefinitions} from 'hickorywharf-telemetry/metricDefinitions';
 import {spanDefinitions} from 'hickorywharf-telemetry/spanDefinitions';
 import {z} from 'zod';
@@ -110,3 +112,16 @@
   ]);
   t.deepEqual(listed, expected);
 });
+
+test('gateway-metrics.md lists each metric of the gateway', (t) => {
+  const counters = Object.entries(GATEWAY_COUNTERS).map(
+    ([name, {label, meaning}]) => [code(name), 'counter', label, meaning],
+  );
+  const timers = Object.entries(GATEWAY_TIMERS).map(([name, {meaning}]) => [
+    code(name),
+    'time',
+    'none',
+    meaning,
+  ]);
+  t.deepEqual(readRows('gateway-metrics.md'), [...counters, ...timers]);
+});
--- a/packages/hickorywharf/src/commands/checkSettingsCommand.ts
+++ b/packages/hickorywharf/src/commands/checkSettingsCommand.ts
@@ -41,7 +41,9 @@
   summary: 'validates a settings file of an entry or an endpoint process',
   positionals: ['FILE'],
   options: {role: {type: 'string'}},
-  optionHelp: {role: 'entry or endpoint; guessed from the sections without it'},
+  optionHelp: {
+    role: 'entry, endpoint or gateway; guessed from the sections without it',
+  },
   async run({values, positionals}) {
     const file = positionals[0]!;
     const given = values['role'] as string | undefined;
--- a/packages/hickorywharf/src/createRoleCommand.ts
+++ b/packages/hickorywharf/src/createRoleCommand.ts
@@ -13,7 +13,8 @@
 import {runRole} from './runRole.ts';
 import {startTelemetry} from './startTelemetry.ts';
 
-type RoleName = keyof typeof roleSettings;
+/** The roles of our own interface; the gateway runs from the platform's folder. */
+type RoleName = Exclude<keyof typeof roleSettings, 'gateway'>;
 type Settings<Role extends RoleName> = z.infer<
   (typeof roleSettings)[Role]['schema']
 >;
--- a/packages/hickorywharf/src/roleSettings.ts
+++ b/packages/hickorywharf/src/roleSettings.ts
@@ -2,6 +2,7 @@
 import {routingPolicies} from 'hickorywharf-decisions/entry/policies/routingPolicies';
 import {endpointSettings} from 'hickorywharf-validation/endpointSettings';
 import {entrySettings} from 'hickorywharf-validation/entrySettings';
+import {gatewaySettings} from 'hickorywharf-validation/gatewaySettings';
 
 /** A setting that names an entry of a table. */
 interface NameSetting {
@@ -27,4 +28,9 @@
       {section: 'queue', key: 'order', names: Object.keys(queuePolicies)},
     ] satisfies NameSetting[],
   },
+  gateway: {
+    schema: gatewaySettings,
+    ownSection: 'store',
+    names: [] as NameSetting[],
+  },
 } as const;
