--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -58,8 +58,6 @@
   fullUntil: number;
   /** How its calls compare with what they should take. */
   slowness: number;
-  /** Memory that others hold there, as far as a refusal showed it. */
-  foreign: {readonly bytes: number; readonly seenAt: number};
 }
 
 /** What happened at one service since the last summary. */
@@ -167,7 +165,6 @@
         heldBytes: 0,
         fullUntil: -Infinity,
         slowness: 1,
-        foreign: {bytes: 0, seenAt: -Infinity},
       };
       workers.set(id, worker);
     }
@@ -317,11 +314,7 @@
 
   /** Memory for new results at an endpoint, as far as it is known. */
   function getRoom(capacity: StageCapacity, id: string): number {
-    const {heldBytes, foreign} = getWorker(id);
-    // What others hold ends by itself, at the latest after the time of a result.
-    const age = (now() - foreign.seenAt) / capacity.keepMilliseconds;
-    const foreignBytes = foreign.bytes * Math.max(0, 1 - age);
-    return capacity.roomBytes * ROOM_SHARE - heldBytes - foreignBytes;
+    return capacity.roomBytes * ROOM_SHARE - getWorker(id).heldBytes;
   }
 
   function requeue({group, piece}: SentPiece, reason: string): void {
@@ -378,13 +371,8 @@
     inputGone({group, piece}) {
       if (!group.isCancelled) group.onResult({tag: 'inputGone', piece});
     },
-    noRoom({group, piece}, endpoint) {
+    noRoom({group, piece}) {
       getTally(group.order.service).noRoom += 1;
-      const worker = getWorker(endpoint.id);
-      worker.fullUntil = now() + FULL_MILLISECONDS;
-      const room = getCapacity(group.order.service)?.roomBytes ?? 0;
-      const bytes = Math.max(0, room * ROOM_SHARE - worker.heldBytes);
-      worker.foreign = {bytes, seenAt: now()};
       if (!group.isCancelled) wait(group, piece);
     },
     failed: (sent) => requeue(sent, 'failed'),
@@ -497,6 +485,11 @@
         const slowness = Math.min(took / expected, MAXIMUM_SLOWNESS);
         worker.slowness += LEARNING_WEIGHT * (slowness - worker.slowness);
         learn(capacity, batch, took / worker.slowness);
+        // A maker that made some pieces may be asked again at once: it says
+        // itself what fits, and others' results end without our knowing.
+        if (!outcomes.value.some(({tag}) => tag !== 'noRoom')) {
+          worker.fullUntil = now() + FULL_MILLISECONDS;
+        }
         outcomes.value.forEach((outcome, index) => {
           metrics.count('pieces', outcome.tag);
           const handle = outcomeHandlers[outcome.tag];
