--- a/packages/hickorywharf-decisions/src/gateway/__tests__/planBatch.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/planBatch.test.ts
@@ -104,3 +104,15 @@
     'far 8',
   ]);
 });
+
+test('while a lot waits no endpoint idles, and near groups go first', (t) => {
+  const many = Array.from({length: 12}, (_value, index) =>
+    group(`far-${index}`, {failureDomain: 'b', targetAt: 5000}),
+  );
+  const groups = [...many, group('near', {failureDomain: 'a', targetAt: 5400})];
+  t.deepEqual(plan(groups, {otherDomains: new Map([['b', 100]])}), [
+    'near 8',
+    'far-0 8',
+    'far-1 8',
+  ]);
+});
--- a/packages/hickorywharf-decisions/src/gateway/planBatch.ts
+++ b/packages/hickorywharf-decisions/src/gateway/planBatch.ts
@@ -19,6 +19,8 @@
 
 /** A group that waits for an endpoint nearer by keeps this much time. */
 const SPARE_MILLISECONDS = 250;
+/** With more calls' worth waiting, no endpoint is left idle for another. */
+const PRESSURE_CALLS = 3;
 
 /**
  * The pieces of the next call of an endpoint, in the order in which they count.
@@ -31,7 +33,8 @@
  * that had to be cut goes first next time; groups are cut only while more waits
  * than a call holds. A call is never held back to fill: while an endpoint works,
  * the next one gathers by itself. A group with time to spare is left to an
- * endpoint in the failure domain of its data.
+ * endpoint in the failure domain of its data; where a lot waits, those
+ * near their data only go before others of their kind.
  *
  * @example
  *     planBatch(waiting, now, endpoint);
@@ -41,15 +44,17 @@
   now: number,
   endpoint: BatchEndpoint,
 ): Array<BatchShare<Group>> {
+  const isFar = ({failureDomain}: PieceGroup): boolean =>
+    failureDomain !== null && failureDomain !== endpoint.failureDomain;
   const groups = [...waiting];
   const waitingCount = groups.reduce((sum, {count}) => sum + count, 0);
-  const ranked = rankGroups(groups, now, endpoint).filter(
+  const ranked = rankGroups(groups, now, endpoint, isFar).filter(
     ({group, spareMilliseconds}) =>
-      group.failureDomain === null ||
-      group.failureDomain === endpoint.failureDomain ||
+      waitingCount > endpoint.batch * PRESSURE_CALLS ||
+      !isFar(group) ||
       spareMilliseconds <
         SPARE_MILLISECONDS +
-          (endpoint.otherDomains.get(group.failureDomain) ?? Infinity),
+          (endpoint.otherDomains.get(group.failureDomain ?? '') ?? Infinity),
   );
 
   const shares: Array<BatchShare<Group>> = [];
