--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -10,6 +10,9 @@
 import type {StageCapacity} from 'hickorywharf-types/gateway/stageCapacity';
 import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import {createResultAccount} from './createResultAccount.ts';
+import {createStageTally} from './createStageTally.ts';
+import {describeStageCall} from './describeStageCall.ts';
 import type {EndpointChannels} from './endpointChannels.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
@@ -43,39 +46,16 @@
   readonly piece: number;
 }
 
-interface HeldResult {
-  readonly endpoint: GatewayEndpoint;
-  readonly bytes: number;
-  readonly expiresAt: number;
-}
-
-/** What this instance knows of one endpoint's calls and memory. */
+/** What this instance knows of one endpoint's calls. */
 interface Worker {
   /** When each call under way should be done. */
   readonly calls: Set<{readonly doneAt: number}>;
-  heldBytes: number;
   /** It said that it had no room; nothing is sent before. */
   fullUntil: number;
   /** How its calls compare with what they should take. */
   slowness: number;
 }
 
-/** What happened at one service since the last summary. */
-interface ServiceTally {
-  calls: number;
-  pieces: number;
-  noRoom: number;
-  expired: number;
-  longestQueue: number;
-}
-
-/** Results of one maker that are given up. */
-interface LeavingResults {
-  readonly endpoint: GatewayEndpoint;
-  readonly handles: string[];
-  bytes: number;
-}
-
 /** A call that takes so much longer than usual is taken for lost. */
 const PATIENCE_FACTOR = 2;
 const PATIENCE_MILLISECONDS = 150;
@@ -83,8 +63,6 @@
 const MAXIMUM_SLOWNESS = 2;
 /** The most times that a piece is sent. */
 const MAXIMUM_SENDS = 4;
-/** Frees of one maker that come within this time share a call. */
-const FREE_DELAY_MILLISECONDS = 10;
 /** Weight of a call's time in what is known of its pieces' times. */
 const LEARNING_WEIGHT = 0.1;
 /** How often pieces are looked for whose time is over, while any wait. */
@@ -95,8 +73,6 @@
 const ROOM_SHARE = 0.92;
 /** For a service without endpoints. */
 const MAXIMUM_BUSY_MILLISECONDS = 10_000;
-/** How often a service with work is summarised in the log. */
-const SUMMARY_MILLISECONDS = 1000;
 
 /**
  * Makes pieces of stages at all endpoints of their services, one call at a time
@@ -112,37 +88,30 @@
   /** How often each piece was sent. */
   const sends = new WeakMap<OpenGroup, Map<number, number>>();
   const workers = new Map<string, Worker>();
-  const held = new Map<string, HeldResult>();
   const pieceTimes = new Map<string, number>();
-  const leaving = new Map<string, LeavingResults>();
-  const tallies = new Map<string, ServiceTally>();
-  let summarizedAt = 0;
+  const tally = createStageTally(now);
+  const account = createResultAccount({
+    wire,
+    channels,
+    log,
+    now,
+    onRelease({id, service}) {
+      getWorker(id).fullUntil = -Infinity;
+      pump(service);
+    },
+  });
   let sweep: NodeJS.Timeout | null = null;
 
-  function getTally(service: string): ServiceTally {
-    let tally = tallies.get(service);
-    if (tally === undefined) {
-      tally = {calls: 0, pieces: 0, noRoom: 0, expired: 0, longestQueue: 0};
-      tallies.set(service, tally);
-    }
-    return tally;
-  }
-
-  function summarize(): void {
-    if (now() - summarizedAt < SUMMARY_MILLISECONDS) return;
-    summarizedAt = now();
-    for (const [service, tally] of tallies) {
-      const endpoints = state.directory.getUsable(service);
-      log.decide('stage work', {
-        step: 'stage',
-        service,
-        ...tally,
-        waiting: countWaiting(service),
-        endpoints: endpoints.length,
-        held: endpoints.map(({id}) => getWorker(id).heldBytes),
-      });
-    }
-    tallies.clear();
+  function summarize(service: string, figures: object): void {
+    const endpoints = state.directory.getUsable(service);
+    log.decide('stage work', {
+      step: 'stage',
+      service,
+      ...figures,
+      waiting: countWaiting(service),
+      endpoints: endpoints.length,
+      held: endpoints.map(({id}) => account.getHeldBytes(id)),
+    });
   }
 
   function getQueue(service: string): Set<OpenGroup> {
@@ -160,12 +129,7 @@
   function getWorker(id: string): Worker {
     let worker = workers.get(id);
     if (worker === undefined) {
-      worker = {
-        calls: new Set(),
-        heldBytes: 0,
-        fullUntil: -Infinity,
-        slowness: 1,
-      };
+      worker = {calls: new Set(), fullUntil: -Infinity, slowness: 1};
       workers.set(id, worker);
     }
     return worker;
@@ -188,20 +152,9 @@
     return well.length > 0 ? well : usable;
   }
 
-  function release(endpoint: GatewayEndpoint, bytes: number): void {
-    const worker = getWorker(endpoint.id);
-    worker.heldBytes -= bytes;
-    worker.fullUntil = -Infinity;
-    pump(endpoint.service);
-  }
-
   function dropExpired(): void {
     const time = now();
-    for (const [handle, {endpoint, bytes, expiresAt}] of held) {
-      if (expiresAt > time) break;
-      held.delete(handle);
-      release(endpoint, bytes);
-    }
+    account.dropExpired();
     for (const queue of queues.values()) {
       for (const group of queue) {
         if (time + group.workMilliseconds < group.deadlineAt) continue;
@@ -241,7 +194,7 @@
   function dropWaiting(group: OpenGroup, tag: 'expired' | 'failed'): void {
     const {service} = group.order;
     getQueue(service).delete(group);
-    if (tag === 'expired') getTally(service).expired += group.count;
+    if (tag === 'expired') tally.get(service).expired += group.count;
     for (const piece of group.waiting.splice(0)) group.onResult({tag, piece});
   }
 
@@ -249,7 +202,7 @@
     sweep ??= setTimeout(() => {
       sweep = null;
       dropExpired();
-      summarize();
+      tally.summarize(summarize);
       for (const service of queues.keys()) pump(service);
       if ([...queues.values()].some(({size}) => size > 0)) startSweep();
     }, SWEEP_MILLISECONDS);
@@ -297,7 +250,8 @@
       const shares = planBatch(queue, time, {
         batch: capacity.batch,
         callMilliseconds: capacity.callMilliseconds,
-        roomBytes: getRoom(capacity, endpoint.id),
+        roomBytes:
+          capacity.roomBytes * ROOM_SHARE - account.getHeldBytes(endpoint.id),
         failureDomain: endpoint.failureDomain,
         otherDomains: getOtherDomains(endpoints, endpoint, capacity.slots),
       });
@@ -312,11 +266,6 @@
     }
   }
 
-  /** Memory for new results at an endpoint, as far as it is known. */
-  function getRoom(capacity: StageCapacity, id: string): number {
-    return capacity.roomBytes * ROOM_SHARE - getWorker(id).heldBytes;
-  }
-
   function requeue({group, piece}: SentPiece, reason: string): void {
     if (group.isCancelled) return;
     const {service, requestId, stage} = group.order;
@@ -343,8 +292,11 @@
     const {service} = group.order;
     group.waiting.push(...pieces);
     getQueue(service).add(group);
-    const tally = getTally(service);
-    tally.longestQueue = Math.max(tally.longestQueue, countWaiting(service));
+    const figures = tally.get(service);
+    figures.longestQueue = Math.max(
+      figures.longestQueue,
+      countWaiting(service),
+    );
     startSweep();
   }
 
@@ -358,9 +310,8 @@
     made({group, piece}, endpoint, {handle}) {
       const {service, resultBytes} = group.order;
       const keep = getCapacity(service)?.keepMilliseconds ?? 0;
-      held.set(handle, {endpoint, bytes: resultBytes, expiresAt: now() + keep});
-      getWorker(endpoint.id).heldBytes += resultBytes;
-      if (group.isCancelled) free([handle]);
+      account.add(handle, endpoint, resultBytes, keep);
+      if (group.isCancelled) account.free([handle]);
       else {
         group.onResult({tag: 'made', piece, handle, endpointId: endpoint.id});
       }
@@ -372,7 +323,7 @@
       if (!group.isCancelled) group.onResult({tag: 'inputGone', piece});
     },
     noRoom({group, piece}) {
-      getTally(group.order.service).noRoom += 1;
+      tally.get(group.order.service).noRoom += 1;
       if (!group.isCancelled) wait(group, piece);
     },
     failed: (sent) => requeue(sent, 'failed'),
@@ -413,15 +364,17 @@
     const usual = expected * worker.slowness;
     const call = {doneAt: startedAt + usual};
     worker.calls.add(call);
-    const reserved = batch.reduce((sum, {group}) => sum + group.resultBytes, 0);
-    worker.heldBytes += reserved;
+    const unreserve = account.reserve(
+      endpoint.id,
+      batch.reduce((sum, {group}) => sum + group.resultBytes, 0),
+    );
     for (const {group, piece} of batch) {
       const counts = sends.get(group) ?? new Map<number, number>();
       sends.set(group, counts.set(piece, (counts.get(piece) ?? 0) + 1));
     }
-    const tally = getTally(endpoint.service);
-    tally.calls += 1;
-    tally.pieces += batch.length;
+    const figures = tally.get(endpoint.service);
+    figures.calls += 1;
+    figures.pieces += batch.length;
 
     let head: AnswerHead | null = null;
     const chunks: Buffer[] = [];
@@ -431,7 +384,7 @@
       isOver = true;
       clearTimeout(timer);
       worker.calls.delete(call);
-      worker.heldBytes -= reserved;
+      unreserve();
       return true;
     };
     const fail = (reason: string): void => {
@@ -467,7 +420,7 @@
       })),
     );
     const exchange = channels.send({
-      ...describeCall(endpoint, wire.stageRun, body),
+      ...describeStageCall(wire, endpoint, wire.stageRun, body),
       onHead(answerHead) {
         head = answerHead;
       },
@@ -501,73 +454,6 @@
     });
   }
 
-  function describeCall(
-    endpoint: GatewayEndpoint,
-    {method, path}: GatewayWire['stageRun'],
-    body: string,
-  ) {
-    const {id, host, port} = endpoint;
-    const bytes = Buffer.byteLength(body);
-    const headers = wire.writeStageHeaders(id, `${host}:${port}`, bytes);
-    return {host, port, method, path, headers, body, needsNewConnection: false};
-  }
-
-  function leave(
-    endpoint: GatewayEndpoint,
-    handle: string,
-    bytes: number,
-  ): void {
-    const waiting = leaving.get(endpoint.id);
-    if (waiting !== undefined) {
-      waiting.handles.push(handle);
-      waiting.bytes += bytes;
-      return;
-    }
-    leaving.set(endpoint.id, {endpoint, handles: [handle], bytes});
-    setTimeout(() => sendFrees(endpoint.id), FREE_DELAY_MILLISECONDS);
-  }
-
-  function free(handles: readonly string[]): void {
-    for (const handle of handles) {
-      const result = held.get(handle);
-      if (result === undefined) continue;
-      held.delete(handle);
-      leave(result.endpoint, handle, result.bytes);
-    }
-  }
-
-  function sendFrees(id: string): void {
-    const entry = leaving.get(id);
-    leaving.delete(id);
-    if (entry !== undefined) sendFree(entry, false);
-  }
-
-  /** Frees may be repeated; a kept connection may have been closed meanwhile. */
-  function sendFree(entry: LeavingResults, isRepeat: boolean): void {
-    const {endpoint, handles, bytes} = entry;
-    channels.send({
-      ...describeCall(endpoint, wire.stageFree, wire.writeFree(handles)),
-      needsNewConnection: isRepeat,
-      onHead: () => undefined,
-      onData: () => undefined,
-      // Only the maker's answer shows that there is room again.
-      onEnd: () => release(endpoint, bytes),
-      onFailure({message}) {
-        if (!isRepeat) {
-          sendFree(entry, true);
-          return;
-        }
-        log.decide('results not freed', {
-          step: 'stage',
-          peer: endpoint.id,
-          handles: handles.length,
-          reason: message,
-        });
-        release(endpoint, bytes);
-      },
-    });
-  }
-
   return {
     order(order, onResult) {
       const startedAt = now();
@@ -603,11 +489,10 @@
       const estimate = getEstimate(service);
       return estimate === null ? null : {service, ...estimate.waits};
     },
-    free,
+    free: account.free,
     freeAt(endpointId, handles) {
       const endpoint = state.directory.get(endpointId);
-      if (endpoint === undefined) return;
-      for (const handle of handles) leave(endpoint, handle, 0);
+      if (endpoint !== undefined) account.freeAt(endpoint, handles);
     },
     refresh() {
       for (const service of queues.keys()) pump(service);
