--- a/packages/hickorywharf/src/commands/checkSettingsCommand.ts
+++ b/packages/hickorywharf/src/commands/checkSettingsCommand.ts
@@ -62,7 +62,7 @@
       reportSettingsError(loaded.error);
       return exitCodes.failed;
     }
-    console.log(`${file}: settings of an ${role}, all in order`);
+    console.log(`${file}: settings for role ${role}, all in order`);
     return exitCodes.succeeded;
   },
 };
