--- a/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
@@ -1,4 +1,5 @@
 import {hashNumber} from 'hickorywharf-utils/hashNumber';
+import {PROMPT_TOKENS_PER_MILLISECOND} from './promptTokensPerMillisecond.ts';
 
 interface EngineChoice {
   readonly id: string;
@@ -20,8 +21,6 @@
   readonly resultBytes: number;
 }
 
-/** How fast prompts are read; from the sheets of both deployments. */
-const PROMPT_TOKENS_PER_MILLISECOND = 50;
 /** Reading a session again costs others, too. */
 const READ_AGAIN_FACTOR = 3;
 /** A running call slows the others; from the step times of the sheets. */
--- a/packages/hickorywharf-gateway/src/getTimesAfter.ts
+++ b/packages/hickorywharf-gateway/src/getTimesAfter.ts
@@ -1,10 +1,10 @@
+import {PROMPT_TOKENS_PER_MILLISECOND} from 'hickorywharf-decisions/gateway/promptTokensPerMillisecond';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {CallContext} from './callContext.ts';
 import {getStageTime} from './getStageTime.ts';
 
 /** Time that a call spends after its stages, until its first event. */
 const CALL_MILLISECONDS = 120;
-const PROMPT_TOKENS_PER_MILLISECOND = 50;
 
 /**
  * Times from the end of each stage to the first event of the call, in
