Pass what the store confirmed from instance to instance

Change: one instance a failure domain reads the store (chooseReader); the others ask it with frames askBeliefs and beliefs, which tell how old the confirmation is. The asker counts that age from its question, takes nothing older than what it believes, and reads the store itself when the age passes 0.4 of the bound. An instance whose own read fails asks another one, or a seed from its settings when it knows none.

--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/chooseReader.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import {chooseReader} from '../chooseReader.ts';
+
+const instances = Array.from({length: 30}, (_value, index) => ({
+  name: `front-${index}`,
+  failureDomain: `domain-${index % 3}`,
+}));
+
+function readers(isUp: (name: string) => boolean): Map<string, string | null> {
+  return new Map(
+    instances
+      .filter(({name}) => isUp(name))
+      .map(({name, failureDomain}) => [
+        name,
+        chooseReader({name, failureDomain, instances, isUp}),
+      ]),
+  );
+}
+
+test('one instance of each failure domain reads the store', (t) => {
+  const chosen = readers(() => true);
+  const own = [...chosen].filter(([, reader]) => reader === null);
+  t.is(own.length, 3);
+  for (const [name, reader] of chosen) {
+    if (reader === null) continue;
+    t.is(chosen.get(reader), null, `${reader} reads for ${name}`);
+    const domains = [name, reader].map((entry) => Number(entry.slice(6)) % 3);
+    t.is(domains[0], domains[1]);
+  }
+});
+
+test('the next one takes over from a reader that is lost', (t) => {
+  const first = [...readers(() => true)].filter(([, reader]) => !reader);
+  const lost = new Set(first.map(([name]) => name));
+  const chosen = readers((name) => !lost.has(name));
+  const own = [...chosen].filter(([, reader]) => reader === null);
+  t.is(own.length, 3);
+  t.false(own.some(([name]) => lost.has(name)));
+});
+
+test('an instance that knows no other reads the store itself', (t) => {
+  const alone = {name: 'x', failureDomain: 'a', isUp: () => true};
+  t.is(chooseReader({...alone, instances: []}), null);
+});
--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
@@ -77,3 +77,24 @@
   directory.update([], {monotonic: 1100, wall: 9000});
   t.deepEqual(directory.getUsable('desk'), []);
 });
+
+test('two directories that believe the same have the same digest', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  const other = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a'), endpoint('b', {isDraining: true})], at(0));
+  t.not(directory.getDigest(), other.getDigest());
+  other.adopt(directory.list(), at(0));
+  t.is(directory.getDigest(), other.getDigest());
+  directory.update([endpoint('a'), endpoint('b')], at(600));
+  t.is(directory.getDigest(), other.getDigest(), 'draining lasts');
+  directory.update([endpoint('a')], at(1200));
+  t.not(directory.getDigest(), other.getDigest());
+});
+
+test('what another instance believes ends a lapse of one’s own', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a'), endpoint('b')], at(0));
+  directory.noteOutage();
+  t.is(directory.update([endpoint('a')], at(500))[0]?.tag, 'lapsed');
+  t.is(directory.adopt([endpoint('a')], at(600))[0]?.tag, 'left');
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import {getElapsed} from './getElapsed.ts';
 import type {Instant} from './instant.ts';
@@ -11,6 +12,14 @@
 interface EndpointDirectory {
   /** Takes over a whole list, and gives what it changed. */
   update(listed: readonly GatewayEndpoint[], now: Instant): DirectoryChange[];
+  /**
+   * Takes over what another instance believes. It has judged lapses already.
+   */
+  adopt(believed: readonly GatewayEndpoint[], now: Instant): DirectoryChange[];
+  /** What is believed, in the order of the names; `isDraining` lasts. */
+  list(): readonly GatewayEndpoint[];
+  /** Equal where two directories believe the same. */
+  getDigest(): string;
   /** Notes that the list could not be read. */
   noteOutage(): void;
   /** The endpoints of a service that may get work. */
@@ -47,6 +56,8 @@
   const known = new Map<string, KnownEndpoint>();
   const drained = new Set<string>();
   let usable = new Map<string, GatewayEndpoint[]>();
+  let believed: readonly GatewayEndpoint[] = [];
+  let digest: string | null = null;
   let isInterrupted = false;
   let regainedAt: Instant | null = null;
 
@@ -57,16 +68,21 @@
   }
 
   function rebuild(): void {
+    believed = [...known.values()]
+      .map(({endpoint}) =>
+        drained.has(getKey(endpoint))
+          ? {...endpoint, isDraining: true}
+          : endpoint,
+      )
+      .sort((left, right) => (left.id < right.id ? -1 : 1));
+    digest = null;
     usable = new Map();
-    for (const {endpoint} of known.values()) {
-      if (endpoint.isDraining || drained.has(getKey(endpoint))) continue;
+    for (const endpoint of believed) {
+      if (endpoint.isDraining) continue;
       const group = usable.get(endpoint.service) ?? [];
       group.push(endpoint);
       usable.set(endpoint.service, group);
     }
-    for (const group of usable.values()) {
-      group.sort((left, right) => (left.id < right.id ? -1 : 1));
-    }
   }
 
   function take(endpoint: GatewayEndpoint): DirectoryChange[] {
@@ -84,30 +100,49 @@
     return changes;
   }
 
+  function takeAll(
+    listed: readonly GatewayEndpoint[],
+    now: Instant,
+  ): DirectoryChange[] {
+    const changes = listed.flatMap(take);
+    const present = new Set(listed.map(({id}) => id));
+    for (const [id, entry] of known) {
+      if (present.has(id)) continue;
+      const {endpoint} = entry;
+      if (mayBeLapse(now)) {
+        if (entry.missingSince === null) {
+          entry.missingSince = now;
+          changes.push({tag: 'lapsed', endpoint});
+        }
+        continue;
+      }
+      known.delete(id);
+      drained.delete(getKey(endpoint));
+      changes.push({tag: 'left', endpoint});
+    }
+    rebuild();
+    return changes;
+  }
+
   return {
     update(listed, now) {
       if (isInterrupted) {
         regainedAt = now;
         isInterrupted = false;
       }
-      const changes = listed.flatMap(take);
-      const present = new Set(listed.map(({id}) => id));
-      for (const [id, entry] of known) {
-        if (present.has(id)) continue;
-        const {endpoint} = entry;
-        if (mayBeLapse(now)) {
-          if (entry.missingSince === null) {
-            entry.missingSince = now;
-            changes.push({tag: 'lapsed', endpoint});
-          }
-          continue;
-        }
-        known.delete(id);
-        drained.delete(getKey(endpoint));
-        changes.push({tag: 'left', endpoint});
-      }
-      rebuild();
-      return changes;
+      return takeAll(listed, now);
+    },
+    adopt(listed, now) {
+      isInterrupted = false;
+      regainedAt = null;
+      return takeAll(listed, now);
+    },
+    list: () => believed,
+    getDigest() {
+      digest ??= createHash('sha256')
+        .update(JSON.stringify(believed))
+        .digest('base64');
+      return digest;
     },
     noteOutage() {
       isInterrupted = true;
--- a/packages/hickorywharf-decisions/src/gateway/createFreshness.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createFreshness.ts
@@ -4,6 +4,8 @@
 interface Freshness {
   /** Notes a read of the store that succeeded, by when it was sent. */
   confirm(sentAt: Instant): void;
+  /** Whether a read that was sent then tells more than what is known. */
+  isNewer(sentAt: Instant): boolean;
   /** How old what is known may be, in milliseconds; infinite before a read. */
   getAge(now: Instant): number;
 }
@@ -19,11 +21,12 @@
  */
 export function createFreshness(): Freshness {
   let confirmed: Instant | null = null;
+  const isNewer = (sentAt: Instant): boolean =>
+    confirmed === null || sentAt.monotonic > confirmed.monotonic;
   return {
+    isNewer,
     confirm(sentAt) {
-      if (confirmed === null || sentAt.monotonic > confirmed.monotonic) {
-        confirmed = sentAt;
-      }
+      if (isNewer(sentAt)) confirmed = sentAt;
     },
     getAge: (now) =>
       confirmed === null ? Infinity : getElapsed(confirmed, now),
--- a/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
@@ -79,7 +79,7 @@
     configurationFreshness: createFreshness(),
     endpointFreshness: createFreshness(),
     directory,
-    instances: [{name: 'x', capacity: 1}],
+    instances: [{name: 'x', failureDomain: 'a', capacity: 1}],
     isStopping: false,
     isClosed: false,
   };
--- a/packages/hickorywharf-gateway/src/__tests__/createStageRouter.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageRouter.test.ts
@@ -37,8 +37,8 @@
   const state = {
     isStopping: false,
     instances: [
-      {name: 'self', capacity: 0.5},
-      {name: 'other', capacity: 1.5},
+      {name: 'self', failureDomain: 'a', capacity: 0.5},
+      {name: 'other', failureDomain: 'a', capacity: 1.5},
     ],
     configuration: {
       services: new Map([['scan', {name: 'scan', stage: {}}]]),
@@ -140,8 +140,8 @@
 test('an instance that stops orders from others while any is up', (t) => {
   const {router, state, up, sent, local} = createRouter();
   state.instances = [
-    {name: 'self', capacity: 1.5},
-    {name: 'other', capacity: 0.5},
+    {name: 'self', failureDomain: 'a', capacity: 1.5},
+    {name: 'other', failureDomain: 'a', capacity: 0.5},
   ];
   router.order(ORDER, () => undefined);
   t.is(local.length, 1);
--- a/packages/hickorywharf-gateway/src/createPeerLinks.ts
+++ b/packages/hickorywharf-gateway/src/createPeerLinks.ts
@@ -6,9 +6,16 @@
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import type {GatewayLog} from './gatewayLog.ts';
 
+interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
 interface PeerLinksOptions {
   readonly identity: ProcessIdentity;
-  readonly listen: {readonly host: string; readonly port: number};
+  readonly listen: Address;
+  /** Where instances probably take connections, before any is known. */
+  readonly seeds: readonly Address[];
   readonly log: GatewayLog;
   random(): number;
   /** What those that connected here are told with each heartbeat. */
@@ -27,6 +34,11 @@
   setInstances(instances: readonly GatewayInstance[]): void;
   /** Whether an instance takes orders now; connects if it is known. */
   isUp(name: string): boolean;
+  /**
+   * A name for any instance at the addresses known from the start; connects to
+   * them. Undefined while none is up, and once other instances are known.
+   */
+  findSeed(): string | undefined;
   send(name: string, frame: Frame): boolean;
   /** Tells the others to order elsewhere; what is ordered is still made. */
   leave(): void;
@@ -37,6 +49,10 @@
 const SILENCE_MILLISECONDS = 800;
 const HEARTBEAT_MILLISECONDS = 150;
 
+function isSame(left: Address, right: Address): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
 const heartbeat = (leaving: boolean): Frame => ({
   tag: 'heartbeat',
   leaving,
@@ -61,6 +77,11 @@
   const requesters = new Set<Connection>();
   let server: Awaited<ReturnType<typeof createPeerServer>> | null = null;
   const leaving = new Set<string>();
+  const seeds = new Map(
+    options.seeds
+      .filter(({host, port}) => !isSame({host, port}, options.listen))
+      .map((seed) => [`${seed.host}:${seed.port}`, seed]),
+  );
   let isLeaving = false;
   let ticker: NodeJS.Timeout | null = null;
 
@@ -72,9 +93,10 @@
     });
   }
 
-  function connect({name, host, port}: GatewayInstance): void {
+  function connect(name: string, {host, port}: Address): void {
     const client = createPeerClient({
       name,
+      isAnyName: seeds.has(name),
       address: host,
       port,
       identity,
@@ -148,9 +170,16 @@
     },
     isUp(name) {
       const instance = known.get(name);
-      if (instance !== undefined && !clients.has(name)) connect(instance);
+      if (instance !== undefined && !clients.has(name)) connect(name, instance);
       return up.has(name) && !leaving.has(name);
     },
+    findSeed() {
+      if (known.size > 0) return undefined;
+      for (const [name, seed] of seeds) {
+        if (!clients.has(name)) connect(name, seed);
+      }
+      return [...seeds.keys()].find((name) => up.has(name));
+    },
     send: (name, frame) => up.get(name)?.send(frame) ?? false,
     async close() {
       if (ticker !== null) clearInterval(ticker);
--- a/packages/hickorywharf-gateway/src/followSource.ts
+++ b/packages/hickorywharf-gateway/src/followSource.ts
@@ -1,8 +1,10 @@
-import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
+import {chooseReader} from 'hickorywharf-decisions/gateway/chooseReader';
+import type {Instant} from 'hickorywharf-decisions/gateway/instant';
 import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
-import type {createInstantClock} from './createInstantClock.ts';
+import type {createBeliefRelay} from './createBeliefRelay.ts';
+import type {createBeliefs} from './createBeliefs.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
@@ -10,38 +12,60 @@
 interface FollowOptions {
   readonly source: GatewaySource;
   readonly state: GatewayState;
+  readonly beliefs: ReturnType<typeof createBeliefs>;
+  readonly relay: ReturnType<typeof createBeliefRelay>;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly settings: GatewaySettings;
-  readonly getInstant: ReturnType<typeof createInstantClock>;
-  /** Called after the configuration or the endpoints changed. */
-  onChange(): void;
+  getInstant(): Instant;
+  /** Whether another instance answers now. */
+  isUp(name: string): boolean;
+  /** An instance at an address known from the start, if one answers now. */
+  findSeed(): string | undefined;
   /** Called with the other instances after each reading. */
   onInstances(others: readonly GatewayInstance[]): void;
 }
 
+/** One belief that is kept fresh, from the store or through others. */
+interface Belief {
+  readonly step: 'configuration' | 'endpoints';
+  /** The time in which a change binds, in milliseconds. */
+  getBound(): number;
+  getAge(): number;
+  /** Reads the store; false where the read failed or found nothing. */
+  read(): Promise<boolean>;
+}
+
 /** Of the time in which a change binds; one read may fail and come again. */
-const INTERVAL_SHARE = 0.45;
+const READ_SHARE = 0.45;
+/** The same for an instance that reads for others, as theirs comes on top. */
+const SHARED_READ_SHARE = 0.3;
+/** Of that time, the pause between two questions to another instance. */
+const ASK_SHARE = 0.2;
+/** Of that time, the age from which the store itself is read. */
+const RELAYED_AGE_SHARE = 0.4;
 /** Instances that come are of use soon; those that go show on connections. */
 const INSTANCES_MILLISECONDS = 2000;
 /** After a read that failed, the next one comes sooner. */
 const RETRY_MILLISECONDS = 150;
 
 /**
- * Keeps an instance's beliefs up to date from the platform's store. A read that
- * fails changes nothing but the age of what is known.
+ * Keeps an instance's beliefs up to date: from the platform's store, or through
+ * the instance that reads it for the failure domain. A read that fails changes
+ * nothing but the age of what is known.
  *
  * @returns how to stop
  * @example
  *     const stop = followSource(options);
  */
 export function followSource(options: FollowOptions): () => void {
-  const {source, state, settings, log, metrics, getInstant} = options;
-  const {onChange, onInstances} = options;
-  const {name} = settings;
+  const {source, state, beliefs, relay, settings, log, metrics} = options;
+  const {getInstant, isUp, findSeed, onInstances} = options;
+  const {name, failureDomain} = settings;
   let isStopped = false;
   const timers = new Set<NodeJS.Timeout>();
   const lost = new Set<string>();
+  let readerName: string | null = null;
 
   function noteLoss(step: string, message: string): void {
     if (lost.has(step)) return;
@@ -52,56 +76,89 @@
     if (lost.delete(step)) log.note('store regained', {step});
   }
 
-  async function readConfiguration(): Promise<boolean> {
-    const sentAt = getInstant();
-    const read = await source.readConfiguration();
-    if (read.isErr()) {
-      noteLoss('configuration', read.error.message);
-      return false;
-    }
-    noteGain('configuration');
-    const next = read.value;
-    if (next === null) return false;
-    const known = state.configuration?.version ?? -1;
-    // A read that crossed a newer one proves nothing about the newer one.
-    if (next.version < known) return true;
-    if (next.version > known) {
-      state.routes = createRouteTable(next.routes);
-      state.configuration = next;
-      log.note('configuration in force', {
-        step: 'configuration',
-        version: next.version,
-        before: known,
-        routes: next.routes.length,
-      });
-      onChange();
+  const configuration: Belief = {
+    step: 'configuration',
+    getBound: () => settings.applyMilliseconds,
+    getAge: () => state.configurationFreshness.getAge(getInstant()),
+    async read() {
+      const sentAt = getInstant();
+      const read = await source.readConfiguration();
+      if (read.isErr()) {
+        noteLoss('configuration', read.error.message);
+        return false;
+      }
+      noteGain('configuration');
+      if (read.value === null) return false;
+      beliefs.takeConfiguration(read.value, sentAt);
+      return true;
+    },
+  };
+  const endpoints: Belief = {
+    step: 'endpoints',
+    getBound: () => settings.drainMilliseconds,
+    getAge: () => state.endpointFreshness.getAge(getInstant()),
+    async read() {
+      const sentAt = getInstant();
+      const read = await source.readEndpoints();
+      if (read.isErr()) {
+        state.directory.noteOutage();
+        noteLoss('endpoints', read.error.message);
+        return false;
+      }
+      noteGain('endpoints');
+      beliefs.takeEndpoints(read.value, sentAt);
+      return true;
+    },
+  };
+
+  function findReader(): string | null {
+    const {instances} = state;
+    const reader = chooseReader({name, failureDomain, instances, isUp});
+    if (reader !== readerName) {
+      readerName = reader;
+      log.note('reader chosen', {step: 'relay', peer: reader ?? name});
     }
-    state.configurationFreshness.confirm(sentAt);
-    return true;
+    return reader;
   }
 
-  async function readEndpoints(): Promise<boolean> {
-    const sentAt = getInstant();
-    const read = await source.readEndpoints();
-    if (read.isErr()) {
-      state.directory.noteOutage();
-      noteLoss('endpoints', read.error.message);
-      return false;
-    }
-    noteGain('endpoints');
-    const changes = state.directory.update(read.value, getInstant());
-    state.endpointFreshness.confirm(sentAt);
-    for (const {tag, endpoint} of changes) {
-      log.note(`endpoint ${tag}`, {
-        step: 'endpoints',
-        peer: endpoint.id,
-        service: endpoint.service,
-      });
+  /** Another instance that may still reach the store. */
+  function findHelper(): string | undefined {
+    const helper = state.instances.find(
+      (other) =>
+        other.name !== name && other.name !== readerName && isUp(other.name),
+    );
+    return helper?.name ?? findSeed();
+  }
+
+  async function isTold(peer: string, belief: Belief): Promise<boolean> {
+    const isAnswered = await relay.ask(peer);
+    const limit = belief.getBound() * RELAYED_AGE_SHARE;
+    return isAnswered && belief.getAge() < limit;
+  }
+
+  async function refresh(belief: Belief): Promise<boolean> {
+    const reader = findReader();
+    if (reader !== null && (await isTold(reader, belief))) {
+      metrics.count('storeReads', 'relayed');
+      return true;
     }
-    if (changes.length > 0) onChange();
+    const startedAt = getInstant().monotonic;
+    const isRead = await belief.read();
+    metrics.count('storeReads', isRead ? 'read' : 'failed');
+    if (isRead) metrics.time('storeRead', getInstant().monotonic - startedAt);
+    if (isRead || isStopped) return isRead;
+    const helper = findHelper();
+    if (helper === undefined || !(await isTold(helper, belief))) return false;
+    metrics.count('storeReads', 'relayed');
     return true;
   }
 
+  function getPause(belief: Belief): number {
+    if (readerName !== null) return belief.getBound() * ASK_SHARE;
+    const share = relay.isAsked() ? SHARED_READ_SHARE : READ_SHARE;
+    return belief.getBound() * share;
+  }
+
   async function readInstances(): Promise<boolean> {
     const announced = await source.announce();
     if (announced.isErr()) noteLoss('announce', announced.error.message);
@@ -119,31 +176,34 @@
     if (names.join() !== known.join()) {
       log.note('instances known', {step: 'instances', instances: names});
     }
-    state.instances = [...others, {name, capacity: settings.capacity}];
+    const {capacity} = settings;
+    state.instances = [...others, {name, failureDomain, capacity}];
     return true;
   }
 
-  function repeat(read: () => Promise<boolean>, every: number): void {
-    const round = async (): Promise<void> => {
+  function repeat(round: () => Promise<boolean>, getWait: () => number): void {
+    const play = async (): Promise<void> => {
       const startedAt = getInstant().monotonic;
-      const isRead = await read();
-      metrics.count('storeReads', isRead ? 'read' : 'failed');
+      const isDone = await round();
       if (isStopped) return;
       const took = getInstant().monotonic - startedAt;
-      if (isRead) metrics.time('storeRead', took);
-      const wait = isRead ? Math.max(0, every - took) : RETRY_MILLISECONDS;
+      const wait = isDone ? Math.max(0, getWait() - took) : RETRY_MILLISECONDS;
       const timer = setTimeout(() => {
         timers.delete(timer);
-        void round();
+        void play();
       }, wait);
       timers.add(timer);
     };
-    void round();
+    void play();
   }
 
-  repeat(readConfiguration, settings.applyMilliseconds * INTERVAL_SHARE);
-  repeat(readEndpoints, settings.drainMilliseconds * INTERVAL_SHARE);
-  repeat(readInstances, INSTANCES_MILLISECONDS);
+  for (const belief of [configuration, endpoints]) {
+    repeat(
+      () => refresh(belief),
+      () => getPause(belief),
+    );
+  }
+  repeat(readInstances, () => INSTANCES_MILLISECONDS);
   return () => {
     isStopped = true;
     for (const timer of timers) clearTimeout(timer);
--- a/packages/hickorywharf-gateway/src/gatewayState.ts
+++ b/packages/hickorywharf-gateway/src/gatewayState.ts
@@ -2,6 +2,7 @@
 import type {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
 import type {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
+import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
 
 /** What an instance believes about the world. */
 export interface GatewayState {
@@ -12,7 +13,7 @@
   readonly endpointFreshness: ReturnType<typeof createFreshness>;
   readonly directory: ReturnType<typeof createEndpointDirectory>;
   /** The instances, this one among them. */
-  instances: ReadonlyArray<{readonly name: string; readonly capacity: number}>;
+  instances: ReadonlyArray<Omit<GatewayInstance, 'host' | 'port'>>;
   isStopping: boolean;
   /** A planned stop takes no more work. */
   isClosed: boolean;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -8,6 +8,8 @@
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
+import {createBeliefRelay} from './createBeliefRelay.ts';
+import {createBeliefs} from './createBeliefs.ts';
 import {createCallServer} from './createCallServer.ts';
 import {createEndpointChannels} from './createEndpointChannels.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
@@ -71,7 +73,13 @@
     configurationFreshness: createFreshness(),
     endpointFreshness: createFreshness(),
     directory: createEndpointDirectory(settings.lapseMilliseconds),
-    instances: [{name: settings.name, capacity: settings.capacity}],
+    instances: [
+      {
+        name: settings.name,
+        failureDomain: settings.failureDomain,
+        capacity: settings.capacity,
+      },
+    ],
     isStopping: false,
     isClosed: false,
   };
@@ -108,14 +116,33 @@
       role: 'entry',
     },
     listen: settings.peers,
+    seeds: settings.seeds,
     log,
     random: Math.random,
     getNews: () => ({tag: 'stageWaits', services: router.listWaits()}),
-    onRequest: router.takeRequest,
+    onRequest(connection, frame) {
+      router.takeRequest(connection, frame);
+      relay.takeRequest(connection, frame);
+    },
     onRequesterDown: router.dropRequester,
-    onReply: router.takeReply,
+    onReply(name, frame) {
+      router.takeReply(name, frame);
+      relay.takeReply(frame);
+    },
     onDown: router.dropMaker,
   });
+  const beliefs = createBeliefs({
+    state,
+    log,
+    getInstant,
+    onChange: maker.refresh,
+  });
+  const relay = createBeliefRelay({
+    state,
+    beliefs,
+    getInstant,
+    send: links.send,
+  });
   const server = createCallServer({
     settings,
     state,
@@ -156,11 +183,14 @@
   const unfollow = followSource({
     source,
     state,
+    beliefs,
+    relay,
     log,
     metrics,
     settings,
     getInstant,
-    onChange: maker.refresh,
+    isUp: links.isUp,
+    findSeed: links.findSeed,
     onInstances: links.setInstances,
   });
   log.note('started', {step: 'start', failureDomain: settings.failureDomain});
--- a/packages/hickorywharf-transport/src/checkFrame.ts
+++ b/packages/hickorywharf-transport/src/checkFrame.ts
@@ -94,6 +94,15 @@
   },
   stageFree: {handles: frameChecks.isTextList},
   stageWaits: {services: isListOf(frameChecks.isStageWaits)},
+  askBeliefs: {askId: isCount, version: isNumber, endpointsDigest: isName},
+  beliefs: {
+    askId: isCount,
+    version: isNumber,
+    configuration: isNullOr(frameChecks.isPackedConfiguration),
+    configurationAge: isNullOr(isNumber),
+    endpoints: isNullOr(isListOf(frameChecks.isGatewayEndpoint)),
+    endpointsAge: isNullOr(isNumber),
+  },
 };
 
 /**
--- a/packages/hickorywharf-transport/src/createPeerClient.ts
+++ b/packages/hickorywharf-transport/src/createPeerClient.ts
@@ -9,6 +9,8 @@
 interface PeerClientOptions {
   /** Name of the process that is expected at the address. */
   readonly name: string;
+  /** Takes a process of any name at the address. */
+  readonly isAnyName?: boolean;
   readonly address: string;
   readonly port: number;
   readonly identity: ProcessIdentity;
@@ -73,7 +75,7 @@
     runConnection({
       socket: opened,
       identity,
-      expectedPeer: name,
+      expectedPeer: options.isAnyName === true ? null : name,
       silenceMilliseconds:
         options.silenceMilliseconds ?? TRANSPORT_LIMITS.silenceMilliseconds,
       handlers: {
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -138,6 +138,44 @@
     handle: isOptional(isName),
     endpointId: isOptional(isName),
   }),
+  isPackedConfiguration: hasFields({
+    version: isNumber,
+    routes: isListOf(
+      hasFields({
+        name: isName,
+        host: isName,
+        prefix: isName,
+        kind: isOneOf('stream', 'action', 'read'),
+        timeoutMilliseconds: isNumber,
+        targetMilliseconds: isNumber,
+        priority: isNumber,
+        maximumEndpoints: isNumber,
+        services: isListOf(hasFields({service: isName, weight: isNumber})),
+        stages: isListOf(
+          hasFields({service: isName, after: isListOf(isCount)}),
+        ),
+      }),
+    ),
+    services: isListOf(hasFields({name: isName})),
+    accounts: isNullOr(
+      isListOf(
+        (pair) =>
+          Array.isArray(pair) &&
+          isName(pair[0]) &&
+          hasFields({name: isName, priority: isNullOr(isNumber)})(pair[1]),
+      ),
+    ),
+  }),
+  isGatewayEndpoint: hasFields({
+    id: isName,
+    service: isName,
+    host: isName,
+    port: isCount,
+    failureDomain: isName,
+    isDraining: isFlag,
+    startedAt: isNumber,
+    slots: isCount,
+  }),
   isHomeInterval: hasFields({
     pool: isName,
     part: isCount,
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,5 +1,7 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
+import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
+import type {PackedConfiguration} from './gateway/packedConfiguration.ts';
 import type {StageOrder} from './gateway/stageOrder.ts';
 import type {StageWaits} from './gateway/stageWaits.ts';
 import type {StageResult} from './gateway/stageResult.ts';
@@ -131,4 +133,24 @@
   /** How long groups would wait at the services that the sender is in charge of. */
   | {readonly tag: 'stageWaits'; readonly services: readonly StageWaits[]}
   /** Gives up results that the receiver had made. */
-  | {readonly tag: 'stageFree'; readonly handles: readonly string[]};
+  | {readonly tag: 'stageFree'; readonly handles: readonly string[]}
+  /** Asks what the receiver believes, beside what the sender holds. */
+  | {
+      readonly tag: 'askBeliefs';
+      readonly askId: number;
+      /** Version of the configuration that the sender has; -1 for none. */
+      readonly version: number;
+      readonly endpointsDigest: string;
+    }
+  /** Ages tell how long ago the store confirmed it; null where it never did. */
+  | {
+      readonly tag: 'beliefs';
+      readonly askId: number;
+      readonly version: number;
+      /** Null where the asker has that version. */
+      readonly configuration: PackedConfiguration | null;
+      readonly configurationAge: number | null;
+      /** Null where the asker believes the same. */
+      readonly endpoints: readonly GatewayEndpoint[] | null;
+      readonly endpointsAge: number | null;
+    };
--- a/packages/hickorywharf-types/src/gateway/gatewayInstance.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewayInstance.ts
@@ -4,6 +4,7 @@
   /** Where it takes connections of the others. */
   readonly host: string;
   readonly port: number;
+  readonly failureDomain: string;
   /** Share of a core that it can give to work for all. */
   readonly capacity: number;
 }
--- a/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
@@ -9,6 +9,8 @@
   readonly readiness: {readonly host: string; readonly port: number};
   /** Where the other instances connect. */
   readonly peers: {readonly host: string; readonly port: number};
+  /** Where other instances may be, to be asked while the store is out. */
+  readonly seeds: ReadonlyArray<{readonly host: string; readonly port: number}>;
   /** Where metrics are read. */
   readonly metrics: {readonly host: string; readonly port: number};
   /** How long a planned stop may take. */
--- /dev/null
+++ b/packages/hickorywharf-types/src/gateway/packedConfiguration.ts
@@ -0,0 +1,16 @@
+import type {GatewayConfiguration} from './gatewayConfiguration.ts';
+import type {GatewayService} from './gatewayService.ts';
+
+type AccountsByKey = NonNullable<GatewayConfiguration['accountsByKey']>;
+type Account =
+  AccountsByKey extends ReadonlyMap<string, infer Value> ? Value : never;
+
+/** A configuration as it goes from instance to instance, with lists for maps. */
+export interface PackedConfiguration extends Omit<
+  GatewayConfiguration,
+  'services' | 'accountsByKey'
+> {
+  readonly services: readonly GatewayService[];
+  /** Pairs of a key and its account; null where calls need no key. */
+  readonly accounts: ReadonlyArray<readonly [string, Account]> | null;
+}
--- a/packages/hickorywharf-validation/src/gatewaySettings.ts
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -13,6 +13,13 @@
   })
   .refine(({port}) => port <= MAXIMUM_PORT, 'the port is at most 65535');
 
+/** None, or several separated by commas. */
+const socketAddresses = z
+  .string()
+  .default('')
+  .transform((text) => text.split(',').filter((part) => part.trim() !== ''))
+  .pipe(z.array(z.string().trim().pipe(socketAddress)));
+
 const milliseconds = z.coerce.number().min(0);
 
 /** The settings of an entry that calls endpoints directly. */
@@ -24,6 +31,7 @@
     peers: socketAddress,
     metrics: socketAddress,
   }),
+  peers: z.strictObject({seeds: socketAddresses}).prefault({}),
   limits: z.strictObject({
     coreShare: z.coerce.number().positive(),
     linkMegabits: z.coerce.number().positive(),
