--- a/packages/hickorywharf-gateway/src/followSource.ts
+++ b/packages/hickorywharf-gateway/src/followSource.ts
@@ -46,8 +46,10 @@
 const RELAYED_AGE_SHARE = 0.4;
 /** Instances that come are of use soon; those that go show on connections. */
 const INSTANCES_MILLISECONDS = 2000;
-/** After a read that failed, the next one comes sooner. */
+/** After a read that failed, the next one comes sooner, then less soon. */
 const RETRY_MILLISECONDS = 150;
+/** So often is tried in an outage; short against the time to be back in. */
+const MAXIMUM_RETRY_MILLISECONDS = 600;
 
 /**
  * Keeps an instance's beliefs up to date: from the platform's store, or through
@@ -182,12 +184,16 @@
   }
 
   function repeat(round: () => Promise<boolean>, getWait: () => number): void {
+    let retry = RETRY_MILLISECONDS;
     const play = async (): Promise<void> => {
       const startedAt = getInstant().monotonic;
       const isDone = await round();
       if (isStopped) return;
       const took = getInstant().monotonic - startedAt;
-      const wait = isDone ? Math.max(0, getWait() - took) : RETRY_MILLISECONDS;
+      const wait = isDone ? Math.max(0, getWait() - took) : retry;
+      retry = isDone
+        ? RETRY_MILLISECONDS
+        : Math.min(retry * 2, MAXIMUM_RETRY_MILLISECONDS);
       const timer = setTimeout(() => {
         timers.delete(timer);
         void play();
