--- a/packages/hickorywharf-decisions/src/gateway/planBatch.ts
+++ b/packages/hickorywharf-decisions/src/gateway/planBatch.ts
@@ -7,8 +7,6 @@
   /** Memory that the endpoint has left for results. */
   readonly roomBytes: number;
   readonly failureDomain: string;
-  /** Endpoints that the service has, this one among them. */
-  readonly endpoints: number;
   /** Time until an endpoint in each other failure domain is free. */
   readonly otherDomains: ReadonlyMap<string, number>;
 }
@@ -21,8 +19,8 @@
 
 /** A group that waits for an endpoint nearer by keeps this much time. */
 const SPARE_MILLISECONDS = 250;
-/** With more calls for each endpoint waiting, none is left idle for another. */
-const PRESSURE_CALLS = 1;
+/** With more calls' worth waiting, no endpoint is left idle for another. */
+const PRESSURE_CALLS = 3;
 
 /**
  * The pieces of the next call of an endpoint, in the order in which they count.
@@ -50,10 +48,9 @@
     failureDomain !== null && failureDomain !== endpoint.failureDomain;
   const groups = [...waiting];
   const waitingCount = groups.reduce((sum, {count}) => sum + count, 0);
-  const pressure = endpoint.batch * endpoint.endpoints * PRESSURE_CALLS;
   const ranked = rankGroups(groups, now, endpoint, isFar).filter(
     ({group, spareMilliseconds}) =>
-      waitingCount > pressure ||
+      waitingCount > endpoint.batch * PRESSURE_CALLS ||
       !isFar(group) ||
       spareMilliseconds <
         SPARE_MILLISECONDS +
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -253,7 +253,6 @@
         roomBytes:
           capacity.roomBytes * ROOM_SHARE - account.getHeldBytes(endpoint.id),
         failureDomain: endpoint.failureDomain,
-        endpoints: endpoints.length,
         otherDomains: getOtherDomains(endpoints, endpoint, capacity.slots),
       });
       if (shares.length === 0) continue;
