--- a/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
@@ -135,6 +135,14 @@
   t.is(JSON.parse(String(calls[0]!.request.body)).length, 4);
 });
 
+test('an endpoint is filled to the last result that it has room for', async (t) => {
+  const {maker, calls} = createMaker(1, 410);
+  maker.order(ORDER, () => undefined);
+  maker.order({...ORDER, requestId: 's'}, () => undefined);
+  await sleep(5);
+  t.is(JSON.parse(String(calls[0]!.request.body)).length, 4);
+});
+
 test('a free that a closed connection lost is sent again on a new one', async (t) => {
   const {maker, calls, answer, made} = createMaker(1);
   maker.order(ORDER, () => undefined);
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -70,7 +70,7 @@
 /** An endpoint without room is asked again after a result of it is freed. */
 const FULL_MILLISECONDS = 80;
 /** Sizes of results are stated roughly; a little room is kept back. */
-const ROOM_SHARE = 0.92;
+const ROOM_SHARE = 0.98;
 /** For a service without endpoints. */
 const MAXIMUM_BUSY_MILLISECONDS = 10_000;
 
