Begin large results no earlier than the chain beside them needs

Cause: a call of the Toy Lending Authority's largest kind reads results of 3 MB beside a chain of three stages. Change: getStartDelay puts a stage of large results off so that it ends with the others, by what waits at the services now. Tests: getStartDelay.

--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/getStartDelay.test.ts
@@ -0,0 +1,31 @@
+import test from 'ava';
+import {getStartDelay} from '../getStartDelay.ts';
+
+const stage = (
+  milliseconds: number,
+  after: readonly number[] = [],
+  orderedMilliseconds: number | null = null,
+) => ({milliseconds, after, orderedMilliseconds});
+
+test('a stage beside a chain is begun so that both end together', (t) => {
+  const stages = [stage(300), stage(200), stage(250, [1]), stage(250, [2])];
+  t.is(getStartDelay(stages, 0), 700 - 300 - 60);
+  t.is(getStartDelay(stages, 1), 0);
+});
+
+test('what of the chain is made or under way shortens the delay', (t) => {
+  const chain = [stage(200, [], Infinity), stage(250, [1], 100)];
+  t.is(getStartDelay([stage(300), ...chain, stage(250, [2])], 0), 40);
+  t.is(getStartDelay([stage(400), ...chain, stage(250, [2])], 0), 0);
+});
+
+test('a stage that others read is not put off beyond their time', (t) => {
+  const stages = [stage(100), stage(200, [0]), stage(500)];
+  t.is(getStartDelay(stages, 0), 500 - 300 - 60);
+  t.is(getStartDelay(stages, 2), 0);
+});
+
+test('a stage alone is begun at once', (t) => {
+  t.is(getStartDelay([stage(300)], 0), 0);
+  t.is(getStartDelay([stage(300), stage(200, [], Infinity)], 0), 0);
+});
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -1,8 +1,10 @@
+import {getStartDelay} from 'hickorywharf-decisions/gateway/getStartDelay';
 import {getStageInputs} from 'hickorywharf-decisions/gateway/getStageInputs';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayStage} from 'hickorywharf-types/gateway/gatewayStage';
-import {getTimesAfter} from './getTimesAfter.ts';
 import type {CallContext} from './callContext.ts';
+import {getStageTime} from './getStageTime.ts';
+import {getTimesAfter} from './getTimesAfter.ts';
 import type {StageRouter} from './stageRouter.ts';
 
 /** Results of the stages of one call. */
@@ -25,14 +27,14 @@
   getNow(): number;
 }
 
-/** Results of this size are made where they will be read. */
+/** Results of this size are made where they will be read, and not early. */
 const LARGE_RESULT_BYTES = 500_000;
 /** A result that is gone is made again so many times. */
 const MAXIMUM_ROUNDS = 2;
 
 /**
  * Makes the pieces of all stages of a call, each as soon as what it reads is
- * there.
+ * there; large results only so early that the others don't wait for them.
  *
  * @example
  *     const result = await runStages(options);
@@ -44,10 +46,12 @@
   const counts = stages.map((_stage, position) => call.pieces[position] ?? 0);
   const handles: string[][] = counts.map(() => []);
   const missing = [...counts];
-  const isOrdered = counts.map(() => false);
+  /** When each stage was ordered; null before. */
+  const orderedAt = counts.map((): number | null => null);
   const timesAfter = getTimesAfter(context, services);
   const cancels = new Set<() => void>();
   let rounds = 0;
+  let delayed: NodeJS.Timeout | null = null;
 
   return new Promise((resolve) => {
     let isSettled = false;
@@ -55,9 +59,14 @@
     function settle(result: StagesResult): void {
       if (isSettled) return;
       isSettled = true;
+      clearDelay();
       context.cleanups.delete(abandon);
       resolve(result);
     }
+    function clearDelay(): void {
+      if (delayed !== null) clearTimeout(delayed);
+      delayed = null;
+    }
     function giveUp(reason: string): void {
       for (const cancel of cancels) cancel();
       router.free(handles.flat().filter((handle) => handle !== ''));
@@ -76,7 +85,7 @@
       counts.forEach((count, position) => {
         handles[position] = [];
         missing[position] = count;
-        isOrdered[position] = false;
+        orderedAt[position] = null;
       });
       advance();
     }
@@ -105,7 +114,7 @@
       if (service === undefined || service.stage === null) {
         return giveUp('noEndpoint');
       }
-      isOrdered[position] = true;
+      orderedAt[position] = getNow();
       const inputs = getStageInputs(stages, handles, position);
       const round = rounds;
       const results = new Array<string>(counts[position]!).fill('');
@@ -157,17 +166,48 @@
       });
     }
 
+    /** Expected time of a stage from its order, behind what waits now. */
+    function forecastStage({service}: GatewayStage): number {
+      const waits = router.getWaits(service)?.timelyMilliseconds ?? [];
+      const wait = waits[Math.min(context.priority, waits.length - 1)] ?? 0;
+      return wait + getStageTime(services.get(service));
+    }
+
+    function getDelay(position: number): number {
+      if (stages[position]!.resultBytes < LARGE_RESULT_BYTES) return 0;
+      const now = getNow();
+      const progress = stages.map((stage, index) => {
+        const at = orderedAt[index] ?? null;
+        const isMade = missing[index] === 0;
+        return {
+          after: stage.after,
+          milliseconds: forecastStage(stage),
+          orderedMilliseconds: isMade
+            ? Infinity
+            : at === null
+              ? null
+              : now - at,
+        };
+      });
+      return getStartDelay(progress, position);
+    }
+
     /** Begins each stage whose inputs are all there. */
     function advance(): void {
       if (missing.every((count) => count === 0)) {
         const inputs = getStageInputs(stages, handles, null);
         return settle({tag: 'made', inputs, handles: handles.flat()});
       }
+      clearDelay();
+      let nextDelay = Infinity;
       stages.forEach(({after}, position) => {
-        if (isOrdered[position] || counts[position] === 0) return;
+        if (orderedAt[position] !== null || counts[position] === 0) return;
         if (after.some((earlier) => missing[earlier]! > 0)) return;
-        orderStage(position);
+        const delay = getDelay(position);
+        if (delay === 0) orderStage(position);
+        else nextDelay = Math.min(nextDelay, delay);
       });
+      if (nextDelay < Infinity) delayed = setTimeout(advance, nextDelay);
     }
 
     context.cleanups.add(abandon);
