--- a/packages/hickorywharf-bench/src/stages/createArrivals.ts
+++ b/packages/hickorywharf-bench/src/stages/createArrivals.ts
@@ -31,9 +31,11 @@
         )
         .reduce((product, burst) => product * burst.factor, 1);
       at += (-Math.log(1 - random()) * 1000) / (perSecond * factor);
-      const pieces = stages.map((stage) =>
-        Math.max(1, Math.round(stage.pieces * (0.5 + random()))),
-      );
+      const pieces = stages.map((stage) => {
+        const isUsed = stage.share === undefined || random() < stage.share;
+        if (!isUsed) return 0;
+        return Math.max(1, Math.round(stage.pieces * (0.5 + random())));
+      });
       arrivals.push({at, kind, pieces});
     }
   }
--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -1,9 +1,11 @@
 import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
+import {getStartDelay} from 'hickorywharf-decisions/gateway/getStartDelay';
 import {judgeAdmission} from 'hickorywharf-decisions/gateway/judgeAdmission';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
 import {createArrivals} from './createArrivals.ts';
 import type {StageLoad} from './stageLoad.ts';
 import {stagePolicies} from './stagePolicies.ts';
+import type {StagePolicy} from './stagePolicy.ts';
 
 interface StageOutcome {
   readonly requests: number;
@@ -21,8 +23,13 @@
   readonly kind: string;
   readonly at: number;
   readonly pieces: readonly number[];
-  /** Results of the last stage, by endpoint. */
-  held: Map<Endpoint, number>;
+  /** When each stage was begun; null before, -Infinity if it is left out. */
+  readonly begunAt: Array<number | null>;
+  readonly isMade: boolean[];
+  /** Counts the later looks at stages that were put off. */
+  looks: number;
+  /** Results of each stage that are not read yet, by endpoint. */
+  readonly held: Array<Map<Endpoint, number>>;
   outcome: 'timely' | 'late' | 'refused' | null;
   endedAt: number;
 }
@@ -62,7 +69,7 @@
   policy: keyof typeof stagePolicies,
   seed: number,
 ): StageOutcome {
-  const {plan, isAdmitting} = stagePolicies[policy];
+  const {plan, isAdmitting, isDelaying}: StagePolicy = stagePolicies[policy];
   const waiting = new Map<string, Set<Group>>();
   const endpoints = new Map<string, Endpoint[]>();
   const events: Array<{at: number; run(): void}> = [];
@@ -98,20 +105,34 @@
     );
   }
 
+  /** Positions of the stages that a stage reads. */
+  function getAfter(request: Request, stage: number): readonly number[] {
+    const {after} = getKind(request).stages[stage]!;
+    return after ?? (stage === 0 ? [] : [stage - 1]);
+  }
+
+  function listReaders(request: Request, stage: number): number[] {
+    return request.pieces.flatMap((_count, later) =>
+      getAfter(request, later).includes(stage) ? [later] : [],
+    );
+  }
+
   function getTimeAfter(request: Request, stage: number): number {
-    return getKind(request)
-      .stages.slice(stage + 1)
-      .reduce(
-        (sum, {service}) => sum + getStageTime(service),
-        ENGINE_MILLISECONDS,
-      );
+    return Math.max(
+      ENGINE_MILLISECONDS,
+      ...listReaders(request, stage).map(
+        (reader) =>
+          getStageTime(getKind(request).stages[reader]!.service) +
+          getTimeAfter(request, reader),
+      ),
+    );
   }
 
   function end(request: Request, outcome: Request['outcome']): void {
     if (request.outcome !== null) return;
     request.outcome = outcome;
     request.endedAt = now;
-    release(request.held, request, -1);
+    request.held.forEach((held, stage) => release(held, request, stage));
   }
 
   function release(
@@ -119,21 +140,72 @@
     request: Request,
     stage: number,
   ): void {
-    const {stages} = getKind(request);
+    const {resultBytes} = getKind(request).stages[stage]!;
     for (const [endpoint, count] of held) {
-      const made = stages.find(({service}) => service === endpoint.service);
-      const bytes = stages[stage]?.resultBytes ?? made?.resultBytes ?? 0;
-      endpoint.heldBytes -= count * bytes;
+      endpoint.heldBytes -= count * resultBytes;
     }
     held.clear();
   }
 
+  function getDelay(request: Request, stage: number): number {
+    if (isDelaying !== true) return 0;
+    const {priority, stages} = getKind(request);
+    const progress = stages.map(({service}, index) => {
+      const {waits} = estimate(service);
+      const begunAt = request.begunAt[index]!;
+      return {
+        after: getAfter(request, index),
+        milliseconds:
+          waits.timelyMilliseconds[priority]! + getStageTime(service),
+        orderedMilliseconds: request.isMade[index]
+          ? Infinity
+          : begunAt === null
+            ? null
+            : now - begunAt,
+      };
+    });
+    return getStartDelay(progress, stage);
+  }
+
+  /** Begins each stage whose inputs are there, or the engine. */
+  function advance(request: Request): void {
+    if (request.outcome !== null) return;
+    if (request.isMade.every((isMade) => isMade)) {
+      schedule(now + ENGINE_MILLISECONDS, () => finish(request));
+      return;
+    }
+    let nextDelay = Infinity;
+    request.pieces.forEach((_count, stage) => {
+      const isReadable = getAfter(request, stage).every(
+        (earlier) => request.isMade[earlier],
+      );
+      if (request.begunAt[stage] !== null || !isReadable) return;
+      const delay = getDelay(request, stage);
+      if (delay === 0) startStage(request, stage);
+      else nextDelay = Math.min(nextDelay, Math.max(delay, 1));
+    });
+    if (nextDelay === Infinity) return;
+    // Only the last look that was arranged counts.
+    const look = (request.looks += 1);
+    schedule(now + nextDelay, () => {
+      if (request.looks === look) advance(request);
+    });
+  }
+
+  function finish(request: Request): void {
+    const {targetMilliseconds, deadlineMilliseconds} = getKind(request);
+    const took = now - request.at;
+    if (took > deadlineMilliseconds) end(request, 'refused');
+    else end(request, took <= targetMilliseconds ? 'timely' : 'late');
+  }
+
   function startStage(request: Request, stage: number): void {
     const {stages, priority, targetMilliseconds, deadlineMilliseconds} =
       getKind(request);
     const {service, resultBytes, workShare} = stages[stage]!;
     const after = getTimeAfter(request, stage);
     const count = request.pieces[stage]!;
+    request.begunAt[stage] = now;
     waiting.get(service)!.add({
       request,
       stage,
@@ -192,19 +264,15 @@
       return;
     }
     if (group.unmade > 0) return;
-    release(request.held, request, stage - 1);
-    request.held = group.made;
-    if (stage + 1 < request.pieces.length) {
-      startStage(request, stage + 1);
-      return;
+    request.isMade[stage] = true;
+    request.held[stage] = group.made;
+    for (const earlier of getAfter(request, stage)) {
+      const isRead = listReaders(request, earlier).every(
+        (reader) => request.isMade[reader],
+      );
+      if (isRead) release(request.held[earlier]!, request, earlier);
     }
-    schedule(now + ENGINE_MILLISECONDS, () => {
-      const {targetMilliseconds, deadlineMilliseconds} = getKind(request);
-      const took = now - request.at;
-      release(request.held, request, stage);
-      if (took > deadlineMilliseconds) end(request, 'refused');
-      else end(request, took <= targetMilliseconds ? 'timely' : 'late');
-    });
+    advance(request);
   }
 
   function estimate(name: string) {
@@ -220,13 +288,24 @@
   function isAdmitted(request: Request): boolean {
     const {stages, priority, targetMilliseconds, deadlineMilliseconds} =
       getKind(request);
-    let timely = ENGINE_MILLISECONDS;
-    let total = ENGINE_MILLISECONDS;
-    for (const {service} of stages) {
+    const ends: Array<{timely: number; total: number}> = [];
+    stages.forEach(({service}, stage) => {
+      const before = getAfter(request, stage).map((earlier) => ends[earlier]!);
+      const isUsed = request.pieces[stage]! > 0;
       const {waits} = estimate(service);
-      timely += waits.timelyMilliseconds[priority]! + getStageTime(service);
-      total += waits.totalMilliseconds + getStageTime(service);
-    }
+      const own = isUsed ? getStageTime(service) : 0;
+      const timelyWait = isUsed ? waits.timelyMilliseconds[priority]! : 0;
+      const totalWait = isUsed ? waits.totalMilliseconds : 0;
+      ends[stage] = {
+        timely:
+          Math.max(0, ...before.map(({timely}) => timely)) + timelyWait + own,
+        total: Math.max(0, ...before.map(({total}) => total)) + totalWait + own,
+      };
+    });
+    const timely =
+      ENGINE_MILLISECONDS + Math.max(...ends.map((entry) => entry.timely));
+    const total =
+      ENGINE_MILLISECONDS + Math.max(...ends.map((entry) => entry.total));
     return (
       judgeAdmission({
         forecast: {timelyMilliseconds: timely, totalMilliseconds: total},
@@ -255,14 +334,17 @@
 
   const requests = createArrivals(load, seed).map((arrival): Request => ({
     ...arrival,
-    held: new Map(),
+    begunAt: arrival.pieces.map((count) => (count > 0 ? null : -Infinity)),
+    looks: 0,
+    isMade: arrival.pieces.map((count) => count === 0),
+    held: arrival.pieces.map(() => new Map()),
     outcome: null,
     endedAt: 0,
   }));
   for (const request of requests) {
     schedule(request.at, () => {
       if (isAdmitting && !isAdmitted(request)) end(request, 'refused');
-      else startStage(request, 0);
+      else advance(request);
     });
   }
   schedule(0, sweep);
--- a/packages/hickorywharf-bench/src/stages/stageLoad.ts
+++ b/packages/hickorywharf-bench/src/stages/stageLoad.ts
@@ -7,7 +7,7 @@
   readonly roomBytes: number;
 }
 
-/** A kind of request in the model; its stages follow one another. */
+/** A kind of request in the model. */
 interface ModelKind {
   readonly perSecond: number;
   readonly worth: number;
@@ -17,6 +17,10 @@
   readonly deadlineMilliseconds: number;
   readonly stages: ReadonlyArray<{
     readonly service: string;
+    /** Positions of the stages that it reads; the one before it without. */
+    readonly after?: readonly number[];
+    /** Share of the requests that have the stage; all without it. */
+    readonly share?: number;
     /** The mean number of pieces; 1 at least. */
     readonly pieces: number;
     readonly resultBytes: number;
--- a/packages/hickorywharf-bench/src/stages/stagePolicies.ts
+++ b/packages/hickorywharf-bench/src/stages/stagePolicies.ts
@@ -1,13 +1,6 @@
 import {planBatch} from 'hickorywharf-decisions/gateway/planBatch';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
-
-interface StagePolicy {
-  plan(
-    ...input: Parameters<typeof planBatch<PieceGroup>>
-  ): ReturnType<typeof planBatch<PieceGroup>>;
-  /** Whether calls are refused at the door by what waits. */
-  readonly isAdmitting: boolean;
-}
+import type {StagePolicy} from './stagePolicy.ts';
 
 /** One request's pieces a call, first come first served. */
 function planOneRequest(
@@ -45,4 +38,5 @@
   inOrder: {plan: planInOrder, isAdmitting: false},
   groups: {plan: planBatch, isAdmitting: false},
   groupsAtTheDoor: {plan: planBatch, isAdmitting: true},
+  groupsInTime: {plan: planBatch, isAdmitting: true, isDelaying: true},
 } satisfies Record<string, StagePolicy>;
