--- /dev/null
+++ b/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
@@ -0,0 +1,105 @@
+import test from 'ava';
+import type {GatewayService} from 'hickorywharf-types/gateway/gatewayService';
+import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
+import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import type {CallContext} from '../callContext.ts';
+import {runStages} from '../runStages.ts';
+
+const service = (name: string): [string, GatewayService] => [
+  name,
+  {
+    name,
+    maximumConnections: 9,
+    engine: null,
+    stage: {
+      slots: 1,
+      waiting: 2,
+      batch: 1,
+      callMilliseconds: 200,
+      pieceMilliseconds: 0,
+      roomBytes: 9_000_000,
+      keepMilliseconds: 4000,
+    },
+  },
+];
+
+/** A call with a stage of large results beside a chain of two. */
+function start() {
+  const context = {
+    call: {id: 'r', pieces: [1, 1, 1], pieceKey: 'k', promptTokens: 100},
+    route: {
+      name: 'report',
+      stages: [
+        {service: 'large', after: [], resultBytes: 3_000_000},
+        {service: 'first', after: [], resultBytes: 8000},
+        {service: 'second', after: [1], resultBytes: 8000},
+      ],
+    },
+    priority: 0,
+    targetAt: performance.now() + 2000,
+    deadlineAt: performance.now() + 6000,
+    isOver: false,
+    cleanups: new Set(),
+  } as unknown as CallContext;
+  const orders: Array<{
+    order: StageOrder;
+    onResult(result: StageResult): void;
+  }> = [];
+  const freed: string[] = [];
+  const result = runStages({
+    context,
+    services: new Map([service('large'), service('first'), service('second')]),
+    router: {
+      order(order, onResult) {
+        orders.push({order, onResult});
+        return () => undefined;
+      },
+      getWaits: () => null,
+      free: (handles) => void freed.push(...handles),
+      getFailureDomain: () => undefined,
+    },
+    readerDomain: null,
+    getNow: () => performance.now(),
+  });
+  return {
+    context,
+    result,
+    freed,
+    listOrdered: () => orders.map(({order}) => order.service),
+    make(name: string): void {
+      const found = orders.find(({order}) => order.service === name);
+      const made = {piece: 0, handle: name, endpointId: 'e'};
+      found?.onResult({tag: 'made', ...made});
+    },
+  };
+}
+
+const sleep = (milliseconds: number) =>
+  new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+test('large results are begun in time for the chain beside them', async (t) => {
+  const {listOrdered} = start();
+  t.deepEqual(listOrdered(), ['first']);
+  await sleep(400);
+  t.deepEqual(listOrdered(), ['first', 'large']);
+});
+
+test('a chain that is fast does not wait for large results', async (t) => {
+  const {listOrdered, make, result, freed} = start();
+  make('first');
+  t.deepEqual(listOrdered().sort(), ['first', 'large', 'second']);
+  t.deepEqual(freed, []);
+  make('second');
+  t.deepEqual(freed, ['first']);
+  make('large');
+  t.like(await result, {tag: 'made', inputs: ['large', 'second']});
+});
+
+test('a stage that was put off is not begun for a caller that left', async (t) => {
+  const {context, listOrdered, result} = start();
+  context.isOver = true;
+  for (const cleanup of context.cleanups) cleanup();
+  t.like(await result, {tag: 'failed'});
+  await sleep(400);
+  t.deepEqual(listOrdered(), ['first']);
+});
