Begin no stage of a call that was given up

Cause: where a stage's service is unknown the call is given up while its stages are begun; those after it were begun all the same, and since one that was put off as well.

--- a/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
@@ -24,7 +24,7 @@
 ];
 
 /** A call with a stage of large results beside a chain of two. */
-function start() {
+function start(names = ['large', 'first', 'second']) {
   const context = {
     call: {id: 'r', pieces: [1, 1, 1], pieceKey: 'k', promptTokens: 100},
     route: {
@@ -48,7 +48,7 @@
   const freed: string[] = [];
   const result = runStages({
     context,
-    services: new Map([service('large'), service('first'), service('second')]),
+    services: new Map(names.map(service)),
     router: {
       order(order, onResult) {
         orders.push({order, onResult});
@@ -95,6 +95,13 @@
   t.like(await result, {tag: 'made', inputs: ['large', 'second']});
 });
 
+test('a stage that was put off is not begun for a call that was given up', async (t) => {
+  const {listOrdered, result} = start(['large', 'second']);
+  t.like(await result, {tag: 'failed', reason: 'noEndpoint'});
+  await sleep(400);
+  t.deepEqual(listOrdered(), []);
+});
+
 test('a stage that was put off is not begun for a caller that left', async (t) => {
   const {context, listOrdered, result} = start();
   context.isOver = true;
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -201,13 +201,15 @@
       clearDelay();
       let nextDelay = Infinity;
       stages.forEach(({after}, position) => {
+        if (isSettled) return;
         if (orderedAt[position] !== null || counts[position] === 0) return;
         if (after.some((earlier) => missing[earlier]! > 0)) return;
         const delay = getDelay(position);
         if (delay === 0) orderStage(position);
         else nextDelay = Math.min(nextDelay, delay);
       });
-      if (nextDelay < Infinity) delayed = setTimeout(advance, nextDelay);
+      if (isSettled || nextDelay === Infinity) return;
+      delayed = setTimeout(advance, nextDelay);
     }
 
     context.cleanups.add(abandon);
