--- a/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
@@ -5,7 +5,10 @@
 import type {CallContext} from '../callContext.ts';
 import {runStages} from '../runStages.ts';
 
-const service = (name: string): [string, GatewayService] => [
+const service = (
+  name: string,
+  callMilliseconds = 200,
+): [string, GatewayService] => [
   name,
   {
     name,
@@ -15,7 +18,7 @@
       slots: 1,
       waiting: 2,
       batch: 1,
-      callMilliseconds: 200,
+      callMilliseconds,
       pieceMilliseconds: 0,
       roomBytes: 9_000_000,
       keepMilliseconds: 4000,
@@ -24,7 +27,9 @@
 ];
 
 /** A call with a stage of large results beside a chain of two. */
-function start(names = ['large', 'first', 'second']) {
+function start(
+  services = [service('large'), service('first'), service('second')],
+) {
   const context = {
     call: {id: 'r', pieces: [1, 1, 1], pieceKey: 'k', promptTokens: 100},
     route: {
@@ -48,7 +53,7 @@
   const freed: string[] = [];
   const result = runStages({
     context,
-    services: new Map(names.map(service)),
+    services: new Map(services),
     router: {
       order(order, onResult) {
         orders.push({order, onResult});
@@ -96,7 +101,10 @@
 });
 
 test('a stage that was put off is not begun for a call that was given up', async (t) => {
-  const {listOrdered, result} = start(['large', 'second']);
+  const {listOrdered, result} = start([
+    service('large'),
+    service('second', 400),
+  ]);
   t.like(await result, {tag: 'failed', reason: 'noEndpoint'});
   await sleep(400);
   t.deepEqual(listOrdered(), []);
