Order instances and engines by the rendezvous that the project had

chooseReader, orderDispatchers and chooseEngine each hashed and sorted names by themselves. Which instance comes first changes where the old code took the smallest weight; the order is as evenly spread.

--- a/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
@@ -1,4 +1,4 @@
-import {hashNumber} from 'hickorywharf-utils/hashNumber';
+import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
 import {PROMPT_TOKENS_PER_MILLISECOND} from './promptTokensPerMillisecond.ts';
 
 interface EngineChoice {
@@ -51,12 +51,10 @@
   const shared = parts.slice(0, -1);
   const session = shared.at(-1)?.id ?? parts.at(-1)?.id ?? '';
   const sessionTokens = shared.at(-1)?.tokens ?? 0;
-  let owner = '';
-  let ownerWeight = -1;
-  for (const {id} of choices) {
-    const weight = hashNumber(`${session}/${id}`);
-    if (weight > ownerWeight) [owner, ownerWeight] = [id, weight];
-  }
+  const [owner] = orderByRendezvous(
+    session,
+    choices.map(({id}) => id),
+  );
   let best: Choice | undefined;
   let bestCost = Infinity;
   for (const choice of choices) {
--- a/packages/hickorywharf-decisions/src/gateway/chooseReader.ts
+++ b/packages/hickorywharf-decisions/src/gateway/chooseReader.ts
@@ -1,4 +1,4 @@
-import {hashNumber} from 'hickorywharf-utils/hashNumber';
+import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
 
 interface ReaderOptions {
   readonly name: string;
@@ -25,19 +25,13 @@
  */
 export function chooseReader(options: ReaderOptions): string | null {
   const {name, failureDomain, instances, isUp} = options;
-  const ordered = instances
-    .filter((instance) => instance.failureDomain === failureDomain)
-    .map((instance) => ({
-      name: instance.name,
-      weight: hashNumber(`reader/${instance.name}`),
-    }))
-    .sort(
-      (left, right) =>
-        left.weight - right.weight || (left.name < right.name ? -1 : 1),
-    );
-  for (const candidate of ordered) {
-    if (candidate.name === name) return null;
-    if (isUp(candidate.name)) return candidate.name;
+  const near = instances.filter(
+    (instance) => instance.failureDomain === failureDomain,
+  );
+  const names = near.map((instance) => instance.name);
+  for (const candidate of orderByRendezvous('reader', names)) {
+    if (candidate === name) return null;
+    if (isUp(candidate)) return candidate;
   }
   return null;
 }
--- a/packages/hickorywharf-decisions/src/gateway/orderDispatchers.ts
+++ b/packages/hickorywharf-decisions/src/gateway/orderDispatchers.ts
@@ -1,4 +1,4 @@
-import {hashNumber} from 'hickorywharf-utils/hashNumber';
+import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
 
 /** Instances whose capacity differs by less are alike, in cores. */
 const CAPACITY_STEP = 0.25;
@@ -22,19 +22,15 @@
   services: readonly string[],
   instances: ReadonlyArray<{readonly name: string; readonly capacity: number}>,
 ): string[] {
-  const ordered = instances
-    .map(({name, capacity}) => ({
+  const classes = new Map(
+    instances.map(({name, capacity}) => [
       name,
-      weight: hashNumber(`dispatcher/${name}`),
-      class: Math.floor(capacity / CAPACITY_STEP),
-    }))
-    .sort(
-      (left, right) =>
-        right.class - left.class ||
-        left.weight - right.weight ||
-        (left.name < right.name ? -1 : 1),
-    )
-    .map(({name}) => name);
+      Math.floor(capacity / CAPACITY_STEP),
+    ]),
+  );
+  const ordered = orderByRendezvous('dispatcher', classes.keys()).sort(
+    (left, right) => classes.get(right)! - classes.get(left)!,
+  );
   const position = [...services].sort().indexOf(service);
   const first = position < 0 ? 0 : position % Math.max(ordered.length, 1);
   return [...ordered.slice(first), ...ordered.slice(0, first)];
