Forecast the stages of a call in one place

The gateway and the model each computed a stage's time, the times after it and the way through all stages, and unlike: the gateway counted of the stages before only the work of those that a stage reads itself, so that a chain of three whose last service is full looked shorter by the first stage's work. The decisions have it now, pure, and both use it; the gateway's part is what it asks whom.

--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -1,7 +1,12 @@
 import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
+import {forecastStage} from 'hickorywharf-decisions/gateway/forecastStage';
+import {forecastStages} from 'hickorywharf-decisions/gateway/forecastStages';
 import {getStartDelay} from 'hickorywharf-decisions/gateway/getStartDelay';
+import {getTimesAfter} from 'hickorywharf-decisions/gateway/getTimesAfter';
 import {judgeAdmission} from 'hickorywharf-decisions/gateway/judgeAdmission';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
+import type {StageForecast} from 'hickorywharf-decisions/gateway/stageForecast';
+import type {StageWaits} from 'hickorywharf-types/gateway/stageWaits';
 import {createArrivals} from './createArrivals.ts';
 import type {StageLoad} from './stageLoad.ts';
 import {stagePolicies} from './stagePolicies.ts';
@@ -53,7 +58,6 @@
 /** From the last result to the first event, with an engine that is not full. */
 const ENGINE_MILLISECONDS = 200;
 const SWEEP_MILLISECONDS = 25;
-const TURN_SHARE = 1.3;
 
 /**
  * Plays a load against a small model of the services of stages: calls of
@@ -97,14 +101,6 @@
     return load.kinds[kind]!;
   }
 
-  function getStageTime(name: string): number {
-    const service = load.services[name]!;
-    return (
-      service.callMilliseconds * TURN_SHARE +
-      service.batch * service.pieceMilliseconds
-    );
-  }
-
   /** Positions of the stages that a stage reads. */
   function getAfter(request: Request, stage: number): readonly number[] {
     const {after} = getKind(request).stages[stage]!;
@@ -117,15 +113,20 @@
     );
   }
 
-  function getTimeAfter(request: Request, stage: number): number {
-    return Math.max(
-      ENGINE_MILLISECONDS,
-      ...listReaders(request, stage).map(
-        (reader) =>
-          getStageTime(getKind(request).stages[reader]!.service) +
-          getTimeAfter(request, reader),
-      ),
-    );
+  function describeStages(
+    request: Request,
+    getWaits: (service: string) => Omit<StageWaits, 'service'> | null,
+  ): StageForecast[] {
+    const {stages, priority} = getKind(request);
+    return stages.map(({service}, stage) => {
+      const isUsed = request.pieces[stage]! > 0;
+      return forecastStage({
+        after: getAfter(request, stage),
+        capacity: isUsed ? load.services[service]! : null,
+        waits: getWaits(service),
+        priority,
+      });
+    });
   }
 
   function end(request: Request, outcome: Request['outcome']): void {
@@ -149,21 +150,18 @@
 
   function getDelay(request: Request, stage: number): number {
     if (isDelaying !== true) return 0;
-    const {priority, stages} = getKind(request);
-    const progress = stages.map(({service}, index) => {
-      const {waits} = estimate(service);
-      const begunAt = request.begunAt[index]!;
-      return {
-        after: getAfter(request, index),
-        milliseconds:
-          waits.timelyMilliseconds[priority]! + getStageTime(service),
-        orderedMilliseconds: request.isMade[index]
-          ? Infinity
-          : begunAt === null
-            ? null
-            : now - begunAt,
-      };
-    });
+    const progress = describeStages(request, getWaits).map(
+      (forecast, index) => {
+        const begunAt = request.begunAt[index]!;
+        const age = begunAt === null ? null : now - begunAt;
+        return {
+          after: forecast.after,
+          milliseconds:
+            forecast.timelyWaitMilliseconds + forecast.workMilliseconds,
+          orderedMilliseconds: request.isMade[index] ? Infinity : age,
+        };
+      },
+    );
     return getStartDelay(progress, stage);
   }
 
@@ -203,7 +201,10 @@
     const {stages, priority, targetMilliseconds, deadlineMilliseconds} =
       getKind(request);
     const {service, resultBytes, workShare} = stages[stage]!;
-    const after = getTimeAfter(request, stage);
+    const after = getTimesAfter(
+      describeStages(request, () => null),
+      ENGINE_MILLISECONDS,
+    )[stage]!;
     const count = request.pieces[stage]!;
     request.begunAt[stage] = now;
     waiting.get(service)!.add({
@@ -285,34 +286,20 @@
     });
   }
 
+  const getWaits = (name: string) => estimate(name).waits;
+
   function isAdmitted(request: Request): boolean {
-    const {stages, priority, targetMilliseconds, deadlineMilliseconds} =
-      getKind(request);
-    const ends: Array<{timely: number; total: number}> = [];
-    stages.forEach(({service}, stage) => {
-      const before = getAfter(request, stage).map((earlier) => ends[earlier]!);
-      const isUsed = request.pieces[stage]! > 0;
-      const {waits} = estimate(service);
-      const own = isUsed ? getStageTime(service) : 0;
-      const timelyWait = isUsed ? waits.timelyMilliseconds[priority]! : 0;
-      const totalWait = isUsed ? waits.totalMilliseconds : 0;
-      ends[stage] = {
-        timely:
-          Math.max(0, ...before.map(({timely}) => timely)) + timelyWait + own,
-        total: Math.max(0, ...before.map(({total}) => total)) + totalWait + own,
-      };
-    });
-    const timely =
-      ENGINE_MILLISECONDS + Math.max(...ends.map((entry) => entry.timely));
-    const total =
-      ENGINE_MILLISECONDS + Math.max(...ends.map((entry) => entry.total));
-    return (
-      judgeAdmission({
-        forecast: {timelyMilliseconds: timely, totalMilliseconds: total},
-        targetLeftMilliseconds: targetMilliseconds,
-        timeLeftMilliseconds: deadlineMilliseconds,
-      }).tag !== 'refused'
+    const {targetMilliseconds, deadlineMilliseconds} = getKind(request);
+    const forecast = forecastStages(
+      describeStages(request, getWaits),
+      ENGINE_MILLISECONDS,
     );
+    const admission = judgeAdmission({
+      forecast,
+      targetLeftMilliseconds: targetMilliseconds,
+      timeLeftMilliseconds: deadlineMilliseconds,
+    });
+    return admission.tag !== 'refused';
   }
 
   function sweep(): void {
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/getTimesAfter.ts
@@ -0,0 +1,24 @@
+import type {StageForecast} from './stageForecast.ts';
+
+/**
+ * Times from the end of each stage to the first event of the call, in
+ * milliseconds, by the position of the stage, where nothing is overloaded.
+ *
+ * @param engineMilliseconds from the last result to the first event
+ * @example
+ *     const [afterFirst] = getTimesAfter(stages, 200);
+ */
+export function getTimesAfter(
+  stages: ReadonlyArray<Pick<StageForecast, 'after' | 'workMilliseconds'>>,
+  engineMilliseconds: number,
+): number[] {
+  const times = stages.map(() => engineMilliseconds);
+  for (let position = stages.length - 1; position >= 0; position -= 1) {
+    const {after, workMilliseconds} = stages[position]!;
+    for (const earlier of after) {
+      const time = times[position]! + workMilliseconds;
+      times[earlier] = Math.max(times[earlier]!, time);
+    }
+  }
+  return times;
+}
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -1,10 +1,11 @@
 import {getStartDelay} from 'hickorywharf-decisions/gateway/getStartDelay';
+import {getEngineTime} from 'hickorywharf-decisions/gateway/getEngineTime';
 import {getStageInputs} from 'hickorywharf-decisions/gateway/getStageInputs';
+import {getTimesAfter} from 'hickorywharf-decisions/gateway/getTimesAfter';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayStage} from 'hickorywharf-types/gateway/gatewayStage';
 import type {CallContext} from './callContext.ts';
-import {getStageTime} from './getStageTime.ts';
-import {getTimesAfter} from './getTimesAfter.ts';
+import {describeStages} from './describeStages.ts';
 import type {StageRouter} from './stageRouter.ts';
 
 /** Results of the stages of one call. */
@@ -48,7 +49,10 @@
   const missing = [...counts];
   /** When each stage was ordered; null before. */
   const orderedAt = counts.map((): number | null => null);
-  const timesAfter = getTimesAfter(context, services);
+  const timesAfter = getTimesAfter(
+    describeStages(context, services, () => null),
+    getEngineTime(call.promptTokens),
+  );
   const cancels = new Set<() => void>();
   let rounds = 0;
   let delayed: NodeJS.Timeout | null = null;
@@ -166,29 +170,20 @@
       });
     }
 
-    /** Expected time of a stage from its order, behind what waits now. */
-    function forecastStage({service}: GatewayStage): number {
-      const waits = router.getWaits(service)?.timelyMilliseconds ?? [];
-      const wait = waits[Math.min(context.priority, waits.length - 1)] ?? 0;
-      return wait + getStageTime(services.get(service));
-    }
-
     function getDelay(position: number): number {
       if (stages[position]!.resultBytes < LARGE_RESULT_BYTES) return 0;
       const now = getNow();
-      const progress = stages.map((stage, index) => {
-        const at = orderedAt[index] ?? null;
-        const isMade = missing[index] === 0;
-        return {
-          after: stage.after,
-          milliseconds: forecastStage(stage),
-          orderedMilliseconds: isMade
-            ? Infinity
-            : at === null
-              ? null
-              : now - at,
-        };
-      });
+      const progress = describeStages(context, services, router.getWaits).map(
+        (stage, index) => {
+          const at = orderedAt[index] ?? null;
+          const age = at === null ? null : now - at;
+          return {
+            after: stage.after,
+            milliseconds: stage.timelyWaitMilliseconds + stage.workMilliseconds,
+            orderedMilliseconds: missing[index] === 0 ? Infinity : age,
+          };
+        },
+      );
       return getStartDelay(progress, position);
     }
 
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -2,16 +2,18 @@
 import {chooseEngine} from 'hickorywharf-decisions/gateway/chooseEngine';
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
+import {forecastStages} from 'hickorywharf-decisions/gateway/forecastStages';
+import {getEngineTime} from 'hickorywharf-decisions/gateway/getEngineTime';
 import {judgeAdmission} from 'hickorywharf-decisions/gateway/judgeAdmission';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
-import {forecastStages} from './forecastStages.ts';
 import {attemptCall} from './attemptCall.ts';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
 import type {createAnswerRelay} from './createAnswerRelay.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
+import {describeStages} from './describeStages.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {EndpointChannels} from './endpointChannels.ts';
@@ -181,7 +183,10 @@
     const {services} = state.configuration!;
     const now = getInstant().monotonic;
     if (stageRuns === 0) {
-      const forecast = forecastStages(context, services, options.router);
+      const forecast = forecastStages(
+        describeStages(context, services, options.router.getWaits),
+        getEngineTime(call.promptTokens),
+      );
       const admission = judgeAdmission({
         forecast,
         targetLeftMilliseconds: context.targetAt - now,
