--- a/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
@@ -10,6 +10,7 @@
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
 import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {ok} from 'neverthrow';
 import {createGatewayMetrics} from '../createGatewayMetrics.ts';
 import {createStageMaker} from '../createStageMaker.ts';
@@ -39,9 +40,6 @@
   failureDomain: null,
 };
 
-const sleep = (milliseconds: number) =>
-  new Promise((resolve) => setTimeout(resolve, milliseconds));
-
 /** A maker before endpoints that answer only when a test says so. */
 function createMaker(endpoints: number, roomBytes = 1000) {
   const calls: SentCall[] = [];
--- a/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
@@ -2,6 +2,7 @@
 import type {GatewayService} from 'hickorywharf-types/gateway/gatewayService';
 import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import {sleep} from 'hickorywharf-utils/sleep';
 import type {CallContext} from '../callContext.ts';
 import {runStages} from '../runStages.ts';
 
@@ -79,9 +80,6 @@
   };
 }
 
-const sleep = (milliseconds: number) =>
-  new Promise((resolve) => setTimeout(resolve, milliseconds));
-
 test('large results are begun in time for the chain beside them', async (t) => {
   const {listOrdered} = start();
   t.deepEqual(listOrdered(), ['first']);
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import {listenOn} from 'hickorywharf-utils/listenOn';
 import {admitCall} from './admitCall.ts';
 import type {CallContext} from './callContext.ts';
 import {createAnswerRelay} from './createAnswerRelay.ts';
@@ -17,6 +18,8 @@
   close(): void;
 }
 
+/** Connections that wait to be taken, in a burst of callers. */
+const ACCEPT_BACKLOG = 1024;
 const HEADER_BYTES = 16_384;
 const HEADER_MILLISECONDS = 3000;
 /** Longer than callers keep an idle connection, so that none crosses a close. */
@@ -174,14 +177,7 @@
 
   return {
     listen: (host, port) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen({host, port, backlog: 1024}, () => {
-          const address = server.address();
-          const isBound = typeof address === 'object' && address !== null;
-          resolve(isBound ? address.port : port);
-        });
-      }),
+      listenOn(server, {host, port, backlog: ACCEPT_BACKLOG}),
     getActive: () => active,
     closeIdle: () => server.closeIdleConnections(),
     close() {
--- a/packages/hickorywharf-gateway/src/createTextServer.ts
+++ b/packages/hickorywharf-gateway/src/createTextServer.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import {listenOn} from 'hickorywharf-utils/listenOn';
 
 interface TextServer {
   /** Gives the port, which the system chooses for 0. */
@@ -33,15 +34,7 @@
     response.end(text);
   });
   return {
-    listen: (host, port) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen({host, port}, () => {
-          const address = server.address();
-          const isBound = typeof address === 'object' && address !== null;
-          resolve(isBound ? address.port : port);
-        });
-      }),
+    listen: (host, port) => listenOn(server, {host, port}),
     close() {
       server.close();
       server.closeAllConnections();
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -8,6 +8,7 @@
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {createBeliefRelay} from './createBeliefRelay.ts';
 import {createBeliefs} from './createBeliefs.ts';
 import {createCallServer} from './createCallServer.ts';
@@ -226,9 +227,7 @@
           server.closeIdle();
           if (server.getActive() === 0 || elapsed >= end) break;
         }
-        await new Promise((resolve) =>
-          setTimeout(resolve, STOP_CHECK_MILLISECONDS),
-        );
+        await sleep(STOP_CHECK_MILLISECONDS);
       }
       unfollow();
       server.close();
--- a/packages/hickorywharf-transport/src/createPeerServer.ts
+++ b/packages/hickorywharf-transport/src/createPeerServer.ts
@@ -1,6 +1,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {createServer as createSecureServer} from 'node:tls';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+import {listenOn} from 'hickorywharf-utils/listenOn';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {ConnectionHandlers} from './connectionHandlers.ts';
 import {runConnection} from './runConnection.ts';
@@ -71,7 +72,7 @@
  * @example
  *     const server = await createPeerServer(options);
  */
-export function createPeerServer(
+export async function createPeerServer(
   options: PeerServerOptions,
 ): Promise<PeerServer> {
   const {address, port, identity, handlers} = options;
@@ -88,17 +89,12 @@
         options.silenceMilliseconds ?? TRANSPORT_LIMITS.silenceMilliseconds,
     });
   });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, address, () => {
-      const bound = server.address();
-      resolve({
-        port: typeof bound === 'object' && bound !== null ? bound.port : port,
-        close() {
-          server.close();
-          return closeSockets(sockets);
-        },
-      });
-    });
-  });
+  const bound = await listenOn(server, {host: address, port});
+  return {
+    port: bound,
+    close() {
+      server.close();
+      return closeSockets(sockets);
+    },
+  };
 }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,10 +2,10 @@
  * Builds `dist/hickorywharf`: bundles the program into one CommonJS file and
  * places it inside a copy of the pinned Node.
  */
-import {build} from 'esbuild';
 import {execFileSync} from 'node:child_process';
 import fs from 'node:fs';
 import path from 'node:path';
+import {bundle} from './bundle.mjs';
 
 const root = path.resolve(import.meta.dirname, '..');
 const output = path.join(root, 'dist');
@@ -13,17 +13,11 @@
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 fs.mkdirSync(output, {recursive: true});
-const bundle = path.join(output, 'hickorywharf.cjs');
-await build({
-  entryPoints: [path.join(root, 'packages/hickorywharf/bin/hickorywharf.ts')],
-  bundle: true,
-  platform: 'node',
+const main = path.join(output, 'hickorywharf.cjs');
+await bundle({
+  entryPoint: path.join(root, 'packages/hickorywharf/bin/hickorywharf.ts'),
+  output: main,
   target: 'node24',
-  format: 'cjs',
-  external: ['dtrace-provider', 'mv', 'unix-dgram'],
-  outfile: bundle,
-  logLevel: 'warning',
-  legalComments: 'none',
 });
 
 const configuration = path.join(output, 'sea.json');
@@ -34,7 +28,7 @@
 fs.writeFileSync(
   configuration,
   JSON.stringify({
-    main: bundle,
+    main,
     output: blob,
     disableExperimentalSEAWarning: true,
     useCodeCache: true,
