Split the maker of batches, and forget endpoints that are gone

createStageMaker kept the calls under way at each endpoint, the times of pieces and the bytes of a call beside its queues. The first two are decisions without I/O (createStageWorkers, createPieceTimes), the third is sendStageCall. Health had a forget that nobody called: what was learnt of an endpoint that left, and loads of endpoints without a call, stayed for good. No behaviour changes for endpoints that are there.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
@@ -13,13 +13,13 @@
 test('an answer ends a series of failures', (t) => {
   const health = createEndpointHealth();
   health.noteFailure('a', 0);
-  health.noteAnswer('a', 50, 10);
+  health.noteAnswer('a', 50);
   t.is(health.getPenalty('a', 10), 0);
 });
 
 test('the usual time follows the answers', (t) => {
   const health = createEndpointHealth();
-  for (let round = 0; round < 50; round += 1) health.noteAnswer('a', 400, 0);
+  for (let round = 0; round < 50; round += 1) health.noteAnswer('a', 400);
   t.true(health.getAnswerTime('a') > 390);
 });
 
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
@@ -1,6 +1,6 @@
 interface EndpointHealth {
   /** Notes an answer that came, good or bad for the caller. */
-  noteAnswer(id: string, milliseconds: number, now: number): void;
+  noteAnswer(id: string, milliseconds: number): void;
   /** Notes a failure of the endpoint itself: no answer, or a false one. */
   noteFailure(id: string, now: number): void;
   /** Notes that work there took far too long. */
--- a/packages/hickorywharf-gateway/src/__tests__/createBeliefRelay.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createBeliefRelay.test.ts
@@ -76,6 +76,7 @@
     state,
     getInstant,
     onChange() {},
+    onLeft() {},
     log: {note() {}, decide() {}},
   });
   let peer: ReturnType<typeof createBeliefRelay> | null = null;
--- a/packages/hickorywharf-gateway/src/__tests__/createStageRouter.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageRouter.test.ts
@@ -53,6 +53,7 @@
     freeAt: (_endpoint, handles) => void freedAt.push(...handles),
     getWaits: () => null,
     refresh: () => undefined,
+    forget: () => undefined,
   };
   const router = createStageRouter({
     name: 'self',
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -102,7 +102,7 @@
       if (!relay.isStarted) {
         load.started();
         options.onInputsRead();
-        health.noteAnswer(endpoint.id, now() - startedAt, now());
+        health.noteAnswer(endpoint.id, now() - startedAt);
         relay.startStream(head!);
       }
       if (!relay.sendEvents(events)) {
@@ -133,7 +133,7 @@
       const body = Buffer.concat(chunks);
       const isSuccess = head.status >= 200 && head.status < 300;
       if (!isSuccess) return settle({tag: 'failed', head, body});
-      health.noteAnswer(endpoint.id, now() - startedAt, now());
+      health.noteAnswer(endpoint.id, now() - startedAt);
       relay.sendWhole(head, body);
       settle({tag: 'delivered'});
     }
--- a/packages/hickorywharf-gateway/src/createBeliefs.ts
+++ b/packages/hickorywharf-gateway/src/createBeliefs.ts
@@ -11,6 +11,8 @@
   getInstant(): Instant;
   /** Called after the configuration or the endpoints changed. */
   onChange(): void;
+  /** Called for each endpoint that is gone. */
+  onLeft(endpointId: string): void;
 }
 
 interface Beliefs {
@@ -27,11 +29,11 @@
  * older than what is believed changes nothing and confirms nothing.
  *
  * @example
- *     const beliefs = createBeliefs({state, log, getInstant, onChange});
+ *     const beliefs = createBeliefs({state, log, getInstant, onChange, onLeft});
  *     beliefs.takeConfiguration(configuration, sentAt);
  */
 export function createBeliefs(options: BeliefsOptions): Beliefs {
-  const {state, log, getInstant, onChange} = options;
+  const {state, log, getInstant, onChange, onLeft} = options;
 
   function takeChanges(
     changes: ReturnType<typeof state.directory.update>,
@@ -44,6 +46,7 @@
         peer: endpoint.id,
         service: endpoint.service,
       });
+      if (tag === 'left') onLeft(endpoint.id);
     }
     if (changes.length > 0) onChange();
   }
--- a/packages/hickorywharf-gateway/src/createEndpointLoads.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLoads.ts
@@ -44,6 +44,7 @@
           if (!isRunning) return;
           isRunning = false;
           load.running -= 1;
+          if (load.running === 0) loads.delete(id);
         },
       };
     },
--- a/packages/hickorywharf-gateway/src/createStageMaker.ts
+++ b/packages/hickorywharf-gateway/src/createStageMaker.ts
@@ -1,9 +1,10 @@
+import {createPieceTimes} from 'hickorywharf-decisions/gateway/createPieceTimes';
+import {createStageWorkers} from 'hickorywharf-decisions/gateway/createStageWorkers';
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
 import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
 import {planBatch} from 'hickorywharf-decisions/gateway/planBatch';
-import type {AnswerHead} from 'hickorywharf-types/gateway/answerHead';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
@@ -12,11 +13,11 @@
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
 import {createResultAccount} from './createResultAccount.ts';
 import {createStageTally} from './createStageTally.ts';
-import {describeStageCall} from './describeStageCall.ts';
 import type {EndpointChannels} from './endpointChannels.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
+import {sendStageCall} from './sendStageCall.ts';
 import type {StageMaker} from './stageMaker.ts';
 
 interface MakerOptions {
@@ -46,25 +47,11 @@
   readonly piece: number;
 }
 
-/** What this instance knows of one endpoint's calls. */
-interface Worker {
-  /** When each call under way should be done. */
-  readonly calls: Set<{readonly doneAt: number}>;
-  /** It said that it had no room; nothing is sent before. */
-  fullUntil: number;
-  /** How its calls compare with what they should take. */
-  slowness: number;
-}
-
 /** A call that takes so much longer than usual is taken for lost. */
 const PATIENCE_FACTOR = 2;
 const PATIENCE_MILLISECONDS = 150;
-/** Endpoints of a service differ in speed, by less than this. */
-const MAXIMUM_SLOWNESS = 2;
 /** The most times that a piece is sent. */
 const MAXIMUM_SENDS = 4;
-/** Weight of a call's time in what is known of its pieces' times. */
-const LEARNING_WEIGHT = 0.1;
 /** How often pieces are looked for whose time is over, while any wait. */
 const SWEEP_MILLISECONDS = 25;
 /** An endpoint without room is asked again after a result of it is freed. */
@@ -87,8 +74,8 @@
   const queues = new Map<string, Set<OpenGroup>>();
   /** How often each piece was sent. */
   const sends = new WeakMap<OpenGroup, Map<number, number>>();
-  const workers = new Map<string, Worker>();
-  const pieceTimes = new Map<string, number>();
+  const workers = createStageWorkers();
+  const pieceTimes = createPieceTimes();
   const tally = createStageTally(now);
   const account = createResultAccount({
     wire,
@@ -96,7 +83,7 @@
     log,
     now,
     onRelease({id, service}) {
-      getWorker(id).fullUntil = -Infinity;
+      workers.noteRoom(id);
       pump(service);
     },
   });
@@ -126,22 +113,14 @@
     return count;
   }
 
-  function getWorker(id: string): Worker {
-    let worker = workers.get(id);
-    if (worker === undefined) {
-      worker = {calls: new Set(), fullUntil: -Infinity, slowness: 1};
-      workers.set(id, worker);
-    }
-    return worker;
-  }
-
   /** Undefined where the configuration no longer has the stage. */
   function getCapacity(service: string): StageCapacity | undefined {
     return state.configuration?.services.get(service)?.stage ?? undefined;
   }
 
   function getPieceTime({service, kind}: StageOrder): number {
-    return pieceTimes.get(kind) ?? getCapacity(service)?.pieceMilliseconds ?? 0;
+    const usual = getCapacity(service)?.pieceMilliseconds ?? 0;
+    return pieceTimes.get(kind, usual);
   }
 
   /** The endpoints that are well; without any, all of them. */
@@ -174,14 +153,9 @@
     if (capacity === undefined) return null;
     const time = now();
     const endpoints = getEndpoints(service);
-    const busy = endpoints.map(({id}) => {
-      const {calls} = getWorker(id);
-      if (calls.size < capacity.slots) return 0;
-      return Math.max(
-        0,
-        Math.min(...[...calls].map(({doneAt}) => doneAt - time)),
-      );
-    });
+    const busy = endpoints.map(({id}) =>
+      workers.getWait(id, capacity.slots, time),
+    );
     return estimateWaits(getQueue(service), time, {
       endpoints: endpoints.length,
       batch: capacity.batch,
@@ -208,33 +182,6 @@
     }, SWEEP_MILLISECONDS);
   }
 
-  function isFree(id: string, slots: number, time: number): boolean {
-    const {calls, fullUntil} = getWorker(id);
-    return calls.size < slots && fullUntil <= time;
-  }
-
-  /** Time until an endpoint in each other failure domain is free. */
-  function getOtherDomains(
-    endpoints: readonly GatewayEndpoint[],
-    endpoint: GatewayEndpoint,
-    slots: number,
-  ): Map<string, number> {
-    const time = now();
-    const domains = new Map<string, number>();
-    for (const {id, failureDomain} of endpoints) {
-      if (failureDomain === endpoint.failureDomain) continue;
-      const {calls, fullUntil} = getWorker(id);
-      const ends = [...calls].map(({doneAt}) => doneAt - time);
-      const wait = calls.size < slots ? 0 : Math.max(0, Math.min(...ends));
-      const first = domains.get(failureDomain) ?? Infinity;
-      domains.set(
-        failureDomain,
-        Math.min(first, Math.max(wait, fullUntil - time)),
-      );
-    }
-    return domains;
-  }
-
   function pump(service: string): void {
     const queue = getQueue(service);
     if (queue.size === 0) return;
@@ -246,14 +193,19 @@
     const endpoints = getEndpoints(service);
     const time = now();
     for (const endpoint of endpoints) {
-      if (!isFree(endpoint.id, capacity.slots, time)) continue;
+      if (!workers.isFree(endpoint.id, capacity.slots, time)) continue;
       const shares = planBatch(queue, time, {
         batch: capacity.batch,
         callMilliseconds: capacity.callMilliseconds,
         roomBytes:
           capacity.roomBytes * ROOM_SHARE - account.getHeldBytes(endpoint.id),
         failureDomain: endpoint.failureDomain,
-        otherDomains: getOtherDomains(endpoints, endpoint, capacity.slots),
+        otherDomains: workers.getOtherDomains(
+          endpoints,
+          endpoint.failureDomain,
+          capacity.slots,
+          time,
+        ),
       });
       if (shares.length === 0) continue;
       const batch = shares.flatMap(({group, count}) => {
@@ -329,41 +281,19 @@
     failed: (sent) => requeue(sent, 'failed'),
   };
 
-  function learn(
-    capacity: StageCapacity,
-    batch: readonly SentPiece[],
-    took: number,
-  ): void {
-    const expected = batch.reduce(
-      (sum, {group}) => sum + getPieceTime(group.order),
-      0,
-    );
-    const factor = Math.min(
-      3,
-      Math.max(0.2, (took - capacity.callMilliseconds) / Math.max(expected, 1)),
-    );
-    for (const {group} of batch) {
-      const known = getPieceTime(group.order);
-      const share = LEARNING_WEIGHT / batch.length;
-      pieceTimes.set(group.order.kind, known * (1 + share * (factor - 1)));
-    }
-  }
-
   function sendBatch(
     capacity: StageCapacity,
     endpoint: GatewayEndpoint,
     batch: readonly SentPiece[],
   ): void {
-    const worker = getWorker(endpoint.id);
     const startedAt = now();
     const work = batch.reduce(
       (sum, {group}) => sum + group.workMilliseconds,
       0,
     );
     const expected = capacity.callMilliseconds + work;
-    const usual = expected * worker.slowness;
-    const call = {doneAt: startedAt + usual};
-    worker.calls.add(call);
+    const usual = expected * workers.getSlowness(endpoint.id);
+    const endCall = workers.begin(endpoint.id, usual, startedAt);
     const unreserve = account.reserve(
       endpoint.id,
       batch.reduce((sum, {group}) => sum + group.resultBytes, 0),
@@ -376,41 +306,26 @@
     figures.calls += 1;
     figures.pieces += batch.length;
 
-    let head: AnswerHead | null = null;
-    const chunks: Buffer[] = [];
-    let isOver = false;
-    const finish = (): boolean => {
-      if (isOver) return false;
-      isOver = true;
-      clearTimeout(timer);
-      worker.calls.delete(call);
+    function finish(): void {
+      endCall();
       unreserve();
-      return true;
-    };
-    const fail = (reason: string): void => {
-      if (!finish()) return;
-      exchange.abort();
-      health.noteFailure(endpoint.id, now());
-      metrics.count('stageCalls', 'failed');
-      log.decide('stage call failed', {
-        step: 'stage',
-        peer: endpoint.id,
-        service: endpoint.service,
-        pieces: batch.length,
-        reason,
-      });
-      for (const sent of batch) requeue(sent, reason);
-      pump(endpoint.service);
-    };
-    const timer = setTimeout(
-      () => {
-        health.noteSilence(endpoint.id, now());
-        fail('no answer in time');
-      },
-      usual * PATIENCE_FACTOR + PATIENCE_MILLISECONDS,
-    );
-    const body = wire.writePieces(
-      batch.map(({group: {order, deadlineAt}, piece}) => ({
+    }
+    function learn(took: number): void {
+      health.noteAnswer(endpoint.id, took);
+      workers.learn(endpoint.id, took / expected);
+      pieceTimes.learn(
+        batch.map(({group}) => group.order.kind),
+        capacity.pieceMilliseconds,
+        took / workers.getSlowness(endpoint.id) - capacity.callMilliseconds,
+      );
+    }
+
+    sendStageCall({
+      wire,
+      channels,
+      endpoint,
+      patienceMilliseconds: usual * PATIENCE_FACTOR + PATIENCE_MILLISECONDS,
+      pieces: batch.map(({group: {order, deadlineAt}, piece}) => ({
         requestId: order.requestId,
         stage: order.stage,
         piece,
@@ -418,39 +333,39 @@
         key: order.key,
         inputs: order.inputs,
       })),
-    );
-    const exchange = channels.send({
-      ...describeStageCall(wire, endpoint, wire.stageRun, body),
-      onHead(answerHead) {
-        head = answerHead;
+      onFailure(reason, isSilent) {
+        finish();
+        if (isSilent) health.noteSilence(endpoint.id, now());
+        health.noteFailure(endpoint.id, now());
+        metrics.count('stageCalls', 'failed');
+        log.decide('stage call failed', {
+          step: 'stage',
+          peer: endpoint.id,
+          service: endpoint.service,
+          pieces: batch.length,
+          reason,
+        });
+        for (const sent of batch) requeue(sent, reason);
+        pump(endpoint.service);
       },
-      onData: (chunk) => void chunks.push(chunk),
-      onEnd() {
-        if (head?.status !== 200) return fail(`status ${head?.status}`);
-        const text = Buffer.concat(chunks).toString();
-        const outcomes = wire.readPieces(text, batch.length);
-        if (outcomes.isErr()) return fail(outcomes.error);
-        if (!finish()) return;
+      onOutcomes(outcomes) {
+        finish();
         const took = now() - startedAt;
-        health.noteAnswer(endpoint.id, took, now());
         metrics.count('stageCalls', 'answered');
         metrics.time('stageCall', took);
-        const slowness = Math.min(took / expected, MAXIMUM_SLOWNESS);
-        worker.slowness += LEARNING_WEIGHT * (slowness - worker.slowness);
-        learn(capacity, batch, took / worker.slowness);
+        learn(took);
         // A maker that made some pieces may be asked again at once: it says
         // itself what fits, and others' results end without our knowing.
-        if (!outcomes.value.some(({tag}) => tag !== 'noRoom')) {
-          worker.fullUntil = now() + FULL_MILLISECONDS;
+        if (outcomes.every(({tag}) => tag === 'noRoom')) {
+          workers.noteFull(endpoint.id, now() + FULL_MILLISECONDS);
         }
-        outcomes.value.forEach((outcome, index) => {
+        outcomes.forEach((outcome, index) => {
           metrics.count('pieces', outcome.tag);
           const handle = outcomeHandlers[outcome.tag];
           handle(batch[index]!, endpoint, outcome as never);
         });
         pump(endpoint.service);
       },
-      onFailure: ({message}) => fail(message),
     });
   }
 
@@ -494,6 +409,7 @@
       const endpoint = state.directory.get(endpointId);
       if (endpoint !== undefined) account.freeAt(endpoint, handles);
     },
+    forget: workers.forget,
     refresh() {
       for (const service of queues.keys()) pump(service);
     },
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -137,6 +137,10 @@
     log,
     getInstant,
     onChange: maker.refresh,
+    onLeft(endpointId) {
+      health.forget(endpointId);
+      maker.forget(endpointId);
+    },
   });
   const relay = createBeliefRelay({
     state,
--- a/packages/hickorywharf-gateway/src/stageMaker.ts
+++ b/packages/hickorywharf-gateway/src/stageMaker.ts
@@ -14,4 +14,6 @@
   freeAt(endpointId: string, handles: readonly string[]): void;
   /** Looks for work again, after the endpoints changed. */
   refresh(): void;
+  /** Forgets what was learnt of an endpoint that is gone. */
+  forget(endpointId: string): void;
 }
