Follow the operators' limits on callers, as far as they were constants

Headers, their time and the time a connection may be idle were constants that equal the sheets' figures, while operators' versions change them (config_change idle): with a longer one, a caller's request would have crossed our close.

--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {admitCall} from './admitCall.ts';
 import type {CallContext} from './callContext.ts';
@@ -13,6 +14,8 @@
   listen(host: string, port: number): Promise<number>;
   /** Calls that have no whole answer yet. */
   getActive(): number;
+  /** Follows the limits of a new configuration. */
+  refresh(): void;
   /** Closes connections on which nothing is under way. */
   closeIdle(): void;
   close(): void;
@@ -20,11 +23,13 @@
 
 /** Connections that wait to be taken, in a burst of callers. */
 const ACCEPT_BACKLOG = 1024;
-const HEADER_BYTES = 16_384;
-const HEADER_MILLISECONDS = 3000;
-/** Longer than callers keep an idle connection, so that none crosses a close. */
-const IDLE_MILLISECONDS = 15_000;
-const BODY_BYTES = 4_194_304;
+/** Until a configuration says what callers may do; the sheets' own figures. */
+const FIRST_LIMITS: GatewayConfiguration['limits'] = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerMilliseconds: 3000,
+  idleMilliseconds: 15_000,
+};
 /** An endpoint's own answer at its time limit may take this long to arrive. */
 const DEADLINE_SLACK_MILLISECONDS = 60;
 const STOPPING_RETRY_MILLISECONDS = 100;
@@ -41,6 +46,10 @@
   const {settings, state, wire, log, metrics, getInstant} = options;
   let active = 0;
 
+  function getLimits(): GatewayConfiguration['limits'] {
+    return state.configuration?.limits ?? FIRST_LIMITS;
+  }
+
   function endContext(context: CallContext): void {
     context.isOver = true;
     for (const cleanup of [...context.cleanups]) cleanup();
@@ -125,8 +134,7 @@
       }
       endContext(context);
     });
-    const limit = state.configuration?.limits.bodyBytes ?? BODY_BYTES;
-    const body = await readBody(request, limit);
+    const body = await readBody(request, getLimits().bodyBytes);
     if (body === null || isClosed) return;
     if (body.isErr()) {
       relay.refuse(body.error, call.id);
@@ -142,10 +150,10 @@
 
   const server = http.createServer(
     {
-      maxHeaderSize: HEADER_BYTES,
-      headersTimeout: HEADER_MILLISECONDS,
+      maxHeaderSize: FIRST_LIMITS.headerBytes,
+      headersTimeout: FIRST_LIMITS.headerMilliseconds,
       requestTimeout: 0,
-      keepAliveTimeout: IDLE_MILLISECONDS,
+      keepAliveTimeout: FIRST_LIMITS.idleMilliseconds,
       noDelay: true,
     },
     (request, response) => {
@@ -179,6 +187,13 @@
     listen: (host, port) =>
       listenOn(server, {host, port, backlog: ACCEPT_BACKLOG}),
     getActive: () => active,
+    refresh() {
+      const {headerBytes, headerMilliseconds, idleMilliseconds} = getLimits();
+      // Node reads it for each connection; its types leave it out.
+      Object.assign(server, {maxHeaderSize: headerBytes});
+      server.headersTimeout = headerMilliseconds;
+      server.keepAliveTimeout = idleMilliseconds;
+    },
     closeIdle: () => server.closeIdleConnections(),
     close() {
       server.close();
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -136,7 +136,10 @@
     state,
     log,
     getInstant,
-    onChange: maker.refresh,
+    onChange() {
+      maker.refresh();
+      server.refresh();
+    },
     onLeft(endpointId) {
       health.forget(endpointId);
       maker.forget(endpointId);
