Make a gateway's first state, test orders and reads of the store once

The state before anything is read stood in runGateway and two tests, the order of two tests in both, noting whether the store can be read in four places, and the chain of the model's burst twice.

--- a/packages/hickorywharf-bench/src/stages/burstLoad.ts
+++ b/packages/hickorywharf-bench/src/stages/burstLoad.ts
@@ -1,5 +1,11 @@
 import type {StageLoad} from './stageLoad.ts';
 
+const chain = [
+  {service: 'scan', pieces: 1, resultBytes: 8000, workShare: 0.3},
+  {service: 'colour', pieces: 8, resultBytes: 60_000, workShare: 1},
+  {service: 'portal', pieces: 16, resultBytes: 6000, workShare: 1},
+];
+
 /**
  * The stages of the Lusacine deployment, from its sheet, with a burst of each
  * of the two larger kinds while two endpoints are lost.
@@ -48,11 +54,7 @@
       priority: 1,
       targetMilliseconds: 1900,
       deadlineMilliseconds: 6000,
-      stages: [
-        {service: 'scan', pieces: 1, resultBytes: 8000, workShare: 0.3},
-        {service: 'colour', pieces: 8, resultBytes: 60_000, workShare: 1},
-        {service: 'portal', pieces: 16, resultBytes: 6000, workShare: 1},
-      ],
+      stages: chain,
     },
     caption: {
       perSecond: 8.8,
@@ -61,11 +63,7 @@
       priority: 2,
       targetMilliseconds: 2200,
       deadlineMilliseconds: 15_000,
-      stages: [
-        {service: 'scan', pieces: 1, resultBytes: 8000, workShare: 0.3},
-        {service: 'colour', pieces: 8, resultBytes: 60_000, workShare: 1},
-        {service: 'portal', pieces: 16, resultBytes: 6000, workShare: 1},
-      ],
+      stages: chain,
     },
   },
   bursts: [
--- a/packages/hickorywharf-gateway/src/__tests__/createBeliefRelay.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createBeliefRelay.test.ts
@@ -1,7 +1,4 @@
 import test from 'ava';
-import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
-import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
-import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
 import {checkFrame} from 'hickorywharf-transport/checkFrame';
 import {createFrameCodec} from 'hickorywharf-transport/createFrameCodec';
 import type {Frame} from 'hickorywharf-types/frame';
@@ -9,9 +6,8 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import {createBeliefRelay} from '../createBeliefRelay.ts';
 import {createBeliefs} from '../createBeliefs.ts';
-import type {GatewayState} from '../gatewayState.ts';
+import {createGatewayState} from '../createGatewayState.ts';
 
-const LAPSE_MILLISECONDS = 2000;
 const codec = createFrameCodec();
 
 const configuration = (version: number): GatewayConfiguration => ({
@@ -58,16 +54,12 @@
 
 /** An instance on a clock of its own, as machines have them. */
 function createInstance(clock: {time: number}, offset: number) {
-  const state: GatewayState = {
-    configuration: null,
-    routes: createRouteTable([]),
-    configurationFreshness: createFreshness(),
-    endpointFreshness: createFreshness(),
-    directory: createEndpointDirectory(LAPSE_MILLISECONDS),
-    instances: [],
-    isStopping: false,
-    isClosed: false,
-  };
+  const state = createGatewayState({
+    name: 'x',
+    failureDomain: 'a',
+    capacity: 1,
+    lapseMilliseconds: 2000,
+  });
   const getInstant = () => ({
     monotonic: clock.time + offset,
     wall: clock.time + 2 * offset,
--- a/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageMaker.test.ts
@@ -1,21 +1,18 @@
 import test from 'ava';
-import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
 import {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
-import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
 import {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
-import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
 import type {AnswerHead} from 'hickorywharf-types/gateway/answerHead';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
-import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {ok} from 'neverthrow';
 import {createGatewayMetrics} from '../createGatewayMetrics.ts';
+import {createGatewayState} from '../createGatewayState.ts';
 import {createStageMaker} from '../createStageMaker.ts';
 import type {EndpointRequest} from '../endpointRequest.ts';
-import type {GatewayState} from '../gatewayState.ts';
+import {TEST_ORDER} from './testOrder.ts';
 
 interface SentCall {
   readonly request: EndpointRequest;
@@ -25,27 +22,17 @@
 }
 
 const CALL_MILLISECONDS = 20;
-const ORDER: StageOrder = {
-  requestId: 'r',
-  stage: 0,
-  service: 'scan',
-  kind: 'scan',
-  pieces: [0, 1],
-  key: 'k',
-  inputs: null,
-  priority: 0,
-  targetMilliseconds: 2000,
-  deadlineMilliseconds: 5000,
-  resultBytes: 100,
-  failureDomain: null,
-};
-
 /** A maker before endpoints that answer only when a test says so. */
 function createMaker(endpoints: number, roomBytes = 1000) {
   const calls: SentCall[] = [];
   const outcomes: PieceOutcome[] = [];
-  const directory = createEndpointDirectory(2000);
-  directory.update(
+  const state = createGatewayState({
+    name: 'x',
+    failureDomain: 'a',
+    capacity: 1,
+    lapseMilliseconds: 2000,
+  });
+  state.directory.update(
     Array.from({length: endpoints}, (_value, index) => ({
       id: `scan-${index}`,
       service: 'scan',
@@ -67,20 +54,11 @@
     roomBytes,
     keepMilliseconds: 4000,
   };
-  const state: GatewayState = {
-    configuration: {
-      services: new Map([
-        ['scan', {name: 'scan', maximumConnections: 9, stage, engine: null}],
-      ]),
-    } as unknown as GatewayConfiguration,
-    routes: createRouteTable([]),
-    configurationFreshness: createFreshness(),
-    endpointFreshness: createFreshness(),
-    directory,
-    instances: [{name: 'x', failureDomain: 'a', capacity: 1}],
-    isStopping: false,
-    isClosed: false,
-  };
+  state.configuration = {
+    services: new Map([
+      ['scan', {name: 'scan', maximumConnections: 9, stage, engine: null}],
+    ]),
+  } as unknown as GatewayConfiguration;
   const maker = createStageMaker({
     state,
     wire: {
@@ -126,8 +104,8 @@
 
 test('pieces of several requests go into one call', async (t) => {
   const {maker, calls} = createMaker(1);
-  maker.order(ORDER, () => undefined);
-  maker.order({...ORDER, requestId: 's'}, () => undefined);
+  maker.order(TEST_ORDER, () => undefined);
+  maker.order({...TEST_ORDER, requestId: 's'}, () => undefined);
   await sleep(5);
   t.is(calls.length, 1);
   t.is(JSON.parse(String(calls[0]!.request.body)).length, 4);
@@ -135,15 +113,15 @@
 
 test('an endpoint is filled to the last result that it has room for', async (t) => {
   const {maker, calls} = createMaker(1, 410);
-  maker.order(ORDER, () => undefined);
-  maker.order({...ORDER, requestId: 's'}, () => undefined);
+  maker.order(TEST_ORDER, () => undefined);
+  maker.order({...TEST_ORDER, requestId: 's'}, () => undefined);
   await sleep(5);
   t.is(JSON.parse(String(calls[0]!.request.body)).length, 4);
 });
 
 test('a free that a closed connection lost is sent again on a new one', async (t) => {
   const {maker, calls, answer, made} = createMaker(1);
-  maker.order(ORDER, () => undefined);
+  maker.order(TEST_ORDER, () => undefined);
   await sleep(5);
   answer(calls[0]!, ...made('a', 'b'));
   maker.free(['a', 'b']);
@@ -157,10 +135,10 @@
 
 test('room counts as free only when its maker has said so', async (t) => {
   const {maker, calls, answer, made} = createMaker(1, 220);
-  maker.order(ORDER, () => undefined);
+  maker.order(TEST_ORDER, () => undefined);
   await sleep(5);
   answer(calls[0]!, ...made('a', 'b'));
-  maker.order({...ORDER, requestId: 's'}, () => undefined);
+  maker.order({...TEST_ORDER, requestId: 's'}, () => undefined);
   maker.free(['a', 'b']);
   await sleep(30);
   t.deepEqual(
@@ -175,7 +153,7 @@
 test('a call that takes far too long goes elsewhere, and its endpoint rests', async (t) => {
   const {maker, calls, answer, made} = createMaker(2);
   const results: StageResult[] = [];
-  maker.order(ORDER, (result) => results.push(result));
+  maker.order(TEST_ORDER, (result) => results.push(result));
   await sleep(5);
   const slow = calls[0]!;
   await sleep(CALL_MILLISECONDS * 2 + 200);
@@ -187,7 +165,10 @@
     ['made', 'made'],
   );
   for (const requestId of ['s', 'u', 'v']) {
-    maker.order({...ORDER, requestId, pieces: [0, 1, 2, 3]}, () => undefined);
+    maker.order(
+      {...TEST_ORDER, requestId, pieces: [0, 1, 2, 3]},
+      () => undefined,
+    );
   }
   await sleep(30);
   t.deepEqual(
@@ -198,7 +179,7 @@
 
 test('an endpoint that made nothing for want of room rests a while', async (t) => {
   const {maker, calls, answer} = createMaker(1);
-  const cancel = maker.order(ORDER, () => t.fail());
+  const cancel = maker.order(TEST_ORDER, () => t.fail());
   await sleep(5);
   answer(calls[0]!, {tag: 'noRoom'}, {tag: 'noRoom'});
   await sleep(40);
@@ -211,7 +192,7 @@
 test('a maker that made some pieces is asked for the others at once', async (t) => {
   const {maker, calls, answer, made} = createMaker(1);
   const results: StageResult[] = [];
-  maker.order(ORDER, (result) => results.push(result));
+  maker.order(TEST_ORDER, (result) => results.push(result));
   await sleep(5);
   for (let round = 0; round < 6; round += 1) {
     answer(calls.at(-1)!, {tag: 'noRoom'}, {tag: 'noRoom'});
@@ -228,7 +209,7 @@
 
 test('results that come for a request that is over are freed', async (t) => {
   const {maker, calls, answer, made} = createMaker(1);
-  const cancel = maker.order(ORDER, () => t.fail());
+  const cancel = maker.order(TEST_ORDER, () => t.fail());
   await sleep(5);
   cancel();
   answer(calls[0]!, ...made('a', 'b'));
@@ -239,7 +220,7 @@
 test('what can not be made in time ends at once', async (t) => {
   const {maker} = createMaker(0);
   const results: StageResult[] = [];
-  maker.order({...ORDER, deadlineMilliseconds: 10}, (result) =>
+  maker.order({...TEST_ORDER, deadlineMilliseconds: 10}, (result) =>
     results.push(result),
   );
   await sleep(60);
--- a/packages/hickorywharf-gateway/src/__tests__/createStageRouter.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageRouter.test.ts
@@ -6,24 +6,10 @@
 import {createStageRouter} from '../createStageRouter.ts';
 import type {GatewayState} from '../gatewayState.ts';
 import type {StageMaker} from '../stageMaker.ts';
+import {TEST_ORDER} from './testOrder.ts';
 
 type RouterOptions = Parameters<typeof createStageRouter>[0];
 
-const ORDER: StageOrder = {
-  requestId: 'r',
-  stage: 0,
-  service: 'scan',
-  kind: 'scan',
-  pieces: [0, 1],
-  key: 'k',
-  inputs: null,
-  priority: 0,
-  targetMilliseconds: 1000,
-  deadlineMilliseconds: 5000,
-  resultBytes: 100,
-  failureDomain: null,
-};
-
 /** A router of instance `self` beside `other`, which is in charge of `scan`. */
 function createRouter() {
   const up = new Set(['other']);
@@ -83,7 +69,7 @@
 test('pieces go to the instance that is in charge', (t) => {
   const {router, sent, local} = createRouter();
   const results: StageResult[] = [];
-  router.order(ORDER, (result) => results.push(result));
+  router.order(TEST_ORDER, (result) => results.push(result));
   t.is(sent[0]?.tag, 'stageOrder');
   t.is(local.length, 0);
   router.takeReply('other', {
@@ -97,7 +83,7 @@
 test('what a lost instance had not made is made by its successor', (t) => {
   const {router, up, local} = createRouter();
   const results: StageResult[] = [];
-  router.order(ORDER, (result) => results.push(result));
+  router.order(TEST_ORDER, (result) => results.push(result));
   router.takeReply('other', {
     tag: 'stageResults',
     orderId: 1,
@@ -113,7 +99,7 @@
 test('results that come late from a lost instance are given up', (t) => {
   const {router, up, sent} = createRouter();
   const results: StageResult[] = [];
-  router.order(ORDER, (result) => results.push(result));
+  router.order(TEST_ORDER, (result) => results.push(result));
   up.delete('other');
   router.dropMaker('other');
   router.takeReply('other', {
@@ -127,7 +113,7 @@
 
 test('results of a lost instance are freed at their endpoint', (t) => {
   const {router, up, freedAt} = createRouter();
-  router.order(ORDER, () => undefined);
+  router.order(TEST_ORDER, () => undefined);
   router.takeReply('other', {
     tag: 'stageResults',
     orderId: 1,
@@ -144,13 +130,13 @@
     {name: 'self', failureDomain: 'a', capacity: 1.5},
     {name: 'other', failureDomain: 'a', capacity: 0.5},
   ];
-  router.order(ORDER, () => undefined);
+  router.order(TEST_ORDER, () => undefined);
   t.is(local.length, 1);
   state.isStopping = true;
-  router.order(ORDER, () => undefined);
+  router.order(TEST_ORDER, () => undefined);
   t.is(sent.length, 1);
   up.delete('other');
-  router.order(ORDER, () => undefined);
+  router.order(TEST_ORDER, () => undefined);
   t.is(local.length, 2);
 });
 
@@ -166,7 +152,7 @@
   router.takeRequest(connection, {
     tag: 'stageOrder',
     orderId: 7,
-    order: ORDER,
+    order: TEST_ORDER,
   });
   t.is(local.length, 1);
   t.notThrows(() => router.dropRequester(connection));
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createGatewayState.ts
@@ -0,0 +1,30 @@
+import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
+import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
+import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
+import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
+import type {GatewayState} from './gatewayState.ts';
+
+type OwnSettings = Pick<
+  GatewaySettings,
+  'name' | 'failureDomain' | 'capacity' | 'lapseMilliseconds'
+>;
+
+/**
+ * What an instance believes before it has read anything: that it is alone.
+ *
+ * @example
+ *     const state = createGatewayState(settings);
+ */
+export function createGatewayState(settings: OwnSettings): GatewayState {
+  const {name, failureDomain, capacity, lapseMilliseconds} = settings;
+  return {
+    configuration: null,
+    routes: createRouteTable([]),
+    configurationFreshness: createFreshness(),
+    endpointFreshness: createFreshness(),
+    directory: createEndpointDirectory(lapseMilliseconds),
+    instances: [{name, failureDomain, capacity}],
+    isStopping: false,
+    isClosed: false,
+  };
+}
--- a/packages/hickorywharf-gateway/src/followSource.ts
+++ b/packages/hickorywharf-gateway/src/followSource.ts
@@ -3,6 +3,7 @@
 import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
+import type {Result} from 'neverthrow';
 import type {createBeliefRelay} from './createBeliefRelay.ts';
 import type {createBeliefs} from './createBeliefs.ts';
 import type {GatewayLog} from './gatewayLog.ts';
@@ -28,7 +29,6 @@
 
 /** One belief that is kept fresh, from the store or through others. */
 interface Belief {
-  readonly step: 'configuration' | 'endpoints';
   /** The time in which a change binds, in milliseconds. */
   getBound(): number;
   getAge(): number;
@@ -78,38 +78,40 @@
     if (lost.delete(step)) log.note('store regained', {step});
   }
 
+  /** Reads the store and notes whether it can be read. */
+  async function readStore<Value, Failure extends {readonly message: string}>(
+    step: string,
+    read: () => Promise<Result<Value, Failure>>,
+  ): Promise<Result<Value, Failure>> {
+    const result = await read();
+    result.match(
+      () => noteGain(step),
+      ({message}) => noteLoss(step, message),
+    );
+    return result;
+  }
+
   const configuration: Belief = {
-    step: 'configuration',
     getBound: () => settings.applyMilliseconds,
     getAge: () => state.configurationFreshness.getAge(getInstant()),
     async read() {
       const sentAt = getInstant();
-      const read = await source.readConfiguration();
-      if (read.isErr()) {
-        noteLoss('configuration', read.error.message);
-        return false;
-      }
-      noteGain('configuration');
-      if (read.value === null) return false;
-      beliefs.takeConfiguration(read.value, sentAt);
+      const read = await readStore('configuration', source.readConfiguration);
+      const value = read.unwrapOr(null);
+      if (value === null) return false;
+      beliefs.takeConfiguration(value, sentAt);
       return true;
     },
   };
   const endpoints: Belief = {
-    step: 'endpoints',
     getBound: () => settings.drainMilliseconds,
     getAge: () => state.endpointFreshness.getAge(getInstant()),
     async read() {
       const sentAt = getInstant();
-      const read = await source.readEndpoints();
-      if (read.isErr()) {
-        state.directory.noteOutage();
-        noteLoss('endpoints', read.error.message);
-        return false;
-      }
-      noteGain('endpoints');
-      beliefs.takeEndpoints(read.value, sentAt);
-      return true;
+      const read = await readStore('endpoints', source.readEndpoints);
+      if (read.isErr()) state.directory.noteOutage();
+      else beliefs.takeEndpoints(read.value, sentAt);
+      return read.isOk();
     },
   };
 
@@ -162,15 +164,9 @@
   }
 
   async function readInstances(): Promise<boolean> {
-    const announced = await source.announce();
-    if (announced.isErr()) noteLoss('announce', announced.error.message);
-    else noteGain('announce');
-    const read = await source.readInstances();
-    if (read.isErr()) {
-      noteLoss('instances', read.error.message);
-      return false;
-    }
-    noteGain('instances');
+    await readStore('announce', source.announce);
+    const read = await readStore('instances', source.readInstances);
+    if (read.isErr()) return false;
     const others = read.value.filter((instance) => instance.name !== name);
     onInstances(others);
     const names = [...others.map((other) => other.name), name].sort();
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -1,9 +1,6 @@
 import {randomUUID} from 'node:crypto';
-import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
 import {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
-import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
 import {createRepeatBudget} from 'hickorywharf-decisions/gateway/createRepeatBudget';
-import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {GatewayWire} from 'hickorywharf-types/gateway/gatewayWire';
@@ -16,13 +13,13 @@
 import {createEndpointLoads} from './createEndpointLoads.ts';
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
+import {createGatewayState} from './createGatewayState.ts';
 import {createInstantClock} from './createInstantClock.ts';
 import {createPeerLinks} from './createPeerLinks.ts';
 import {createStageMaker} from './createStageMaker.ts';
 import {createStageRouter} from './createStageRouter.ts';
 import {createTextServer} from './createTextServer.ts';
 import {followSource} from './followSource.ts';
-import type {GatewayState} from './gatewayState.ts';
 import {isKeyConfirmed} from './isKeyConfirmed.ts';
 
 interface GatewayOptions {
@@ -68,22 +65,7 @@
   const log = createGatewayLog(settings.name, now, options.output, () =>
     metrics.count('logLinesLeftOut', 'bound'),
   );
-  const state: GatewayState = {
-    configuration: null,
-    routes: createRouteTable([]),
-    configurationFreshness: createFreshness(),
-    endpointFreshness: createFreshness(),
-    directory: createEndpointDirectory(settings.lapseMilliseconds),
-    instances: [
-      {
-        name: settings.name,
-        failureDomain: settings.failureDomain,
-        capacity: settings.capacity,
-      },
-    ],
-    isStopping: false,
-    isClosed: false,
-  };
+  const state = createGatewayState(settings);
   const channels = createEndpointChannels(wire);
   const health = createEndpointHealth();
   const budget = createRepeatBudget({
