--- /dev/null
+++ b/packages/hickorywharf-bench/src/stages/createEventQueue.ts
@@ -0,0 +1,39 @@
+interface EventQueue {
+  /** The model's time, in milliseconds. */
+  getNow(): number;
+  schedule(at: number, run: () => void): void;
+  /** Plays all events in the order of their times. */
+  play(): void;
+}
+
+/**
+ * Events of a model, played by their times; those of one time in the order in
+ * which they were scheduled.
+ *
+ * @example
+ *     const events = createEventQueue();
+ *     events.schedule(10, () => events.getNow());
+ *     events.play();
+ */
+export function createEventQueue(): EventQueue {
+  const events: Array<{readonly at: number; run(): void}> = [];
+  let now = 0;
+  return {
+    getNow: () => now,
+    schedule(at, run) {
+      let index = events.length;
+      while (index > 0 && events[index - 1]!.at <= at) index -= 1;
+      events.splice(index, 0, {at, run});
+    },
+    play() {
+      for (
+        let event = events.pop();
+        event !== undefined;
+        event = events.pop()
+      ) {
+        now = event.at;
+        event.run();
+      }
+    },
+  };
+}
--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -8,48 +8,19 @@
 import type {StageForecast} from 'hickorywharf-decisions/gateway/stageForecast';
 import type {StageWaits} from 'hickorywharf-types/gateway/stageWaits';
 import {createArrivals} from './createArrivals.ts';
+import {createEventQueue} from './createEventQueue.ts';
 import type {StageLoad} from './stageLoad.ts';
+import type {ModelEndpoint} from './modelEndpoint.ts';
+import type {ModelRequest} from './modelRequest.ts';
 import {stagePolicies} from './stagePolicies.ts';
 import type {StagePolicy} from './stagePolicy.ts';
-
-interface StageOutcome {
-  readonly requests: number;
-  /** Shares of the requests. */
-  readonly timely: number;
-  readonly served: number;
-  readonly refused: number;
-  /** Share of the worth that was asked for. */
-  readonly worth: number;
-  /** Mean time until a request that is not served is told so. */
-  readonly refusalMilliseconds: number;
-}
-
-interface Request {
-  readonly kind: string;
-  readonly at: number;
-  readonly pieces: readonly number[];
-  /** When each stage was begun; null before, -Infinity if it is left out. */
-  readonly begunAt: Array<number | null>;
-  readonly isMade: boolean[];
-  /** Counts the later looks at stages that were put off. */
-  looks: number;
-  /** Results of each stage that are not read yet, by endpoint. */
-  readonly held: Array<Map<Endpoint, number>>;
-  outcome: 'timely' | 'late' | 'refused' | null;
-  endedAt: number;
-}
-
-interface Endpoint {
-  readonly service: string;
-  isBusy: boolean;
-  heldBytes: number;
-}
+import {summarizeRequests} from './summarizeRequests.ts';
 
 interface Group extends PieceGroup {
-  readonly request: Request;
+  readonly request: ModelRequest;
   readonly stage: number;
   /** Where results of the group were made so far. */
-  readonly made: Map<Endpoint, number>;
+  readonly made: Map<ModelEndpoint, number>;
   count: number;
   isBegun: boolean;
   unmade: number;
@@ -72,12 +43,11 @@
   load: StageLoad,
   policy: keyof typeof stagePolicies,
   seed: number,
-): StageOutcome {
+): ReturnType<typeof summarizeRequests> {
   const {plan, isAdmitting, isDelaying}: StagePolicy = stagePolicies[policy];
   const waiting = new Map<string, Set<Group>>();
-  const endpoints = new Map<string, Endpoint[]>();
-  const events: Array<{at: number; run(): void}> = [];
-  let now = 0;
+  const endpoints = new Map<string, ModelEndpoint[]>();
+  const {getNow, schedule, play} = createEventQueue();
 
   for (const [service, {endpoints: count}] of Object.entries(load.services)) {
     waiting.set(service, new Set());
@@ -91,30 +61,24 @@
     );
   }
 
-  function schedule(at: number, run: () => void): void {
-    let index = events.length;
-    while (index > 0 && events[index - 1]!.at <= at) index -= 1;
-    events.splice(index, 0, {at, run});
-  }
-
-  function getKind({kind}: Request) {
+  function getKind({kind}: ModelRequest) {
     return load.kinds[kind]!;
   }
 
   /** Positions of the stages that a stage reads. */
-  function getAfter(request: Request, stage: number): readonly number[] {
+  function getAfter(request: ModelRequest, stage: number): readonly number[] {
     const {after} = getKind(request).stages[stage]!;
     return after ?? (stage === 0 ? [] : [stage - 1]);
   }
 
-  function listReaders(request: Request, stage: number): number[] {
+  function listReaders(request: ModelRequest, stage: number): number[] {
     return request.pieces.flatMap((_count, later) =>
       getAfter(request, later).includes(stage) ? [later] : [],
     );
   }
 
   function describeStages(
-    request: Request,
+    request: ModelRequest,
     getWaits: (service: string) => Omit<StageWaits, 'service'> | null,
   ): StageForecast[] {
     const {stages, priority} = getKind(request);
@@ -129,16 +93,16 @@
     });
   }
 
-  function end(request: Request, outcome: Request['outcome']): void {
+  function end(request: ModelRequest, outcome: ModelRequest['outcome']): void {
     if (request.outcome !== null) return;
     request.outcome = outcome;
-    request.endedAt = now;
+    request.endedAt = getNow();
     request.held.forEach((held, stage) => release(held, request, stage));
   }
 
   function release(
-    held: Map<Endpoint, number>,
-    request: Request,
+    held: Map<ModelEndpoint, number>,
+    request: ModelRequest,
     stage: number,
   ): void {
     const {resultBytes} = getKind(request).stages[stage]!;
@@ -148,12 +112,12 @@
     held.clear();
   }
 
-  function getDelay(request: Request, stage: number): number {
+  function getDelay(request: ModelRequest, stage: number): number {
     if (isDelaying !== true) return 0;
     const progress = describeStages(request, getWaits).map(
       (forecast, index) => {
         const begunAt = request.begunAt[index]!;
-        const age = begunAt === null ? null : now - begunAt;
+        const age = begunAt === null ? null : getNow() - begunAt;
         return {
           after: forecast.after,
           milliseconds:
@@ -166,10 +130,10 @@
   }
 
   /** Begins each stage whose inputs are there, or the engine. */
-  function advance(request: Request): void {
+  function advance(request: ModelRequest): void {
     if (request.outcome !== null) return;
     if (request.isMade.every((isMade) => isMade)) {
-      schedule(now + ENGINE_MILLISECONDS, () => finish(request));
+      schedule(getNow() + ENGINE_MILLISECONDS, () => finish(request));
       return;
     }
     let nextDelay = Infinity;
@@ -185,19 +149,19 @@
     if (nextDelay === Infinity) return;
     // Only the last look that was arranged counts.
     const look = (request.looks += 1);
-    schedule(now + nextDelay, () => {
+    schedule(getNow() + nextDelay, () => {
       if (request.looks === look) advance(request);
     });
   }
 
-  function finish(request: Request): void {
+  function finish(request: ModelRequest): void {
     const {targetMilliseconds, deadlineMilliseconds} = getKind(request);
-    const took = now - request.at;
+    const took = getNow() - request.at;
     if (took > deadlineMilliseconds) end(request, 'refused');
     else end(request, took <= targetMilliseconds ? 'timely' : 'late');
   }
 
-  function startStage(request: Request, stage: number): void {
+  function startStage(request: ModelRequest, stage: number): void {
     const {stages, priority, targetMilliseconds, deadlineMilliseconds} =
       getKind(request);
     const {service, resultBytes, workShare} = stages[stage]!;
@@ -206,7 +170,7 @@
       ENGINE_MILLISECONDS,
     )[stage]!;
     const count = request.pieces[stage]!;
-    request.begunAt[stage] = now;
+    request.begunAt[stage] = getNow();
     waiting.get(service)!.add({
       request,
       stage,
@@ -229,7 +193,7 @@
     const groups = waiting.get(name)!;
     for (const endpoint of endpoints.get(name)!) {
       if (endpoint.isBusy || groups.size === 0) continue;
-      const shares = plan(groups, now, {
+      const shares = plan(groups, getNow(), {
         batch: service.batch,
         callMilliseconds: service.callMilliseconds,
         roomBytes: service.roomBytes - endpoint.heldBytes,
@@ -246,7 +210,7 @@
         time += count * group.workMilliseconds;
       }
       endpoint.isBusy = true;
-      schedule(now + time, () => {
+      schedule(getNow() + time, () => {
         endpoint.isBusy = false;
         for (const {group, count} of shares) {
           finishShare(group, endpoint, count);
@@ -256,7 +220,11 @@
     }
   }
 
-  function finishShare(group: Group, endpoint: Endpoint, count: number): void {
+  function finishShare(
+    group: Group,
+    endpoint: ModelEndpoint,
+    count: number,
+  ): void {
     const {request, stage} = group;
     group.unmade -= count;
     group.made.set(endpoint, (group.made.get(endpoint) ?? 0) + count);
@@ -278,7 +246,7 @@
 
   function estimate(name: string) {
     const {batch, callMilliseconds} = load.services[name]!;
-    return estimateWaits(waiting.get(name)!, now, {
+    return estimateWaits(waiting.get(name)!, getNow(), {
       endpoints: endpoints.get(name)!.length,
       batch,
       callMilliseconds,
@@ -288,7 +256,7 @@
 
   const getWaits = (name: string) => estimate(name).waits;
 
-  function isAdmitted(request: Request): boolean {
+  function isAdmitted(request: ModelRequest): boolean {
     const {targetMilliseconds, deadlineMilliseconds} = getKind(request);
     const forecast = forecastStages(
       describeStages(request, getWaits),
@@ -306,7 +274,7 @@
     for (const [name, groups] of waiting) {
       const {hopeless} = isAdmitting ? estimate(name) : {hopeless: []};
       for (const group of groups) {
-        const isOver = now + group.workMilliseconds >= group.deadlineAt;
+        const isOver = getNow() + group.workMilliseconds >= group.deadlineAt;
         if (!isOver && !hopeless.some((other) => other === group)) continue;
         groups.delete(group);
         release(group.made, group.request, group.stage);
@@ -314,12 +282,12 @@
       }
       pump(name);
     }
-    if (now < load.seconds * 1000 + 20_000) {
-      schedule(now + SWEEP_MILLISECONDS, sweep);
+    if (getNow() < load.seconds * 1000 + 20_000) {
+      schedule(getNow() + SWEEP_MILLISECONDS, sweep);
     }
   }
 
-  const requests = createArrivals(load, seed).map((arrival): Request => ({
+  const requests = createArrivals(load, seed).map((arrival): ModelRequest => ({
     ...arrival,
     begunAt: arrival.pieces.map((count) => (count > 0 ? null : -Infinity)),
     looks: 0,
@@ -335,30 +303,6 @@
     });
   }
   schedule(0, sweep);
-  for (let event = events.pop(); event !== undefined; event = events.pop()) {
-    now = event.at;
-    event.run();
-  }
-
-  let asked = 0;
-  let earned = 0;
-  for (const request of requests) {
-    const {worth, lateWorth} = getKind(request);
-    asked += worth;
-    if (request.outcome === 'timely') earned += worth;
-    if (request.outcome === 'late') earned += lateWorth;
-  }
-  const count = (outcome: Request['outcome']) =>
-    requests.filter((request) => request.outcome === outcome).length;
-  const refused = requests.filter(({outcome}) => outcome === 'refused');
-  return {
-    requests: requests.length,
-    timely: count('timely') / requests.length,
-    served: (count('timely') + count('late')) / requests.length,
-    refused: refused.length / requests.length,
-    worth: earned / asked,
-    refusalMilliseconds:
-      refused.reduce((sum, {at, endedAt}) => sum + endedAt - at, 0) /
-      Math.max(refused.length, 1),
-  };
+  play();
+  return summarizeRequests(load, requests);
 }
