--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -4,6 +4,7 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import {createGatewayMetrics} from '../createGatewayMetrics.ts';
 import {createGatewayState} from '../createGatewayState.ts';
 import {createPeerStateSync} from '../createPeerStateSync.ts';
 import {createStateUpdater} from '../createStateUpdater.ts';
@@ -76,6 +77,8 @@
   const sync = createPeerStateSync({
     state,
     beliefs: updater,
+    log: {infoAlways() {}, infoRateLimited() {}},
+    metrics: createGatewayMetrics(),
     getInstant,
     send(_peer, frame) {
       if (peer === null) return false;
--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -52,9 +52,9 @@
       retryAfterMilliseconds: RETRY_MILLISECONDS,
     });
   }
+  const configurationAge = state.configurationFreshness.getAge(receivedAt);
   const isCertain =
-    state.configurationFreshness.getAge(receivedAt) <
-    settings.applyMilliseconds * CERTAIN_AGE_SHARE;
+    configurationAge < settings.applyMilliseconds * CERTAIN_AGE_SHARE;
   const refuse = (refusal: Refusal): Result<CallContext, Refusal> =>
     isCertain
       ? err(refusal)
@@ -100,6 +100,8 @@
     route,
     service,
     account: account?.name ?? null,
+    version: configuration.version,
+    configurationAge,
     priority: account?.priority ?? route.priority,
     isRetryable:
       route.kind === 'read' || (route.kind === 'stream' && route.canResume),
--- a/packages/hickorywharf-gateway/src/callContext.ts
+++ b/packages/hickorywharf-gateway/src/callContext.ts
@@ -12,6 +12,10 @@
   readonly service: GatewayService;
   /** Name of the client account; null if the call needs no key. */
   readonly account: string | null;
+  /** Version of the configuration that admitted the call. */
+  readonly version: number;
+  /** Age of that configuration at the admission, in milliseconds. */
+  readonly configurationAge: number;
   /** 0 is the most urgent; the account's priority overrides the route's. */
   readonly priority: number;
   /** The call may run more than once. */
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -109,13 +109,19 @@
       );
       return;
     }
+    const receivedAt = getInstant();
+    const configurationAge = state.configurationFreshness.getAge(receivedAt);
+    // Infinite before the first configuration.
+    if (Number.isFinite(configurationAge)) {
+      metrics.time('configurationAge', configurationAge);
+    }
     const admitted = admitCall(state, settings, {
       call,
       // Node always sets method and URL here; only its types allow undefined.
       method: request.method ?? 'GET',
       host: request.headers.host ?? '',
       target: request.url ?? '/',
-      receivedAt: getInstant(),
+      receivedAt,
     });
     if (admitted.isErr()) {
       metrics.count('calls', 'refused');
@@ -126,6 +132,9 @@
         refusal: admitted.error.tag,
         reason: admitted.error.message,
         version: state.configuration?.version ?? null,
+        configurationAge: Number.isFinite(configurationAge)
+          ? Math.round(configurationAge)
+          : null,
       });
       writer.refuse(admitted.error, call.id);
       return;
--- a/packages/hickorywharf-gateway/src/createPeerStateSync.ts
+++ b/packages/hickorywharf-gateway/src/createPeerStateSync.ts
@@ -3,6 +3,8 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {createStateUpdater} from './createStateUpdater.ts';
 import {deserializeConfiguration} from './deserializeConfiguration.ts';
+import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 import {serializeConfiguration} from './serializeConfiguration.ts';
 
@@ -10,6 +12,8 @@
   readonly state: GatewayState;
   /** Applies what was fetched to the state of this instance. */
   readonly beliefs: ReturnType<typeof createStateUpdater>;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   getInstant(): Instant;
   /** Sends a frame to a peer by name; false if it could not be sent. */
   send(peer: string, frame: Frame): boolean;
@@ -31,6 +35,7 @@
 }
 
 interface PendingRequest {
+  readonly peer: string;
   readonly sentAt: Instant;
   finish(hasReply: boolean): void;
 }
@@ -71,12 +76,40 @@
 export function createPeerStateSync(
   options: PeerStateSyncOptions,
 ): PeerStateSync {
-  const {state, beliefs: stateUpdater, getInstant, send} = options;
+  const {state, beliefs: stateUpdater, log, metrics} = options;
+  const {getInstant, send} = options;
   const pendingRequests = new Map<number, PendingRequest>();
   const inFlight = new Map<string, Promise<boolean>>();
+  /** Peers whose last fetch timed out. */
+  const timedOutPeers = new Set<string>();
   let lastRequestId = 0;
   let lastRequestAt = -Infinity;
 
+  function recordTimeout(peer: string): void {
+    metrics.count('peerFetches', 'timedOut');
+    if (timedOutPeers.has(peer)) return;
+    timedOutPeers.add(peer);
+    log.infoAlways('peer state not received', {
+      step: 'relay',
+      peer,
+      timeout: REPLY_TIMEOUT_MILLISECONDS,
+      version: state.configuration?.version ?? null,
+    });
+  }
+
+  function recordReply({peer, sentAt}: PendingRequest, version: number): void {
+    const elapsed = getInstant().monotonic - sentAt.monotonic;
+    metrics.count('peerFetches', 'replied');
+    metrics.time('peerFetch', elapsed);
+    if (!timedOutPeers.delete(peer)) return;
+    log.infoAlways('peer state received again', {
+      step: 'relay',
+      peer,
+      milliseconds: Math.round(elapsed),
+      version,
+    });
+  }
+
   function sendRequest(peer: string): Promise<boolean> {
     lastRequestId += 1;
     const askId = lastRequestId;
@@ -86,15 +119,20 @@
         pendingRequests.delete(askId);
         resolve(hasReply);
       };
-      const timer = setTimeout(() => finish(false), REPLY_TIMEOUT_MILLISECONDS);
-      pendingRequests.set(askId, {sentAt: getInstant(), finish});
+      const timer = setTimeout(() => {
+        recordTimeout(peer);
+        finish(false);
+      }, REPLY_TIMEOUT_MILLISECONDS);
+      pendingRequests.set(askId, {peer, sentAt: getInstant(), finish});
       const isSent = send(peer, {
         tag: 'askBeliefs',
         askId,
         version: state.configuration?.version ?? -1,
         endpointsDigest: state.directory.getDigest(),
       });
-      if (!isSent) finish(false);
+      if (isSent) return;
+      metrics.count('peerFetches', 'unsent');
+      finish(false);
     });
   }
 
@@ -162,7 +200,11 @@
     handleReply(frame) {
       if (frame.tag !== 'beliefs') return;
       const request = pendingRequests.get(frame.askId);
-      if (request === undefined) return;
+      if (request === undefined) {
+        metrics.count('peerFetches', 'late');
+        return;
+      }
+      recordReply(request, frame.version);
       applyReply(frame, request.sentAt);
       request.finish(true);
     },
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -12,5 +12,9 @@
   },
   stageCalls: {label: 'result', meaning: 'calls that make pieces'},
   storeReads: {label: 'result', meaning: "reads of the platform's store"},
+  peerFetches: {
+    label: 'result',
+    meaning: 'fetches of state from other instances',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/gatewayTimers.ts
+++ b/packages/hickorywharf-gateway/src/gatewayTimers.ts
@@ -4,4 +4,8 @@
   stageCall: {meaning: 'from sending a call for pieces to its answer'},
   stages: {meaning: 'all stages of a request'},
   storeRead: {meaning: "a read of the platform's store that succeeded"},
+  peerFetch: {meaning: 'a fetch of state from another instance, to its reply'},
+  configurationAge: {
+    meaning: 'age of the configuration that admitted or refused a request',
+  },
 } as const;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -137,6 +137,8 @@
   const stateSync = createPeerStateSync({
     state,
     beliefs: stateUpdater,
+    log,
+    metrics,
     getInstant,
     send: peers.send,
   });
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -121,6 +121,8 @@
       route: route.name,
       milliseconds: Math.round(elapsed),
       sends,
+      version: context.version,
+      configurationAge: Math.round(context.configurationAge),
       ...fields,
     });
   }
