--- a/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -1,18 +1,27 @@
 import {once} from 'node:events';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import test from 'ava';
+import {createLink} from '../createLink.ts';
+import type {Link} from '../link.ts';
 import {createTcpRelay} from '../createTcpRelay.ts';
 
 const ADDRESS = '127.0.0.1';
 
-async function connectToEcho(t: {teardown(end: () => void): void}) {
+async function connectToEcho(
+  t: {teardown(end: () => void): void},
+  downlink?: Link,
+) {
   const server = createServer((socket) => {
     socket.on('error', () => socket.destroy());
     socket.pipe(socket);
   });
   server.listen(0, ADDRESS);
   await once(server, 'listening');
-  const relay = await createTcpRelay({address: ADDRESS, delayMilliseconds: 50});
+  const relay = await createTcpRelay({
+    address: ADDRESS,
+    delayMilliseconds: 50,
+    ...(downlink && {downlink}),
+  });
   relay.setTarget((server.address() as AddressInfo).port);
   t.teardown(() => {
     relay.close();
@@ -65,3 +74,17 @@
   await ended;
   t.true(socket.readableEnded);
 });
+
+test('a link delivers no more than its bandwidth allows', async (t) => {
+  const link = createLink(100_000);
+  const {socket} = await connectToEcho(t, link);
+  const startedAt = performance.now();
+  socket.write(Buffer.alloc(30_000));
+  let received = 0;
+  while (received < 30_000) {
+    const [bytes] = (await once(socket, 'data')) as [Buffer];
+    received += bytes.length;
+  }
+  t.true(performance.now() - startedAt >= 290);
+  t.is(link.sentBytes, 30_000);
+});
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -1,4 +1,5 @@
 import {connect, createServer, type Socket} from 'node:net';
+import type {Link} from './link.ts';
 
 /** How a relay forwards the bytes of its connections. */
 type RelayMode = 'pass' | 'delay' | 'hold';
@@ -19,6 +20,8 @@
 interface TcpRelayOptions {
   readonly address: string;
   readonly delayMilliseconds: number;
+  /** The link over which the server's bytes reach the clients. */
+  readonly downlink?: Link;
 }
 
 interface RelayedConnection {
@@ -37,21 +40,34 @@
 export async function createTcpRelay(
   options: TcpRelayOptions,
 ): Promise<TcpRelay> {
-  const {address, delayMilliseconds} = options;
+  const {address, delayMilliseconds, downlink} = options;
   const connections = new Set<RelayedConnection>();
   const held = new Set<() => void>();
   let targetPort = 0;
   let mode: RelayMode = 'pass';
 
-  function forward(from: Socket, to: Socket): void {
+  function forward(from: Socket, to: Socket, link?: Link): void {
     // A queue for each direction keeps the bytes in order.
     let queue = Promise.resolve();
-    const enqueue = (deliver: () => void) => {
+    const enqueue = (task: () => Promise<void> | void) => {
       const modeDelay = waitForMode();
-      queue = queue.then(() => modeDelay).then(deliver);
+      queue = queue.then(() => modeDelay).then(task);
+    };
+    const deliver = (bytes: Buffer): void => {
+      if (to.writable) to.write(bytes);
     };
     from.on('data', (bytes) => {
-      enqueue(() => void (to.writable && to.write(bytes)));
+      if (link === undefined) {
+        enqueue(() => deliver(bytes));
+        return;
+      }
+      // Bytes of a connection that is closed meanwhile do not use the link.
+      from.pause();
+      enqueue(async () => {
+        await link.send(bytes.length);
+        deliver(bytes);
+        from.resume();
+      });
     });
     from.on('end', () => enqueue(() => void to.end()));
   }
@@ -84,7 +100,7 @@
       socket.on('close', close);
     }
     forward(client, server);
-    forward(server, client);
+    forward(server, client, downlink);
   });
   await new Promise<void>((resolve, reject) => {
     listener.once('error', reject);
