Fetch a newer configuration from a peer once, and compressed

Cause: a peer's reply carried the whole configuration, uncompressed, and was given up after 250 ms. The reply that arrived later was thrown away, with the endpoints in it; each poll of the configuration and of the endpoints, of the reader and of a fallback peer, asked for the whole again. The link stayed full of replies that nobody waited for. Change: replies are small; a newer configuration is requested separately, by at most one request at a time whichever peer has it, and compressed once for each version. A request stays pending after its timeout, so that a late reply is applied with its true age and not asked for again; it ends with the connection. Configuration polls wait 1 s for a fetch before they read the store. Earlier releases still answer with the configuration in the reply, which is applied; an earlier release that asks a new one reads the store. In createPeerStateSync.test.ts the check that known state isn't sent again now looks at all frames of the second fetch instead of the second frame.

--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -1,3 +1,4 @@
+import {deflateRawSync} from 'node:zlib';
 import test from 'ava';
 import {isFrame} from 'hickorywharf-transport/isFrame';
 import {createFrameCodec} from 'hickorywharf-transport/createFrameCodec';
@@ -74,6 +75,8 @@
   });
   let peer: ReturnType<typeof createPeerStateSync> | null = null;
   const sent: Frame[] = [];
+  /** Replies that wait to be delivered; null while all are at once. */
+  let held: Frame[] | null = null;
   const sync = createPeerStateSync({
     state,
     beliefs: updater,
@@ -86,7 +89,8 @@
         const decoded: unknown = codec.decode(codec.encode(response));
         if (!isFrame(decoded)) throw new Error('not a frame');
         sent.push(decoded);
-        sync.handleReply(decoded);
+        if (held === null) sync.handleReply(decoded);
+        else held.push(decoded);
         return true;
       };
       const identity = {
@@ -113,6 +117,12 @@
     getInstant,
     getAges,
     setPeer: (other: typeof sync) => void (peer = other),
+    holdReplies: () => void (held = []),
+    deliverReplies() {
+      const replies = held ?? [];
+      held = null;
+      for (const reply of replies) sync.handleReply(reply);
+    },
   };
 }
 
@@ -152,8 +162,11 @@
   reader.beliefs.applyConfiguration(configuration(7), reader.getInstant());
   reader.beliefs.applyEndpoints([endpoint('x')], reader.getInstant());
   clock.time += 10;
+  const sentBefore = requester.sent.length;
   await requester.relay.fetchState('reader');
-  t.like(requester.sent[1], {configuration: null, endpoints: null});
+  const [reply, ...others] = requester.sent.slice(sentBefore);
+  t.like(reply, {tag: 'beliefs', configuration: null, endpoints: null});
+  t.deepEqual(others, []);
   t.deepEqual(requester.getAges(), [10, 10]);
 });
 
@@ -203,11 +216,103 @@
   const {requester} = createPair();
   requester.setPeer({
     fetchState: async () => false,
+    waitForConfiguration: async () => undefined,
     hasRecentRequests: () => false,
     handleRequest() {},
     handleReply() {},
+    handleDisconnected() {},
   });
   const startedAt = Date.now();
   t.false(await requester.relay.fetchState('reader'));
   t.true(Date.now() - startedAt < 1000);
 });
+
+test('a reply after the timeout is applied, with the age that it then has', async (t) => {
+  const {clock, reader, requester} = createPair();
+  reader.beliefs.applyConfiguration(configuration(7), reader.getInstant());
+  reader.beliefs.applyEndpoints([endpoint('x')], reader.getInstant());
+  await requester.relay.fetchState('reader');
+  clock.time += 100;
+  reader.beliefs.applyConfiguration(configuration(7), reader.getInstant());
+  reader.beliefs.applyEndpoints([], reader.getInstant());
+  requester.holdReplies();
+  t.false(await requester.relay.fetchState('reader'));
+  clock.time += 900;
+  requester.deliverReplies();
+  t.deepEqual(requester.state.directory.getUsable('desk'), []);
+  t.deepEqual(requester.getAges(), [900, 900]);
+});
+
+const countTags = (frames: readonly Frame[], wanted: Frame['tag']): number =>
+  frames.filter(({tag}) => tag === wanted).length;
+
+test('a configuration is not requested again while it is being sent', async (t) => {
+  const {reader, requester} = createPair();
+  reader.beliefs.applyConfiguration(configuration(7), reader.getInstant());
+  await requester.relay.fetchState('reader');
+  reader.beliefs.applyConfiguration(configuration(8), reader.getInstant());
+  const sentBefore = requester.sent.length;
+  requester.holdReplies();
+  await requester.relay.fetchState('reader');
+  // Delivers the small reply, and holds the configuration that it announces.
+  requester.deliverReplies();
+  requester.holdReplies();
+  await requester.relay.fetchState('reader');
+  await requester.relay.fetchState('another');
+  await requester.relay.waitForConfiguration();
+  requester.deliverReplies();
+  const sent = requester.sent.slice(sentBefore);
+  t.is(countTags(sent, 'packedConfiguration'), 1);
+  t.is(requester.state.configuration?.version, 8);
+});
+
+test('a configuration is requested elsewhere once its sender has disconnected', async (t) => {
+  const {reader, requester} = createPair();
+  reader.beliefs.applyConfiguration(configuration(7), reader.getInstant());
+  requester.setPeer({
+    ...reader.relay,
+    handleRequest(connection, frame) {
+      if (frame.tag === 'askBeliefs') {
+        reader.relay.handleRequest(connection, frame);
+      }
+    },
+  });
+  await requester.relay.fetchState('lost');
+  requester.setPeer(reader.relay);
+  await requester.relay.fetchState('reader');
+  t.is(requester.state.configuration, null, 'still expected from the other');
+  requester.relay.handleDisconnected('lost');
+  await requester.relay.fetchState('reader');
+  t.is(requester.state.configuration?.version, 7);
+});
+
+test('a configuration that cannot be read is not applied', async (t) => {
+  const {requester} = createPair();
+  const contents = [
+    Buffer.from('no compressed data'),
+    deflateRawSync('{"version":9}'),
+  ];
+  for (const content of contents) {
+    requester.setPeer({
+      ...requester.relay,
+      handleRequest(connection, frame) {
+        if (frame.tag === 'askConfiguration') {
+          const {askId} = frame;
+          connection.send({tag: 'packedConfiguration', askId, content, age: 0});
+        }
+        if (frame.tag !== 'askBeliefs') return;
+        connection.send({
+          tag: 'beliefs',
+          askId: frame.askId,
+          version: 9,
+          configuration: null,
+          configurationAge: 0,
+          endpoints: null,
+          endpointsAge: null,
+        });
+      },
+    });
+    t.true(await requester.relay.fetchState('reader'));
+    t.is(requester.state.configuration, null);
+  }
+});
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createPeerRequests.ts
@@ -0,0 +1,138 @@
+import type {Instant} from 'hickorywharf-decisions/gateway/instant';
+import type {Frame} from 'hickorywharf-types/frame';
+
+interface PeerRequestsOptions {
+  /** How long the sender of a request waits for the reply, in milliseconds. */
+  readonly timeoutMilliseconds: number;
+  getInstant(): Instant;
+  /** Sends a frame to a peer by name; false if it could not be sent. */
+  send(peer: string, frame: Frame): boolean;
+  /** Called when a request could not be sent. */
+  onUnsent(peer: string): void;
+  /** Called for each wait for a reply that timed out. */
+  onTimeout(peer: string): void;
+}
+
+interface PeerRequest {
+  readonly peer: string;
+  readonly sentAt: Instant;
+  /** Whether the reply came after the timeout. */
+  readonly isLate: boolean;
+  /** Ends the waits for the reply. */
+  finish(): void;
+}
+
+interface PendingRequest {
+  readonly id: number;
+  readonly peer: string;
+  readonly sentAt: Instant;
+  readonly ended: Promise<boolean>;
+  end(hasReply: boolean): void;
+}
+
+interface PeerRequests {
+  /**
+   * Waits for the reply of a peer; sends a request if none is pending there.
+   * False if it could not be sent, or was not replied to before the timeout.
+   */
+  request(peer: string, createFrame: (id: number) => Frame): Promise<boolean>;
+  /** The peer to which a request is pending; undefined if there is none. */
+  findPendingPeer(): string | undefined;
+  /** The pending request that a reply belongs to; it is no longer pending. */
+  take(id: number): PeerRequest | undefined;
+  /** Ends the request to a peer whose connection is lost. */
+  drop(peer: string): void;
+}
+
+/**
+ * A reply over an open connection is still expected for so long, since a large
+ * one may take long on a slow link. Then the request may be sent again.
+ */
+const PENDING_MILLISECONDS = 5000;
+
+/**
+ * Tracks requests to peers, at most one at a time to each. A request stays
+ * pending after its timeout: the peer is sending the reply, and a further
+ * request would only add another one to the same link.
+ *
+ * @example
+ *     const requests = createPeerRequests(options);
+ *     await requests.request('front-2', (askId) => ({tag: 'askConfiguration', askId}));
+ */
+export function createPeerRequests(options: PeerRequestsOptions): PeerRequests {
+  const {timeoutMilliseconds, getInstant, send} = options;
+  const pendingByPeer = new Map<string, PendingRequest>();
+  let lastId = 0;
+
+  function isExpired({sentAt}: PendingRequest): boolean {
+    const elapsed = getInstant().monotonic - sentAt.monotonic;
+    return elapsed >= PENDING_MILLISECONDS;
+  }
+
+  function findPending(peer: string): PendingRequest | undefined {
+    const pending = pendingByPeer.get(peer);
+    return pending === undefined || isExpired(pending) ? undefined : pending;
+  }
+
+  function remove(pending: PendingRequest, hasReply: boolean): void {
+    if (pendingByPeer.get(pending.peer) === pending) {
+      pendingByPeer.delete(pending.peer);
+    }
+    pending.end(hasReply);
+  }
+
+  function start(
+    peer: string,
+    createFrame: (id: number) => Frame,
+  ): PendingRequest | undefined {
+    const expired = pendingByPeer.get(peer);
+    if (expired !== undefined) remove(expired, false);
+    lastId += 1;
+    const {promise, resolve} = Promise.withResolvers<boolean>();
+    const pending = {
+      id: lastId,
+      peer,
+      sentAt: getInstant(),
+      ended: promise,
+      end: resolve,
+    };
+    // Before sending, since a reply may arrive at once.
+    pendingByPeer.set(peer, pending);
+    if (send(peer, createFrame(pending.id))) return pending;
+    remove(pending, false);
+    options.onUnsent(peer);
+    return undefined;
+  }
+
+  return {
+    async request(peer, createFrame) {
+      const pending = findPending(peer) ?? start(peer, createFrame);
+      if (pending === undefined) return false;
+      const {promise: timedOut, resolve} = Promise.withResolvers<false>();
+      const timer = setTimeout(() => {
+        options.onTimeout(peer);
+        resolve(false);
+      }, timeoutMilliseconds);
+      const hasReply = await Promise.race([pending.ended, timedOut]);
+      clearTimeout(timer);
+      return hasReply;
+    },
+    findPendingPeer: () =>
+      [...pendingByPeer.values()].find((pending) => !isExpired(pending))?.peer,
+    take(id) {
+      for (const pending of pendingByPeer.values()) {
+        if (pending.id !== id) continue;
+        pendingByPeer.delete(pending.peer);
+        const {peer, sentAt} = pending;
+        const elapsed = getInstant().monotonic - sentAt.monotonic;
+        const isLate = elapsed > timeoutMilliseconds;
+        return {peer, sentAt, isLate, finish: () => pending.end(true)};
+      }
+      return undefined;
+    },
+    drop(peer) {
+      const pending = pendingByPeer.get(peer);
+      if (pending !== undefined) remove(pending, false);
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/createPeerStateSync.ts
+++ b/packages/hickorywharf-gateway/src/createPeerStateSync.ts
@@ -1,12 +1,14 @@
 import type {Instant} from 'hickorywharf-decisions/gateway/instant';
 import type {Connection} from 'hickorywharf-transport/connection';
 import type {Frame} from 'hickorywharf-types/frame';
+import {createPeerRequests} from './createPeerRequests.ts';
 import type {createStateUpdater} from './createStateUpdater.ts';
 import {deserializeConfiguration} from './deserializeConfiguration.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
-import {serializeConfiguration} from './serializeConfiguration.ts';
+import {packConfiguration} from './packConfiguration.ts';
+import {unpackConfiguration} from './unpackConfiguration.ts';
 
 interface PeerStateSyncOptions {
   readonly state: GatewayState;
@@ -21,23 +23,25 @@
 
 interface PeerStateSync {
   /**
-   * Fetches the state of a peer by name and applies it. Concurrent fetches from
-   * the same peer share one request. False if the request could not be sent or
-   * no reply arrived in time.
+   * Fetches the state of a peer by name and applies it, except for a newer
+   * configuration, which follows separately. Concurrent fetches from the same
+   * peer share one request. False if the request could not be sent or no reply
+   * arrived in time; a late reply is still applied.
    */
   fetchState(peer: string): Promise<boolean>;
+  /**
+   * Waits for the newer configuration of a peer if one is being fetched; for a
+   * limited time, after which the fetch continues.
+   */
+  waitForConfiguration(): Promise<void>;
   /** Whether peers fetched state from this instance recently. */
   hasRecentRequests(): boolean;
   /** Handles a frame of a peer that connected to this instance. */
   handleRequest(connection: Connection, frame: Frame): void;
   /** Handles a frame of a peer that this instance connected to. */
   handleReply(frame: Frame): void;
-}
-
-interface PendingRequest {
-  readonly peer: string;
-  readonly sentAt: Instant;
-  finish(hasReply: boolean): void;
+  /** Drops what was requested from a peer that has disconnected. */
+  handleDisconnected(peer: string): void;
 }
 
 /**
@@ -45,6 +49,11 @@
  * milliseconds.
  */
 const REPLY_TIMEOUT_MILLISECONDS = 250;
+/**
+ * How long a newer configuration is waited for before the store is read, which
+ * sends it without compression.
+ */
+const CONFIGURATION_TIMEOUT_MILLISECONDS = 1000;
 /**
  * How long a request of a peer counts as recent. It is several times the
  * interval at which a peer fetches state.
@@ -69,6 +78,10 @@
  * its data; the receiver subtracts this age from the time at which it sent the
  * request, so that no copy looks fresher than it is.
  *
+ * A newer configuration is requested separately and sent once and compressed,
+ * since it may occupy a slow link for long: meanwhile the small replies confirm
+ * the rest of the state.
+ *
  * @example
  *     const sync = createPeerStateSync(options);
  *     await sync.fetchState('front-2'); // true if it has replied in time
@@ -78,14 +91,13 @@
 ): PeerStateSync {
   const {state, beliefs: stateUpdater, log, metrics} = options;
   const {getInstant, send} = options;
-  const pendingRequests = new Map<number, PendingRequest>();
-  const inFlight = new Map<string, Promise<boolean>>();
   /** Peers whose last fetch timed out. */
   const timedOutPeers = new Set<string>();
-  let lastRequestId = 0;
+  /** The configuration as last sent to a peer. */
+  let packed: {version: number; content: Buffer} | null = null;
   let lastRequestAt = -Infinity;
 
-  function recordTimeout(peer: string): void {
+  function handleTimeout(peer: string): void {
     metrics.count('peerFetches', 'timedOut');
     if (timedOutPeers.has(peer)) return;
     timedOutPeers.add(peer);
@@ -97,11 +109,36 @@
     });
   }
 
-  function recordReply({peer, sentAt}: PendingRequest, version: number): void {
+  const stateRequests = createPeerRequests({
+    timeoutMilliseconds: REPLY_TIMEOUT_MILLISECONDS,
+    getInstant,
+    send,
+    onUnsent: () => metrics.count('peerFetches', 'unsent'),
+    onTimeout: handleTimeout,
+  });
+  const configurationRequests = createPeerRequests({
+    timeoutMilliseconds: CONFIGURATION_TIMEOUT_MILLISECONDS,
+    getInstant,
+    send,
+    onUnsent: () => metrics.count('configurationFetches', 'unsent'),
+    onTimeout: () => metrics.count('configurationFetches', 'timedOut'),
+  });
+  type Request = NonNullable<ReturnType<typeof stateRequests.take>>;
+
+  /** Waits for a configuration from any peer, as it would use the same link. */
+  function fetchConfiguration(peer: string): Promise<boolean> {
+    const source = configurationRequests.findPendingPeer() ?? peer;
+    return configurationRequests.request(source, (askId) => ({
+      tag: 'askConfiguration',
+      askId,
+    }));
+  }
+
+  function recordReply({peer, sentAt, isLate}: Request, version: number): void {
     const elapsed = getInstant().monotonic - sentAt.monotonic;
-    metrics.count('peerFetches', 'replied');
+    metrics.count('peerFetches', isLate ? 'late' : 'replied');
     metrics.time('peerFetch', elapsed);
-    if (!timedOutPeers.delete(peer)) return;
+    if (isLate || !timedOutPeers.delete(peer)) return;
     log.infoAlways('peer state received again', {
       step: 'relay',
       peer,
@@ -110,64 +147,56 @@
     });
   }
 
-  function sendRequest(peer: string): Promise<boolean> {
-    lastRequestId += 1;
-    const askId = lastRequestId;
-    return new Promise((resolve) => {
-      const finish = (hasReply: boolean): void => {
-        clearTimeout(timer);
-        pendingRequests.delete(askId);
-        resolve(hasReply);
-      };
-      const timer = setTimeout(() => {
-        recordTimeout(peer);
-        finish(false);
-      }, REPLY_TIMEOUT_MILLISECONDS);
-      pendingRequests.set(askId, {peer, sentAt: getInstant(), finish});
-      const isSent = send(peer, {
-        tag: 'askBeliefs',
-        askId,
-        version: state.configuration?.version ?? -1,
-        endpointsDigest: state.directory.getDigest(),
-      });
-      if (isSent) return;
-      metrics.count('peerFetches', 'unsent');
-      finish(false);
-    });
-  }
-
-  /** Leaves out the configuration and the endpoints that the requester has. */
-  function createReply(request: Extract<Frame, {tag: 'askBeliefs'}>): Frame {
+  /** Leaves out the endpoints that the requester has. */
+  function createStateReply(
+    request: Extract<Frame, {tag: 'askBeliefs'}>,
+  ): Frame {
     const {configuration, directory} = state;
     const now = getInstant();
-    const version = configuration?.version ?? -1;
     const isKnown = request.endpointsDigest === directory.getDigest();
     return {
       tag: 'beliefs',
       askId: request.askId,
-      version,
-      configuration:
-        configuration === null || version <= request.version
-          ? null
-          : serializeConfiguration(configuration),
+      version: configuration?.version ?? -1,
+      configuration: null,
       configurationAge: toFiniteAge(state.configurationFreshness.getAge(now)),
       endpoints: isKnown ? null : directory.list(),
       endpointsAge: toFiniteAge(state.endpointFreshness.getAge(now)),
     };
   }
 
-  function applyReply(
+  function createConfigurationReply(
+    request: Extract<Frame, {tag: 'askConfiguration'}>,
+  ): Frame {
+    const {configuration} = state;
+    if (configuration !== null && packed?.version !== configuration.version) {
+      const content = packConfiguration(configuration);
+      packed = {version: configuration.version, content};
+    }
+    const age = state.configurationFreshness.getAge(getInstant());
+    return {
+      tag: 'packedConfiguration',
+      askId: request.askId,
+      content: packed?.content ?? null,
+      age: toFiniteAge(age),
+    };
+  }
+
+  function applyState(
     reply: Extract<Frame, {tag: 'beliefs'}>,
-    sentAt: Instant,
-  ) {
+    {peer, sentAt}: Request,
+  ): void {
     const {configurationAge, endpointsAge} = reply;
+    // Instances of earlier releases send a newer configuration in this frame.
     const configuration =
       reply.configuration === null
         ? state.configuration
         : deserializeConfiguration(reply.configuration);
-    // Without a configuration, the reply confirms the one of this instance only
-    // if it has the same version.
-    const isSame = configuration?.version === reply.version;
+    const version = configuration?.version ?? -1;
+    if (reply.version > version) void fetchConfiguration(peer);
+    // The reply confirms the configuration of this instance only if it has the
+    // same version.
+    const isSame = version === reply.version;
     if (configurationAge !== null && configuration !== null && isSame) {
       const readAt = subtractMilliseconds(sentAt, configurationAge);
       stateUpdater.applyConfiguration(configuration, readAt);
@@ -182,31 +211,72 @@
     }
   }
 
+  function applyConfiguration(
+    {content, age}: Extract<Frame, {tag: 'packedConfiguration'}>,
+    {peer, sentAt, isLate}: Request,
+  ): void {
+    // A peer has neither before its first read of the store.
+    if (content === null || age === null) return;
+    const elapsed = getInstant().monotonic - sentAt.monotonic;
+    metrics.count('configurationFetches', isLate ? 'late' : 'received');
+    metrics.time('configurationFetch', elapsed);
+    unpackConfiguration(content).match(
+      (configuration) =>
+        stateUpdater.applyConfiguration(
+          configuration,
+          subtractMilliseconds(sentAt, age),
+        ),
+      (reason) => {
+        metrics.count('configurationFetches', 'invalid');
+        log.infoAlways('configuration of a peer not readable', {
+          step: 'relay',
+          peer,
+          reason,
+        });
+      },
+    );
+  }
+
   return {
-    fetchState(peer) {
-      const fetching =
-        inFlight.get(peer) ??
-        sendRequest(peer).finally(() => inFlight.delete(peer));
-      inFlight.set(peer, fetching);
-      return fetching;
+    fetchState: (peer) =>
+      stateRequests.request(peer, (askId) => ({
+        tag: 'askBeliefs',
+        askId,
+        version: state.configuration?.version ?? -1,
+        endpointsDigest: state.directory.getDigest(),
+      })),
+    async waitForConfiguration() {
+      const peer = configurationRequests.findPendingPeer();
+      if (peer !== undefined) await fetchConfiguration(peer);
     },
     hasRecentRequests: () =>
       getInstant().monotonic - lastRequestAt < RECENT_REQUEST_MILLISECONDS,
     handleRequest(connection, frame) {
+      if (frame.tag === 'askConfiguration') {
+        connection.send(createConfigurationReply(frame));
+      }
       if (frame.tag !== 'askBeliefs') return;
       lastRequestAt = getInstant().monotonic;
-      connection.send(createReply(frame));
+      connection.send(createStateReply(frame));
     },
     handleReply(frame) {
-      if (frame.tag !== 'beliefs') return;
-      const request = pendingRequests.get(frame.askId);
-      if (request === undefined) {
-        metrics.count('peerFetches', 'late');
-        return;
+      if (frame.tag === 'beliefs') {
+        const request = stateRequests.take(frame.askId);
+        if (request === undefined) return;
+        recordReply(request, frame.version);
+        applyState(frame, request);
+        request.finish();
       }
-      recordReply(request, frame.version);
-      applyReply(frame, request.sentAt);
-      request.finish(true);
+      if (frame.tag === 'packedConfiguration') {
+        const request = configurationRequests.take(frame.askId);
+        if (request === undefined) return;
+        applyConfiguration(frame, request);
+        request.finish();
+      }
+    },
+    handleDisconnected(peer) {
+      stateRequests.drop(peer);
+      configurationRequests.drop(peer);
     },
   };
 }
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -16,5 +16,9 @@
     label: 'result',
     meaning: 'fetches of state from other instances',
   },
+  configurationFetches: {
+    label: 'result',
+    meaning: 'fetches of a newer configuration from other instances',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/gatewayTimers.ts
+++ b/packages/hickorywharf-gateway/src/gatewayTimers.ts
@@ -5,6 +5,9 @@
   stages: {meaning: 'all stages of a request'},
   storeRead: {meaning: "a read of the platform's store that succeeded"},
   peerFetch: {meaning: 'a fetch of state from another instance, to its reply'},
+  configurationFetch: {
+    meaning: 'a fetch of a newer configuration from another instance',
+  },
   configurationAge: {
     meaning: 'age of the configuration that admitted or refused a request',
   },
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -119,7 +119,10 @@
       router.handleReply(name, frame);
       stateSync.handleReply(frame);
     },
-    onDisconnected: router.reassignOrders,
+    onDisconnected(name) {
+      router.reassignOrders(name);
+      stateSync.handleDisconnected(name);
+    },
   });
   const stateUpdater = createStateUpdater({
     state,
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -37,6 +37,8 @@
   getAge(): number;
   /** Reads the store; false if the read failed or found nothing. */
   read(): Promise<boolean>;
+  /** Fetches from a peer; false if it did not reply in time. */
+  fetch(peer: string): Promise<boolean>;
 }
 
 /**
@@ -130,6 +132,11 @@
       stateUpdater.applyConfiguration(value, sentAt);
       return true;
     },
+    async fetch(peer) {
+      const hasReply = await peerSync.fetchState(peer);
+      if (hasReply) await peerSync.waitForConfiguration();
+      return hasReply;
+    },
   };
   const endpoints: SyncedState = {
     getLimit: () => settings.drainMilliseconds,
@@ -141,6 +148,7 @@
       else stateUpdater.applyEndpoints(read.value, sentAt);
       return read.isOk();
     },
+    fetch: peerSync.fetchState,
   };
 
   /** Updates `readerName` and returns it. */
@@ -178,7 +186,7 @@
 
   /** Fetches from a peer; false if the item is still too old afterwards. */
   async function fetchFrom(peer: string, item: SyncedState): Promise<boolean> {
-    const hasReply = await peerSync.fetchState(peer);
+    const hasReply = await item.fetch(peer);
     const limit = item.getLimit() * PEER_AGE_SHARE;
     return hasReply && item.getAge() < limit;
   }
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -15,6 +15,8 @@
   Number.isSafeInteger(value) && (value as number) >= 0;
 const isBoolean: Check = (value) => typeof value === 'boolean';
 
+const isBytes: Check = (value) => value instanceof Uint8Array;
+
 function isOneOf(...allowed: readonly unknown[]): Check {
   return (value) => allowed.includes(value);
 }
@@ -67,6 +69,7 @@
   isNumber,
   isCount,
   isBoolean,
+  isBytes,
   isStringArray,
   isOneOf,
   isArrayOf,
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -103,6 +103,12 @@
     endpoints: isNullOr(isArrayOf(frameChecks.isGatewayEndpoint)),
     endpointsAge: isNullOr(isNumber),
   },
+  askConfiguration: {askId: isCount},
+  packedConfiguration: {
+    askId: isCount,
+    content: isNullOr(frameChecks.isBytes),
+    age: isNullOr(isNumber),
+  },
 };
 
 /**
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -174,10 +174,20 @@
       readonly askId: number;
       /** Version of the sender's configuration; -1 for none. */
       readonly version: number;
-      /** Null if the requester has that version or a newer one. */
+      /** Null since a newer configuration is requested by `askConfiguration`. */
       readonly configuration: SerializedConfiguration | null;
       readonly configurationAge: number | null;
       /** Null if the requester's list has the same digest. */
       readonly endpoints: readonly GatewayEndpoint[] | null;
       readonly endpointsAge: number | null;
+    }
+  /** Requests the configuration of the receiver. */
+  | {readonly tag: 'askConfiguration'; readonly askId: number}
+  | {
+      readonly tag: 'packedConfiguration';
+      readonly askId: number;
+      /** Compressed by `packConfiguration`; null if the sender has none. */
+      readonly content: Uint8Array | null;
+      /** As in `beliefs`. */
+      readonly age: number | null;
     };
