Keep the platform's program to what its Node.js knows

Every process ended with a TypeError a moment after its start. Tests run on Node.js 24, and nothing checked the other. Change: waits for replies keep their resolvers themselves.

--- a/packages/hickorywharf-gateway/src/createPeerRequests.ts
+++ b/packages/hickorywharf-gateway/src/createPeerRequests.ts
@@ -26,8 +26,8 @@
   readonly id: number;
   readonly peer: string;
   readonly sentAt: Instant;
-  readonly ended: Promise<boolean>;
-  end(hasReply: boolean): void;
+  /** Called with whether the reply came, once the request has ended. */
+  readonly waits: Set<(hasReply: boolean) => void>;
 }
 
 interface PeerRequests {
@@ -74,48 +74,58 @@
     return pending === undefined || isExpired(pending) ? undefined : pending;
   }
 
-  function remove(pending: PendingRequest, hasReply: boolean): void {
-    if (pendingByPeer.get(pending.peer) === pending) {
-      pendingByPeer.delete(pending.peer);
-    }
-    pending.end(hasReply);
+  function endWaits({waits}: PendingRequest, hasReply: boolean): void {
+    for (const end of waits) end(hasReply);
+    waits.clear();
+  }
+
+  function drop(peer: string): void {
+    const pending = pendingByPeer.get(peer);
+    pendingByPeer.delete(peer);
+    if (pending !== undefined) endWaits(pending, false);
   }
 
   function start(
     peer: string,
     createFrame: (id: number) => Frame,
   ): PendingRequest | undefined {
-    const expired = pendingByPeer.get(peer);
-    if (expired !== undefined) remove(expired, false);
+    drop(peer);
     lastId += 1;
-    const {promise, resolve} = Promise.withResolvers<boolean>();
-    const pending = {
+    const pending: PendingRequest = {
       id: lastId,
       peer,
       sentAt: getInstant(),
-      ended: promise,
-      end: resolve,
+      waits: new Set(),
     };
     // Before sending, since a reply may arrive at once.
     pendingByPeer.set(peer, pending);
     if (send(peer, createFrame(pending.id))) return pending;
-    remove(pending, false);
+    drop(peer);
     options.onUnsent(peer);
     return undefined;
   }
 
-  return {
-    async request(peer, createFrame) {
-      const pending = findPending(peer) ?? start(peer, createFrame);
-      if (pending === undefined) return false;
-      const {promise: timedOut, resolve} = Promise.withResolvers<false>();
+  function wait({peer, waits}: PendingRequest): Promise<boolean> {
+    return new Promise((resolve) => {
       const timer = setTimeout(() => {
+        waits.delete(end);
         options.onTimeout(peer);
         resolve(false);
       }, timeoutMilliseconds);
-      const hasReply = await Promise.race([pending.ended, timedOut]);
-      clearTimeout(timer);
-      return hasReply;
+      const end = (hasReply: boolean): void => {
+        clearTimeout(timer);
+        resolve(hasReply);
+      };
+      waits.add(end);
+    });
+  }
+
+  return {
+    async request(peer, createFrame) {
+      const pending = findPending(peer) ?? start(peer, createFrame);
+      if (pending === undefined) return false;
+      // Not pending any more if the reply arrived while the request was sent.
+      return pendingByPeer.get(peer) === pending ? wait(pending) : true;
     },
     findPendingPeer: () =>
       [...pendingByPeer.values()].find((pending) => !isExpired(pending))?.peer,
@@ -126,13 +136,10 @@
         const {peer, sentAt} = pending;
         const elapsed = getInstant().monotonic - sentAt.monotonic;
         const isLate = elapsed > timeoutMilliseconds;
-        return {peer, sentAt, isLate, finish: () => pending.end(true)};
+        return {peer, sentAt, isLate, finish: () => endWaits(pending, true)};
       }
       return undefined;
     },
-    drop(peer) {
-      const pending = pendingByPeer.get(peer);
-      if (pending !== undefined) remove(pending, false);
-    },
+    drop,
   };
 }
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -54,6 +54,8 @@
   ],
   lint: () => [node, bin('eslint'), 'packages', 'platform'],
   types: () => [node, bin('tsc')],
+  // What the platform's program reaches runs on the platform's own Node.js.
+  'types-platform': () => [node, bin('tsc'), '-p', 'tsconfig.platform.json'],
 };
 
 function execute(command) {
