Stop deciding by a configuration that a newer one has replaced

Cause: nothing compared the age of the configuration with the time in which a change has to be active. Calls with a key were served until the keys were 4.5 s old, by the later bound for revocations, and calls without a key by a configuration of any age, so that an outage of the store stops nothing. The instance could not tell an outage from a transfer that did not succeed. Change: instances remember the newest version that a peer has, from requests and replies. Once a newer one is known, the own configuration decides nothing after applyMilliseconds without confirmation: the request is refused as not run, with a time to come back, and readiness fails, so that the balancer sends elsewhere. It also gives no permanent refusal any more, as the newer one may have the route or key. Log line `newer configuration announced`; `configuration applied` says the age. Without a newer version an outage changes nothing. Evidence that it holds: the store confirmed the own version at the read, so a newer one was accepted after that read was sent; its bound can't end before applyMilliseconds after it.

--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -6,6 +6,7 @@
 import type {CallContext} from './callContext.ts';
 import type {GatewayState} from './gatewayState.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
+import {isConfigurationCurrent} from './isConfigurationCurrent.ts';
 import type {Refusal} from './refusal.ts';
 
 interface IncomingRequest {
@@ -19,9 +20,9 @@
 }
 
 /**
- * A refusal is final only if the store confirmed the configuration within this
- * share of the time in which a change has to be applied; if it is older, the
- * request is refused as `unconfirmed`.
+ * A refusal is final only if no newer configuration is known, and the store
+ * confirmed this one within this share of the time in which a change has to be
+ * applied; otherwise the request is refused as `unconfirmed`.
  */
 const CERTAIN_AGE_SHARE = 0.75;
 /** Retry delay for callers while the configuration is missing or stale. */
@@ -53,7 +54,15 @@
     });
   }
   const configurationAge = state.configurationFreshness.getAge(receivedAt);
+  if (!isConfigurationCurrent(state, settings, receivedAt)) {
+    return err({
+      tag: 'unconfirmed',
+      message: 'a newer configuration was not received in time',
+      retryAfterMilliseconds: RETRY_MILLISECONDS,
+    });
+  }
   const isCertain =
+    state.newestVersion <= configuration.version &&
     configurationAge < settings.applyMilliseconds * CERTAIN_AGE_SHARE;
   const refuse = (refusal: Refusal): Result<CallContext, Refusal> =>
     isCertain
--- a/packages/hickorywharf-gateway/src/createGatewayState.ts
+++ b/packages/hickorywharf-gateway/src/createGatewayState.ts
@@ -20,6 +20,7 @@
   const {name, failureDomain, capacity, lapseMilliseconds} = settings;
   return {
     configuration: null,
+    newestVersion: -1,
     routes: createRouteTable([]),
     configurationFreshness: createFreshness(),
     endpointFreshness: createFreshness(),
--- a/packages/hickorywharf-gateway/src/createPeerStateSync.ts
+++ b/packages/hickorywharf-gateway/src/createPeerStateSync.ts
@@ -193,6 +193,7 @@
         ? state.configuration
         : deserializeConfiguration(reply.configuration);
     const version = configuration?.version ?? -1;
+    stateUpdater.recordPeerVersion(reply.version, peer);
     if (reply.version > version) void fetchConfiguration(peer);
     // The reply confirms the configuration of this instance only if it has the
     // same version.
@@ -257,6 +258,7 @@
       }
       if (frame.tag !== 'askBeliefs') return;
       lastRequestAt = getInstant().monotonic;
+      stateUpdater.recordPeerVersion(frame.version, connection.peer.name);
       connection.send(createStateReply(frame));
     },
     handleReply(frame) {
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -1,4 +1,5 @@
 import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
+import {getElapsed} from 'hickorywharf-decisions/gateway/getElapsed';
 import type {Instant} from 'hickorywharf-decisions/gateway/instant';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
@@ -16,6 +17,8 @@
 }
 
 interface StateUpdater {
+  /** Records the version of a peer's configuration; -1 for none. */
+  recordPeerVersion(version: number, peer: string): void;
   /** Applies a configuration that was requested from the store at `readAt`. */
   applyConfiguration(next: GatewayConfiguration, readAt: Instant): void;
   /** Applies an endpoint list that was requested from the store at `readAt`. */
@@ -57,17 +60,29 @@
   }
 
   return {
+    recordPeerVersion(version, peer) {
+      if (version <= state.newestVersion) return;
+      state.newestVersion = version;
+      log.infoAlways('newer configuration announced', {
+        step: 'configuration',
+        peer,
+        version,
+        before: state.configuration?.version ?? -1,
+      });
+    },
     applyConfiguration(next, readAt) {
       const currentVersion = state.configuration?.version ?? -1;
       if (next.version < currentVersion) return;
       if (next.version > currentVersion) {
         state.routes = createRouteTable(next.routes);
         state.configuration = next;
+        state.newestVersion = Math.max(state.newestVersion, next.version);
         log.infoAlways('configuration applied', {
           step: 'configuration',
           version: next.version,
           before: currentVersion,
           routes: next.routes.length,
+          age: Math.round(getElapsed(readAt, getInstant())),
         });
         onChange();
       }
--- a/packages/hickorywharf-gateway/src/gatewayState.ts
+++ b/packages/hickorywharf-gateway/src/gatewayState.ts
@@ -8,6 +8,8 @@
 export interface GatewayState {
   /** Null until the first configuration was read. */
   configuration: GatewayConfiguration | null;
+  /** Newest version that this instance or a peer has; -1 for none. */
+  newestVersion: number;
   routes: ReturnType<typeof createRouteTable>;
   /** When the store last confirmed the configuration. */
   readonly configurationFreshness: ReturnType<typeof createFreshness>;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -19,6 +19,7 @@
 import {createStageRouter} from './createStageRouter.ts';
 import {createStateUpdater} from './createStateUpdater.ts';
 import {createTextServer} from './createTextServer.ts';
+import {isConfigurationCurrent} from './isConfigurationCurrent.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
 import {startStateSync} from './startStateSync.ts';
 
@@ -161,12 +162,14 @@
 
   /**
    * Whether the load balancer may send requests: configuration and endpoints
-   * were read, the keys are fresh if calls need any, and no stop has started.
+   * were read, the configuration is current, the keys are fresh if calls need
+   * any, and no stop has started.
    */
   function isReady(): boolean {
     return (
       !state.isStopping &&
       state.configuration !== null &&
+      isConfigurationCurrent(state, settings, getInstant()) &&
       state.endpointFreshness.getAge(getInstant()) < Infinity &&
       (state.configuration.accountsByKey === null ||
         isKeySetFresh(state, settings, getInstant()))
