Let instances on fast links read the store for the others

Cause: the reader of a failure domain was the first connected instance in the rendezvous order of the names. In one domain that was an instance on a slow link: its reads of a large configuration took half a second each, every 0.9 s, and then it had to send the configuration to nine others over the same link. Change: the reader is chosen by the announced capacity, which a slow link lowers, as dispatchers of stages already are; among about equal instances the rendezvous order stays. The ordering of both is one function.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/chooseStoreReader.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/chooseStoreReader.test.ts
@@ -4,6 +4,7 @@
 const instances = Array.from({length: 30}, (_value, index) => ({
   name: `front-${index}`,
   failureDomain: `domain-${index % 3}`,
+  capacity: 0.5,
 }));
 
 function readers(
@@ -46,3 +47,24 @@
   const alone = {name: 'x', failureDomain: 'a', isConnected: () => true};
   t.is(chooseStoreReader({...alone, instances: []}), null);
 });
+
+test('an instance on a slow link reads only if no stronger one is connected', (t) => {
+  const mixed = instances.map((instance, index) => ({
+    ...instance,
+    capacity: index < 24 ? 0.12 : 1.35,
+  }));
+  const getReader = (isConnected: (name: string) => boolean) =>
+    chooseStoreReader({
+      name: 'front-0',
+      failureDomain: 'domain-0',
+      instances: mixed,
+      isConnected,
+    });
+  t.true(['front-24', 'front-27'].includes(getReader(() => true)!));
+  t.is(
+    getReader((name) => name !== 'front-24'),
+    'front-27',
+  );
+  const weak = getReader((name) => Number(name.slice(6)) < 24);
+  t.true(weak === null || Number(weak.slice(6)) < 24);
+});
--- a/packages/hickorywharf-decisions/src/gateway/rankDispatchers.ts
+++ b/packages/hickorywharf-decisions/src/gateway/rankDispatchers.ts
@@ -1,10 +1,4 @@
-import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
-
-/**
- * Capacities are rounded down to multiples of this, so that small differences
- * hardly affect the order.
- */
-const CAPACITY_STEP_CORES = 0.25;
+import {rankByCapacity} from './rankByCapacity.ts';
 
 /**
  * Ranks the instances that may dispatch the batches of a stage's service: first
@@ -30,15 +24,7 @@
   services: readonly string[],
   instances: ReadonlyArray<{readonly name: string; readonly capacity: number}>,
 ): string[] {
-  const classes = new Map(
-    instances.map(({name, capacity}) => [
-      name,
-      Math.floor(capacity / CAPACITY_STEP_CORES),
-    ]),
-  );
-  const ordered = orderByRendezvous('dispatcher', classes.keys()).sort(
-    (left, right) => classes.get(right)! - classes.get(left)!,
-  );
+  const ordered = rankByCapacity('dispatcher', instances);
   const position = [...services].sort().indexOf(service);
   const first = position < 0 ? 0 : position % Math.max(ordered.length, 1);
   return [...ordered.slice(first), ...ordered.slice(0, first)];
