Repeat requests for a configuration less and less often on our own interface

A replica of the configuration log asked again 300 ms after a request, at each heartbeat of any peer, and at once for each further announcement, while the response was on its way; with the relay policy push the update itself was sent again at each heartbeat. On a slow link every repetition is the whole update once more, in front of or beside the first. Change: one request is in transit at a time; a repetition waits 300 ms, then twice as long each time, up to 5 s. What was announced meanwhile is requested when a part has arrived; a lost connection frees the request at once. Updates are pushed again by the same rule.

--- a/packages/hickorywharf-configuration/src/createConfigurationReplica.ts
+++ b/packages/hickorywharf-configuration/src/createConfigurationReplica.ts
@@ -19,10 +19,24 @@
   readonly send: (frame: Frame) => boolean;
   /** The newest sequence that the peer reported or was sent. */
   sequence: number;
+  /** The last update that was sent and that the peer has not reported. */
+  update: Transfer | null;
 }
 
-/** Time without a response after which a sequence is requested again. */
-const FETCH_TIMEOUT_MILLISECONDS = 300;
+/** Something requested or sent that has not shown an effect yet. */
+interface Transfer {
+  readonly at: number;
+  /** Time after which it is requested or sent again. */
+  readonly timeout: number;
+}
+
+/**
+ * Time without an effect after which a request or an update is sent again. It
+ * doubles with each repetition: a large configuration takes long on a slow
+ * link, where repetitions delay it further.
+ */
+const REPEAT_MILLISECONDS = 300;
+const MAXIMUM_REPEAT_MILLISECONDS = 5000;
 /** Changes within this time are announced together. */
 const ANNOUNCE_DELAY_MILLISECONDS = 20;
 /** Minimum time between announcements, however many changes arrive. */
@@ -46,7 +60,8 @@
   const log = createConfigurationLog();
   const peers = new Map<string, Peer>();
   const counter = createFrameCounter();
-  let fetch = {sequence: 0, at: 0};
+  /** The last request for a newer configuration, until one arrives. */
+  let fetch: (Transfer & {readonly peer: Peer}) | null = null;
   let isAnnouncing = false;
   let announcedAt = -Infinity;
 
@@ -56,20 +71,29 @@
     return isSent;
   }
 
+  function isInTransit(transfer: Transfer | null): boolean {
+    return transfer !== null && now() - transfer.at < transfer.timeout;
+  }
+
+  function startTransfer(previous: Transfer | null): Transfer {
+    const timeout =
+      previous === null
+        ? REPEAT_MILLISECONDS
+        : Math.min(previous.timeout * 2, MAXIMUM_REPEAT_MILLISECONDS);
+    return {at: now(), timeout};
+  }
+
   function updatePeer(peer: Peer): void {
     if (peer.sequence >= log.sequence) return;
     const frame = log.getUpdateAfter(peer.sequence);
-    if (frame !== null && send(peer, frame)) peer.sequence = log.sequence;
+    if (frame === null || !send(peer, frame)) return;
+    peer.sequence = log.sequence;
+    peer.update = startTransfer(peer.update);
   }
 
   function fetchFrom(peer: Peer): void {
-    if (peer.sequence <= log.sequence) return;
-    // The sequence was requested, and its response may still arrive.
-    const isFetching =
-      fetch.sequence >= peer.sequence &&
-      now() - fetch.at < FETCH_TIMEOUT_MILLISECONDS;
-    if (isFetching) return;
-    fetch = {sequence: peer.sequence, at: now()};
+    if (peer.sequence <= log.sequence || isInTransit(fetch)) return;
+    fetch = {...startTransfer(fetch), peer};
     send(peer, {tag: 'fetchConfiguration', afterSequence: log.sequence});
   }
 
@@ -86,6 +110,7 @@
   }
 
   function handleAdvance(): void {
+    fetch = null;
     onConfigurationChange(log.getView());
     if (!relay.isRelaying || isAnnouncing) return;
     isAnnouncing = true;
@@ -101,9 +126,17 @@
     fetchFrom(peer);
   }
 
+  /** Requests what peers announced while the last request was in transit. */
+  function fetchRest(): void {
+    for (const peer of peers.values()) fetchFrom(peer);
+  }
+
   function handleHeartbeat(name: string, sequence: number): void {
     const peer = peers.get(name);
     if (peer === undefined || !relay.isRelaying) return;
+    if (sequence >= log.sequence) peer.update = null;
+    // The peer may not have received an update yet that was sent to it.
+    if (sequence < peer.sequence && isInTransit(peer.update)) return;
     // This may lower the sequence, so that lost frames are sent again.
     peer.sequence = sequence;
     fetchFrom(peer);
@@ -135,10 +168,12 @@
       const newest = frame.entries.at(-1)?.sequence ?? 0;
       receiveEntries(frame.entries);
       raisePeerSequence(name, newest);
+      fetchRest();
     },
     configurationSnapshot(name, frame) {
       if (log.applySnapshot(frame)) handleAdvance();
       raisePeerSequence(name, frame.sequence);
+      fetchRest();
     },
     configurationAt: (name, frame) => raisePeerSequence(name, frame.sequence),
     fetchConfiguration(name, frame) {
@@ -180,12 +215,15 @@
       return true;
     },
     addPeer(name, sendFrame) {
-      const peer = {send: sendFrame, sequence: log.sequence};
+      const peer = {send: sendFrame, sequence: log.sequence, update: null};
       peers.set(name, peer);
       if (!relay.isRelaying) return;
       send(peer, {tag: 'fetchConfiguration', afterSequence: log.sequence});
     },
-    removePeer: (name) => void peers.delete(name),
+    removePeer(name) {
+      if (fetch !== null && fetch.peer === peers.get(name)) fetch = null;
+      peers.delete(name);
+    },
     getSnapshot: log.getSnapshot,
     getStatus: () => ({
       sequence: log.sequence,
