Let a late reply confirm only the endpoints that it was asked about

Cause: found by reading the fix. A peer leaves out its endpoint list where it equals the one of the requester at the request. Change: requests keep their frame; without a list, a reply counts only if the own list still has the digest of the request. Also units in the names of the replica's timeouts.

--- a/packages/hickorywharf-configuration/src/createConfigurationReplica.ts
+++ b/packages/hickorywharf-configuration/src/createConfigurationReplica.ts
@@ -25,9 +25,10 @@
 
 /** Something requested or sent that has not shown an effect yet. */
 interface Transfer {
-  readonly at: number;
-  /** Time after which it is requested or sent again. */
-  readonly timeout: number;
+  /** Monotonic time in milliseconds. */
+  readonly startedAt: number;
+  /** After this time it is requested or sent again. */
+  readonly timeoutMilliseconds: number;
 }
 
 /**
@@ -72,15 +73,21 @@
   }
 
   function isInTransit(transfer: Transfer | null): boolean {
-    return transfer !== null && now() - transfer.at < transfer.timeout;
+    return (
+      transfer !== null &&
+      now() - transfer.startedAt < transfer.timeoutMilliseconds
+    );
   }
 
   function startTransfer(previous: Transfer | null): Transfer {
-    const timeout =
+    const timeoutMilliseconds =
       previous === null
         ? REPEAT_MILLISECONDS
-        : Math.min(previous.timeout * 2, MAXIMUM_REPEAT_MILLISECONDS);
-    return {at: now(), timeout};
+        : Math.min(
+            previous.timeoutMilliseconds * 2,
+            MAXIMUM_REPEAT_MILLISECONDS,
+          );
+    return {startedAt: now(), timeoutMilliseconds};
   }
 
   function updatePeer(peer: Peer): void {
--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -243,6 +243,25 @@
   t.deepEqual(requester.getAges(), [900, 900]);
 });
 
+test('a late reply does not confirm endpoints that changed since its request', async (t) => {
+  const {clock, reader, requester} = createPair();
+  reader.beliefs.applyEndpoints([endpoint('x')], reader.getInstant());
+  await requester.relay.fetchState('reader');
+  clock.time += 300;
+  reader.beliefs.applyEndpoints([endpoint('x')], reader.getInstant());
+  requester.holdReplies();
+  await requester.relay.fetchState('reader');
+  clock.time += 100;
+  // From another peer, whose list is older than that of the late reply.
+  const {monotonic, wall} = requester.getInstant();
+  requester.beliefs.applyPeerEndpoints([endpoint('x'), endpoint('y')], {
+    monotonic: monotonic - 200,
+    wall: wall - 200,
+  });
+  requester.deliverReplies();
+  t.is(requester.getAges()[1], 200, 'as before the late reply');
+});
+
 const countTags = (frames: readonly Frame[], wanted: Frame['tag']): number =>
   frames.filter(({tag}) => tag === wanted).length;
 
--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -5,8 +5,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {CallContext} from './callContext.ts';
 import type {GatewayState} from './gatewayState.ts';
-import {isKeySetFresh} from './isKeySetFresh.ts';
 import {isConfigurationCurrent} from './isConfigurationCurrent.ts';
+import {isKeySetFresh} from './isKeySetFresh.ts';
 import type {Refusal} from './refusal.ts';
 
 interface IncomingRequest {
--- a/packages/hickorywharf-gateway/src/createPeerRequests.ts
+++ b/packages/hickorywharf-gateway/src/createPeerRequests.ts
@@ -15,6 +15,7 @@
 
 interface PeerRequest {
   readonly peer: string;
+  readonly frame: Frame;
   readonly sentAt: Instant;
   /** Whether the reply came after the timeout. */
   readonly isLate: boolean;
@@ -25,6 +26,7 @@
 interface PendingRequest {
   readonly id: number;
   readonly peer: string;
+  readonly frame: Frame;
   readonly sentAt: Instant;
   /** Called with whether the reply came, once the request has ended. */
   readonly waits: Set<(hasReply: boolean) => void>;
@@ -94,12 +96,13 @@
     const pending: PendingRequest = {
       id: lastId,
       peer,
+      frame: createFrame(lastId),
       sentAt: getInstant(),
       waits: new Set(),
     };
     // Before sending, since a reply may arrive at once.
     pendingByPeer.set(peer, pending);
-    if (send(peer, createFrame(pending.id))) return pending;
+    if (send(peer, pending.frame)) return pending;
     drop(peer);
     options.onUnsent(peer);
     return undefined;
@@ -133,10 +136,11 @@
       for (const pending of pendingByPeer.values()) {
         if (pending.id !== id) continue;
         pendingByPeer.delete(pending.peer);
-        const {peer, sentAt} = pending;
+        const {peer, frame, sentAt} = pending;
         const elapsed = getInstant().monotonic - sentAt.monotonic;
         const isLate = elapsed > timeoutMilliseconds;
-        return {peer, sentAt, isLate, finish: () => endWaits(pending, true)};
+        const finish = (): void => endWaits(pending, true);
+        return {peer, frame, sentAt, isLate, finish};
       }
       return undefined;
     },
--- a/packages/hickorywharf-gateway/src/createPeerStateSync.ts
+++ b/packages/hickorywharf-gateway/src/createPeerStateSync.ts
@@ -184,7 +184,7 @@
 
   function applyState(
     reply: Extract<Frame, {tag: 'beliefs'}>,
-    {peer, sentAt}: Request,
+    {peer, frame: request, sentAt}: Request,
   ): void {
     const {configurationAge, endpointsAge} = reply;
     // Instances of earlier releases send a newer configuration in this frame.
@@ -202,9 +202,14 @@
       const readAt = subtractMilliseconds(sentAt, configurationAge);
       stateUpdater.applyConfiguration(configuration, readAt);
     }
-    if (endpointsAge !== null) {
-      // Null if the peer's list equals the one that this instance had.
-      const peerEndpoints = reply.endpoints ?? state.directory.list();
+    // Without a list, the peer's equals the one that this instance had when it
+    // sent the request, and may have replaced since.
+    const isKnown =
+      request.tag === 'askBeliefs' &&
+      request.endpointsDigest === state.directory.getDigest();
+    const peerEndpoints =
+      reply.endpoints ?? (isKnown ? state.directory.list() : null);
+    if (endpointsAge !== null && peerEndpoints !== null) {
       stateUpdater.applyPeerEndpoints(
         peerEndpoints,
         subtractMilliseconds(sentAt, endpointsAge),
