Take no interrupted read of the endpoints for an outage of the store

A read that was given up counted as an outage of the store, also where its response was on the way. After an outage, endpoints that are missing are kept for 2 s, as their registration may only have expired. On a slow link an endpoint that had left was so used for up to 2 s more than the next read allows, beyond the time in which its leaving has to take effect. Change: errors of the store's client tell `interrupted` from `unavailable`; an interrupted read starts no such time.

--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -144,8 +144,10 @@
     async read() {
       const sentAt = getInstant();
       const read = await readStore('endpoints', source.readEndpoints);
-      if (read.isErr()) state.directory.recordOutage();
-      else stateUpdater.applyEndpoints(read.value, sentAt);
+      if (read.isOk()) stateUpdater.applyEndpoints(read.value, sentAt);
+      // A store whose response is slow to arrive is up: registrations have not
+      // expired by an outage.
+      else if (read.error.tag !== 'interrupted') state.directory.recordOutage();
       return read.isOk();
     },
     fetch: peerSync.fetchState,
--- a/packages/hickorywharf-types/src/gateway/gatewaySource.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySource.ts
@@ -5,8 +5,11 @@
 
 /** Why a read or write of the platform's store failed. */
 interface SourceError {
-  /** `unreadable`: the store responded, but in an unexpected format. */
-  readonly tag: 'unavailable' | 'unreadable';
+  /**
+   * `interrupted`: the store's response started, but did not arrive in time.
+   * `unreadable`: the store responded, but in an unexpected format.
+   */
+  readonly tag: 'unavailable' | 'interrupted' | 'unreadable';
   /** The read or write that failed. */
   readonly step: string;
   /** Address of the store. */
