Log the rate limits that endpoints state

Cause: nothing decoded the rate limit in a response, so that logs and metrics could not tell a limit that is not read from one that is kept by each instance alone, or on average only. Change: the adapter decodes it as none, a rate, or unreadable (negative, not a decimal number, stated twice). Each change at an endpoint is a log line, the counter rateLimits has all responses by kind.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -12,6 +12,8 @@
     isNotRun: false,
     isEncoded: false,
     isEventStream: false,
+    isMisdirected: false,
+    rateLimit: {tag: 'none'},
     headers: [],
   }),
 } as unknown as GatewayWireFormat;
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -8,6 +8,7 @@
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {ok} from 'neverthrow';
+import {createEndpointLimiter} from '../createEndpointLimiter.ts';
 import {createGatewayMetrics} from '../createGatewayMetrics.ts';
 import {createGatewayState} from '../createGatewayState.ts';
 import {createStageDispatcher} from '../createStageDispatcher.ts';
@@ -59,6 +60,8 @@
       ['scan', {name: 'scan', maximumConnections: 9, stage, engine: null}],
     ]),
   } as unknown as GatewayConfiguration;
+  const log = {infoRateLimited: () => undefined, infoAlways: () => undefined};
+  const metrics = createGatewayMetrics();
   const dispatcher = createStageDispatcher({
     state,
     wire: {
@@ -88,13 +91,17 @@
       windowMilliseconds: 10_000,
       allowance: 50,
     }),
-    log: {infoRateLimited: () => undefined, infoAlways: () => undefined},
-    metrics: createGatewayMetrics(),
+    limiter: createEndpointLimiter({log, metrics}),
+    log,
+    metrics,
     now: () => performance.now(),
   });
   function respond(call: SentCall, ...next: readonly PieceOutcome[]): void {
     outcomes.push(...next);
-    call.request.onHead({status: 200} as ResponseHead);
+    call.request.onHead({
+      status: 200,
+      rateLimit: {tag: 'none'},
+    } as ResponseHead);
     call.request.onEnd();
   }
   const made = (...handles: readonly string[]) =>
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -4,6 +4,7 @@
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
+import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
@@ -21,6 +22,7 @@
   readonly wire: GatewayWireFormat;
   readonly endpointClient: EndpointClient;
   readonly health: ReturnType<typeof createEndpointHealth>;
+  readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
   /**
    * Time for a whole response, or for the first data of a stream. Null for no
@@ -107,7 +109,10 @@
         return failAttempt('the answer is to another request');
       }
       head = response;
-      if (response.isNotRun) return;
+      if (response.isNotRun) {
+        options.limiter.recordHead(endpoint, response);
+        return;
+      }
       if (
         response.requestId === null ||
         !response.isSigned ||
@@ -117,6 +122,7 @@
           `an answer of status ${response.status} without proof`,
         );
       }
+      options.limiter.recordHead(endpoint, response);
       const isSuccess = response.status >= 200 && response.status < 300;
       isStreaming = isSuccess && response.isEventStream;
     }
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -11,6 +11,7 @@
 import type {StageCapacity} from 'hickorywharf-types/gateway/stageCapacity';
 import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
+import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createResultTracker} from './createResultTracker.ts';
 import {createStageStatistics} from './createStageStatistics.ts';
 import type {EndpointClient} from './endpointClient.ts';
@@ -25,6 +26,7 @@
   readonly wire: GatewayWireFormat;
   readonly endpointClient: EndpointClient;
   readonly health: ReturnType<typeof createEndpointHealth>;
+  readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -87,8 +89,8 @@
 export function createStageDispatcher(
   options: DispatcherOptions,
 ): StageDispatcher {
-  const {state, wire, endpointClient, health, budget, log, metrics, now} =
-    options;
+  const {state, wire, endpointClient, health, limiter, budget} = options;
+  const {log, metrics, now} = options;
   const queues = new Map<string, Set<QueuedGroup>>();
   /** Number of sends of each piece, by its group and position. */
   const sends = new WeakMap<QueuedGroup, Map<number, number>>();
@@ -367,6 +369,7 @@
         key: order.key,
         inputs: order.inputs,
       })),
+      onHead: (head) => limiter.recordHead(endpoint, head),
       onFailure(reason, isTimeout) {
         finish();
         if (isTimeout) health.recordTimeout(endpoint.id, now());
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -20,5 +20,9 @@
     label: 'result',
     meaning: 'fetches of a newer configuration from other instances',
   },
+  rateLimits: {
+    label: 'kind',
+    meaning: 'responses of endpoints by the rate limit that they state',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -8,6 +8,7 @@
 import {sleep} from 'hickorywharf-utils/sleep';
 import {createCallServer} from './createCallServer.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
+import {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
@@ -78,11 +79,13 @@
     windowMilliseconds: settings.repeatWindowMilliseconds,
     allowance: settings.repeatAllowance,
   });
+  const limiter = createEndpointLimiter({log, metrics});
   const dispatcher = createStageDispatcher({
     state,
     wire,
     endpointClient,
     health,
+    limiter,
     budget,
     log,
     metrics,
@@ -135,6 +138,7 @@
     },
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
+      limiter.remove(endpointId);
       dispatcher.removeEndpoint(endpointId);
     },
   });
@@ -152,6 +156,7 @@
     wire,
     endpointClient,
     health,
+    limiter,
     loads: createEndpointLoads(),
     budget,
     router,
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -13,6 +13,8 @@
   readonly pieces: readonly StagePiece[];
   /** Time after which the call fails and is aborted. */
   readonly timeoutMilliseconds: number;
+  /** Receives the head of the response, before the outcomes or a failure. */
+  onHead(head: ResponseHead): void;
   /** Receives one outcome for each piece, in the order of `pieces`. */
   onOutcomes(outcomes: readonly PieceOutcome[]): void;
   /** `isTimeout` is true only for a call that timed out. */
@@ -53,6 +55,7 @@
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
     onHead(responseHead) {
       head = responseHead;
+      options.onHead(responseHead);
     },
     onData: (chunk) => void chunks.push(chunk),
     onEnd() {
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -11,6 +11,7 @@
 import {attemptCall} from './attemptCall.ts';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
+import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import type {createInstantClock} from './createInstantClock.ts';
@@ -31,6 +32,7 @@
   readonly wire: GatewayWireFormat;
   readonly endpointClient: EndpointClient;
   readonly health: ReturnType<typeof createEndpointHealth>;
+  readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
@@ -269,6 +271,7 @@
       wire: options.wire,
       endpointClient: options.endpointClient,
       health,
+      limiter: options.limiter,
       loads,
       responseTimeoutMilliseconds: getResponseTimeout(endpoint),
       now: () => getInstant().monotonic,
--- a/packages/hickorywharf-types/src/gateway/responseHead.ts
+++ b/packages/hickorywharf-types/src/gateway/responseHead.ts
@@ -1,3 +1,5 @@
+import type {StatedRateLimit} from './statedRateLimit.ts';
+
 /** The status and headers of an endpoint's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -11,6 +13,10 @@
   readonly isEncoded: boolean;
   /** Whether the body is a stream of server-sent events. */
   readonly isEventStream: boolean;
+  /** Whether another endpoint than the one that the request names responded. */
+  readonly isMisdirected: boolean;
+  /** The rate limit that the endpoint states for calls to it. */
+  readonly rateLimit: StatedRateLimit;
   /** Headers to forward to the caller, names and values alternating. */
   readonly headers: readonly string[];
 }
