Keep the rate limits that endpoints state, all instances together

Cause: no part of the system read the limit, so that it had no effect on where calls went or on what was admitted. Evidence: rates by endpoint did not change when the limits were stated, and no adapter named the header. One instance alone sent 98 calls in 4 s of 11 allowed, so that the sum over instances is not the first cause. Change: createEndpointLimits divides a limit among the instances by what all of them know: a low one goes to few instances, by rendezvous hashing over the instances of their recent lists; an instance that has just started waits. Each spaces its calls by its share. The wait counts as cost in the choice of an endpoint, in the estimates of waits, and in admission: a call that no limit leaves room for is refused at once, as not run. Limits and their ends reach other instances with the heartbeats; an endpoint that nobody heard of for 10 s is asked by one instance at a time. Stage calls are limited as well. Why it works: the bursts of all instances together are bounded by the limit itself plus a few calls, so that 4 s hold less than one and a half times the limit plus 5, also while instance lists differ.

--- a/packages/hickorywharf-decisions/src/gateway/estimateWaits.ts
+++ b/packages/hickorywharf-decisions/src/gateway/estimateWaits.ts
@@ -3,7 +3,7 @@
 import {rankGroups} from './rankGroups.ts';
 
 interface ServiceCapacity {
-  /** Number of endpoints. */
+  /** Number of endpoints; a rate limit makes an endpoint part of one. */
   readonly endpoints: number;
   /** The most pieces in one call. */
   readonly batch: number;
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -5,6 +5,7 @@
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
+import type {StatedRateLimit} from 'hickorywharf-types/gateway/statedRateLimit';
 import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {ok} from 'neverthrow';
@@ -91,22 +92,30 @@
       windowMilliseconds: 10_000,
       allowance: 50,
     }),
-    limiter: createEndpointLimiter({log, metrics}),
+    limiter: createEndpointLimiter({
+      name: 'x',
+      incarnation: 'x-1',
+      state,
+      log,
+      metrics,
+      now: () => performance.now(),
+    }),
     log,
     metrics,
     now: () => performance.now(),
   });
+  let rateLimit: StatedRateLimit = {tag: 'none'};
   function respond(call: SentCall, ...next: readonly PieceOutcome[]): void {
     outcomes.push(...next);
-    call.request.onHead({
-      status: 200,
-      rateLimit: {tag: 'none'},
-    } as ResponseHead);
+    call.request.onHead({status: 200, rateLimit} as ResponseHead);
     call.request.onEnd();
   }
   const made = (...handles: readonly string[]) =>
     handles.map((handle): PieceOutcome => ({tag: 'made', handle}));
-  return {dispatcher, calls, respond, made};
+  const setRateLimit = (limit: StatedRateLimit): void => {
+    rateLimit = limit;
+  };
+  return {dispatcher, calls, respond, made, setRateLimit};
 }
 
 test('pieces of several requests go into one call', async (t) => {
@@ -236,3 +245,21 @@
     ['expired', 'expired'],
   );
 });
+
+test('an endpoint with a rate limit gets no call beyond it', async (t) => {
+  const {dispatcher, calls, respond, made, setRateLimit} =
+    createTestDispatcher(2);
+  setRateLimit({tag: 'named', callsPerSecond: 0.1});
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await sleep(5);
+  const limited = calls[0]!.endpoint;
+  respond(calls[0]!, ...made('a', 'b'));
+  setRateLimit({tag: 'none'});
+  for (let index = 1; index < 5; index += 1) {
+    dispatcher.order({...TEST_ORDER, requestId: `r${index}`}, () => undefined);
+    await sleep(5);
+    t.not(calls[index]!.endpoint, limited);
+    respond(calls[index]!, ...made('c', 'd'));
+    await sleep(5);
+  }
+});
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -1,58 +1,135 @@
 import {createEndpointLimits} from 'hickorywharf-decisions/gateway/createEndpointLimits';
+import {estimateLimitWait} from 'hickorywharf-decisions/gateway/estimateLimitWait';
+import type {EndpointLimitReport} from 'hickorywharf-types/gateway/endpointLimitReport';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
+import type {GatewayState} from './gatewayState.ts';
+import {listStageServices} from './listStageServices.ts';
+
+type Limits = ReturnType<typeof createEndpointLimits>;
 
 interface LimiterOptions {
+  /** Name of this instance. */
+  readonly name: string;
+  /** Distinguishes the starts of this instance. */
+  readonly incarnation: string;
+  readonly state: GatewayState;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  /** Monotonic milliseconds. */
+  now(): number;
 }
 
 interface EndpointLimiter {
   /** Records the rate limit in a response of the endpoint. */
   recordHead(endpoint: GatewayEndpoint, head: ResponseHead): void;
-  /** Discards what is known of the endpoint. */
-  remove(endpointId: string): void;
+  /** Records what a peer reports. */
+  recordReports(reports: readonly EndpointLimitReport[]): void;
+  /** What this instance reports to its peers. */
+  listReports(): EndpointLimitReport[];
+  /** Records a complete list of the instances, including this one. */
+  recordInstances(
+    instances: ReadonlyArray<{
+      readonly name: string;
+      readonly capacity: number;
+    }>,
+  ): void;
+  /** Applies the services of the active configuration. */
+  refresh(): void;
+  /** Calls per second that this instance may send; Infinity without a limit. */
+  getRate(endpoint: GatewayEndpoint): number;
+  /** Milliseconds until this instance may send a call; Infinity for never. */
+  getWait(endpoint: GatewayEndpoint): number;
+  /**
+   * Milliseconds by which the limits of a service's endpoints delay a call that
+   * arrives now; Infinity if this instance may use none of them.
+   */
+  estimateWait(service: string): number;
+  /**
+   * Counts a call that is prepared, and sent to the service afterwards, until
+   * the function returned is called.
+   */
+  startPreparation(service: string): () => void;
+  /** Counts a call to be sent after the wait that is returned. */
+  reserve(endpoint: GatewayEndpoint): number;
 }
 
 /**
- * Follows the rate limits that endpoints state in their responses, and logs
- * each change.
+ * Keeps the rate limits that endpoints state in their responses, and logs each
+ * change.
  *
  * @example
- *     const limiter = createEndpointLimiter({log, metrics});
+ *     const limiter = createEndpointLimiter(options);
  *     limiter.recordHead(endpoint, head);
+ *     limiter.getWait(endpoint); // 0 if a call may be sent
  */
 export function createEndpointLimiter(
   options: LimiterOptions,
 ): EndpointLimiter {
-  const {log, metrics} = options;
-  const limits = createEndpointLimits();
+  const {name, incarnation, state, log, metrics, now} = options;
+  const limits = createEndpointLimits(name, incarnation);
+  /** Number of calls that are prepared, by service. */
+  const preparations = new Map<string, number>();
+
+  function logChange(
+    change: NonNullable<ReturnType<Limits['recordResponse']>>,
+  ): void {
+    const {endpointId, ...fields} = change;
+    log.infoAlways('endpoint limit changed', {
+      step: 'limit',
+      peer: endpointId,
+      ...fields,
+    });
+  }
+
   return {
     recordHead(endpoint, {isMisdirected, rateLimit}) {
       if (isMisdirected) return;
       metrics.count('rateLimits', rateLimit.tag);
-      const fields = {step: 'limit', peer: endpoint.id};
       if (rateLimit.tag === 'unreadable') {
         log.infoRateLimited('endpoint limit not readable', {
-          ...fields,
+          step: 'limit',
+          peer: endpoint.id,
           text: rateLimit.text,
         });
         return;
       }
-      const change = limits.recordResponse(
-        endpoint,
-        rateLimit.tag === 'named' ? rateLimit.callsPerSecond : null,
-      );
-      if (change === null) return;
-      log.infoAlways('endpoint limit changed', {
-        ...fields,
-        service: endpoint.service,
-        callsPerSecond: change.callsPerSecond,
-        before: change.before,
-      });
+      const rate = rateLimit.tag === 'named' ? rateLimit.callsPerSecond : null;
+      const change = limits.recordResponse(endpoint, rate, now());
+      if (change !== null) logChange(change);
+    },
+    recordReports(reports) {
+      for (const change of limits.recordReports(reports, now())) {
+        logChange(change);
+      }
+    },
+    listReports: () => limits.listReports(now()),
+    recordInstances: (instances) => limits.recordInstances(instances, now()),
+    refresh: () => limits.setStageServices(listStageServices(state)),
+    getRate: (endpoint) => limits.getRate(endpoint, now()),
+    getWait: (endpoint) => limits.getWait(endpoint, now()),
+    estimateWait: (service) =>
+      estimateLimitWait(
+        state.directory.getUsable(service).map((endpoint) => ({
+          callsPerSecond: limits.getRate(endpoint, now()),
+          waitMilliseconds: limits.getWait(endpoint, now()),
+        })),
+        preparations.get(service) ?? 0,
+      ),
+    startPreparation(service) {
+      preparations.set(service, (preparations.get(service) ?? 0) + 1);
+      return () => {
+        const remaining = preparations.get(service)! - 1;
+        if (remaining > 0) preparations.set(service, remaining);
+        else preparations.delete(service);
+      };
+    },
+    reserve(endpoint) {
+      const wait = limits.reserve(endpoint, now());
+      if (wait > 0) metrics.count('limitedCalls', 'delayed');
+      return wait;
     },
-    remove: limits.remove,
   };
 }
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -23,6 +23,11 @@
    * interval, until this instance leaves.
    */
   getStatusFrame(): Frame;
+  /** Fields for the heartbeats to peers that this instance connected to. */
+  getHeartbeatFields(): Pick<
+    Extract<Frame, {tag: 'heartbeat'}>,
+    'endpointLimits'
+  >;
   /** Receives a frame of a peer that connected to this instance. */
   onRequest(connection: Connection, frame: Frame): void;
   /** Called when a peer that connected to this instance has disconnected. */
@@ -168,8 +173,12 @@
       });
       heartbeatTimer = setInterval(() => {
         sendStatus();
+        const heartbeat = {
+          ...createHeartbeat(false),
+          ...options.getHeartbeatFields(),
+        };
         for (const connection of connected.values()) {
-          connection.send(createHeartbeat(false));
+          connection.send(heartbeat);
         }
       }, HEARTBEAT_INTERVAL_MILLISECONDS);
     },
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -180,11 +180,24 @@
     if (capacity === undefined) return null;
     const time = now();
     const endpoints = getEndpoints(service);
-    const waits = endpoints.map(({id}) =>
-      callTracker.getWait(id, capacity.slots, time),
+    const waits = endpoints.map((endpoint) =>
+      Math.max(
+        callTracker.getWait(endpoint.id, capacity.slots, time),
+        limiter.getWait(endpoint),
+      ),
+    );
+    // A rate limit below what an endpoint can do makes it part of one.
+    const callSeconds =
+      (capacity.callMilliseconds +
+        capacity.batch * capacity.pieceMilliseconds) /
+      1000;
+    const effectiveEndpoints = endpoints.reduce(
+      (sum, endpoint) =>
+        sum + Math.min(1, limiter.getRate(endpoint) * callSeconds),
+      0,
     );
     return estimateWaits(getQueue(service), time, {
-      endpoints: endpoints.length,
+      endpoints: effectiveEndpoints,
       batch: capacity.batch,
       callMilliseconds: capacity.callMilliseconds,
       untilFreeMilliseconds: Math.min(...waits, MAXIMUM_WAIT_MILLISECONDS),
@@ -225,6 +238,7 @@
     const time = now();
     for (const endpoint of endpoints) {
       if (!callTracker.isFree(endpoint.id, capacity.slots, time)) continue;
+      if (limiter.getWait(endpoint) > 0) continue;
       const shares = planBatch(queue, time, {
         batch: capacity.batch,
         callMilliseconds: capacity.callMilliseconds,
@@ -319,6 +333,7 @@
     endpoint: GatewayEndpoint,
     batch: readonly SentPiece[],
   ): void {
+    limiter.reserve(endpoint);
     const startedAt = now();
     const work = batch.reduce(
       (sum, {group}) => sum + group.workMilliseconds,
--- a/packages/hickorywharf-gateway/src/createStageRouter.ts
+++ b/packages/hickorywharf-gateway/src/createStageRouter.ts
@@ -7,6 +7,7 @@
 import type {createPeerConnections} from './createPeerConnections.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayState} from './gatewayState.ts';
+import {listStageServices} from './listStageServices.ts';
 import type {StageDispatcher} from './stageDispatcher.ts';
 import type {StageRouter} from './stageRouter.ts';
 
@@ -90,18 +91,12 @@
   const receivedWaits = new Map<string, ReceivedWaits>();
   let lastOrderId = 0;
 
-  function getStageServices(): string[] {
-    return [...(state.configuration?.services.values() ?? [])]
-      .filter(({stage}) => stage !== null)
-      .map((entry) => entry.name);
-  }
-
   /**
    * The peer that dispatches for a service; null if this instance does. While
    * this instance stops, it dispatches only if no other peer is connected.
    */
   function findDispatcher(service: string): string | null {
-    const services = getStageServices();
+    const services = listStageServices(state);
     for (const instance of rankDispatchers(
       service,
       services,
@@ -241,7 +236,7 @@
       return isFresh ? entry.waits : null;
     },
     listWaitEstimates: () =>
-      getStageServices()
+      listStageServices(state)
         .flatMap((service) =>
           findDispatcher(service) === null
             ? [dispatcher.getWaitEstimate(service) ?? []]
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -24,5 +24,9 @@
     label: 'kind',
     meaning: 'responses of endpoints by the rate limit that they state',
   },
+  limitedCalls: {
+    label: 'result',
+    meaning: 'calls for which the rate limits of endpoints left no room',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -79,7 +79,20 @@
     windowMilliseconds: settings.repeatWindowMilliseconds,
     allowance: settings.repeatAllowance,
   });
-  const limiter = createEndpointLimiter({log, metrics});
+  const incarnation = randomUUID();
+  const limiter = createEndpointLimiter({
+    name: settings.name,
+    incarnation,
+    state,
+    log,
+    metrics,
+    now,
+  });
+  /** Left out without reports, as most heartbeats have none. */
+  const getHeartbeatFields = () => {
+    const endpointLimits = limiter.listReports();
+    return endpointLimits.length > 0 ? {endpointLimits} : {};
+  };
   const dispatcher = createStageDispatcher({
     state,
     wire,
@@ -102,7 +115,7 @@
   const peers = createPeerConnections({
     identity: {
       name: settings.name,
-      incarnation: randomUUID(),
+      incarnation,
       failureDomain: settings.failureDomain,
       role: 'entry',
     },
@@ -113,13 +126,21 @@
     getStatusFrame: () => ({
       tag: 'stageWaits',
       services: router.listWaitEstimates(),
+      ...getHeartbeatFields(),
     }),
+    getHeartbeatFields,
     onRequest(connection, frame) {
+      if (frame.tag === 'heartbeat') {
+        limiter.recordReports(frame.endpointLimits ?? []);
+      }
       router.handleRequest(connection, frame);
       stateSync.handleRequest(connection, frame);
     },
     onRequesterDisconnected: router.cancelRequests,
     onReply(name, frame) {
+      if (frame.tag === 'stageWaits') {
+        limiter.recordReports(frame.endpointLimits ?? []);
+      }
       router.handleReply(name, frame);
       stateSync.handleReply(frame);
     },
@@ -133,12 +154,12 @@
     log,
     getInstant,
     onChange() {
+      limiter.refresh();
       dispatcher.refresh();
       server.refresh();
     },
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
-      limiter.remove(endpointId);
       dispatcher.removeEndpoint(endpointId);
     },
   });
@@ -205,7 +226,11 @@
     getInstant,
     isConnected: peers.isConnected,
     findSeed: peers.findSeed,
-    onInstances: peers.setInstances,
+    onInstances(others) {
+      const {name, capacity} = settings;
+      limiter.recordInstances([...others, {name, capacity}]);
+      peers.setInstances(others);
+    },
   });
   log.infoAlways('started', {
     step: 'start',
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -8,6 +8,7 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {attemptCall} from './attemptCall.ts';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
@@ -76,6 +77,11 @@
  * failed, or when keys were not confirmed.
  */
 const NO_ENDPOINT_RETRY_MILLISECONDS = 300;
+/**
+ * Longest wait for the rate limit of an endpoint at which a stream resumes;
+ * callers abandon a stream after a pause of about two seconds.
+ */
+const MAXIMUM_STREAM_PAUSE_MILLISECONDS = 1000;
 
 /**
  * Serves an admitted call: runs its stages, sends it to an endpoint, and
@@ -90,8 +96,8 @@
   options: ServeOptions,
   input: ServedCall,
 ): Promise<void> {
-  const {settings, state, health, loads, budget, log, metrics, getInstant} =
-    options;
+  const {settings, state, health, limiter, loads, budget} = options;
+  const {log, metrics, getInstant} = options;
   const {context, body, relay: writer} = input;
   const {call, route, service} = context;
   const splitter = createEventSplitter();
@@ -103,6 +109,8 @@
   let inputs: readonly string[] = [];
   let handles: readonly string[] = [];
   let hasInputs = false;
+  /** The endpoint whose rate limit the call waited for. */
+  let reserved: GatewayEndpoint | null = null;
 
   /** Approximate size of the largest stage result. */
   const resultBytes = Math.max(
@@ -158,6 +166,25 @@
     );
   }
 
+  /** Ends the call because the rate limits of the endpoints are used up. */
+  function failForLimits(waitMilliseconds: number): void {
+    metrics.count('limitedCalls', 'refused');
+    const reason = 'the rate limits of the endpoints leave no room';
+    if (runs > 0 || writer.isStarted) fail(reason);
+    else refuseOverloaded(reason, waitMilliseconds);
+  }
+
+  function refuseOverloaded(message: string, waitMilliseconds: number): void {
+    refuse({
+      tag: 'overloaded',
+      message,
+      // Infinite where only other instances may use the endpoints.
+      retryAfterMilliseconds: Number.isFinite(waitMilliseconds)
+        ? waitMilliseconds
+        : NO_ENDPOINT_RETRY_MILLISECONDS,
+    });
+  }
+
   /** Undefined if no usable endpoint is left that was not tried. */
   function selectEndpoint(): GatewayEndpoint | undefined {
     const now = getInstant().monotonic;
@@ -170,7 +197,8 @@
         endpoint,
         ...loads.get(endpoint.id),
         responseMilliseconds: health.getResponseTime(endpoint.id),
-        penaltyMilliseconds: health.getPenalty(endpoint.id, now),
+        penaltyMilliseconds:
+          health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
       }));
     const selected = route.isSticky
       ? chooseEngine(candidates, {
@@ -212,25 +240,31 @@
     const {services} = state.configuration!;
     const now = getInstant().monotonic;
     if (stageRuns === 0) {
-      const forecast = forecastCall(
+      const engineMilliseconds = estimateEngineTime(call.promptTokens);
+      const stages = forecastCall(
         createStageForecasts(context, services, options.router.getWaitEstimate),
-        estimateEngineTime(call.promptTokens),
+        engineMilliseconds,
       );
+      const limited = limiter.estimateWait(service.name) + engineMilliseconds;
+      const forecast = {
+        timelyMilliseconds: Math.max(stages.timelyMilliseconds, limited),
+        totalMilliseconds: Math.max(stages.totalMilliseconds, limited),
+      };
       const admission = decideAdmission({
         forecast,
         targetLeftMilliseconds: context.targetAt - now,
         timeLeftMilliseconds: context.deadlineAt - now,
       });
       if (admission.tag === 'refused') {
-        refuse({
-          tag: 'overloaded',
-          message: `about ${Math.round(forecast.totalMilliseconds)} ms of work ahead`,
-          retryAfterMilliseconds: admission.retryAfterMilliseconds,
-        });
+        refuseOverloaded(
+          `about ${Math.round(forecast.totalMilliseconds)} ms of work ahead`,
+          admission.retryAfterMilliseconds,
+        );
         return false;
       }
     }
     stageRuns += 1;
+    const endPreparation = limiter.startPreparation(service.name);
     const result = await runStages({
       context,
       services,
@@ -238,6 +272,7 @@
       consumerDomain: selectEndpoint()?.failureDomain ?? null,
       getNow: () => getInstant().monotonic,
     });
+    endPreparation();
     if (context.isEnded) {
       if (result.tag === 'made') options.router.free(result.handles);
       return false;
@@ -259,6 +294,38 @@
     return true;
   }
 
+  /**
+   * Reserves room for the call in the rate limit of an endpoint. Returns the
+   * milliseconds until the call may be sent; null if they are too many, after
+   * the response was written.
+   */
+  function reserveRoom(endpoint: GatewayEndpoint): number | null {
+    const now = getInstant().monotonic;
+    const wait = limiter.getWait(endpoint);
+    if (wait === 0) return limiter.reserve(endpoint);
+    const milliseconds = wait + estimateEngineTime(call.promptTokens);
+    const admission = decideAdmission({
+      forecast: {
+        timelyMilliseconds: milliseconds,
+        totalMilliseconds: milliseconds,
+      },
+      targetLeftMilliseconds: context.targetAt - now,
+      timeLeftMilliseconds: context.deadlineAt - now,
+    });
+    const isTooLong = writer.isStarted
+      ? wait > MAXIMUM_STREAM_PAUSE_MILLISECONDS
+      : admission.tag === 'refused';
+    if (!isTooLong) return limiter.reserve(endpoint);
+    failForLimits(wait);
+    return null;
+  }
+
+  function isUsable({id, startedAt}: GatewayEndpoint): boolean {
+    return state.directory
+      .getUsable(service.name)
+      .some((other) => other.id === id && other.startedAt === startedAt);
+  }
+
   async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
     sends += 1;
     return attemptCall({
@@ -271,7 +338,7 @@
       wire: options.wire,
       endpointClient: options.endpointClient,
       health,
-      limiter: options.limiter,
+      limiter,
       loads,
       responseTimeoutMilliseconds: getResponseTimeout(endpoint),
       now: () => getInstant().monotonic,
@@ -297,11 +364,24 @@
       }
       break;
     }
-    const endpoint = selectEndpoint();
+    if (reserved !== null && !isUsable(reserved)) reserved = null;
+    const endpoint: GatewayEndpoint | undefined = reserved ?? selectEndpoint();
     if (endpoint === undefined) {
-      fail('no endpoint is left to try');
+      const wait = limiter.estimateWait(service.name);
+      if (wait === Infinity) failForLimits(wait);
+      else fail('no endpoint is left to try');
       break;
     }
+    if (reserved === null) {
+      const wait = reserveRoom(endpoint);
+      if (wait === null) break;
+      if (wait > 0) {
+        reserved = endpoint;
+        await sleep(wait);
+        continue;
+      }
+    }
+    reserved = null;
     const isRetry = sends > 0;
     if (
       isRetry &&
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -15,6 +15,9 @@
   Number.isSafeInteger(value) && (value as number) >= 0;
 const isBoolean: Check = (value) => typeof value === 'boolean';
 
+const isNotNegative: Check = (value) =>
+  Number.isFinite(value) && (value as number) >= 0;
+
 const isBytes: Check = (value) => value instanceof Uint8Array;
 
 function isOneOf(...allowed: readonly unknown[]): Check {
@@ -135,6 +138,13 @@
     timelyMilliseconds: isNumberArray,
     totalMilliseconds: isNumber,
   }),
+  isEndpointLimitReport: hasFields({
+    endpointId: isName,
+    startedAt: isNumber,
+    callsPerSecond: isNullOr(isNotNegative),
+    ageMilliseconds: isNotNegative,
+    source: isName,
+  }),
   isStageResult: hasFields({
     tag: isOneOf('made', 'inputGone', 'expired', 'failed'),
     piece: isCount,
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -7,6 +7,9 @@
   frameChecks;
 const isNullOrName = isNullOr(isName);
 
+const isOptionalLimitReports = frameChecks.isOptional(
+  isArrayOf(frameChecks.isEndpointLimitReport),
+);
 const isHomeIntervalArray = isArrayOf(frameChecks.isHomeInterval);
 
 const ATTEMPT_KEY = {
@@ -70,6 +73,7 @@
     leaving: isBoolean,
     load: frameChecks.isLoad,
     configurationSequence: isCount,
+    endpointLimits: isOptionalLimitReports,
   },
   homes: {homes: isHomeIntervalArray},
   configurationAt: {sequence: isCount},
@@ -93,7 +97,10 @@
     results: isArrayOf(frameChecks.isStageResult),
   },
   stageFree: {handles: frameChecks.isStringArray},
-  stageWaits: {services: isArrayOf(frameChecks.isStageWaits)},
+  stageWaits: {
+    services: isArrayOf(frameChecks.isStageWaits),
+    endpointLimits: isOptionalLimitReports,
+  },
   askBeliefs: {askId: isCount, version: isNumber, endpointsDigest: isName},
   beliefs: {
     askId: isCount,
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,5 +1,6 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
+import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
 import type {SerializedConfiguration} from './gateway/serializedConfiguration.ts';
 import type {StageOrder} from './gateway/stageOrder.ts';
@@ -111,6 +112,8 @@
       /** Null if the sender is no endpoint process. */
       readonly load: LoadReport | null;
       readonly configurationSequence: number;
+      /** Left out if there are none. */
+      readonly endpointLimits?: readonly EndpointLimitReport[];
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
@@ -152,7 +155,12 @@
       readonly results: readonly StageResult[];
     }
   /** Estimated waits at the services that the sender dispatches for. */
-  | {readonly tag: 'stageWaits'; readonly services: readonly StageWaits[]}
+  | {
+      readonly tag: 'stageWaits';
+      readonly services: readonly StageWaits[];
+      /** Left out if there are none. */
+      readonly endpointLimits?: readonly EndpointLimitReport[];
+    }
   /** Releases results of pieces that were ordered from the receiver. */
   | {readonly tag: 'stageFree'; readonly handles: readonly string[]}
   /** Requests the state of the receiver where it differs from the sender's. */
