Count the release of stage results in the rate limit of an endpoint

Each release of results is a request to the endpoint too, up to a hundred a second at one endpoint, and the limit held back only the calls that compute pieces. Change: where an endpoint has a limit, releases wait until it has room, for a second at most, and so share a call; each counts in the limit. Result: createStageDispatcher.test.ts, "results at an endpoint with a rate limit are freed in few calls": failed without the change (4 releases at once), passes.

--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -263,3 +263,22 @@
     await sleep(5);
   }
 });
+
+test('results at an endpoint with a rate limit are freed in few calls', async (t) => {
+  const {dispatcher, calls, respond, made, setRateLimit} =
+    createTestDispatcher(1);
+  setRateLimit({tag: 'named', callsPerSecond: 0.1});
+  dispatcher.order({...TEST_ORDER, pieces: [0, 1, 2, 3]}, () => undefined);
+  await sleep(5);
+  respond(calls[0]!, ...made('a', 'b', 'c', 'd'));
+  for (const handle of ['a', 'b', 'c', 'd']) {
+    dispatcher.free([handle]);
+    await sleep(60);
+  }
+  t.is(calls.length, 1, 'no free while there is no room');
+  await sleep(900);
+  t.deepEqual(
+    calls.slice(1).map(({path, request}) => [path, request.body]),
+    [['/free', JSON.stringify(['a', 'b', 'c', 'd'])]],
+  );
+});
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -1,6 +1,7 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {buildStageRequest} from './buildStageRequest.ts';
+import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 
@@ -10,6 +11,10 @@
   readonly log: GatewayLog;
   /** Monotonic milliseconds. */
   now(): number;
+  readonly limiter: Pick<
+    ReturnType<typeof createEndpointLimiter>,
+    'getWait' | 'reserve'
+  >;
   /** Called when memory of an endpoint is free again. */
   onRelease(endpoint: GatewayEndpoint): void;
 }
@@ -60,6 +65,11 @@
 
 /** Results of one endpoint that are freed within this time share a call. */
 const FREE_DELAY_MILLISECONDS = 10;
+/**
+ * The longest that the rate limit of an endpoint delays a free, and so adds to
+ * the results that share a call.
+ */
+const MAXIMUM_FREE_DELAY_MILLISECONDS = 1000;
 
 /**
  * Tracks which endpoint holds which results, and how much memory these take.
@@ -73,7 +83,7 @@
  *     tracker.getAllocatedBytes(endpoint.id); // 3000000 until it is confirmed
  */
 export function createResultTracker(options: TrackerOptions): ResultTracker {
-  const {wire, endpointClient, log, now, onRelease} = options;
+  const {wire, endpointClient, limiter, log, now, onRelease} = options;
   const allocatedBytes = new Map<string, number>();
   const results = new Map<string, TrackedResult>();
   const pendingFrees = new Map<string, PendingFree>();
@@ -103,10 +113,14 @@
     }
     const entry = {endpoint, handles: [handle], bytes};
     pendingFrees.set(endpoint.id, entry);
+    const delay = Math.min(
+      Math.max(FREE_DELAY_MILLISECONDS, limiter.getWait(endpoint)),
+      MAXIMUM_FREE_DELAY_MILLISECONDS,
+    );
     setTimeout(() => {
       pendingFrees.delete(endpoint.id);
       sendFree(entry, false);
-    }, FREE_DELAY_MILLISECONDS);
+    }, delay);
   }
 
   /**
@@ -115,6 +129,7 @@
    */
   function sendFree(entry: PendingFree, isRetry: boolean): void {
     const {endpoint, handles, bytes} = entry;
+    limiter.reserve(endpoint);
     const body = wire.formatFree(handles);
     endpointClient.send({
       ...buildStageRequest(wire, endpoint, wire.stageFree, body),
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -100,6 +100,7 @@
   const results = createResultTracker({
     wire,
     endpointClient,
+    limiter,
     log,
     now,
     onRelease({id, service}) {
