Play instance lists that lapse against the rate limits of endpoints

Cause: after an outage of the store in which announcements expire, instances may see only themselves for a moment, and would each take a whole limit. Change: a test in which ten instances do so for 2 s.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointLimits.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointLimits.test.ts
@@ -18,6 +18,8 @@
   /** Calls that each instance wants to send in each step. */
   readonly demand: number;
   readonly isStage?: boolean;
+  /** Whether announcements expire for a while, so that all see only themselves. */
+  readonly isLapsing?: boolean;
   readonly seconds: number;
 }
 
@@ -59,10 +61,16 @@
     for (const name of names) {
       if (name !== down && !isUp.has(name)) running.push(start(name, now));
     }
-    running.forEach(({name, limits}, index) => {
+    running.forEach((instance, index) => {
+      const {name, limits} = instance;
       // The list of an instance is older than the present by up to its period.
       if ((now + index * 250) % LIST_MILLISECONDS === 0) {
-        const listed = running.map((other) => ({name: other.name, capacity}));
+        const hasLapsed =
+          plan.isLapsing === true && now > 20_000 && now <= 22_000;
+        const listed = (hasLapsed ? [instance] : running).map((other) => ({
+          name: other.name,
+          capacity,
+        }));
         limits.recordInstances(listed, now);
       }
       if ((now + index * 50) % REPORT_MILLISECONDS === 0) {
@@ -128,6 +136,16 @@
   }
 });
 
+test('instances that see only themselves for a moment keep a limit together', (t) => {
+  for (const callsPerSecond of [0.3, 5, 50]) {
+    const plan = {callsPerSecond, instances: 10, rolls: 0, demand: 3};
+    const counted = simulate({...plan, isLapsing: true, seconds: 20});
+    const worst = countInWorstWindow(counted);
+    const allowed = getAllowed(callsPerSecond);
+    t.true(worst <= allowed, `${worst} of ${allowed} at ${callsPerSecond}/s`);
+  }
+});
+
 test('two dispatchers of a stage at a time keep a limit together', (t) => {
   for (const callsPerSecond of [0.3, 1, 5, 50]) {
     const plan = {callsPerSecond, instances: 5, rolls: 4, demand: 3};
