Log the software version at which streams resume

Cause: no adapter decoded the version of an endpoint or the request whose stream a caller resumes, so that logs could not show whether a stream had crossed versions, within a response or over a caller's tries. A line 'stream resumes' for each attempt that continues a stream, and the version in the line of an answered request. Endpoint lists of peers of older builds, which have no versions, are still accepted.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
@@ -16,6 +16,7 @@
     failureDomain: 'a',
     isDraining: false,
     startedAt: 1,
+    version: 'v1',
     slots: 6,
     ...changes,
   };
--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -51,6 +51,7 @@
   failureDomain: 'a',
   isDraining,
   startedAt: 1,
+  version: 'v1',
   slots: 6,
 });
 
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -43,6 +43,7 @@
       failureDomain: 'a',
       isDraining: false,
       startedAt: 1,
+      version: 'v1',
       slots: 1,
     })),
     {monotonic: 0, wall: 0},
--- a/packages/hickorywharf-gateway/src/createPeerStateSync.ts
+++ b/packages/hickorywharf-gateway/src/createPeerStateSync.ts
@@ -1,5 +1,6 @@
 import type {Instant} from 'hickorywharf-decisions/gateway/instant';
 import type {Connection} from 'hickorywharf-transport/connection';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {Frame} from 'hickorywharf-types/frame';
 import {createPeerRequests} from './createPeerRequests.ts';
 import type {createStateUpdater} from './createStateUpdater.ts';
@@ -65,6 +66,12 @@
   return Number.isFinite(age) ? age : null;
 }
 
+/** Instances of older builds send no version. */
+function fillVersion(endpoint: GatewayEndpoint): GatewayEndpoint {
+  const {version = ''} = endpoint as Partial<GatewayEndpoint>;
+  return {...endpoint, version};
+}
+
 function subtractMilliseconds(
   {monotonic, wall}: Instant,
   milliseconds: number,
@@ -208,7 +215,8 @@
       request.tag === 'askBeliefs' &&
       request.endpointsDigest === state.directory.getDigest();
     const peerEndpoints =
-      reply.endpoints ?? (isKnown ? state.directory.list() : null);
+      reply.endpoints?.map(fillVersion) ??
+      (isKnown ? state.directory.list() : null);
     if (endpointsAge !== null && peerEndpoints !== null) {
       stateUpdater.applyPeerEndpoints(
         peerEndpoints,
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -394,11 +394,26 @@
       fail('the budget of repeats is used up');
       break;
     }
+    const lastEventId = splitter.getLastId() ?? call.lastEventId;
+    if (lastEventId !== null) {
+      log.infoRateLimited('stream resumes', {
+        requestId: call.id,
+        step: 'call',
+        peer: endpoint.id,
+        endpointVersion: endpoint.version,
+        resumedRequestId: call.resumedRequestId,
+        lastEventId,
+        isWithinResponse: writer.isStarted,
+      });
+    }
     const result = await attempt(endpoint);
     metrics.count('attempts', result.tag);
     if (context.isEnded || result.tag === 'callerGone') break;
     if (result.tag === 'delivered') {
-      recordOutcome('answered', {peer: endpoint.id});
+      recordOutcome('answered', {
+        peer: endpoint.id,
+        endpointVersion: endpoint.version,
+      });
       break;
     }
     log.infoRateLimited('attempt failed', {
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -187,6 +187,8 @@
     failureDomain: isName,
     isDraining: isBoolean,
     startedAt: isNumber,
+    // Instances before this field was added do not send it.
+    version: isOptional(isName),
     slots: isCount,
   }),
   isHomeInterval: hasFields({
--- a/packages/hickorywharf-types/src/gateway/gatewayCall.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewayCall.ts
@@ -20,6 +20,11 @@
    * caller states none.
    */
   readonly pieceKey: string | null;
+  /**
+   * Id of the request that got the first event of the stream that the caller
+   * resumes; null if the caller states none.
+   */
+  readonly resumedRequestId: string | null;
   /** Id of the event after which a stream resumes; null for a new stream. */
   readonly lastEventId: string | null;
   /** Headers to forward unchanged, names and values alternating. */
--- a/packages/hickorywharf-types/src/gateway/gatewayEndpoint.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewayEndpoint.ts
@@ -12,6 +12,8 @@
   readonly isDraining: boolean;
   /** Start of the incarnation, in milliseconds since the epoch. */
   readonly startedAt: number;
+  /** Version of the endpoint's software; empty if it is not known. */
+  readonly version: string;
   /** Calls that the endpoint runs in parallel. */
   readonly slots: number;
 }
