Continue a stream only at the software version that began it

Cause: the choice of an endpoint knew no versions, neither when an instance resumed a stream within a response nor when a caller resumed it elsewhere. Evidence: with two endpoints of two versions that never change, streams crossed in both ways; the stream of the cases continued 3.6 s after its server started, so that a list behind the times is not the cause. Change: the version of the first event's endpoint is kept for the response, and all later attempts go to it only. A caller's resumption finds the version in a record of this instance, by its being the only one that served for longer than a stream can last, or at up to three peers that are computed from the stream's id; not known or not served any more means refused at once, as not run. Where a service has several versions, each stream is told to two such peers beside its first event; streams from before a release when it starts. Streams begin at a new version 2.5 s after it was first listed, so that every list that is trusted has it. Split routes pick the service by the id of the resumed stream. Why it works: a version is taken from a record, or from a list that is younger than the wait for a new version, and never guessed.

--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
@@ -0,0 +1,136 @@
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import {getElapsed} from './getElapsed.ts';
+import type {Instant} from './instant.ts';
+
+type VersionedEndpoint = Pick<
+  GatewayEndpoint,
+  'service' | 'version' | 'startedAt'
+>;
+
+interface VersionHistory {
+  /** Records the endpoint list that the store had at `readAt` or later. */
+  recordList(
+    endpoints: readonly VersionedEndpoint[],
+    readAt: Instant,
+    now: Instant,
+  ): void;
+  /**
+   * The version of all streams of a service that began within the last
+   * `lifetimeMilliseconds` at any instance; null if there may be several.
+   */
+  findOnlyVersion(
+    service: string,
+    now: Instant,
+    lifetimeMilliseconds: number,
+  ): string | null;
+  /** Whether streams may begin at the version while others serve as well. */
+  isEstablished(service: string, version: string, now: Instant): boolean;
+}
+
+interface SeenVersion {
+  /** Null if it served before this instance read its first list. */
+  readonly firstSeenAt: Instant | null;
+  lastSeenAt: Instant;
+}
+
+/**
+ * Streams begin at a new version only so long after it was first listed. The
+ * lists that `findOnlyVersion` relies on are younger, so that they have each
+ * version at which a stream has begun anywhere.
+ */
+const ESTABLISHED_MILLISECONDS = 2500;
+const LIST_AGE_MILLISECONDS = 2000;
+/** A version that was not listed for this time is new if it comes back. */
+const FORGET_MILLISECONDS = 300_000;
+
+/** Lower bound of the time between two instants: the wall clock may jump. */
+function getLeastElapsed(from: Instant, to: Instant): number {
+  return to.monotonic - from.monotonic;
+}
+
+/**
+ * Tracks which software versions of each service the endpoint lists had. Where
+ * one version alone has served for longer than a stream can last, the version
+ * that began a stream is known without a record of it.
+ *
+ * Designed for rolling releases, in which instances learn of a new version at
+ * different times.
+ *
+ * @example
+ *     const history = createVersionHistory();
+ *     history.recordList(endpoints, readAt, now);
+ *     history.findOnlyVersion('engines', now, 35_000); // 'v1.1'
+ */
+export function createVersionHistory(): VersionHistory {
+  const services = new Map<string, Map<string, SeenVersion>>();
+  let lastReadAt: Instant | null = null;
+  /** Since when no two lists were too far apart. */
+  let completeSince: Instant | null = null;
+
+  function isNew(
+    {startedAt}: VersionedEndpoint,
+    isFirstList: boolean,
+    {wall}: Instant,
+  ): boolean {
+    return !isFirstList || wall - startedAt < ESTABLISHED_MILLISECONDS;
+  }
+
+  function forgetOld(now: Instant): void {
+    for (const versions of services.values()) {
+      for (const [version, {lastSeenAt}] of versions) {
+        if (getLeastElapsed(lastSeenAt, now) > FORGET_MILLISECONDS) {
+          versions.delete(version);
+        }
+      }
+    }
+  }
+
+  return {
+    recordList(endpoints, readAt, now) {
+      const isFirstList = lastReadAt === null;
+      const isGap =
+        lastReadAt === null ||
+        getElapsed(lastReadAt, readAt) > LIST_AGE_MILLISECONDS;
+      if (isGap) completeSince = readAt;
+      lastReadAt = readAt;
+      forgetOld(now);
+      for (const endpoint of endpoints) {
+        const {service, version} = endpoint;
+        const versions =
+          services.get(service) ?? new Map<string, SeenVersion>();
+        services.set(service, versions);
+        const seen = versions.get(version);
+        if (seen !== undefined) seen.lastSeenAt = now;
+        else {
+          versions.set(version, {
+            firstSeenAt: isNew(endpoint, isFirstList, now) ? now : null,
+            lastSeenAt: now,
+          });
+        }
+      }
+    },
+    findOnlyVersion(service, now, lifetimeMilliseconds) {
+      if (lastReadAt === null || completeSince === null) return null;
+      if (getElapsed(lastReadAt, now) > LIST_AGE_MILLISECONDS) return null;
+      if (getLeastElapsed(completeSince, now) < lifetimeMilliseconds) {
+        return null;
+      }
+      const recent = [...(services.get(service) ?? [])].filter(
+        ([, {lastSeenAt}]) =>
+          getLeastElapsed(lastSeenAt, now) <= lifetimeMilliseconds,
+      );
+      const [only, other] = recent.map(([version]) => version);
+      return only === undefined || only === '' || other !== undefined
+        ? null
+        : only;
+    },
+    isEstablished(service, version, now) {
+      const seen = services.get(service)?.get(version);
+      if (seen === undefined) return false;
+      return (
+        seen.firstSeenAt === null ||
+        getLeastElapsed(seen.firstSeenAt, now) >= ESTABLISHED_MILLISECONDS
+      );
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
@@ -46,6 +46,7 @@
     lapseMilliseconds: 2000,
   });
   const updater = createStateUpdater({
+    onEndpointsConfirmed: () => undefined,
     state,
     getInstant: () => ({monotonic: 0, wall: 0}),
     onChange() {},
--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -68,6 +68,7 @@
     wall: clock.time + 2 * offset,
   });
   const updater = createStateUpdater({
+    onEndpointsConfirmed: () => undefined,
     state,
     getInstant,
     onChange() {},
--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -93,7 +93,9 @@
     });
   }
   // For a route without services, the empty name finds no service.
-  const service = configuration.services.get(pickService(route, call.id) ?? '');
+  const service = configuration.services.get(
+    pickService(route, call.resumedRequestId ?? call.id) ?? '',
+  );
   if (service === undefined) {
     return err({tag: 'noEndpoint', message: 'the route has no service'});
   }
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -31,8 +31,8 @@
   readonly responseTimeoutMilliseconds: number | null;
   /** Monotonic milliseconds. */
   now(): number;
-  /** Called at the first event of a stream: the stage results were read. */
-  onInputsRead(): void;
+  /** Called before the first event of a stream is passed to the caller. */
+  onFirstEvent(): void;
 }
 
 /**
@@ -133,7 +133,7 @@
       if (events === null) return;
       if (!writer.isStarted) {
         load.recordPrefillDone();
-        options.onInputsRead();
+        options.onFirstEvent();
         health.recordResponse(endpoint.id, now() - startedAt);
         writer.startStream(head!);
       }
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -11,6 +11,12 @@
   readonly port: number;
 }
 
+/** Fields that a heartbeat may have in addition. */
+type HeartbeatFields = Pick<
+  Extract<Frame, {tag: 'heartbeat'}>,
+  'endpointLimits' | 'streams'
+>;
+
 interface PeerConnectionsOptions {
   readonly identity: ProcessIdentity;
   readonly listen: Address;
@@ -24,10 +30,7 @@
    */
   getStatusFrame(): Frame;
   /** Fields for the heartbeats to peers that this instance connected to. */
-  getHeartbeatFields(): Pick<
-    Extract<Frame, {tag: 'heartbeat'}>,
-    'endpointLimits'
-  >;
+  getHeartbeatFields(): HeartbeatFields;
   /** Receives a frame of a peer that connected to this instance. */
   onRequest(connection: Connection, frame: Frame): void;
   /** Called when a peer that connected to this instance has disconnected. */
@@ -51,6 +54,10 @@
   findSeed(): string | undefined;
   /** False if the peer is not connected or the frame could not be sent. */
   send(name: string, frame: Frame): boolean;
+  /** Sends a heartbeat with fields at once; false as with `send`. */
+  sendHeartbeat(name: string, fields: HeartbeatFields): boolean;
+  /** Replies with a heartbeat to a peer that connected to this instance. */
+  replyHeartbeat(connection: Connection, fields: HeartbeatFields): void;
   /** Makes peers order elsewhere; orders that were accepted still run. */
   announceLeaving(): void;
   close(): Promise<void>;
@@ -201,6 +208,11 @@
       }
       return [...seeds.keys()].find((name) => connected.has(name));
     },
+    sendHeartbeat: (name, fields) =>
+      connected.get(name)?.send({...createHeartbeat(false), ...fields}) ??
+      false,
+    replyHeartbeat: (connection, fields) =>
+      void connection.send({...createHeartbeat(isLeaving), ...fields}),
     send: (name, frame) => connected.get(name)?.send(frame) ?? false,
     async close() {
       if (heartbeatTimer !== null) clearInterval(heartbeatTimer);
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -14,6 +14,8 @@
   onChange(): void;
   /** Called for each endpoint that was removed, before `onChange`. */
   onEndpointRemoved(endpointId: string): void;
+  /** Called after each list, changed or not, with the time of its read. */
+  onEndpointsConfirmed(readAt: Instant): void;
 }
 
 interface StateUpdater {
@@ -56,6 +58,7 @@
       });
       if (tag === 'left') onEndpointRemoved(endpoint.id);
     }
+    options.onEndpointsConfirmed(readAt);
     if (changes.length > 0) onChange();
   }
 
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createStreamVersions.ts
@@ -0,0 +1,234 @@
+import {createStreamRecords} from 'hickorywharf-decisions/gateway/createStreamRecords';
+import {createVersionHistory} from 'hickorywharf-decisions/gateway/createVersionHistory';
+import type {Instant} from 'hickorywharf-decisions/gateway/instant';
+import {rankStreamHomes} from 'hickorywharf-decisions/gateway/rankStreamHomes';
+import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {StreamExchange} from 'hickorywharf-types/gateway/streamExchange';
+import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
+import type {GatewayState} from './gatewayState.ts';
+
+interface StreamVersionsOptions {
+  /** Name of this instance. */
+  readonly name: string;
+  readonly state: GatewayState;
+  readonly metrics: GatewayMetrics;
+  getInstant(): Instant;
+  /** Sends to a peer by name; false if it could not be sent. */
+  send(peer: string, exchange: StreamExchange): boolean;
+}
+
+interface FoundVersion {
+  readonly version: string;
+  /**
+   * Where it is known from: a record of this instance, the only version that
+   * has served, or a peer.
+   */
+  readonly source: 'record' | 'onlyVersion' | 'peer';
+  /** Age of the record or of the endpoint list; null if a peer knew it. */
+  readonly ageMilliseconds: number | null;
+}
+
+interface StreamVersions {
+  /** Records the current endpoint list, which the store had at `readAt`. */
+  recordList(readAt: Instant): void;
+  /** Records that a stream began or was resumed. */
+  recordBegin(origin: StreamOrigin): void;
+  /**
+   * The version that began a stream; null if it is not known.
+   */
+  find(streamId: string, service: string): Promise<FoundVersion | null>;
+  /** The endpoints at which streams of a service may begin. */
+  listBeginnable(service: string): readonly GatewayEndpoint[];
+  /** Tells peers of streams whose versions are not evident any more. */
+  flush(): void;
+  /** Handles what another instance sent; returns what to reply, if anything. */
+  handle(exchange: StreamExchange): StreamExchange | null;
+}
+
+/** Instances that are told of each stream, other than this one. */
+const TOLD_HOMES = 2;
+/** One more is asked, as the lists of two instances may differ. */
+const ASKED_HOMES = 3;
+/** A peer that is up replies within a few milliseconds. */
+const ANSWER_TIMEOUT_MILLISECONDS = 250;
+/** Bounds the memory for records, to about 20 MB. */
+const MAXIMUM_RECORDS = 100_000;
+/** Of a stream before the first configuration. */
+const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
+/** A stream is resumed within its caller's timeout, and may last one more. */
+const LIFETIME_FACTOR = 2;
+const LIFETIME_MARGIN_MILLISECONDS = 5000;
+
+/**
+ * The longest time from the begin of a stream to its last resumption, for all
+ * routes of a configuration.
+ */
+function getLifetime(configuration: GatewayConfiguration | null): number {
+  const timeouts = (configuration?.routes ?? [])
+    .filter(({kind}) => kind === 'stream')
+    .map(({timeoutMilliseconds}) => timeoutMilliseconds);
+  const longest =
+    timeouts.length > 0 ? Math.max(...timeouts) : DEFAULT_TIMEOUT_MILLISECONDS;
+  return LIFETIME_FACTOR * longest + LIFETIME_MARGIN_MILLISECONDS;
+}
+
+/**
+ * Finds the software version that began a stream, so that it continues at no
+ * other one. While a single version serves, it is evident from the endpoint
+ * lists. Otherwise each instance records the streams that it begins, and tells
+ * a few peers that all instances compute from the stream's id.
+ *
+ * @example
+ *     const streams = createStreamVersions(options);
+ *     streams.recordBegin({streamId: '9c41', service: 'engines', version: 'v1'});
+ *     await streams.find('9c41', 'engines'); // {version: 'v1', ...}
+ */
+export function createStreamVersions(
+  options: StreamVersionsOptions,
+): StreamVersions {
+  const {name, state, metrics, getInstant, send} = options;
+  const history = createVersionHistory();
+  const records = createStreamRecords(MAXIMUM_RECORDS, () =>
+    metrics.count('streamRecords', 'dropped'),
+  );
+  /** Receive the answer to a question, by its id. */
+  const questions = new Map<number, (origin: StreamOrigin | null) => void>();
+  let lastAskId = 0;
+  let lifetime = getLifetime(null);
+  let countedConfiguration: GatewayConfiguration | null = null;
+
+  /** Never falls, as streams may have begun under an earlier configuration. */
+  function updateLifetime(): number {
+    if (countedConfiguration === state.configuration) return lifetime;
+    const isFirst = countedConfiguration === null;
+    countedConfiguration = state.configuration;
+    const next = getLifetime(state.configuration);
+    lifetime = isFirst ? next : Math.max(lifetime, next);
+    return lifetime;
+  }
+
+  const findOnlyVersion = (service: string): string | null =>
+    history.findOnlyVersion(service, getInstant(), updateLifetime());
+
+  function findLocally(streamId: string, service: string): FoundVersion | null {
+    const now = getInstant();
+    records.dropExpired(now.monotonic, updateLifetime());
+    const found = records.find(streamId, now.monotonic);
+    if (found !== undefined) {
+      const {origin, ageMilliseconds} = found;
+      if (origin.service !== service) return null;
+      return {version: origin.version, source: 'record', ageMilliseconds};
+    }
+    const version = findOnlyVersion(service);
+    if (version === null) return null;
+    const ageMilliseconds = state.endpointFreshness.getAge(now);
+    return {version, source: 'onlyVersion', ageMilliseconds};
+  }
+
+  function tell(origins: readonly StreamOrigin[]): void {
+    const byHome = new Map<string, StreamOrigin[]>();
+    for (const origin of origins) {
+      const homes = rankStreamHomes(state.instances, origin.streamId)
+        .filter((home) => home !== name)
+        .slice(0, TOLD_HOMES);
+      for (const home of homes) {
+        const list = byHome.get(home) ?? [];
+        byHome.set(home, list);
+        list.push(origin);
+      }
+    }
+    for (const [home, list] of byHome) {
+      const isSent = send(home, {origins: list});
+      metrics.count('streamRecords', isSent ? 'told' : 'unsent');
+    }
+  }
+
+  /** Null if no home knows the stream, or none replies in time. */
+  function ask(
+    streamId: string,
+    service: string,
+  ): Promise<StreamOrigin | null> {
+    const homes = rankStreamHomes(state.instances, streamId)
+      .filter((home) => home !== name)
+      .slice(0, ASKED_HOMES);
+    return new Promise((resolve) => {
+      const open = new Set<number>();
+      const finish = (origin: StreamOrigin | null): void => {
+        clearTimeout(timer);
+        for (const askId of open) questions.delete(askId);
+        resolve(origin);
+      };
+      const timer = setTimeout(() => finish(null), ANSWER_TIMEOUT_MILLISECONDS);
+      const asked = homes.map((home) => {
+        lastAskId += 1;
+        const askId = lastAskId;
+        open.add(askId);
+        questions.set(askId, (origin) => {
+          open.delete(askId);
+          if (origin !== null || open.size === 0) finish(origin);
+        });
+        return {home, askId};
+      });
+      // All are open before the first is sent, as one may fail at once.
+      for (const {home, askId} of asked) {
+        const question = {askId, streamId, service};
+        if (send(home, {questions: [question]})) continue;
+        questions.get(askId)?.(null);
+      }
+      if (homes.length === 0) finish(null);
+    });
+  }
+
+  return {
+    recordList(readAt) {
+      history.recordList(state.directory.list(), readAt, getInstant());
+    },
+    recordBegin(origin) {
+      records.record(origin, getInstant().monotonic);
+      if (findOnlyVersion(origin.service) !== null) return;
+      records.markTold(origin.streamId);
+      tell([origin]);
+    },
+    async find(streamId, service) {
+      const local = findLocally(streamId, service);
+      if (local !== null) return local;
+      const origin = await ask(streamId, service);
+      if (origin === null || origin.service !== service) return null;
+      records.record(origin, getInstant().monotonic);
+      const {version} = origin;
+      return {version, source: 'peer', ageMilliseconds: null};
+    },
+    listBeginnable(service) {
+      const usable = state.directory.getUsable(service);
+      const now = getInstant();
+      const established = usable.filter(({version}) =>
+        history.isEstablished(service, version, now),
+      );
+      return established.length > 0 ? established : usable;
+    },
+    flush() {
+      const origins = records.takeUntold(
+        (service) => findOnlyVersion(service) === null,
+      );
+      if (origins.length > 0) tell(origins);
+    },
+    handle({origins = [], questions: asked = [], answers = []}) {
+      const now = getInstant().monotonic;
+      for (const origin of origins) {
+        records.record(origin, now);
+        records.markTold(origin.streamId);
+      }
+      for (const {askId, origin} of answers) questions.get(askId)?.(origin);
+      if (asked.length === 0) return null;
+      return {
+        answers: asked.map(({askId, streamId, service}) => {
+          const found = findLocally(streamId, service);
+          const origin = found && {streamId, service, version: found.version};
+          return {askId, origin};
+        }),
+      };
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -28,5 +28,14 @@
     label: 'result',
     meaning: 'calls for which the rate limits of endpoints left no room',
   },
+  streamRecords: {
+    label: 'result',
+    meaning: 'records of the versions that began streams',
+  },
+  resumptions: {
+    label: 'result',
+    meaning:
+      'streams that callers resumed, by where the version was known from',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/refusal.ts
+++ b/packages/hickorywharf-gateway/src/refusal.ts
@@ -8,6 +8,7 @@
     | 'notReady'
     | 'unconfirmed'
     | 'overloaded'
+    | 'versionUnknown'
     | 'noEndpoint'
     | 'stopping'
     | 'deadlineExceeded'
--- a/packages/hickorywharf-gateway/src/refusalStatuses.ts
+++ b/packages/hickorywharf-gateway/src/refusalStatuses.ts
@@ -12,6 +12,7 @@
   notReady: 503,
   unconfirmed: 503,
   overloaded: 503,
+  versionUnknown: 503,
   noEndpoint: 503,
   stopping: 503,
   deadlineExceeded: 503,
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import {createRetryBudget} from 'hickorywharf-decisions/gateway/createRetryBudget';
+import {rankStreamHomes} from 'hickorywharf-decisions/gateway/rankStreamHomes';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
@@ -22,6 +23,7 @@
 import {createTextServer} from './createTextServer.ts';
 import {isConfigurationCurrent} from './isConfigurationCurrent.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
+import {createStreamVersions} from './createStreamVersions.ts';
 import {startStateSync} from './startStateSync.ts';
 
 interface GatewayOptions {
@@ -88,8 +90,16 @@
     metrics,
     now,
   });
+  const streams = createStreamVersions({
+    name: settings.name,
+    state,
+    metrics,
+    getInstant,
+    send: (peer, exchange) => peers.sendHeartbeat(peer, {streams: exchange}),
+  });
   /** Left out without reports, as most heartbeats have none. */
   const getHeartbeatFields = () => {
+    streams.flush();
     const endpointLimits = limiter.listReports();
     return endpointLimits.length > 0 ? {endpointLimits} : {};
   };
@@ -132,12 +142,17 @@
     onRequest(connection, frame) {
       if (frame.tag === 'heartbeat') {
         limiter.recordReports(frame.endpointLimits ?? []);
+        const reply = frame.streams && streams.handle(frame.streams);
+        if (reply) peers.replyHeartbeat(connection, {streams: reply});
       }
       router.handleRequest(connection, frame);
       stateSync.handleRequest(connection, frame);
     },
     onRequesterDisconnected: router.cancelRequests,
     onReply(name, frame) {
+      if (frame.tag === 'heartbeat' && frame.streams !== undefined) {
+        streams.handle(frame.streams);
+      }
       if (frame.tag === 'stageWaits') {
         limiter.recordReports(frame.endpointLimits ?? []);
       }
@@ -158,6 +173,7 @@
       dispatcher.refresh();
       server.refresh();
     },
+    onEndpointsConfirmed: streams.recordList,
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
       dispatcher.removeEndpoint(endpointId);
@@ -178,6 +194,7 @@
     endpointClient,
     health,
     limiter,
+    streams,
     loads: createEndpointLoads(),
     budget,
     router,
@@ -230,6 +247,10 @@
       const {name, capacity} = settings;
       limiter.recordInstances([...others, {name, capacity}]);
       peers.setInstances(others);
+      // Connects to those that keep records of streams before one is asked.
+      for (const keeper of rankStreamHomes([...others, {name, capacity}])) {
+        if (keeper !== name) peers.isConnected(keeper);
+      }
     },
   });
   log.infoAlways('started', {
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -18,6 +18,7 @@
 import type {createInstantClock} from './createInstantClock.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
+import type {createStreamVersions} from './createStreamVersions.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
@@ -34,6 +35,7 @@
   readonly endpointClient: EndpointClient;
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
+  readonly streams: ReturnType<typeof createStreamVersions>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
@@ -109,6 +111,8 @@
   let inputs: readonly string[] = [];
   let handles: readonly string[] = [];
   let hasInputs = false;
+  /** Version that began the stream; null before its first event. */
+  let streamVersion: string | null = null;
   /** The endpoint whose rate limit the call waited for. */
   let reserved: GatewayEndpoint | null = null;
 
@@ -185,12 +189,69 @@
     });
   }
 
+  /** The usable endpoints, of the version that began the stream if one did. */
+  function listUsable(): readonly GatewayEndpoint[] {
+    if (streamVersion !== null) {
+      return state.directory
+        .getUsable(service.name)
+        .filter(({version}) => version !== '' && version === streamVersion);
+    }
+    return route.kind === 'stream' && route.canResume
+      ? options.streams.listBeginnable(service.name)
+      : state.directory.getUsable(service.name);
+  }
+
+  /**
+   * Finds the version at which the caller's stream continues. False if it is
+   * not known or does not serve any more; the response is written.
+   */
+  async function findStreamVersion(): Promise<boolean> {
+    const {resumedRequestId, lastEventId} = call;
+    const found = await options.streams.find(
+      // Without the id of the stream, only what holds for all streams is known.
+      resumedRequestId ?? call.id,
+      service.name,
+    );
+    metrics.count('resumptions', found?.source ?? 'unknown');
+    if (context.isEnded) return false;
+    streamVersion = found?.version ?? null;
+    const isServed = streamVersion !== null && listUsable().length > 0;
+    log.infoRateLimited('stream to resume', {
+      requestId: call.id,
+      step: 'admit',
+      resumedRequestId,
+      lastEventId,
+      streamVersion,
+      source: found?.source ?? null,
+      age: found?.ageMilliseconds ?? null,
+      isServed,
+    });
+    if (isServed) return true;
+    refuse({
+      tag: 'versionUnknown',
+      message:
+        streamVersion === null
+          ? 'the version that began the stream is not known'
+          : `no endpoint has the version ${streamVersion}, which began the stream`,
+      retryAfterMilliseconds: NO_ENDPOINT_RETRY_MILLISECONDS,
+    });
+    return false;
+  }
+
+  function recordFirstEvent({version}: GatewayEndpoint): void {
+    freeInputs();
+    if (route.kind !== 'stream') return;
+    streamVersion = version;
+    if (!route.canResume || version === '') return;
+    const streamId = call.resumedRequestId ?? call.id;
+    options.streams.recordBegin({streamId, service: service.name, version});
+  }
+
   /** Undefined if no usable endpoint is left that was not tried. */
   function selectEndpoint(): GatewayEndpoint | undefined {
     const now = getInstant().monotonic;
     const {failureDomain} = settings;
-    const candidates = state.directory
-      .getUsable(service.name)
+    const candidates = listUsable()
       .filter(({id}) => !triedEndpoints.has(id))
       .map((endpoint) => ({
         ...endpoint,
@@ -216,7 +277,7 @@
     if (!context.isRetryable || runs + 1 >= route.maximumEndpoints) {
       return null;
     }
-    if (state.directory.getUsable(service.name).length < 2) return null;
+    if (listUsable().length < 2) return null;
     if (!route.isSticky) {
       const usual = health.getResponseTime(endpoint.id);
       return usual * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MILLISECONDS;
@@ -342,12 +403,17 @@
       loads,
       responseTimeoutMilliseconds: getResponseTimeout(endpoint),
       now: () => getInstant().monotonic,
-      onInputsRead: freeInputs,
+      onFirstEvent: () => recordFirstEvent(endpoint),
     });
   }
 
   budget.recordRequest(service.name, context.arrivedAt);
   context.cleanups.add(freeInputs);
+  const isResumed = call.resumedRequestId !== null || call.lastEventId !== null;
+  if (route.kind === 'stream' && isResumed && !(await findStreamVersion())) {
+    context.cleanups.delete(freeInputs);
+    return;
+  }
   while (!context.isEnded) {
     if (!(await prepareInputs())) break;
     if (
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -47,6 +47,12 @@
 const isNumberArray = isArrayOf(isNumber);
 const isDocuments = hasFields({documents: isStringArray});
 
+const isStreamOrigin = hasFields({
+  streamId: isName,
+  service: isName,
+  version: isName,
+});
+
 const OUTPUT_CHECKS: Readonly<Record<string, Check>> = {
   encode: hasFields({vector: isNumberArray}),
   retrieve: isDocuments,
@@ -145,6 +151,15 @@
     ageMilliseconds: isNotNegative,
     source: isName,
   }),
+  isStreamExchange: hasFields({
+    origins: isOptional(isArrayOf(isStreamOrigin)),
+    questions: isOptional(
+      isArrayOf(hasFields({askId: isCount, streamId: isName, service: isName})),
+    ),
+    answers: isOptional(
+      isArrayOf(hasFields({askId: isCount, origin: isNullOr(isStreamOrigin)})),
+    ),
+  }),
   isStageResult: hasFields({
     tag: isOneOf('made', 'inputGone', 'expired', 'failed'),
     piece: isCount,
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -74,6 +74,7 @@
     load: frameChecks.isLoad,
     configurationSequence: isCount,
     endpointLimits: isOptionalLimitReports,
+    streams: frameChecks.isOptional(frameChecks.isStreamExchange),
   },
   homes: {homes: isHomeIntervalArray},
   configurationAt: {sequence: isCount},
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -3,6 +3,7 @@
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
 import type {SerializedConfiguration} from './gateway/serializedConfiguration.ts';
+import type {StreamExchange} from './gateway/streamExchange.ts';
 import type {StageOrder} from './gateway/stageOrder.ts';
 import type {StageWaits} from './gateway/stageWaits.ts';
 import type {StageResult} from './gateway/stageResult.ts';
@@ -114,6 +115,8 @@
       readonly configurationSequence: number;
       /** Left out if there are none. */
       readonly endpointLimits?: readonly EndpointLimitReport[];
+      /** Left out if there is nothing to tell. */
+      readonly streams?: StreamExchange;
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
