Estimate waits for rate limits by the endpoints that may run the call

The wait for the limits was estimated over all endpoints of a service, also for a call that only some of them may run: a resumed stream could be admitted, have its stages run, and only then find no room. Change: the estimate takes the endpoints that the call may go to.

--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -43,10 +43,10 @@
   /** Milliseconds until this instance may send a call; Infinity for never. */
   getWait(endpoint: GatewayEndpoint): number;
   /**
-   * Milliseconds by which the limits of a service's endpoints delay a call that
-   * arrives now; Infinity if this instance may use none of them.
+   * Milliseconds by which the limits of these endpoints of a service delay a
+   * call that arrives now; Infinity if this instance may use none of them.
    */
-  estimateWait(service: string): number;
+  estimateWait(service: string, endpoints: readonly GatewayEndpoint[]): number;
   /**
    * Counts a call that is prepared, and sent to the service afterwards, until
    * the function returned is called.
@@ -110,9 +110,9 @@
     refresh: () => limits.setStageServices(listStageServices(state)),
     getRate: (endpoint) => limits.getRate(endpoint, now()),
     getWait: (endpoint) => limits.getWait(endpoint, now()),
-    estimateWait: (service) =>
+    estimateWait: (service, endpoints) =>
       estimateLimitWait(
-        state.directory.getUsable(service).map((endpoint) => ({
+        endpoints.map((endpoint) => ({
           callsPerSecond: limits.getRate(endpoint, now()),
           waitMilliseconds: limits.getWait(endpoint, now()),
         })),
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -306,7 +306,8 @@
         createStageForecasts(context, services, options.router.getWaitEstimate),
         engineMilliseconds,
       );
-      const limited = limiter.estimateWait(service.name) + engineMilliseconds;
+      const limited =
+        limiter.estimateWait(service.name, listUsable()) + engineMilliseconds;
       const forecast = {
         timelyMilliseconds: Math.max(stages.timelyMilliseconds, limited),
         totalMilliseconds: Math.max(stages.totalMilliseconds, limited),
@@ -433,7 +434,7 @@
     if (reserved !== null && !isUsable(reserved)) reserved = null;
     const endpoint: GatewayEndpoint | undefined = reserved ?? selectEndpoint();
     if (endpoint === undefined) {
-      const wait = limiter.estimateWait(service.name);
+      const wait = limiter.estimateWait(service.name, listUsable());
       if (wait === Infinity) failForLimits(wait);
       else fail('no endpoint is left to try');
       break;
