Move the choice of a call's endpoints into a file of its own

Change: createEndpointSelector has the usable and tried endpoints, the choice, and the timeouts. Nothing that it does changes.

--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -0,0 +1,144 @@
+import {chooseEndpoint} from 'hickorywharf-decisions/gateway/chooseEndpoint';
+import {chooseEngine} from 'hickorywharf-decisions/gateway/chooseEngine';
+import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
+import type {CallContext} from './callContext.ts';
+import type {createEndpointLimiter} from './createEndpointLimiter.ts';
+import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {createInstantClock} from './createInstantClock.ts';
+import type {createStreamVersions} from './createStreamVersions.ts';
+import type {GatewayState} from './gatewayState.ts';
+import type {StageRouter} from './stageRouter.ts';
+
+interface SelectorOptions {
+  readonly settings: GatewaySettings;
+  readonly state: GatewayState;
+  readonly health: ReturnType<typeof createEndpointHealth>;
+  readonly limiter: ReturnType<typeof createEndpointLimiter>;
+  readonly streams: ReturnType<typeof createStreamVersions>;
+  readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly router: StageRouter;
+  readonly getInstant: ReturnType<typeof createInstantClock>;
+}
+
+interface EndpointSelector {
+  /** Limits the endpoints to those of the version that began the stream. */
+  setStreamVersion(version: string): void;
+  /** Excludes an endpoint that was tried. */
+  exclude(endpointId: string): void;
+  /** The endpoints that may run the call, with those that were tried. */
+  listUsable(): readonly GatewayEndpoint[];
+  /** Whether the incarnation of the endpoint may still get work. */
+  isUsable(endpoint: GatewayEndpoint): boolean;
+  /**
+   * Undefined if no usable endpoint is left that was not tried.
+   *
+   * @param inputs handles of the stage results that the call reads
+   */
+  select(inputs: readonly string[]): GatewayEndpoint | undefined;
+  /**
+   * Milliseconds after which the endpoint times out; null if the call could not
+   * be retried at another one.
+   *
+   * @param runs attempts so far after which the call may have run
+   */
+  getResponseTimeout(endpoint: GatewayEndpoint, runs: number): number | null;
+}
+
+/**
+ * An endpoint other than a model engine times out after its usual response time
+ * times the factor plus the margin.
+ */
+const TIMEOUT_FACTOR = 5;
+const TIMEOUT_MARGIN_MILLISECONDS = 250;
+/**
+ * A model engine times out after this time plus the time to read the pending
+ * prompt tokens at the given rate, the lowest that is expected of an engine.
+ */
+const ENGINE_TIMEOUT_MILLISECONDS = 1500;
+const ENGINE_TOKENS_PER_MILLISECOND = 15;
+
+/**
+ * Selects the endpoints for the attempts of one call.
+ *
+ * @example
+ *     const selector = createEndpointSelector(options, context);
+ *     const endpoint = selector.select([]);
+ */
+export function createEndpointSelector(
+  options: SelectorOptions,
+  context: CallContext,
+): EndpointSelector {
+  const {settings, state, health, limiter, streams, loads, router} = options;
+  const {call, route, service} = context;
+  const triedEndpoints = new Set<string>();
+  /** Version that began the stream; null before its first event. */
+  let streamVersion: string | null = null;
+  /** Approximate size of the largest stage result. */
+  const resultBytes = Math.max(
+    0,
+    ...route.stages.map((stage) => stage.resultBytes),
+  );
+
+  function listUsable(): readonly GatewayEndpoint[] {
+    if (streamVersion !== null) {
+      return state.directory
+        .getUsable(service.name)
+        .filter(({version}) => version !== '' && version === streamVersion);
+    }
+    return route.kind === 'stream' && route.canResume
+      ? streams.listBeginnable(service.name)
+      : state.directory.getUsable(service.name);
+  }
+
+  return {
+    setStreamVersion(version) {
+      streamVersion = version;
+    },
+    exclude: (endpointId) => void triedEndpoints.add(endpointId),
+    listUsable,
+    isUsable: ({id, startedAt}) =>
+      state.directory
+        .getUsable(service.name)
+        .some((other) => other.id === id && other.startedAt === startedAt),
+    select(inputs) {
+      const now = options.getInstant().monotonic;
+      const {failureDomain} = settings;
+      const candidates = listUsable()
+        .filter(({id}) => !triedEndpoints.has(id))
+        .map((endpoint) => ({
+          ...endpoint,
+          endpoint,
+          ...loads.get(endpoint.id),
+          responseMilliseconds: health.getResponseTime(endpoint.id),
+          penaltyMilliseconds:
+            health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
+        }));
+      const selected = route.isSticky
+        ? chooseEngine(candidates, {
+            parts: call.promptParts,
+            failureDomain,
+            results: inputs.map(router.getFailureDomain),
+            resultBytes,
+          })
+        : chooseEndpoint(candidates, failureDomain);
+      return selected?.endpoint;
+    },
+    getResponseTimeout({id}, runs) {
+      if (!context.isRetryable || runs + 1 >= route.maximumEndpoints) {
+        return null;
+      }
+      if (listUsable().length < 2) return null;
+      if (!route.isSticky) {
+        const usual = health.getResponseTime(id);
+        return usual * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MILLISECONDS;
+      }
+      const {pendingTokens} = loads.get(id);
+      const tokens = pendingTokens + call.promptTokens;
+      return (
+        ENGINE_TIMEOUT_MILLISECONDS + tokens / ENGINE_TOKENS_PER_MILLISECOND
+      );
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -1,5 +1,3 @@
-import {chooseEndpoint} from 'hickorywharf-decisions/gateway/chooseEndpoint';
-import {chooseEngine} from 'hickorywharf-decisions/gateway/chooseEngine';
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRetryBudget} from 'hickorywharf-decisions/gateway/createRetryBudget';
 import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
@@ -14,6 +12,7 @@
 import type {CallContext} from './callContext.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
+import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
@@ -62,18 +61,6 @@
  * result dropped may exceed it; `MAXIMUM_STAGE_RUNS` limits these.
  */
 const MAXIMUM_SENDS = 5;
-/**
- * An endpoint other than a model engine times out after its usual response time
- * times the factor plus the margin.
- */
-const TIMEOUT_FACTOR = 5;
-const TIMEOUT_MARGIN_MILLISECONDS = 250;
-/**
- * A model engine times out after this time plus the time to read the pending
- * prompt tokens at the given rate, the lowest that is expected of an engine.
- */
-const ENGINE_TIMEOUT_MILLISECONDS = 1500;
-const ENGINE_TOKENS_PER_MILLISECOND = 15;
 /**
  * Retry delay for callers when no endpoint is available, when the stages have
  * failed, or when keys were not confirmed.
@@ -103,7 +90,7 @@
   const {context, body, relay: writer} = input;
   const {call, route, service} = context;
   const splitter = createEventSplitter();
-  const triedEndpoints = new Set<string>();
+  const selector = createEndpointSelector(options, context);
   let sends = 0;
   /** Number of attempts after which the call may have run. */
   let runs = 0;
@@ -111,17 +98,9 @@
   let inputs: readonly string[] = [];
   let handles: readonly string[] = [];
   let hasInputs = false;
-  /** Version that began the stream; null before its first event. */
-  let streamVersion: string | null = null;
   /** The endpoint whose rate limit the call waited for. */
   let reserved: GatewayEndpoint | null = null;
 
-  /** Approximate size of the largest stage result. */
-  const resultBytes = Math.max(
-    0,
-    ...route.stages.map((stage) => stage.resultBytes),
-  );
-
   function recordOutcome(
     outcome: string,
     fields: Record<string, unknown>,
@@ -189,18 +168,6 @@
     });
   }
 
-  /** The usable endpoints, of the version that began the stream if one did. */
-  function listUsable(): readonly GatewayEndpoint[] {
-    if (streamVersion !== null) {
-      return state.directory
-        .getUsable(service.name)
-        .filter(({version}) => version !== '' && version === streamVersion);
-    }
-    return route.kind === 'stream' && route.canResume
-      ? options.streams.listBeginnable(service.name)
-      : state.directory.getUsable(service.name);
-  }
-
   /**
    * Finds the version at which the caller's stream continues. False if it is
    * not known or does not serve any more; the response is written.
@@ -214,8 +181,9 @@
     );
     metrics.count('resumptions', found?.source ?? 'unknown');
     if (context.isEnded) return false;
-    streamVersion = found?.version ?? null;
-    const isServed = streamVersion !== null && listUsable().length > 0;
+    const streamVersion = found?.version ?? null;
+    if (streamVersion !== null) selector.setStreamVersion(streamVersion);
+    const isServed = streamVersion !== null && selector.listUsable().length > 0;
     log.infoRateLimited('stream to resume', {
       requestId: call.id,
       step: 'admit',
@@ -241,52 +209,12 @@
   function recordFirstEvent({version}: GatewayEndpoint): void {
     freeInputs();
     if (route.kind !== 'stream') return;
-    streamVersion = version;
+    selector.setStreamVersion(version);
     if (!route.canResume || version === '') return;
     const streamId = call.resumedRequestId ?? call.id;
     options.streams.recordBegin({streamId, service: service.name, version});
   }
 
-  /** Undefined if no usable endpoint is left that was not tried. */
-  function selectEndpoint(): GatewayEndpoint | undefined {
-    const now = getInstant().monotonic;
-    const {failureDomain} = settings;
-    const candidates = listUsable()
-      .filter(({id}) => !triedEndpoints.has(id))
-      .map((endpoint) => ({
-        ...endpoint,
-        endpoint,
-        ...loads.get(endpoint.id),
-        responseMilliseconds: health.getResponseTime(endpoint.id),
-        penaltyMilliseconds:
-          health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
-      }));
-    const selected = route.isSticky
-      ? chooseEngine(candidates, {
-          parts: call.promptParts,
-          failureDomain,
-          results: inputs.map(options.router.getFailureDomain),
-          resultBytes,
-        })
-      : chooseEndpoint(candidates, failureDomain);
-    return selected?.endpoint;
-  }
-
-  /** Null if the call could not be retried at another endpoint. */
-  function getResponseTimeout(endpoint: GatewayEndpoint): number | null {
-    if (!context.isRetryable || runs + 1 >= route.maximumEndpoints) {
-      return null;
-    }
-    if (listUsable().length < 2) return null;
-    if (!route.isSticky) {
-      const usual = health.getResponseTime(endpoint.id);
-      return usual * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MILLISECONDS;
-    }
-    const {pendingTokens} = loads.get(endpoint.id);
-    const tokens = pendingTokens + call.promptTokens;
-    return ENGINE_TIMEOUT_MILLISECONDS + tokens / ENGINE_TOKENS_PER_MILLISECOND;
-  }
-
   /**
    * Runs the stages if the call needs results that it does not have. False if
    * the call has ended, also by a refusal or failure that this function wrote.
@@ -307,7 +235,8 @@
         engineMilliseconds,
       );
       const limited =
-        limiter.estimateWait(service.name, listUsable()) + engineMilliseconds;
+        limiter.estimateWait(service.name, selector.listUsable()) +
+        engineMilliseconds;
       const forecast = {
         timelyMilliseconds: Math.max(stages.timelyMilliseconds, limited),
         totalMilliseconds: Math.max(stages.totalMilliseconds, limited),
@@ -331,7 +260,7 @@
       context,
       services,
       router: options.router,
-      consumerDomain: selectEndpoint()?.failureDomain ?? null,
+      consumerDomain: selector.select(inputs)?.failureDomain ?? null,
       getNow: () => getInstant().monotonic,
     });
     endPreparation();
@@ -382,12 +311,6 @@
     return null;
   }
 
-  function isUsable({id, startedAt}: GatewayEndpoint): boolean {
-    return state.directory
-      .getUsable(service.name)
-      .some((other) => other.id === id && other.startedAt === startedAt);
-  }
-
   async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
     sends += 1;
     return attemptCall({
@@ -402,7 +325,7 @@
       health,
       limiter,
       loads,
-      responseTimeoutMilliseconds: getResponseTimeout(endpoint),
+      responseTimeoutMilliseconds: selector.getResponseTimeout(endpoint, runs),
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
     });
@@ -431,10 +354,11 @@
       }
       break;
     }
-    if (reserved !== null && !isUsable(reserved)) reserved = null;
-    const endpoint: GatewayEndpoint | undefined = reserved ?? selectEndpoint();
+    if (reserved !== null && !selector.isUsable(reserved)) reserved = null;
+    const endpoint: GatewayEndpoint | undefined =
+      reserved ?? selector.select(inputs);
     if (endpoint === undefined) {
-      const wait = limiter.estimateWait(service.name, listUsable());
+      const wait = limiter.estimateWait(service.name, selector.listUsable());
       if (wait === Infinity) failForLimits(wait);
       else fail('no endpoint is left to try');
       break;
@@ -494,7 +418,7 @@
       freeInputs();
       continue;
     }
-    triedEndpoints.add(endpoint.id);
+    selector.exclude(endpoint.id);
     if (result.tag !== 'notRun') runs += 1;
     if (result.tag === 'broken') {
       splitter.reset();
