Name no rate limit as the reason where a service has no endpoints

Cause: the estimate of the wait for rate limits was infinite for a service without endpoints, so that such calls were refused as if limits left no room. Change: without endpoints, the estimate is 0. Result: estimateLimitWait.test.ts fails with the old estimate and passes.

--- a/packages/hickorywharf-decisions/src/gateway/estimateLimitWait.ts
+++ b/packages/hickorywharf-decisions/src/gateway/estimateLimitWait.ts
@@ -7,7 +7,8 @@
 
 /**
  * Estimates how long the rate limits of the endpoints of a service delay a
- * call, in milliseconds. Infinity if this instance may use none of them.
+ * call, in milliseconds. Infinity if this instance may use none of them; 0 if
+ * there are none, as no limit is the reason then.
  *
  * @param callsAhead calls of this instance that will be sent before
  * @example
@@ -17,6 +18,7 @@
   endpoints: readonly LimitedEndpoint[],
   callsAhead: number,
 ): number {
+  if (endpoints.length === 0) return 0;
   let callsPerSecond = 0;
   let earliest = Infinity;
   for (const endpoint of endpoints) {
