Refuse a resumption once its version is gone, also while its stages run

A resumption in stages whose version left was refused only once they had ended, after work that nobody could use. Change: the stages of a resumed stream end when the endpoint list has no endpoint of its version any more.

--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -29,6 +29,11 @@
   exclude(endpointId: string): void;
   /** The endpoints that may run the call, with those that were tried. */
   listUsable(): readonly GatewayEndpoint[];
+  /**
+   * Calls the listener once no endpoint has the version that began the stream;
+   * the function returned ends that.
+   */
+  watchVersion(onGone: () => void): () => void;
   /** Whether the incarnation of the endpoint may still get work. */
   isUsable(endpoint: GatewayEndpoint): boolean;
   /**
@@ -98,6 +103,13 @@
     },
     exclude: (endpointId) => void triedEndpoints.add(endpointId),
     listUsable,
+    watchVersion(onGone) {
+      const check = (): void => {
+        if (streamVersion !== null && listUsable().length === 0) onGone();
+      };
+      state.endpointListeners.add(check);
+      return () => void state.endpointListeners.delete(check);
+    },
     isUsable: ({id, startedAt}) =>
       state.directory
         .getUsable(service.name)
--- a/packages/hickorywharf-gateway/src/createGatewayState.ts
+++ b/packages/hickorywharf-gateway/src/createGatewayState.ts
@@ -25,6 +25,7 @@
     configurationFreshness: createFreshness(),
     endpointFreshness: createFreshness(),
     directory: createEndpointDirectory(lapseMilliseconds),
+    endpointListeners: new Set(),
     instances: [{name, failureDomain, capacity}],
     isStopping: false,
     isClosed: false,
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -59,7 +59,9 @@
       if (tag === 'left') onEndpointRemoved(endpoint.id);
     }
     options.onEndpointsConfirmed(readAt);
-    if (changes.length > 0) onChange();
+    if (changes.length === 0) return;
+    onChange();
+    for (const listener of [...state.endpointListeners]) listener();
   }
 
   return {
--- a/packages/hickorywharf-gateway/src/gatewayState.ts
+++ b/packages/hickorywharf-gateway/src/gatewayState.ts
@@ -16,6 +16,8 @@
   /** When the store last confirmed the list of endpoints. */
   readonly endpointFreshness: ReturnType<typeof createFreshness>;
   readonly directory: ReturnType<typeof createEndpointDirectory>;
+  /** Called after each change of the endpoint list. */
+  readonly endpointListeners: Set<() => void>;
   /** All known instances, including this one. */
   instances: ReadonlyArray<Omit<GatewayInstance, 'host' | 'port'>>;
   /** Set when a planned stop starts; requests are still served. */
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -25,6 +25,8 @@
   readonly router: StageRouter;
   /** Failure domain where the call will probably run; null if unknown. */
   readonly consumerDomain: string | null;
+  /** Ends the stages before their end; they fail with its reason. */
+  readonly signal?: AbortSignal;
   /** Monotonic milliseconds. */
   getNow(): number;
 }
@@ -233,6 +235,9 @@
     }
 
     context.cleanups.add(handleCallEnd);
+    options.signal?.addEventListener('abort', () => {
+      if (!isSettled) fail(String(options.signal?.reason));
+    });
     if (context.isEnded) return handleCallEnd();
     startReadyStages();
   });
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -256,13 +256,19 @@
     }
     stageRuns += 1;
     const endPreparation = limiter.startPreparation(service.name);
+    const controller = new AbortController();
+    const stopWatching = selector.watchVersion(() =>
+      controller.abort('no endpoint of the version is left'),
+    );
     const result = await runStages({
       context,
       services,
       router: options.router,
       consumerDomain: selector.select(inputs)?.failureDomain ?? null,
+      signal: controller.signal,
       getNow: () => getInstant().monotonic,
     });
+    stopWatching();
     endPreparation();
     if (context.isEnded) {
       if (result.tag === 'made') options.router.free(result.handles);
