Withstand a store that is restored from a copy

Cause: a store may come back from a copy that is some seconds old, with what it had acknowledged since then and leases lost, and revisions and lease numbers given out again; its responses state a generation that rises. After a restoration the instance registers at once, keeps missing endpoints as after an outage and the instances that it knew, takes no read for a confirmation of the configuration for 2 s, and uses an endpoint that had left only if it is still listed after 5 s. What drained stays draining after it has left.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
@@ -99,3 +99,35 @@
   t.is(directory.update([endpoint('a')], at(500))[0]?.tag, 'expired');
   t.is(directory.updateFromPeer([endpoint('a')], at(600))[0]?.tag, 'left');
 });
+
+test('an endpoint that a restored store lacks is kept for a while', (t) => {
+  const directory = createEndpointDirectory(2000);
+  directory.update([endpoint('a'), endpoint('b')], at(0));
+  directory.recordRestored(at(1000));
+  directory.update([endpoint('a')], at(1100));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a', 'b']);
+  directory.update([endpoint('a')], at(3200));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+});
+
+test('an endpoint that had left is not used because a restored store lists it', (t) => {
+  const directory = createEndpointDirectory(2000);
+  directory.update([endpoint('a'), endpoint('b')], at(0));
+  directory.update([endpoint('a')], at(1000));
+  directory.recordRestored(at(2000));
+  directory.update([endpoint('a'), endpoint('b')], at(2100));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+  // Its registration would have expired if it were gone.
+  directory.update([endpoint('a'), endpoint('b')], at(7100));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a', 'b']);
+});
+
+test('an endpoint that drained and left stays draining in a restored store', (t) => {
+  const directory = createEndpointDirectory(2000);
+  directory.update([endpoint('a'), endpoint('b')], at(0));
+  directory.update([endpoint('a'), endpoint('b', {isDraining: true})], at(500));
+  directory.update([endpoint('a')], at(1000));
+  directory.recordRestored(at(2000));
+  directory.update([endpoint('a'), endpoint('b')], at(8000));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
@@ -31,6 +31,12 @@
   getDigest(): string;
   /** Records that the list could not be read from the store. */
   recordOutage(): void;
+  /**
+   * Records that the store was restored from a copy: missing endpoints may
+   * register again, and those that had left may be listed although they are
+   * gone.
+   */
+  recordRestored(now: Instant): void;
   /** The endpoints of a service that may get work: all but draining ones. */
   getUsable(service: string): readonly GatewayEndpoint[];
   /** An endpoint that has not left, as last listed; undefined for others. */
@@ -43,6 +49,15 @@
   missingSince: Instant | null;
 }
 
+/** Incarnations that drained or left are remembered so long. */
+const REMEMBER_MILLISECONDS = 300_000;
+/**
+ * An endpoint that had left and is listed by a restored store is used only if
+ * it is still listed after this time, in which the registration of one that is
+ * gone expires.
+ */
+const RETURN_MILLISECONDS = 5000;
+
 /** Identifies one incarnation of an endpoint. */
 function getIncarnationKey(endpoint: GatewayEndpoint): string {
   return `${endpoint.id}/${endpoint.startedAt}`;
@@ -68,7 +83,10 @@
   lapseMilliseconds: number,
 ): EndpointDirectory {
   const known = new Map<string, KnownEndpoint>();
-  const drained = new Set<string>();
+  /** Incarnations that drained or left, and when. */
+  const drained = new Map<string, Instant>();
+  const departed = new Map<string, Instant>();
+  let restoredAt: Instant | null = null;
   let usable = new Map<string, GatewayEndpoint[]>();
   let current: readonly GatewayEndpoint[] = [];
   let digest: string | null = null;
@@ -100,7 +118,28 @@
     }
   }
 
-  function apply(endpoint: GatewayEndpoint): DirectoryChange[] {
+  function forgetOld(now: Instant): void {
+    for (const remembered of [drained, departed]) {
+      for (const [key, at] of remembered) {
+        const isOld = getElapsed(at, now) > REMEMBER_MILLISECONDS;
+        if (isOld && !known.has(key.slice(0, key.lastIndexOf('/')))) {
+          remembered.delete(key);
+        }
+      }
+    }
+  }
+
+  /** Whether only a restored store lists an endpoint that had left. */
+  function isDeparted(endpoint: GatewayEndpoint, now: Instant): boolean {
+    return (
+      restoredAt !== null &&
+      getElapsed(restoredAt, now) < RETURN_MILLISECONDS &&
+      departed.has(getIncarnationKey(endpoint)) &&
+      !known.has(endpoint.id)
+    );
+  }
+
+  function apply(endpoint: GatewayEndpoint, now: Instant): DirectoryChange[] {
     const before = known.get(endpoint.id);
     known.set(endpoint.id, {endpoint, missingSince: null});
     const isNew =
@@ -109,7 +148,7 @@
     if (before === undefined) changes.push({tag: 'joined', endpoint});
     else if (isNew) changes.push({tag: 'restarted', endpoint});
     if (endpoint.isDraining && !drained.has(getIncarnationKey(endpoint))) {
-      drained.add(getIncarnationKey(endpoint));
+      drained.set(getIncarnationKey(endpoint), now);
       changes.push({tag: 'draining', endpoint});
     }
     return changes;
@@ -119,8 +158,10 @@
     listed: readonly GatewayEndpoint[],
     now: Instant,
   ): DirectoryChange[] {
-    const changes = listed.flatMap(apply);
-    const present = new Set(listed.map(({id}) => id));
+    const returned = listed.filter((endpoint) => !isDeparted(endpoint, now));
+    const changes = returned.flatMap((endpoint) => apply(endpoint, now));
+    const present = new Set(returned.map(({id}) => id));
+    forgetOld(now);
     for (const [id, entry] of known) {
       if (present.has(id)) continue;
       const {endpoint} = entry;
@@ -132,7 +173,7 @@
         continue;
       }
       known.delete(id);
-      drained.delete(getIncarnationKey(endpoint));
+      departed.set(getIncarnationKey(endpoint), now);
       changes.push({tag: 'left', endpoint});
     }
     rebuild();
@@ -162,6 +203,10 @@
     recordOutage() {
       isStoreUnavailable = true;
     },
+    recordRestored(now) {
+      isStoreUnavailable = true;
+      restoredAt = now;
+    },
     getUsable: (service) => usable.get(service) ?? [],
     get: (id) => known.get(id)?.endpoint,
   };
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -63,6 +63,12 @@
  * is still used soon, and the loss of one is noticed on its connection.
  */
 const INSTANCES_INTERVAL_MILLISECONDS = 2000;
+/**
+ * After the store was restored from a copy, operators and endpoints write again
+ * what it has lost. For this time what it has proves nothing about what is
+ * missing.
+ */
+const RESTORED_MILLISECONDS = 2000;
 /** Backoff after a first failed read, doubled with each further failure. */
 const RETRY_MILLISECONDS = 150;
 /**
@@ -98,6 +104,10 @@
   const failedSteps = new Set<string>();
   /** The peer that reads the store for this instance; null for itself. */
   let readerName: string | null = null;
+  /** Of the store's data; 0 before the first response. */
+  let generation = 0;
+  let restoredAt = -Infinity;
+  let knownOthers: readonly GatewayInstance[] = [];
 
   function logFailure(step: string, message: string): void {
     if (failedSteps.has(step)) return;
@@ -108,12 +118,38 @@
     if (failedSteps.delete(step)) log.infoAlways('store recovered', {step});
   }
 
+  /** Whether the store was restored from a copy a moment ago. */
+  function isJustRestored(): boolean {
+    const elapsed = getInstant().monotonic - restoredAt;
+    return elapsed < RESTORED_MILLISECONDS;
+  }
+
+  function checkGeneration(): void {
+    const next = source.getGeneration();
+    if (next === generation) return;
+    // The first generation is not a restoration that this instance has seen.
+    if (generation !== 0) {
+      restoredAt = getInstant().monotonic;
+      state.directory.recordRestored(getInstant());
+      log.infoAlways('store restored from a copy', {
+        step: 'store',
+        generation: next,
+        before: generation,
+        version: state.configuration?.version ?? null,
+      });
+      // The registration of this instance is among what was lost.
+      void readStore('announce', source.announce);
+    }
+    generation = next;
+  }
+
   /** Reads the store and logs when it becomes unavailable or available. */
   async function readStore<Value, Failure extends {readonly message: string}>(
     step: string,
     read: () => Promise<Result<Value, Failure>>,
   ): Promise<Result<Value, Failure>> {
     const result = await read();
+    checkGeneration();
     result.match(
       () => logRecovery(step),
       ({message}) => logFailure(step, message),
@@ -129,6 +165,11 @@
       const read = await readStore('configuration', source.readConfiguration);
       const value = read.unwrapOr(null);
       if (value === null) return false;
+      // The copy may lack a newer version, which is written again.
+      const isConfirmed =
+        !isJustRestored() ||
+        value.version > (state.configuration?.version ?? -1);
+      if (!isConfirmed) return true;
       stateUpdater.applyConfiguration(value, sentAt);
       return true;
     },
@@ -224,7 +265,15 @@
     await readStore('announce', source.announce);
     const read = await readStore('instances', source.readInstances);
     if (read.isErr()) return false;
-    const others = read.value.filter((instance) => instance.name !== name);
+    const listed = new Set(read.value.map((instance) => instance.name));
+    // Right after a restoration, the others register again one by one.
+    const missing = isJustRestored()
+      ? knownOthers.filter((instance) => !listed.has(instance.name))
+      : [];
+    const others = [...read.value, ...missing].filter(
+      (instance) => instance.name !== name,
+    );
+    knownOthers = others;
     onInstances(others);
     const names = [...others.map((other) => other.name), name].sort();
     const previous = state.instances.map((instance) => instance.name).sort();
--- a/packages/hickorywharf-types/src/gateway/gatewaySource.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySource.ts
@@ -28,6 +28,11 @@
   announce(): Promise<Result<null, SourceError>>;
   /** Removes the registration at a planned stop. */
   withdraw(): Promise<Result<null, SourceError>>;
+  /**
+   * The newest generation of the store's data that was seen; 0 before. It rises
+   * when the store was restored from a copy that is some seconds old.
+   */
+  getGeneration(): number;
   /** The registered instances, including this one if it is registered. */
   readInstances(): Promise<Result<GatewayInstance[], SourceError>>;
 }
