Drop old records of streams also where no stream is resumed

Records were dropped by age only when a stream was resumed, so that without resumptions they grew to their bound, and the counter of those dropped for lack of room rose without a loss. With one version, each heartbeat also computed the only version once for every record. Change: records are dropped by age with each heartbeat, and the version is computed once for each service.

--- a/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
@@ -156,3 +156,12 @@
   t.is(sent.length, 2);
   t.is((await get(33).find('r1', SERVICE))?.version, 'v1');
 });
+
+test('records are dropped although no stream is resumed', async (t) => {
+  const {get, pass, cutOff} = createInstances(3, 'v1', 'v2');
+  get(0).recordBegin(ORIGIN);
+  pass(100, 'v1', 'v2');
+  get(0).flush();
+  cutOff.add('i0');
+  t.is(await get(0).find('r1', SERVICE), null);
+});
--- a/packages/hickorywharf-gateway/src/createStreamVersions.ts
+++ b/packages/hickorywharf-gateway/src/createStreamVersions.ts
@@ -41,7 +41,10 @@
   find(streamId: string, service: string): Promise<FoundVersion | null>;
   /** The endpoints at which streams of a service may begin. */
   listBeginnable(service: string): readonly GatewayEndpoint[];
-  /** Tells peers of streams whose versions are not evident any more. */
+  /**
+   * Drops old records, and tells peers of streams whose versions are not evident
+   * any more. To be called regularly.
+   */
   flush(): void;
   /** Handles what another instance sent; returns what to reply, if anything. */
   handle(exchange: StreamExchange): StreamExchange | null;
@@ -114,7 +117,6 @@
 
   function findLocally(streamId: string, service: string): FoundVersion | null {
     const now = getInstant();
-    records.dropExpired(now.monotonic, updateLifetime());
     const found = records.find(streamId, now.monotonic);
     if (found !== undefined) {
       const {origin, ageMilliseconds} = found;
@@ -209,9 +211,13 @@
       return established.length > 0 ? established : usable;
     },
     flush() {
-      const origins = records.takeUntold(
-        (service) => findOnlyVersion(service) === null,
-      );
+      records.dropExpired(getInstant().monotonic, updateLifetime());
+      const isTold = new Map<string, boolean>();
+      const origins = records.takeUntold((service) => {
+        const known = isTold.get(service) ?? findOnlyVersion(service) === null;
+        isTold.set(service, known);
+        return known;
+      });
       if (origins.length > 0) tell(origins);
     },
     handle({origins = [], questions: asked = [], answers = []}) {
