Stop reporting that a rate limit ended

Each response without a limit renewed the record of a limit that had ended, so that peers were told of the end with every heartbeat for as long as the endpoint was used. Change: the record is not renewed. Result: createEndpointLimits.test.ts, "for a while only": still reported after 34 s before, no longer now.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointLimits.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointLimits.test.ts
@@ -184,6 +184,16 @@
   t.is(second.getWait(ENDPOINT, 6300), 0);
 });
 
+test('peers are told for a while only that a limit ended', (t) => {
+  const {first} = createPair();
+  first.recordResponse(ENDPOINT, 0.3, 5000);
+  for (let now = 6000; now < 40_000; now += 100) {
+    first.recordResponse(ENDPOINT, null, now);
+  }
+  t.is(first.listReports(20_000).length, 1);
+  t.deepEqual(first.listReports(40_000), []);
+});
+
 test('a restarted endpoint has no limit until it states one', (t) => {
   const {first} = createPair();
   first.recordResponse(ENDPOINT, 0.3, 5000);
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointLimits.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointLimits.ts
@@ -193,8 +193,8 @@
     const current = known?.startedAt === startedAt ? known : undefined;
     const before = current?.callsPerSecond ?? null;
     const {callsPerSecond} = stated;
-    // Without a limit before, there is nothing to tell peers.
-    if (current === undefined && callsPerSecond === null) return null;
+    // There is nothing to tell peers, or they are told already.
+    if (before === null && callsPerSecond === null) return null;
     if (current === undefined || before === null) {
       const start = {
         available: 0,
