Log bytes that belong to no response, and results reported twice

Bytes after a response closed their connection without a line. Change: the client of endpoints logs unexpected bytes with the peer; the dispatcher logs a result that it tracks already with the request, stage, piece and handle; a failed attempt names the request that the answer belongs to.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -18,6 +18,12 @@
   }),
 } as unknown as GatewayWireFormat;
 
+const lines: Array<[string, Readonly<Record<string, unknown>>]> = [];
+const log = {
+  infoRateLimited: (...line: (typeof lines)[number]) => void lines.push(line),
+  infoAlways: () => undefined,
+};
+
 type RequestHandler = (socket: net.Socket, count: number) => void;
 
 async function listen(onRequest: RequestHandler): Promise<net.Server> {
@@ -69,7 +75,7 @@
     socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
     socket.resetAndDestroy();
   });
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   for (let iteration = 0; iteration < 20; iteration += 1) {
     t.is((await send(client, portOf(server))).result, 'unknown');
   }
@@ -81,7 +87,7 @@
   const server = await listen((socket) =>
     socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'),
   );
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   t.deepEqual(await send(client, portOf(server)), {
     result: 'complete',
     body: 'whole',
@@ -94,7 +100,7 @@
   const server = await listen(() => undefined);
   const port = portOf(server);
   await new Promise((resolve) => server.close(resolve));
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   t.is((await send(client, port)).result, 'unsent');
   client.close();
 });
@@ -107,12 +113,20 @@
       'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=9\r\n\r\naHTTP/1.1 200',
     );
   });
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   for (let iteration = 0; iteration < 3; iteration += 1) {
     const {result, body} = await send(client, portOf(server));
     t.deepEqual({result, body}, {result: 'complete', body: 'a'});
   }
   t.is(connections.size, 3);
+  const peer = `127.0.0.1:${portOf(server)}`;
+  t.deepEqual(
+    lines.filter(([, fields]) => fields['peer'] === peer),
+    Array.from({length: 3}, () => [
+      'unexpected bytes after a response',
+      {step: 'receive', peer, bytes: 74, requests: 1},
+    ]),
+  );
   client.close();
   server.close();
 });
@@ -125,7 +139,7 @@
       'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=9\r\n\r\na',
     );
   });
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   await send(client, portOf(server));
   await send(client, portOf(server));
   t.is(connections.size, 1);
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -62,7 +62,11 @@
       ['scan', {name: 'scan', maximumConnections: 9, stage, engine: null}],
     ]),
   } as unknown as GatewayConfiguration;
-  const log = {infoRateLimited: () => undefined, infoAlways: () => undefined};
+  const lines: string[] = [];
+  const log = {
+    infoRateLimited: (message: string) => void lines.push(message),
+    infoAlways: () => undefined,
+  };
   const metrics = createGatewayMetrics();
   const dispatcher = createStageDispatcher({
     state,
@@ -116,7 +120,7 @@
   const setRateLimit = (limit: StatedRateLimit): void => {
     rateLimit = limit;
   };
-  return {dispatcher, calls, respond, made, setRateLimit};
+  return {dispatcher, calls, respond, made, setRateLimit, lines};
 }
 
 test('pieces of several requests go into one call', async (t) => {
@@ -283,3 +287,15 @@
     [['/free', JSON.stringify(['a', 'b', 'c', 'd'])]],
   );
 });
+
+test('a result that an endpoint reports for two pieces is logged', async (t) => {
+  const {dispatcher, calls, respond, made, lines} = createTestDispatcher(1);
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await sleep(5);
+  respond(calls[0]!, ...made('h-0', 'h-1'));
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  await sleep(5);
+  t.deepEqual(lines, []);
+  respond(calls[1]!, ...made('h-0', 'h-2'));
+  t.deepEqual(lines, ['stage result reported twice']);
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -106,7 +106,7 @@
 
     function handleHead(response: ResponseHead): void {
       if (response.requestId !== null && response.requestId !== call.id) {
-        return failAttempt('the answer is to another request');
+        return failAttempt(`the answer is to request ${response.requestId}`);
       }
       head = response;
       if (response.isNotRun) {
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -3,6 +3,7 @@
 import {createResponseParser} from './createResponseParser.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {EndpointRequest} from './endpointRequest.ts';
+import type {GatewayLog} from './gatewayLog.ts';
 
 /** A pooled connection to an endpoint. */
 interface PooledConnection {
@@ -10,6 +11,8 @@
   readonly address: string;
   /** Receives what arrives; null while no request is in flight. */
   consumer: ResponseConsumer | null;
+  /** Number of requests that were sent on it. */
+  requests: number;
   idleTimer: NodeJS.Timeout | null;
 }
 
@@ -71,11 +74,14 @@
  * complete.
  *
  * @example
- *     const client = createEndpointClient(wire);
+ *     const client = createEndpointClient(wire, log);
  *     const exchange = client.send(request);
  *     exchange.abort();
  */
-export function createEndpointClient(wire: GatewayWireFormat): EndpointClient {
+export function createEndpointClient(
+  wire: GatewayWireFormat,
+  log: GatewayLog,
+): EndpointClient {
   const idle = new Map<string, PooledConnection[]>();
   const connections = new Set<PooledConnection>();
 
@@ -90,6 +96,7 @@
           // Bytes without a request in flight belong to no response, so the
           // connection cannot be used any more.
           if (connection.consumer === null) {
+            logUnexpectedBytes(connection, size);
             socket.destroy();
             return false;
           }
@@ -106,6 +113,7 @@
       socket,
       address: `${host}:${port}`,
       consumer: null,
+      requests: 0,
       idleTimer: null,
     };
     connections.add(connection);
@@ -122,6 +130,19 @@
     return connection;
   }
 
+  /** Bytes that belong to no response, as a second answer to a request. */
+  function logUnexpectedBytes(
+    {address, requests}: PooledConnection,
+    bytes: number,
+  ): void {
+    log.infoRateLimited('unexpected bytes after a response', {
+      step: 'receive',
+      peer: address,
+      bytes,
+      requests,
+    });
+  }
+
   function removeIdle(connection: PooledConnection): void {
     if (connection.idleTimer === null) return;
     clearTimeout(connection.idleTimer);
@@ -157,6 +178,7 @@
 
   function send(input: EndpointRequest): ReturnType<EndpointClient['send']> {
     const connection = acquire(input);
+    connection.requests += 1;
     const {socket} = connection;
     let isSettled = false;
     let isSent = !socket.connecting;
@@ -211,7 +233,10 @@
         if (isSettled) return true;
         // Bytes after a complete response make only the connection unusable.
         if (parser.isComplete()) {
-          if (!isRead) keepAliveMilliseconds = 0;
+          if (!isRead) {
+            logUnexpectedBytes(connection, bytes.length);
+            keepAliveMilliseconds = 0;
+          }
           complete();
           return true;
         }
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -31,6 +31,8 @@
    * @returns a function that cancels the reservation; call it once
    */
   reserve(endpointId: string, bytes: number): () => void;
+  /** Whether a result is tracked. */
+  has(handle: string): boolean;
   /** Tracks a result until it is freed or its time to live ends. */
   add(
     handle: string,
@@ -159,6 +161,7 @@
       addBytes(endpointId, bytes);
       return () => addBytes(endpointId, -bytes);
     },
+    has: (handle) => results.has(handle),
     add(handle, endpoint, bytes, keepMilliseconds) {
       const expiresAt = now() + keepMilliseconds;
       results.set(handle, {endpoint, bytes, expiresAt});
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -307,7 +307,17 @@
     ) => void;
   } = {
     made({group, piece}, endpoint, {handle}) {
-      const {service, resultBytes} = group.order;
+      const {service, resultBytes, requestId, stage} = group.order;
+      if (results.has(handle)) {
+        log.infoRateLimited('stage result reported twice', {
+          requestId,
+          step: 'stage',
+          peer: endpoint.id,
+          stage,
+          piece,
+          handle,
+        });
+      }
       // 0 if the stage was removed from the configuration during the call.
       const keep = getCapacity(service)?.keepMilliseconds ?? 0;
       results.add(handle, endpoint, resultBytes, keep);
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -74,7 +74,7 @@
     metrics.count('logLinesLeftOut', 'bound'),
   );
   const state = createGatewayState(settings);
-  const endpointClient = createEndpointClient(wire);
+  const endpointClient = createEndpointClient(wire, log);
   const health = createEndpointHealth();
   const budget = createRetryBudget({
     ratio: settings.repeatRatio,
