Send each stage call on a connection of its own

Cause: a stage call's answer names no request; by its place on the connection it was taken for the answer to the call that was sent last. Connections went back to the pool after each answer, and the next batch was sent at once on the same one, so that a second answer to the call before was read as the next answer if it had as many entries. Class of fault: an answer is believed by its place in a sequence that the other side may break. Change: only the first answer on a connection proves by its place what it answers. Stage calls use a new connection, say `Connection: close`, and close it after the answer. Releases of results keep pooled connections: nothing but the memory account is believed of their answers, and calls check the request's id. Why it works: a second answer has no connection left on which a later stage call could read it.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {createEndpointClient} from '../createEndpointClient.ts';
 
 const wire = {
@@ -47,7 +48,7 @@
 function send(
   client: ReturnType<typeof createEndpointClient>,
   port: number,
-  needsNewConnection = false,
+  use: {needsNewConnection?: boolean; isExclusive?: boolean} = {},
 ): Promise<SendResult> {
   return new Promise((resolve) => {
     let body = '';
@@ -58,7 +59,9 @@
       path: '/',
       headers: ['Host', 'x'],
       body: null,
-      needsNewConnection,
+      needsNewConnection: false,
+      isExclusive: false,
+      ...use,
       onHead: () => undefined,
       onData: (chunk) => void (body += chunk),
       onEnd: () => resolve({result: 'complete', body}),
@@ -143,8 +146,32 @@
   await send(client, portOf(server));
   await send(client, portOf(server));
   t.is(connections.size, 1);
-  await send(client, portOf(server), true);
+  await send(client, portOf(server), {needsNewConnection: true});
   t.is(connections.size, 2);
   client.close();
   server.close();
 });
+
+test('an exclusive connection is neither taken from the pool nor pooled', async (t) => {
+  const connections = new Set<net.Socket>();
+  let open = 0;
+  const server = await listen((socket) => {
+    connections.add(socket);
+    open += 1;
+    socket.on('close', () => void (open -= 1));
+    socket.write(
+      'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=9\r\n\r\na',
+    );
+  });
+  const client = createEndpointClient(wire, log);
+  const isExclusive = true;
+  await send(client, portOf(server), {isExclusive});
+  await send(client, portOf(server));
+  t.is(connections.size, 2);
+  await send(client, portOf(server), {isExclusive});
+  t.is(connections.size, 3);
+  await sleep(50);
+  t.is(open, 1);
+  client.close();
+  server.close();
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -193,6 +193,7 @@
       }),
       body: options.body.length > 0 ? options.body : null,
       needsNewConnection: !context.isRetryable,
+      isExclusive: false,
       onHead: handleHead,
       onData(chunk) {
         if (isSettled) return;
--- a/packages/hickorywharf-gateway/src/buildStageRequest.ts
+++ b/packages/hickorywharf-gateway/src/buildStageRequest.ts
@@ -16,5 +16,14 @@
   const {id, host, port} = endpoint;
   const bytes = Buffer.byteLength(body);
   const headers = wire.formatStageHeaders(id, `${host}:${port}`, bytes);
-  return {host, port, method, path, headers, body, needsNewConnection: false};
+  return {
+    host,
+    port,
+    method,
+    path,
+    headers,
+    body,
+    needsNewConnection: false,
+    isExclusive: false,
+  };
 }
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -60,6 +60,7 @@
 
 function formatHead(request: EndpointRequest): string {
   let head = `${request.method} ${request.path} HTTP/1.1\r\n`;
+  if (request.isExclusive) head += 'Connection: close\r\n';
   for (let index = 0; index + 1 < request.headers.length; index += 2) {
     head += `${request.headers[index]}: ${request.headers[index + 1]}\r\n`;
   }
@@ -167,10 +168,11 @@
   }
 
   function acquire(input: EndpointRequest): PooledConnection {
-    const {host, port, needsNewConnection} = input;
-    const connection = needsNewConnection
-      ? undefined
-      : idle.get(`${host}:${port}`)?.at(-1);
+    const {host, port} = input;
+    const isPooled = !input.needsNewConnection && !input.isExclusive;
+    const connection = isPooled
+      ? idle.get(`${host}:${port}`)?.at(-1)
+      : undefined;
     if (connection === undefined) return connect(host, port);
     removeIdle(connection);
     return connection;
@@ -207,7 +209,8 @@
       if (!finish()) return;
       // After an early response the endpoint may still read the request body,
       // so the connection is not pooled.
-      if (isWritten) release(connection, keepAliveMilliseconds);
+      const isReusable = isWritten && !input.isExclusive;
+      if (isReusable) release(connection, keepAliveMilliseconds);
       else socket.destroy();
       input.onEnd();
     }
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -16,6 +16,13 @@
    * requests that can't be retried need a new connection.
    */
   readonly needsNewConnection: boolean;
+  /**
+   * Whether to use a new connection and close it after the response. An
+   * endpoint may send a second response to an earlier request on a connection:
+   * only the first response of a connection proves by its place what it answers,
+   * so responses that name no request need a connection of their own.
+   */
+  readonly isExclusive: boolean;
   onHead(head: ResponseHead): void;
   onData(chunk: Buffer): void;
   /** Called when the response is complete. */
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -53,6 +53,8 @@
   const body = wire.formatPieces(pieces);
   const exchange = endpointClient.send({
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
+    // The response names neither the call nor its pieces.
+    isExclusive: true,
     onHead(responseHead) {
       head = responseHead;
       options.onHead(responseHead);
