Believe a rejection without a request's id only on a new connection

Callers saw: 503 for a read or a resumable stream that an endpoint ran; the status promises that it never runs. The call also counted as not run, so that it was sent to more endpoints than its route allows. Cause: a response that says 'not run' was believed if it named no other request. On a pooled connection it may be the late second response to the call before. Change: the client of endpoints says whether a response is the first of its connection; one that says 'not run' and names no request is believed only then. Why it works: the first response of a connection has no exchange before it that it could belong to. Actions use new connections already and see no difference.

--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -112,7 +112,7 @@
   let rateLimit: StatedRateLimit = {tag: 'none'};
   function respond(call: SentCall, ...next: readonly PieceOutcome[]): void {
     outcomes.push(...next);
-    call.request.onHead({status: 200, rateLimit} as ResponseHead);
+    call.request.onHead({status: 200, rateLimit} as ResponseHead, true);
     call.request.onEnd();
   }
   const made = (...handles: readonly string[]) =>
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -47,8 +47,9 @@
  * Sends a call to an endpoint and forwards its response. A response is accepted
  * only if it names the request, carries the endpoint's signature and has no
  * content encoding. One that says that the call did not run needs no signature;
- * it must only not name another request. A stream is forwarded in complete
- * events, so that it can resume at another endpoint.
+ * without the name of the request, it has to be the first response of its
+ * connection. A stream is forwarded in complete events, so that it can resume at
+ * another endpoint.
  *
  * @returns never rejects
  * @example
@@ -104,12 +105,12 @@
       );
     }
 
-    function handleHead(response: ResponseHead): void {
+    function handleHead(response: ResponseHead, isFirst: boolean): void {
       if (response.requestId !== null && response.requestId !== call.id) {
         return failAttempt(`the answer is to request ${response.requestId}`);
       }
       head = response;
-      if (response.isNotRun) {
+      if (response.isNotRun && (response.requestId !== null || isFirst)) {
         options.limiter.recordHead(endpoint, response);
         return;
       }
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -220,7 +220,8 @@
         onHead(status, rawHeaders) {
           if (isSettled) return;
           keepAliveMilliseconds = getKeepAliveMilliseconds(rawHeaders);
-          input.onHead(wire.parseResponseHead(status, rawHeaders));
+          const head = wire.parseResponseHead(status, rawHeaders);
+          input.onHead(head, connection.requests === 1);
         },
         onBody(bytes) {
           if (!isSettled) input.onData(Buffer.from(bytes));
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -23,7 +23,11 @@
    * so responses that name no request need a connection of their own.
    */
   readonly isExclusive: boolean;
-  onHead(head: ResponseHead): void;
+  /**
+   * `isFirst` is true for the first response of a connection, which can't be a
+   * second response to an earlier request.
+   */
+  onHead(head: ResponseHead, isFirst: boolean): void;
   onData(chunk: Buffer): void;
   /** Called when the response is complete. */
   onEnd(): void;
