Send a repeated call on a new connection

Callers saw: 503 'the results of the stages were lost' for a call that an endpoint ran; the status promises that it never runs. Cause: after a response that a stage result is gone, the call is sent once more and the same endpoint may get it, on the pooled connection. A late second response to the first send has the same request id, so it passed for the response to the second one. Change: each send of a call after the first uses a new connection. Why it works: the id tells requests apart, not sends of one request; the first response on a new connection can't be to an earlier send. Evidence: the test failed before with that 503 instead of the stream. Result: lateAnswers, gateway, endpointLimits and streamVersions tests pass (37).

--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -324,6 +324,7 @@
       endpoint,
       inputs,
       body,
+      isRepeat: sends > 1,
       relay: writer,
       splitter,
       wire: options.wire,
