Use a new connection for each call to a backend

Callers saw: nothing reported; a test showed the output of another call's pool, service or engine, with the cause of MIXED on the product's own interface. Cause: the answers of backends name no call, and undici kept connections alive, so a late second answer passed for the answer to the next call. Change: one agent for the three adapters, without keep-alive. Why it works: the first answer on a connection can't be to an earlier call. Evidence: the three tests failed before; the third call got the first's answer. The benchmarks of processor time were not run.

--- a/packages/hickorywharf-endpoints/src/createEngineBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createEngineBackend.ts
@@ -1,8 +1,9 @@
 import {createInterface} from 'node:readline';
 import {ResultAsync} from 'neverthrow';
-import {Agent, request} from 'undici';
+import {request} from 'undici';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import type {Backend} from './backend.ts';
+import {createBackendAgent} from './createBackendAgent.ts';
 import {toBackendError} from './toBackendError.ts';
 
 type RunOptions = Parameters<Backend['run']>[0];
@@ -25,7 +26,7 @@
  *     createEngineBackend('http://127.0.0.1:9003');
  */
 export function createEngineBackend(url: string): Backend {
-  const dispatcher = new Agent({bodyTimeout: 0});
+  const dispatcher = createBackendAgent({bodyTimeout: 0});
 
   async function execute(options: RunOptions): Promise<StageOutput> {
     const {attempt, remainingMilliseconds, onTokens, signal} = options;
--- a/packages/hickorywharf-endpoints/src/createPoolBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createPoolBackend.ts
@@ -1,9 +1,9 @@
 import {ResultAsync} from 'neverthrow';
-import {Agent} from 'undici';
 import type {StageKind} from 'hickorywharf-types/stageKind';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import type {Backend} from './backend.ts';
 import {BACKEND_LIMITS} from './backendLimits.ts';
+import {createBackendAgent} from './createBackendAgent.ts';
 import {postJson} from './postJson.ts';
 import {toBackendError} from './toBackendError.ts';
 
@@ -27,7 +27,7 @@
  *     createPoolBackend('http://127.0.0.1:9001');
  */
 export function createPoolBackend(url: string): Backend {
-  const dispatcher = new Agent({
+  const dispatcher = createBackendAgent({
     maxResponseSize: BACKEND_LIMITS.maximumResponseBytes,
   });
 
--- a/packages/hickorywharf-endpoints/src/createServiceBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createServiceBackend.ts
@@ -1,24 +1,23 @@
 import {ResultAsync} from 'neverthrow';
-import {Agent} from 'undici';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import type {Backend} from './backend.ts';
 import {BACKEND_LIMITS} from './backendLimits.ts';
+import {createBackendAgent} from './createBackendAgent.ts';
 import {postJson} from './postJson.ts';
 import {toBackendError} from './toBackendError.ts';
 
 /**
  * Creates the adapter of a service. Its calls may have side effects, so undici
  * must not retry one after its connection closed: it never retries a POST, and
- * pipelining is off.
+ * no two calls share a connection.
  *
  * @param url base address of the service
  * @example
  *     createServiceBackend('http://127.0.0.1:9002');
  */
 export function createServiceBackend(url: string): Backend {
-  const dispatcher = new Agent({
-    pipelining: 1,
+  const dispatcher = createBackendAgent({
     maxResponseSize: BACKEND_LIMITS.maximumResponseBytes,
   });
 
