Report a call that was never sent before its deadline as not run

What callers saw: 504 with `outcome: unknown` for a call with stages whose time ended while a call for its stages was in flight, though the call itself had been sent to no endpoint. A caller of an action may not repeat after a 504. Cause: the deadline timer answered `timedOut` for every call that had no response. Only a call whose pieces were queued at that moment was refused as not run, so the answer depended on where between two sends of its pieces the deadline fell. Change: the context of a call knows whether the call was sent to an endpoint. If it was not, the deadline refuses with `deadlineExceeded` (503, not run, with a time to retry), which existed and was unused. The timer ends the call before it refuses, so that nothing is sent afterwards; a call that was shed once counts as sent and still gets 504.

--- a/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/runStages.test.ts
@@ -45,6 +45,7 @@
     targetAt: performance.now() + 2000,
     deadlineAt: performance.now() + 6000,
     isEnded: false,
+    isSent: false,
     cleanups: new Set(),
   } as unknown as CallContext;
   const orders: Array<{
--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -120,6 +120,7 @@
     targetAt: receivedAt.monotonic + route.targetMilliseconds,
     deadlineAt: receivedAt.monotonic + timeLeft,
     isEnded: false,
+    isSent: false,
     cleanups: new Set(),
   });
 }
--- a/packages/hickorywharf-gateway/src/callContext.ts
+++ b/packages/hickorywharf-gateway/src/callContext.ts
@@ -27,6 +27,8 @@
   readonly deadlineAt: number;
   /** Set when the response is closed, or the call timed out. */
   isEnded: boolean;
+  /** Set once the call was sent to an endpoint, which may then have run it. */
+  isSent: boolean;
   /** Functions that run when the call ends and release its resources. */
   readonly cleanups: Set<() => void>;
 }
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -36,6 +36,8 @@
  * deadline can still arrive.
  */
 const DEADLINE_SLACK_MILLISECONDS = 60;
+/** Retry delay for callers whose request was not sent before its deadline. */
+const UNSENT_RETRY_MILLISECONDS = 300;
 /** Retry delay for callers that are refused because the instance stops. */
 const STOPPING_RETRY_MILLISECONDS = 100;
 
@@ -75,11 +77,18 @@
           requestId: context.call.id,
           step: 'answer',
           route: context.route.name,
+          isSent: context.isSent,
           isStarted: writer.isStarted,
         });
         if (writer.isStarted) return writer.abort();
         writer.refuse(
-          {tag: 'timedOut', message: 'no answer within the time limit'},
+          context.isSent
+            ? {tag: 'timedOut', message: 'no answer within the time limit'}
+            : {
+                tag: 'deadlineExceeded',
+                message: 'the time limit passed before the request was sent',
+                retryAfterMilliseconds: UNSENT_RETRY_MILLISECONDS,
+              },
           context.call.id,
         );
       },
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -319,6 +319,7 @@
 
   async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
     sends += 1;
+    context.isSent = true;
     return attemptCall({
       context,
       endpoint,
