Read what arrived before an endpoint counts as silent

What callers saw: after the event loop of an instance had been blocked for longer than the timeout of a call (194 ms for a call for stages of the test configuration, 650 ms for a read), the call was dropped though its response had arrived, and sent again to another server; its server got a penalty of a timeout. With blocks that came again, the call with stages ended with 503, `stages: failed`. Cause: Node runs due timers before it reads sockets, so that after any pause of the process each timeout that is due wins over the response that is waiting. Change: `startTimeout` waits once more, for 50 ms, when it fires more than 50 ms late. The timeouts of calls for stages and of attempts use it. It waits at most once, so a server that is silent still times out, 50 ms later after a pause. The connect timeout of the endpoint client and the deadlines stay as they are.

--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -2,6 +2,7 @@
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {startTimeout} from 'hickorywharf-utils/startTimeout';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
@@ -73,12 +74,12 @@
     let head: ResponseHead | null = null;
     let isStreaming = false;
     const chunks: Buffer[] = [];
-    let timer: NodeJS.Timeout | null = null;
+    let stopTimeout: (() => void) | null = null;
 
     function settle(result: AttemptResult): void {
       if (isSettled) return;
       isSettled = true;
-      if (timer !== null) clearTimeout(timer);
+      stopTimeout?.();
       context.cleanups.delete(abandon);
       load.end();
       resolve(result);
@@ -97,11 +98,12 @@
     }
     function restartTimer(milliseconds: number): void {
       if (options.responseTimeoutMilliseconds === null) return;
-      if (timer !== null) clearTimeout(timer);
-      timer = setTimeout(
-        () => failAttempt(`silent for ${Math.round(milliseconds)} ms`),
+      stopTimeout?.();
+      stopTimeout = startTimeout({
         milliseconds,
-      );
+        onTimeout: () =>
+          failAttempt(`silent for ${Math.round(milliseconds)} ms`),
+      });
     }
 
     function handleHead(response: ResponseHead): void {
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -3,6 +3,7 @@
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
 import type {StagePiece} from 'hickorywharf-types/gateway/stagePiece';
+import {startTimeout} from 'hickorywharf-utils/startTimeout';
 import {buildStageRequest} from './buildStageRequest.ts';
 import type {EndpointClient} from './endpointClient.ts';
 
@@ -37,7 +38,7 @@
   function finish(): boolean {
     if (isSettled) return false;
     isSettled = true;
-    clearTimeout(timer);
+    stopTimeout();
     return true;
   }
   function fail(reason: string, isTimeout = false): void {
@@ -46,10 +47,10 @@
     options.onFailure(reason, isTimeout);
   }
 
-  const timer = setTimeout(
-    () => fail('no response in time', true),
-    options.timeoutMilliseconds,
-  );
+  const stopTimeout = startTimeout({
+    milliseconds: options.timeoutMilliseconds,
+    onTimeout: () => fail('no response in time', true),
+  });
   const body = wire.formatPieces(pieces);
   const exchange = endpointClient.send({
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
