Bound the head, the chunk extensions and the trailers of a response

What callers saw: nothing of it yet; a server that sends such bytes took memory and processor time of its instance until the call's deadline, and of all calls there together.

Cause: the parser limited a line and the number of lines of a head, not the bytes of the head (200 lines of 16 KB), and counted neither trailers nor chunk extensions. A trailer section or chunk extensions without end were read for as long as the server sent them.

Change: limits in bytes for all heads of a response together (interim ones included, 65,536), for its trailers and for its chunk extensions (16,384 each); the reason that is logged names the limit. Chunk sizes without an extension count for nothing, so that many small chunks still pass.

--- a/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
@@ -105,6 +105,56 @@
   });
 }
 
+const longValue = 'x'.repeat(16_000);
+const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+for (const [part, {start, repeated, maximumBytes}] of Object.entries({
+  headers: {
+    start: 'HTTP/1.1 200 OK\r\n',
+    repeated: `A: ${longValue}\r\n`,
+    maximumBytes: 65_536,
+  },
+  'interim heads': {
+    start: '',
+    repeated: `HTTP/1.1 103 Early Hints\r\nA: ${longValue}\r\n\r\n`,
+    maximumBytes: 65_536,
+  },
+  trailers: {
+    start: `${chunkedHead}0\r\n`,
+    repeated: 'A: b\r\n',
+    maximumBytes: 16_384,
+  },
+  'chunk extensions': {
+    start: chunkedHead,
+    repeated: `1;${'x'.repeat(100)}\r\na\r\n`,
+    maximumBytes: 32_768,
+  },
+})) {
+  test(`${part} without end are not read without end`, (t) => {
+    const parser = createResponseParser(
+      {
+        onHead: () => undefined,
+        onBody: () => undefined,
+        onEnd: () => undefined,
+      },
+      false,
+    );
+    parser.read(Buffer.from(start));
+    let readBytes = 0;
+    while (readBytes < 8_000_000 && parser.read(Buffer.from(repeated))) {
+      readBytes += repeated.length;
+    }
+    t.true(readBytes <= maximumBytes, `${readBytes} bytes were read`);
+    t.regex(parser.getError(), /longer than \d+ bytes/);
+  });
+}
+
+test('many small chunks are read', (t) => {
+  const chunks = '1\r\na\r\n'.repeat(50_000);
+  const {isComplete, body} = parse(`${chunkedHead}${chunks}0\r\n\r\n`);
+  t.true(isComplete);
+  t.is(body.length, 50_000);
+});
+
 test('a response parses the same however it is split', (t) => {
   const text =
     'HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n' +
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -215,7 +215,7 @@
           complete();
           return true;
         }
-        if (!isRead) fail('bytes that are no answer');
+        if (!isRead) fail(parser.getError());
         return !parser.isCloseDelimited();
       },
       onEnd() {
--- a/packages/hickorywharf-gateway/src/createResponseParser.ts
+++ b/packages/hickorywharf-gateway/src/createResponseParser.ts
@@ -9,17 +9,27 @@
   isCloseDelimited(): boolean;
   /** Whether the response is complete; bytes after it are invalid. */
   isComplete(): boolean;
+  /** Why the bytes were rejected, once `read` has returned false. */
+  getError(): string;
 }
 
 const MAXIMUM_LINE_BYTES = 16_384;
 const MAXIMUM_HEAD_LINES = 200;
+/** All heads of a response, those of interim responses included. */
+const MAXIMUM_HEAD_BYTES = 65_536;
+/** The chunk extensions of a whole response, which nothing here reads. */
+const MAXIMUM_CHUNK_EXTENSION_BYTES = 16_384;
+const MAXIMUM_TRAILER_BYTES = 16_384;
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 const HEADER =
   /^([!#$%&'*+\-.^_`|~\dA-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
 const LENGTH = /^\d{1,15}$/;
 const CHUNK_SIZE = /^([\dA-Fa-f]{1,12})[ \t]*(?:;.*)?$/;
+/** A line, or the start of one, without a chunk extension. */
+const PLAIN_CHUNK_SIZE = /^[\dA-Fa-f]*\r?$/;
 const LINE_FEED = 0x0a;
 const BODYLESS: ReadonlySet<number> = new Set([204, 304]);
+const HEAD = {name: 'head', maximumBytes: MAXIMUM_HEAD_BYTES} as const;
 
 type ParserState =
   | 'status'
@@ -33,10 +43,24 @@
   | 'done'
   | 'broken';
 
+/** The limited part of a response to which the lines of a state belong. */
+const LIMITED_PARTS: Partial<
+  Record<ParserState, {readonly name: string; readonly maximumBytes: number}>
+> = {
+  status: HEAD,
+  headers: HEAD,
+  chunkSize: {
+    name: 'chunk extensions',
+    maximumBytes: MAXIMUM_CHUNK_EXTENSION_BYTES,
+  },
+  trailers: {name: 'trailers', maximumBytes: MAXIMUM_TRAILER_BYTES},
+};
+
 /**
  * Parses one HTTP/1.1 response incrementally. It rejects responses that could
  * be understood in two ways: several lengths, a length with a transfer coding,
- * folded lines, header names with invalid characters.
+ * folded lines, header names with invalid characters. It also rejects heads,
+ * chunk extensions and trailers above a limit, but limits no body.
  *
  * @param isHeadRequest the response has no body, whatever its head says
  * @example
@@ -55,6 +79,25 @@
   let remaining = 0;
   let contentLengths: string[] = [];
   let codings: string[] = [];
+  let error = 'bytes that are no answer';
+  /** Bytes of the complete lines of each limited part. */
+  const partBytes = new Map<string, number>();
+
+  function reject(reason: string): void {
+    error = reason;
+    state = 'broken';
+  }
+
+  /** Adds bytes to the part of the current state; rejects one over its limit. */
+  function checkPart(addedBytes: number, isLineComplete: boolean): void {
+    const part = LIMITED_PARTS[state];
+    if (part === undefined) return;
+    const bytes = (partBytes.get(part.name) ?? 0) + addedBytes;
+    if (isLineComplete) partBytes.set(part.name, bytes);
+    if (bytes > part.maximumBytes) {
+      reject(`the ${part.name} is longer than ${part.maximumBytes} bytes`);
+    }
+  }
 
   function end(): void {
     state = 'done';
@@ -125,7 +168,13 @@
     const feed = bytes.indexOf(LINE_FEED, start);
     const stop = feed < 0 ? bytes.length : feed;
     line += bytes.toString('latin1', start, stop);
-    if (line.length > MAXIMUM_LINE_BYTES) state = 'broken';
+    if (line.length > MAXIMUM_LINE_BYTES) {
+      reject(`a line is longer than ${MAXIMUM_LINE_BYTES} bytes`);
+    }
+    if (state !== 'chunkSize' || !PLAIN_CHUNK_SIZE.test(line)) {
+      if (feed < 0) checkPart(line.length, false);
+      else checkPart(line.length + 1, true);
+    }
     if (feed < 0 || state === 'broken') return bytes.length;
     if (!line.endsWith('\r')) {
       state = 'broken';
@@ -135,8 +184,9 @@
     line = '';
     lines += 1;
     const isHead = state === 'status' || state === 'headers';
-    if (isHead && lines > MAXIMUM_HEAD_LINES) state = 'broken';
-    else state = lineHandlers[state]!(text);
+    if (isHead && lines > MAXIMUM_HEAD_LINES) {
+      reject(`the head has more than ${MAXIMUM_HEAD_LINES} lines`);
+    } else state = lineHandlers[state]!(text);
     return feed + 1;
   }
 
@@ -173,5 +223,6 @@
     isCloseDelimited: () =>
       state === 'untilClose' || state === 'status' || state === 'headers',
     isComplete: () => state === 'done',
+    getError: () => error,
   };
 }
