Bound the answers to calls that free stage results in time and bytes

What callers saw: refusals and late answers, as the results of a stage service that left such a call unanswered counted as held for good.

Cause: a call that frees results had no timeout, and what arrived for it was dropped without a count. A server that never answered kept the connection and the memory that the dispatcher counts for it; one that sent a body without end was read for as long as it sent.

Change: such a call has 1000 ms and 16,384 bytes; then its connection is closed, it is sent once more on a new one, and after that the memory counts as free and a line names the reason, as for a connection that fails.

--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -70,6 +70,10 @@
  * the results that share a call.
  */
 const MAXIMUM_FREE_DELAY_MILLISECONDS = 1000;
+/** Time for a whole response to a call that frees results. */
+const FREE_TIMEOUT_MILLISECONDS = 1000;
+/** The response needs no body; one is skipped. */
+const MAXIMUM_FREE_RESPONSE_BYTES = 16_384;
 
 /**
  * Tracks which endpoint holds which results, and how much memory these take.
@@ -131,25 +135,45 @@
     const {endpoint, handles, bytes} = entry;
     limiter.reserve(endpoint);
     const body = wire.formatFree(handles);
-    endpointClient.send({
+    let receivedBytes = 0;
+
+    function fail(message: string): void {
+      clearTimeout(timer);
+      exchange.abort();
+      if (!isRetry) {
+        sendFree(entry, true);
+        return;
+      }
+      log.infoRateLimited('failed to free stage results', {
+        step: 'stage',
+        peer: endpoint.id,
+        handles: handles.length,
+        reason: message,
+      });
+      release(endpoint, bytes);
+    }
+
+    const timer = setTimeout(
+      () => fail(`no response within ${FREE_TIMEOUT_MILLISECONDS} ms`),
+      FREE_TIMEOUT_MILLISECONDS,
+    );
+    const exchange = endpointClient.send({
       ...buildStageRequest(wire, endpoint, wire.stageFree, body),
       needsNewConnection: isRetry,
       onHead: () => undefined,
-      onData: () => undefined,
-      onEnd: () => release(endpoint, bytes),
-      onFailure({message}) {
-        if (!isRetry) {
-          sendFree(entry, true);
-          return;
+      onData(chunk) {
+        receivedBytes += chunk.length;
+        if (receivedBytes > MAXIMUM_FREE_RESPONSE_BYTES) {
+          fail(
+            `the response is longer than ${MAXIMUM_FREE_RESPONSE_BYTES} bytes`,
+          );
         }
-        log.infoRateLimited('failed to free stage results', {
-          step: 'stage',
-          peer: endpoint.id,
-          handles: handles.length,
-          reason: message,
-        });
+      },
+      onEnd() {
+        clearTimeout(timer);
         release(endpoint, bytes);
       },
+      onFailure: ({message}) => fail(message),
     });
   }
 
