Never join bytes of two servers in the first event of a stream

What callers saw: a stream of status 200, with a stamp and its end, whose first event began with part of an event of another server.

Cause: the bytes of an incomplete event were dropped only when a stream broke off after an event had been forwarded. Before its first complete event the attempt counts as of unknown outcome, a stream that may resume is sent again, and what the second server sent was appended to the rest that the first had left.

Change: each attempt starts without an incomplete event.

Test before the change: the caller got "id: 1, data: evid: 1, data: event 1" and the further events, complete, where the first server had sent "id: 1, data: ev" and reset the connection.

--- a/packages/hickorywharf-gateway/src/createEventSplitter.ts
+++ b/packages/hickorywharf-gateway/src/createEventSplitter.ts
@@ -8,7 +8,7 @@
   getLastId(): string | null;
   /** Bytes of an incomplete event. */
   getRemainder(): Buffer;
-  /** Drops an incomplete event, before the stream resumes elsewhere. */
+  /** Drops an incomplete event, before the stream is sent elsewhere. */
   reset(): void;
 }
 
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -319,6 +319,7 @@
 
   async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
     sends += 1;
+    splitter.reset();
     return attemptCall({
       context,
       endpoint,
@@ -426,10 +427,7 @@
     }
     selector.exclude(endpoint.id);
     if (result.tag !== 'notRun') runs += 1;
-    if (result.tag === 'broken') {
-      splitter.reset();
-      freeInputs();
-    }
+    if (result.tag === 'broken') freeInputs();
     const mayRetry =
       sends < MAXIMUM_SENDS &&
       (result.tag === 'notRun' ||
