Bound the answer to a stage call

What callers saw: nothing of it yet; a server that answers a batch with a body without end filled the memory of the dispatcher's instance.

Cause: the body was collected until the call timed out, in one object for each part, however much arrived.

Change: 1024 bytes for each piece, and 16,384 for the rest; the call then fails as for any broken answer, its connection is closed, and the line about the failed call names the limit.

Test before the change: 100,007,936 bytes, all that were offered, were collected.

--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -4,6 +4,7 @@
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
 import type {StagePiece} from 'hickorywharf-types/gateway/stagePiece';
 import {buildStageRequest} from './buildStageRequest.ts';
+import {createBodyBuffer} from './createBodyBuffer.ts';
 import type {EndpointClient} from './endpointClient.ts';
 
 interface StageCallOptions {
@@ -21,6 +22,11 @@
   onFailure(reason: string, isTimeout: boolean): void;
 }
 
+/** A handle is an address and an id of some ten bytes each. */
+const MAXIMUM_OUTCOME_BYTES = 1024;
+/** The rest of a response, or the whole one of a call that failed. */
+const MAXIMUM_ENVELOPE_BYTES = 16_384;
+
 /**
  * Sends a batch of pieces to an endpoint in one call. Exactly one of the two
  * handlers is called, once.
@@ -30,7 +36,9 @@
  */
 export function sendStageCall(options: StageCallOptions): void {
   const {wire, endpointClient, endpoint, pieces} = options;
-  const chunks: Buffer[] = [];
+  const maximumBytes =
+    MAXIMUM_ENVELOPE_BYTES + pieces.length * MAXIMUM_OUTCOME_BYTES;
+  const responseBody = createBodyBuffer(maximumBytes);
   let head: ResponseHead | null = null;
   let isSettled = false;
 
@@ -57,10 +65,13 @@
       head = responseHead;
       options.onHead(responseHead);
     },
-    onData: (chunk) => void chunks.push(chunk),
+    onData(chunk) {
+      if (responseBody.append(chunk)) return;
+      fail(`the response is longer than ${maximumBytes} bytes`);
+    },
     onEnd() {
       if (head?.status !== 200) return fail(`status ${head?.status}`);
-      const text = Buffer.concat(chunks).toString();
+      const text = responseBody.toBuffer().toString();
       wire.parsePieceOutcomes(text, pieces.length).match((outcomes) => {
         if (finish()) options.onOutcomes(outcomes);
       }, fail);
