Bound the answers that are collected in memory

What callers saw: 504 at the end of their time; and all callers of an instance depended on what one server sent, as its memory was not limited.

Cause: an answer that is no stream is collected before any of it is forwarded, so that an answer cut off never looks complete. Nothing limited its bytes. A call that may run only once has no timeout of its own, so the body was collected until the call's deadline.

A longer one ends its attempt at once, with unknown outcome as for any broken answer, and closes its connection. All answers that an instance holds have 33,554,432 bytes together, also those that callers have not read yet; above that the largest is given up, so that small ones never are.

--- /dev/null
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseMemory.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import {createResponseMemory} from '../createResponseMemory.ts';
+
+test('many large responses do not end small ones', (t) => {
+  const memory = createResponseMemory(1000);
+  const evicted: string[] = [];
+  const open = (name: string, bytes: number) => {
+    const slot = memory.open(() => void evicted.push(name));
+    slot.add(bytes);
+    return slot;
+  };
+  const small = open('small', 10);
+  open('large', 600);
+  open('larger', 700);
+  t.deepEqual(evicted, ['larger']);
+  small.add(10);
+  open('last', 380);
+  t.deepEqual(evicted, ['larger']);
+  small.add(1);
+  t.deepEqual(evicted, ['larger', 'large']);
+});
+
+test('the bytes of a closed response count for nothing', (t) => {
+  const memory = createResponseMemory(1000);
+  let evictions = 0;
+  for (let count = 0; count < 100; count += 1) {
+    const slot = memory.open(() => void (evictions += 1));
+    slot.add(900);
+    slot.close();
+    slot.close();
+    slot.add(900);
+  }
+  t.is(evictions, 0);
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -4,9 +4,11 @@
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
+import {createBodyBuffer} from './createBodyBuffer.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
+import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {EndpointClient} from './endpointClient.ts';
 
@@ -24,6 +26,8 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
+  /** Shared by all calls of the instance. */
+  readonly responseMemory: ReturnType<typeof createResponseMemory>;
   /**
    * Time for a whole response, or for the first data of a stream. Null for no
    * timeouts, as the call can't be retried elsewhere.
@@ -40,6 +44,11 @@
  * another endpoint.
  */
 const EVENT_TIMEOUT_MILLISECONDS = 1200;
+/**
+ * The longest response that is not a stream; as the deployment's limit for the
+ * bodies of requests.
+ */
+const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 /** Least time left that is sent to an endpoint, also after the deadline. */
 const MINIMUM_TIME_MILLISECONDS = 1;
 
@@ -72,15 +81,23 @@
     let isSettled = false;
     let head: ResponseHead | null = null;
     let isStreaming = false;
-    const chunks: Buffer[] = [];
+    const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
     let timer: NodeJS.Timeout | null = null;
 
+    // Kept until the call ends, as a slow caller may still read the response.
+    const memory = options.responseMemory.open(() => {
+      if (isSettled) writer.abort();
+      else failAttempt('too many bytes of responses are held');
+    });
+    context.cleanups.add(memory.close);
+
     function settle(result: AttemptResult): void {
       if (isSettled) return;
       isSettled = true;
       if (timer !== null) clearTimeout(timer);
       context.cleanups.delete(abandon);
       load.end();
+      if (result.tag !== 'delivered' && result.tag !== 'failed') memory.close();
       resolve(result);
     }
     function abandon(): void {
@@ -143,6 +160,15 @@
       }
     }
 
+    function handleBody(chunk: Buffer): void {
+      if (!responseBody.append(chunk)) {
+        return failAttempt(
+          `the response is longer than ${MAXIMUM_RESPONSE_BYTES} bytes`,
+        );
+      }
+      memory.add(chunk.length);
+    }
+
     function handleEnd(): void {
       if (head === null) return failAttempt('no answer');
       if (head.isNotRun) {
@@ -162,7 +188,7 @@
         writer.endStream();
         return settle({tag: 'delivered'});
       }
-      const body = Buffer.concat(chunks);
+      const body = responseBody.toBuffer();
       const isSuccess = head.status >= 200 && head.status < 300;
       if (!isSuccess) return settle({tag: 'failed', head, body});
       health.recordResponse(endpoint.id, now() - startedAt);
@@ -197,7 +223,7 @@
       onData(chunk) {
         if (isSettled) return;
         if (isStreaming) handleEvents(chunk);
-        else chunks.push(chunk);
+        else handleBody(chunk);
       },
       onEnd: handleEnd,
       onFailure({tag, message}) {
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -17,6 +17,7 @@
 import {createInstantClock} from './createInstantClock.ts';
 import {createPeerConnections} from './createPeerConnections.ts';
 import {createPeerStateSync} from './createPeerStateSync.ts';
+import {createResponseMemory} from './createResponseMemory.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
 import {createStateUpdater} from './createStateUpdater.ts';
@@ -196,6 +197,7 @@
     limiter,
     streams,
     loads: createEndpointLoads(),
+    responseMemory: createResponseMemory(),
     budget,
     router,
     log,
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -15,6 +15,7 @@
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import type {createInstantClock} from './createInstantClock.ts';
+import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
@@ -36,6 +37,7 @@
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly streams: ReturnType<typeof createStreamVersions>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly responseMemory: ReturnType<typeof createResponseMemory>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
   readonly log: GatewayLog;
@@ -332,6 +334,7 @@
       health,
       limiter,
       loads,
+      responseMemory: options.responseMemory,
       responseTimeoutMilliseconds: selector.getResponseTimeout(endpoint, runs),
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
