Bound the events of a stream in bytes and in time

What callers saw: 504, or a stream without further events until their time ended, though another server could have served the rest.

Cause: the bytes of an incomplete event were collected without a limit, and all of them were copied and searched again for each part. Each part, also of an event that never ends, restarted the timer of a stream that may resume, so that its server was kept until the call's deadline.

Only complete events restart the timer. Parts are searched once and copied once.

--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -29,7 +29,7 @@
   /** Shared by all calls of the instance. */
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
   /**
-   * Time for a whole response, or for the first data of a stream. Null for no
+   * Time for a whole response, or for the first event of a stream. Null for no
    * timeouts, as the call can't be retried elsewhere.
    */
   readonly responseTimeoutMilliseconds: number | null;
@@ -40,8 +40,8 @@
 }
 
 /**
- * Longest time without data, after the first, of a stream that can resume at
- * another endpoint.
+ * Longest time without a complete event, after the first, of a stream that can
+ * resume at another endpoint.
  */
 const EVENT_TIMEOUT_MILLISECONDS = 1200;
 /**
@@ -49,6 +49,8 @@
  * bodies of requests.
  */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
+/** The longest event of a stream; events usually have some hundred bytes. */
+const MAXIMUM_EVENT_BYTES = 65_536;
 /** Least time left that is sent to an endpoint, also after the deadline. */
 const MINIMUM_TIME_MILLISECONDS = 1;
 
@@ -146,8 +148,13 @@
 
     function handleEvents(chunk: Buffer): void {
       const events = splitter.append(chunk);
-      restartTimer(EVENT_TIMEOUT_MILLISECONDS);
+      if (splitter.getRemainderLength() > MAXIMUM_EVENT_BYTES) {
+        return failAttempt(
+          `an event is longer than ${MAXIMUM_EVENT_BYTES} bytes`,
+        );
+      }
       if (events === null) return;
+      restartTimer(EVENT_TIMEOUT_MILLISECONDS);
       if (!writer.isStarted) {
         load.recordPrefillDone();
         options.onFirstEvent();
--- a/packages/hickorywharf-gateway/src/createEventSplitter.ts
+++ b/packages/hickorywharf-gateway/src/createEventSplitter.ts
@@ -1,3 +1,5 @@
+import {createBodyBuffer} from './createBodyBuffer.ts';
+
 interface EventSplitter {
   /**
    * Adds bytes. Returns the complete events that were not returned before, null
@@ -8,11 +10,25 @@
   getLastId(): string | null;
   /** Bytes of an incomplete event. */
   getRemainder(): Buffer;
+  getRemainderLength(): number;
   /** Drops an incomplete event, before the stream is sent elsewhere. */
   reset(): void;
 }
 
 const EMPTY = Buffer.alloc(0);
+const ID_FIELD = /(?:^|\n)id:[ ]?([^\r\n]*)/g;
+const DELIMITERS = ['\n\n', '\r\n\r\n'] as const;
+/** One less than the longest delimiter. */
+const TAIL_LENGTH = 3;
+
+/** The position after the last delimiter; 0 if there is none. */
+function findEnd(text: string): number {
+  const ends = DELIMITERS.map((delimiter) => {
+    const position = text.lastIndexOf(delimiter);
+    return position < 0 ? 0 : position + delimiter.length;
+  });
+  return Math.max(...ends);
+}
 
 /**
  * Splits a stream of server-sent events after complete events, so that callers
@@ -23,31 +39,40 @@
  *     splitter.append(Buffer.from('id: 1\ndata: a\n\nid: 2')); // the first event
  */
 export function createEventSplitter(): EventSplitter {
-  let remainder: Buffer = EMPTY;
+  let remainder = createBodyBuffer(Infinity);
+  /** The last bytes of the remainder, with which a delimiter may begin. */
+  let tail = '';
   let lastId: string | null = null;
 
+  function setRemainder(bytes: Buffer): void {
+    remainder = createBodyBuffer(Infinity);
+    if (bytes.length > 0) remainder.append(bytes);
+    tail = bytes.toString('latin1').slice(-TAIL_LENGTH);
+  }
+
   return {
     append(chunk) {
-      const bytes =
-        remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]);
-      const text = bytes.toString('latin1');
-      const end = Math.max(
-        text.lastIndexOf('\n\n') + 2,
-        text.lastIndexOf('\r\n\r\n') + 4,
-      );
-      if (end < 4) {
-        remainder = bytes;
+      const text = tail + chunk.toString('latin1');
+      const end = findEnd(text);
+      if (end === 0) {
+        remainder.append(chunk);
+        tail = text.slice(-TAIL_LENGTH);
         return null;
       }
-      const ids = text.slice(0, end).matchAll(/(?:^|\n)id:[ ]?([^\r\n]*)/g);
+      const endInChunk = end - tail.length;
+      const last = chunk.subarray(0, endInChunk);
+      const events =
+        remainder.length === 0
+          ? last
+          : Buffer.concat([remainder.toBuffer(), last]);
+      const ids = events.toString('latin1').matchAll(ID_FIELD);
       for (const [, id] of ids) lastId = id ?? lastId;
-      remainder = end === bytes.length ? EMPTY : bytes.subarray(end);
-      return end === bytes.length ? bytes : bytes.subarray(0, end);
+      setRemainder(chunk.subarray(endInChunk));
+      return events;
     },
     getLastId: () => lastId,
-    getRemainder: () => remainder,
-    reset() {
-      remainder = EMPTY;
-    },
+    getRemainder: () => remainder.toBuffer(),
+    getRemainderLength: () => remainder.length,
+    reset: () => setRemainder(EMPTY),
   };
 }
