Bound the time of callers that stop sending or reading

What callers saw: no answer to a request whose body stopped arriving, for as long as their connection lasted.

Cause: the timer of a call's deadline started when its body was complete and ended when its answer was handed to the connection. A body that stopped arriving kept its request for good; so did an answer that its caller did not read, with its bytes. The body of a request that was refused by its head was skipped for as long as it arrived.

Change: the timer runs from the admission to the end of the response, and an answer that is not sent by then is broken off. After a response the rest of its request has the time that the configuration allows for a head; then the connection is closed.

Tests before the change: no byte of an answer 600 ms after the deadline; a connection with a chunked body without end still open after 4 s; one with an unread answer of 4,190,000 bytes still open 1.6 s after the deadline.

--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -140,9 +140,10 @@
       return;
     }
     const context = admitted.value;
-    let isClosed = false;
+    // Kept until the response is sent, as a caller may not read it.
+    const timer = startDeadlineTimer(context, writer);
     response.on('close', () => {
-      isClosed = true;
+      clearTimeout(timer);
       if (!response.writableFinished && !context.isEnded) {
         metrics.count('calls', 'callerLeft');
         log.infoRateLimited('caller disconnected', {
@@ -153,17 +154,20 @@
       endCall(context);
     });
     const body = await readBody(request, getLimits().bodyBytes);
-    if (body === null || isClosed) return;
+    if (body === null || context.isEnded) return;
     if (body.isErr()) {
       writer.refuse(body.error, call.id);
       return;
     }
-    const timer = startDeadlineTimer(context, writer);
-    try {
-      await serveCall(options, {context, body: body.value, relay: writer});
-    } finally {
-      clearTimeout(timer);
-    }
+    await serveCall(options, {context, body: body.value, relay: writer});
+  }
+
+  /** Closes the connection if the rest of a request arrives too slowly. */
+  function limitUnreadRequest(request: http.IncomingMessage): void {
+    if (request.complete) return;
+    setTimeout(() => {
+      if (!request.complete) request.socket.destroy();
+    }, getLimits().headerMilliseconds).unref();
   }
 
   const server = http.createServer(
@@ -179,6 +183,7 @@
       response.once('close', () => {
         active -= 1;
       });
+      response.once('finish', () => limitUnreadRequest(request));
       void handle(request, response).catch((error: Error) => {
         log.infoAlways('unexpected error while serving a request', {
           step: 'answer',
