--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -244,7 +244,7 @@
           complete();
           return true;
         }
-        if (!isRead) fail('bytes that are no answer');
+        if (!isRead) fail(parser.getError());
         return !parser.isCloseDelimited();
       },
       onEnd() {
