Send nothing more to an endpoint that says that it leaves

Cause: the platform's servers now state in responses that they leave. Nothing read the header: an instance went on sending calls, pieces and releases until the list said so, which during an outage of the store it never does. A server that only its list entry could take out of use thus got requests later than the drain time after it had told this very instance. The directory of endpoints keeps the statement by incarnation, apart from what lists say, so that no list, outage or restored store takes it back; getUsable leaves such endpoints out, so calls, repeats, resumed streams, pieces, and calls that waited for a rate limit skip them at once. Results that they hold are not released: they expire. If no endpoint of the service, or of a stage, is left, callers are refused before their stages are run. Peers are not told; see docs/decisions/endpoint-availability.md. Log lines `endpoint leaving` and `stage results left to expire`, metrics `withdrawals` and `releases`. What callers saw: with the only server gone, a refusal after all stages had run in vain, or a wait for the whole time where a stage had no server.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
@@ -131,3 +131,48 @@
   directory.update([endpoint('a'), endpoint('b')], at(8000));
   t.deepEqual(ids(directory.getUsable('desk')), ['a']);
 });
+
+test('an endpoint that said that it leaves gets no work, whatever is listed', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a'), endpoint('b')], at(0));
+  const digest = directory.getDigest();
+  const changes = directory.recordLeaving(endpoint('a'), at(10));
+  t.deepEqual(
+    changes.map(({tag}) => tag),
+    ['leaving'],
+  );
+  t.deepEqual(directory.recordLeaving(endpoint('a'), at(20)), []);
+  t.deepEqual(ids(directory.getUsable('desk')), ['b']);
+  t.deepEqual(directory.update([endpoint('a'), endpoint('b')], at(500)), []);
+  t.deepEqual(ids(directory.getUsable('desk')), ['b']);
+  directory.recordOutage();
+  directory.update([endpoint('a'), endpoint('b')], at(400_000));
+  t.deepEqual(ids(directory.getUsable('desk')), ['b']);
+  directory.recordRestored(at(400_100));
+  directory.update([endpoint('a'), endpoint('b')], at(400_200));
+  directory.updateFromPeer([endpoint('a'), endpoint('b')], at(400_300));
+  t.deepEqual(ids(directory.getUsable('desk')), ['b']);
+  t.true(directory.isLeaving(endpoint('a')));
+  // Peers get the list as it was read, so that it stays the same for all.
+  t.is(directory.getDigest(), digest);
+});
+
+test('an endpoint that said that it leaves and expired is not used when it returns', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a')], at(0));
+  directory.recordLeaving(endpoint('a'), at(10));
+  directory.update([], at(1000));
+  directory.update([endpoint('a')], at(60_000));
+  t.deepEqual(directory.getUsable('desk'), []);
+});
+
+test('the next incarnation of an endpoint that left is used', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  directory.update([endpoint('a')], at(0));
+  directory.recordLeaving(endpoint('a'), at(10));
+  directory.update([endpoint('a', {startedAt: 2})], at(2000));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+  // A late response of the former incarnation changes nothing.
+  directory.recordLeaving(endpoint('a'), at(2010));
+  t.deepEqual(ids(directory.getUsable('desk')), ['a']);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
@@ -3,13 +3,15 @@
 import {getElapsed} from './getElapsed.ts';
 import type {Instant} from './instant.ts';
 
-/** A difference between two successive endpoint lists. */
+/** A difference between two successive endpoint lists, or to what is known. */
 interface DirectoryChange {
   /**
    * `restarted`: the same id with another start time. `expired`: missing but
-   * kept, as the endpoint may still be running and register again.
+   * kept, as the endpoint may still be running and register again. `leaving`:
+   * the endpoint itself said so, whatever the lists state.
    */
-  readonly tag: 'joined' | 'left' | 'draining' | 'restarted' | 'expired';
+  readonly tag:
+    'joined' | 'left' | 'draining' | 'leaving' | 'restarted' | 'expired';
   readonly endpoint: GatewayEndpoint;
 }
 
@@ -25,7 +27,18 @@
     reported: readonly GatewayEndpoint[],
     now: Instant,
   ): DirectoryChange[];
-  /** All endpoints that have not left, in the order of their ids. */
+  /**
+   * Records that an incarnation of an endpoint said in a response that it
+   * leaves: it gets no further work, whatever later lists state. Returns the
+   * change; none if it was known.
+   */
+  recordLeaving(endpoint: GatewayEndpoint, now: Instant): DirectoryChange[];
+  /** Whether the incarnation of the endpoint said that it leaves. */
+  isLeaving(endpoint: GatewayEndpoint): boolean;
+  /**
+   * All endpoints that have not left, in the order of their ids. Those that
+   * only said in a response that they leave are listed as before.
+   */
   list(): readonly GatewayEndpoint[];
   /** SHA-256 of the list in base64: equal for directories with equal lists. */
   getDigest(): string;
@@ -37,7 +50,10 @@
    * gone.
    */
   recordRestored(now: Instant): void;
-  /** The endpoints of a service that may get work: all but draining ones. */
+  /**
+   * The endpoints of a service that may get work: all but those that drain or
+   * said that they leave.
+   */
   getUsable(service: string): readonly GatewayEndpoint[];
   /** An endpoint that has not left, as last listed; undefined for others. */
   get(id: string): GatewayEndpoint | undefined;
@@ -49,7 +65,7 @@
   missingSince: Instant | null;
 }
 
-/** Incarnations that drained or left are remembered so long. */
+/** Incarnations that drained, said that they leave or left are kept so long. */
 const REMEMBER_MILLISECONDS = 300_000;
 /**
  * An endpoint that had left and is listed by a restored store is used only if
@@ -66,7 +82,7 @@
 /**
  * Tracks the endpoints and which of them may get work, from successive reads of
  * the whole list. Draining persists for one incarnation of an endpoint, even if
- * later lists do not state it. The registration of an endpoint that is missing
+ * later lists do not state it, and so does its own statement that it leaves. The registration of an endpoint that is missing
  * right after an outage of the store may only have expired: the endpoint stays
  * in use until `lapseMilliseconds` after the first list read from the store
  * since the outage, a time within which a running endpoint has registered
@@ -83,8 +99,9 @@
   lapseMilliseconds: number,
 ): EndpointDirectory {
   const known = new Map<string, KnownEndpoint>();
-  /** Incarnations that drained or left, and when. */
+  /** Incarnations that drained, said that they leave or left, and when. */
   const drained = new Map<string, Instant>();
+  const leaving = new Map<string, Instant>();
   const departed = new Map<string, Instant>();
   let restoredAt: Instant | null = null;
   let usable = new Map<string, GatewayEndpoint[]>();
@@ -100,6 +117,10 @@
     );
   }
 
+  function isLeaving(endpoint: GatewayEndpoint): boolean {
+    return leaving.has(getIncarnationKey(endpoint));
+  }
+
   function rebuild(): void {
     current = [...known.values()]
       .map(({endpoint}) =>
@@ -111,7 +132,7 @@
     digest = null;
     usable = new Map();
     for (const endpoint of current) {
-      if (endpoint.isDraining) continue;
+      if (endpoint.isDraining || isLeaving(endpoint)) continue;
       const group = usable.get(endpoint.service) ?? [];
       group.push(endpoint);
       usable.set(endpoint.service, group);
@@ -119,7 +140,7 @@
   }
 
   function forgetOld(now: Instant): void {
-    for (const remembered of [drained, departed]) {
+    for (const remembered of [drained, leaving, departed]) {
       for (const [key, at] of remembered) {
         const isOld = getElapsed(at, now) > REMEMBER_MILLISECONDS;
         if (isOld && !known.has(key.slice(0, key.lastIndexOf('/')))) {
@@ -193,6 +214,13 @@
       storeRecoveredAt = null;
       return applyAll(listed, now);
     },
+    recordLeaving(endpoint, now) {
+      if (isLeaving(endpoint)) return [];
+      leaving.set(getIncarnationKey(endpoint), now);
+      rebuild();
+      return [{tag: 'leaving', endpoint}];
+    },
+    isLeaving,
     list: () => current,
     getDigest() {
       digest ??= createHash('sha256')
--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -13,6 +13,7 @@
     isEncoded: false,
     isEventStream: false,
     isMisdirected: false,
+    isLeaving: false,
     rateLimit: {tag: 'none'},
     headers: [],
   }),
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -34,20 +34,22 @@
     capacity: 1,
     lapseMilliseconds: 2000,
   });
-  state.directory.update(
-    Array.from({length: endpoints}, (_value, index) => ({
-      id: `scan-${index}`,
-      service: 'scan',
-      host: 'h',
-      port: index,
-      failureDomain: 'a',
-      isDraining: false,
-      startedAt: 1,
-      version: 'v1',
-      slots: 1,
-    })),
-    {monotonic: 0, wall: 0},
-  );
+  const listEndpoints = (startedAt: number): void =>
+    void state.directory.update(
+      Array.from({length: endpoints}, (_value, index) => ({
+        id: `scan-${index}`,
+        service: 'scan',
+        host: 'h',
+        port: index,
+        failureDomain: 'a',
+        isDraining: false,
+        startedAt,
+        version: 'v1',
+        slots: 1,
+      })),
+      {monotonic: 0, wall: 0},
+    );
+  listEndpoints(1);
   const stage = {
     slots: 1,
     waiting: 2,
@@ -99,6 +101,8 @@
       state,
       log,
       metrics,
+      onLeaving: (endpoint) =>
+        void state.directory.recordLeaving(endpoint, {monotonic: 0, wall: 0}),
       now: () => performance.now(),
     }),
     log,
@@ -106,9 +110,10 @@
     now: () => performance.now(),
   });
   let rateLimit: StatedRateLimit = {tag: 'none'};
+  let isLeaving = false;
   function respond(call: SentCall, ...next: readonly PieceOutcome[]): void {
     outcomes.push(...next);
-    call.request.onHead({status: 200, rateLimit} as ResponseHead);
+    call.request.onHead({status: 200, rateLimit, isLeaving} as ResponseHead);
     call.request.onEnd();
   }
   const made = (...handles: readonly string[]) =>
@@ -116,7 +121,23 @@
   const setRateLimit = (limit: StatedRateLimit): void => {
     rateLimit = limit;
   };
-  return {dispatcher, calls, respond, made, setRateLimit};
+  const setLeaving = (): void => {
+    isLeaving = true;
+  };
+  const restartAll = (): void => {
+    isLeaving = false;
+    listEndpoints(2);
+    dispatcher.refresh();
+  };
+  return {
+    dispatcher,
+    calls,
+    respond,
+    made,
+    setRateLimit,
+    setLeaving,
+    restartAll,
+  };
 }
 
 test('pieces of several requests go into one call', async (t) => {
@@ -283,3 +304,32 @@
     [['/free', JSON.stringify(['a', 'b', 'c', 'd'])]],
   );
 });
+
+test('an endpoint that leaves gets neither queued pieces nor releases, and its next incarnation has all its memory', async (t) => {
+  const {dispatcher, calls, respond, made, setLeaving, restartAll} =
+    createTestDispatcher(1, 210);
+  const results: StageResult[] = [];
+  dispatcher.order(TEST_ORDER, (result) => results.push(result));
+  await sleep(5);
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  setLeaving();
+  respond(calls[0]!, ...made('a', 'b'));
+  t.is(results.length, 2);
+  dispatcher.free(['a', 'b']);
+  await sleep(60);
+  t.deepEqual(
+    calls.map(({path}) => path),
+    ['/run'],
+  );
+  restartAll();
+  t.deepEqual(
+    calls.map(({path, request}) => [
+      path,
+      JSON.parse(`${request.body}`).length,
+    ]),
+    [
+      ['/run', 2],
+      ['/run', 2],
+    ],
+  );
+});
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -18,13 +18,20 @@
   readonly state: GatewayState;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  /** Called for each response by which an endpoint says that it leaves. */
+  onLeaving(endpoint: GatewayEndpoint): void;
   /** Monotonic milliseconds. */
   now(): number;
 }
 
 interface EndpointLimiter {
-  /** Records the rate limit in a response of the endpoint. */
+  /** Records all that a response states about the calls the endpoint takes. */
   recordHead(endpoint: GatewayEndpoint, head: ResponseHead): void;
+  /**
+   * Records whether a response states that the endpoint takes no calls, but not
+   * its rate limit, which only responses to calls state.
+   */
+  recordAvailability(endpoint: GatewayEndpoint, head: ResponseHead): void;
   /** Records what a peer reports. */
   recordReports(reports: readonly EndpointLimitReport[]): void;
   /** What this instance reports to its peers. */
@@ -57,8 +64,8 @@
 }
 
 /**
- * Keeps the rate limits that endpoints state in their responses, and logs each
- * change.
+ * Keeps what endpoints state in their responses about the calls that they take,
+ * and logs each change.
  *
  * @example
  *     const limiter = createEndpointLimiter(options);
@@ -84,8 +91,21 @@
     });
   }
 
+  /** A misdirected response states nothing about the endpoint. */
+  function recordAvailability(
+    endpoint: GatewayEndpoint,
+    {isMisdirected, isLeaving}: ResponseHead,
+  ): void {
+    if (isMisdirected || !isLeaving) return;
+    metrics.count('withdrawals', 'leaving');
+    options.onLeaving(endpoint);
+  }
+
   return {
-    recordHead(endpoint, {isMisdirected, rateLimit}) {
+    recordAvailability,
+    recordHead(endpoint, head) {
+      recordAvailability(endpoint, head);
+      const {isMisdirected, rateLimit} = head;
       if (isMisdirected) return;
       metrics.count('rateLimits', rateLimit.tag);
       if (rateLimit.tag === 'unreadable') {
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -4,17 +4,21 @@
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
 
 interface TrackerOptions {
   readonly wire: GatewayWireFormat;
   readonly endpointClient: EndpointClient;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   /** Monotonic milliseconds. */
   now(): number;
   readonly limiter: Pick<
     ReturnType<typeof createEndpointLimiter>,
-    'getWait' | 'reserve'
+    'getWait' | 'reserve' | 'recordAvailability'
   >;
+  /** Whether the incarnation of the endpoint said that it leaves. */
+  isLeaving(endpoint: GatewayEndpoint): boolean;
   /** Called when memory of an endpoint is free again. */
   onRelease(endpoint: GatewayEndpoint): void;
 }
@@ -74,7 +78,9 @@
 /**
  * Tracks which endpoint holds which results, and how much memory these take.
  * Memory counts as free only when the endpoint has confirmed the release, when
- * the release has failed twice, or when the result's time to live has ended.
+ * the release has failed twice, or when the result's time to live has ended. An
+ * endpoint that leaves gets no release: its results expire, and as it gets no
+ * more calls, their memory counts for nothing.
  *
  * @example
  *     const tracker = createResultTracker(options);
@@ -83,7 +89,7 @@
  *     tracker.getAllocatedBytes(endpoint.id); // 3000000 until it is confirmed
  */
 export function createResultTracker(options: TrackerOptions): ResultTracker {
-  const {wire, endpointClient, limiter, log, now, onRelease} = options;
+  const {wire, endpointClient, limiter, log, metrics, now, onRelease} = options;
   const allocatedBytes = new Map<string, number>();
   const results = new Map<string, TrackedResult>();
   const pendingFrees = new Map<string, PendingFree>();
@@ -123,25 +129,42 @@
     }, delay);
   }
 
+  /** Leaves the results to their expiry, as no release may be sent. */
+  function drop({endpoint, handles, bytes}: PendingFree, reason: string): void {
+    metrics.count('releases', reason);
+    log.infoRateLimited('stage results left to expire', {
+      step: 'stage',
+      peer: endpoint.id,
+      handles: handles.length,
+      reason,
+    });
+    release(endpoint, bytes);
+  }
+
   /**
    * Retries once on a new connection: freeing is idempotent, and the endpoint
    * may have closed a pooled connection.
    */
   function sendFree(entry: PendingFree, isRetry: boolean): void {
     const {endpoint, handles, bytes} = entry;
+    if (options.isLeaving(endpoint)) return drop(entry, 'leaving');
     limiter.reserve(endpoint);
     const body = wire.formatFree(handles);
     endpointClient.send({
       ...buildStageRequest(wire, endpoint, wire.stageFree, body),
       needsNewConnection: isRetry,
-      onHead: () => undefined,
+      onHead: (head) => limiter.recordAvailability(endpoint, head),
       onData: () => undefined,
-      onEnd: () => release(endpoint, bytes),
+      onEnd() {
+        metrics.count('releases', 'answered');
+        release(endpoint, bytes);
+      },
       onFailure({message}) {
         if (!isRetry) {
           sendFree(entry, true);
           return;
         }
+        metrics.count('releases', 'failed');
         log.infoRateLimited('failed to free stage results', {
           step: 'stage',
           peer: endpoint.id,
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -102,7 +102,9 @@
     endpointClient,
     limiter,
     log,
+    metrics,
     now,
+    isLeaving: state.directory.isLeaving,
     onRelease({id, service}) {
       callTracker.clearFull(id);
       dispatch(service);
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -23,6 +23,8 @@
   recordPeerVersion(version: number, peer: string): void;
   /** Applies a configuration that was requested from the store at `readAt`. */
   applyConfiguration(next: GatewayConfiguration, readAt: Instant): void;
+  /** Applies that an incarnation of an endpoint said that it leaves. */
+  recordLeaving(endpoint: GatewayEndpoint): void;
   /** Applies an endpoint list that was requested from the store at `readAt`. */
   applyEndpoints(listed: readonly GatewayEndpoint[], readAt: Instant): void;
   /** Applies the endpoint list of a peer, which read the store at `readAt`. */
@@ -45,25 +47,36 @@
 export function createStateUpdater(options: UpdaterOptions): StateUpdater {
   const {state, log, getInstant, onChange, onEndpointRemoved} = options;
 
-  function applyChanges(
-    changes: ReturnType<typeof state.directory.update>,
-    readAt: Instant,
-  ): void {
-    state.endpointFreshness.recordRead(readAt);
+  type Changes = ReturnType<typeof state.directory.update>;
+
+  function logChanges(changes: Changes): void {
     for (const {tag, endpoint} of changes) {
       log.infoAlways(`endpoint ${tag}`, {
         step: 'endpoints',
         peer: endpoint.id,
         service: endpoint.service,
+        startedAt: endpoint.startedAt,
+        listAge: Math.round(state.endpointFreshness.getAge(getInstant())),
       });
-      if (tag === 'left') onEndpointRemoved(endpoint.id);
     }
-    options.onEndpointsConfirmed(readAt);
+  }
+
+  function notify(changes: Changes): void {
     if (changes.length === 0) return;
     onChange();
     for (const listener of [...state.endpointListeners]) listener();
   }
 
+  function applyChanges(changes: Changes, readAt: Instant): void {
+    state.endpointFreshness.recordRead(readAt);
+    logChanges(changes);
+    for (const {tag, endpoint} of changes) {
+      if (tag === 'left') onEndpointRemoved(endpoint.id);
+    }
+    options.onEndpointsConfirmed(readAt);
+    notify(changes);
+  }
+
   return {
     recordPeerVersion(version, peer) {
       if (version <= state.newestVersion) return;
@@ -93,6 +106,11 @@
       }
       state.configurationFreshness.recordRead(readAt);
     },
+    recordLeaving(endpoint) {
+      const changes = state.directory.recordLeaving(endpoint, getInstant());
+      logChanges(changes);
+      notify(changes);
+    },
     applyEndpoints(listed, readAt) {
       if (!state.endpointFreshness.isNewer(readAt)) return;
       applyChanges(state.directory.update(listed, getInstant()), readAt);
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -24,6 +24,14 @@
     label: 'kind',
     meaning: 'responses of endpoints by the rate limit that they state',
   },
+  withdrawals: {
+    label: 'kind',
+    meaning: 'responses of endpoints that say that they take no more calls',
+  },
+  releases: {
+    label: 'result',
+    meaning: 'calls that release results of stages, sent or not',
+  },
   limitedCalls: {
     label: 'result',
     meaning: 'calls for which the rate limits of endpoints left no room',
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -88,6 +88,7 @@
     state,
     log,
     metrics,
+    onLeaving: (endpoint) => stateUpdater.recordLeaving(endpoint),
     now,
   });
   const streams = createStreamVersions({
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -19,6 +19,7 @@
 import {createStageForecasts} from './createStageForecasts.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
 import type {EndpointClient} from './endpointClient.ts';
+import {findUnservedStage} from './findUnservedStage.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
@@ -149,6 +150,13 @@
     );
   }
 
+  /** Ends the call because no endpoint is left that may run it. */
+  function failWithoutEndpoint(): void {
+    const wait = limiter.estimateWait(service.name, selector.listUsable());
+    if (wait === Infinity) failForLimits(wait);
+    else fail('no endpoint is left to try');
+  }
+
   /** Ends the call because the rate limits of the endpoints are used up. */
   function failForLimits(waitMilliseconds: number): void {
     metrics.count('limitedCalls', 'refused');
@@ -226,6 +234,15 @@
       fail('the results of the stages were lost');
       return false;
     }
+    if (selector.select(inputs) === undefined) {
+      failWithoutEndpoint();
+      return false;
+    }
+    const unserved = findUnservedStage(state, context);
+    if (unserved !== null) {
+      fail(`no endpoint is left for the stages at ${unserved}`);
+      return false;
+    }
     const {services} = state.configuration!;
     const now = getInstant().monotonic;
     if (stageRuns === 0) {
@@ -364,9 +381,7 @@
     const endpoint: GatewayEndpoint | undefined =
       reserved ?? selector.select(inputs);
     if (endpoint === undefined) {
-      const wait = limiter.estimateWait(service.name, selector.listUsable());
-      if (wait === Infinity) failForLimits(wait);
-      else fail('no endpoint is left to try');
+      failWithoutEndpoint();
       break;
     }
     if (reserved === null) {
--- a/packages/hickorywharf-types/src/gateway/responseHead.ts
+++ b/packages/hickorywharf-types/src/gateway/responseHead.ts
@@ -15,6 +15,8 @@
   readonly isEventStream: boolean;
   /** Whether another endpoint than the one that the request names responded. */
   readonly isMisdirected: boolean;
+  /** Whether the endpoint states that it leaves and wants no further requests. */
+  readonly isLeaving: boolean;
   /** The rate limit that the endpoint states for calls to it. */
   readonly rateLimit: StatedRateLimit;
   /** Headers to forward to the caller, names and values alternating. */
