Send nothing to an endpoint for the time that it asked for

Cause: a server that turns a request away with 503 may state for how long it wants no requests of this instance. Change: the adapter decodes the time once (retryAfter). createEndpointPauses keeps the latest end by incarnation, for this instance only; the limiter, which has the rate limits, adds it to the wait for the endpoint, so that the choice of endpoints, admission, the time told to callers and the estimates of stages count it. Calls that waited ask again before they are sent. Batches are planned for the other endpoints alone. Releases wait; if their results expire first, or the release was turned away, the memory counts until the results expire. A response of 503 that names our request counts without a signature. Callers that find no endpoint because of limits or pauses are told the time that is left in place of always 300 ms. Log lines `endpoint paused` and `endpoint pause not readable`, `retryAfter` on `refused`.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -15,6 +15,7 @@
     isMisdirected: false,
     isLeaving: false,
     rateLimit: {tag: 'none'},
+    retryAfter: {tag: 'none'},
     headers: [],
   }),
 } as unknown as GatewayWireFormat;
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -41,7 +41,7 @@
         service: 'scan',
         host: 'h',
         port: index,
-        failureDomain: 'a',
+        failureDomain: index === 0 ? 'a' : 'b',
         isDraining: false,
         startedAt,
         version: 'v1',
@@ -113,7 +113,16 @@
   let isLeaving = false;
   function respond(call: SentCall, ...next: readonly PieceOutcome[]): void {
     outcomes.push(...next);
-    call.request.onHead({status: 200, rateLimit, isLeaving} as ResponseHead);
+    const retryAfter = {tag: 'none'} as const;
+    const head = {status: 200, rateLimit, isLeaving, retryAfter};
+    call.request.onHead(head as ResponseHead);
+    call.request.onEnd();
+  }
+  /** Responds that the endpoint wants no calls for this time. */
+  function turnAway(call: SentCall, milliseconds: number): void {
+    const retryAfter = {tag: 'named', milliseconds} as const;
+    const head = {status: 503, rateLimit, isLeaving, retryAfter};
+    call.request.onHead(head as ResponseHead);
     call.request.onEnd();
   }
   const made = (...handles: readonly string[]) =>
@@ -133,6 +142,7 @@
     dispatcher,
     calls,
     respond,
+    turnAway,
     made,
     setRateLimit,
     setLeaving,
@@ -333,3 +343,59 @@
     ],
   );
 });
+
+test('an endpoint that turned a batch away gets none until its time is over', async (t) => {
+  const {dispatcher, calls, turnAway} = createTestDispatcher(1);
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await sleep(5);
+  turnAway(calls[0]!, 300);
+  const waits = dispatcher.getWaitEstimate('scan')!;
+  t.true(waits.totalMilliseconds > 200, 'the estimate counts the pause');
+  t.true(waits.totalMilliseconds < 500, 'the endpoint is used after it');
+  await sleep(250);
+  t.is(calls.length, 1);
+  await sleep(120);
+  t.is(calls.length, 2);
+});
+
+test('pieces do not wait for an endpoint of their failure domain that wants no calls', async (t) => {
+  const {dispatcher, calls, respond, made, turnAway} = createTestDispatcher(2);
+  const order = {...TEST_ORDER, failureDomain: 'a'};
+  dispatcher.order(order, () => undefined);
+  await sleep(5);
+  respond(calls[0]!, ...made('a', 'b'));
+  dispatcher.free(['a', 'b']);
+  await sleep(30);
+  t.is(calls[1]?.path, '/free');
+  t.is(calls[1]?.endpoint, 0);
+  turnAway(calls[1]!, 5000);
+  dispatcher.order({...order, requestId: 's'}, () => undefined);
+  await sleep(5);
+  t.is(calls[2]?.endpoint, 1);
+});
+
+test('a release that was turned away is not repeated, and its memory counts until the results expire', async (t) => {
+  const {dispatcher, calls, respond, made, turnAway} = createTestDispatcher(
+    1,
+    210,
+  );
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await sleep(5);
+  respond(calls[0]!, ...made('a', 'b'));
+  dispatcher.free(['a']);
+  await sleep(30);
+  turnAway(calls[1]!, 100);
+  dispatcher.free(['b']);
+  dispatcher.order(
+    {...TEST_ORDER, requestId: 's', pieces: [0]},
+    () => undefined,
+  );
+  await sleep(60);
+  t.is(calls.length, 2, 'neither the other release nor pieces are sent');
+  await sleep(100);
+  t.is(calls[2]?.path, '/free');
+  t.is(JSON.parse(`${calls[2]?.request.body}`).length, 1);
+  t.is(calls.length, 3, 'the pieces need memory');
+  respond(calls[2]!);
+  t.is(calls[3]?.path, '/run');
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -118,6 +118,10 @@
         !response.isSigned ||
         response.isEncoded
       ) {
+        // The id alone proves which request was turned away.
+        if (response.requestId !== null) {
+          options.limiter.recordAvailability(endpoint, response);
+        }
         return failAttempt(
           `an answer of status ${response.status} without proof`,
         );
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -1,4 +1,5 @@
 import {createEndpointLimits} from 'hickorywharf-decisions/gateway/createEndpointLimits';
+import {createEndpointPauses} from 'hickorywharf-decisions/gateway/createEndpointPauses';
 import {estimateLimitWait} from 'hickorywharf-decisions/gateway/estimateLimitWait';
 import type {EndpointLimitReport} from 'hickorywharf-types/gateway/endpointLimitReport';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
@@ -10,6 +11,11 @@
 
 type Limits = ReturnType<typeof createEndpointLimits>;
 
+/** The endpoint turned the call away. */
+const UNAVAILABLE = 503;
+/** Extensions of a pause by less than this are not logged. */
+const LOGGED_EXTENSION_MILLISECONDS = 500;
+
 interface LimiterOptions {
   /** Name of this instance. */
   readonly name: string;
@@ -47,11 +53,17 @@
   refresh(): void;
   /** Calls per second that this instance may send; Infinity without a limit. */
   getRate(endpoint: GatewayEndpoint): number;
-  /** Milliseconds until this instance may send a call; Infinity for never. */
+  /**
+   * Milliseconds until this instance may send a call, by the rate limit and the
+   * pause of the endpoint; Infinity for never.
+   */
   getWait(endpoint: GatewayEndpoint): number;
+  /** Milliseconds until the endpoint takes calls of this instance again. */
+  getPause(endpoint: GatewayEndpoint): number;
   /**
-   * Milliseconds by which the limits of these endpoints of a service delay a
-   * call that arrives now; Infinity if this instance may use none of them.
+   * Milliseconds by which the limits and pauses of these endpoints of a service
+   * delay a call that arrives now; Infinity if this instance may use none of
+   * them.
    */
   estimateWait(service: string, endpoints: readonly GatewayEndpoint[]): number;
   /**
@@ -77,6 +89,7 @@
 ): EndpointLimiter {
   const {name, incarnation, state, log, metrics, now} = options;
   const limits = createEndpointLimits(name, incarnation);
+  const pauses = createEndpointPauses();
   /** Number of calls that are prepared, by service. */
   const preparations = new Map<string, number>();
 
@@ -91,16 +104,55 @@
     });
   }
 
+  function recordPause(
+    endpoint: GatewayEndpoint,
+    {retryAfter}: ResponseHead,
+  ): void {
+    if (retryAfter.tag === 'none') return;
+    const fields = {step: 'limit', peer: endpoint.id};
+    if (retryAfter.tag === 'unreadable') {
+      metrics.count('withdrawals', 'unreadable');
+      const {text} = retryAfter;
+      log.infoRateLimited('endpoint pause not readable', {...fields, text});
+      return;
+    }
+    const stated = retryAfter.milliseconds;
+    const change = pauses.record(endpoint, stated, now());
+    metrics.count('withdrawals', change?.isBounded ? 'bounded' : 'paused');
+    if (change === null) return;
+    const {beforeMilliseconds, milliseconds} = change;
+    const extension = milliseconds - beforeMilliseconds;
+    const isExtended = beforeMilliseconds > 0;
+    if (isExtended && extension < LOGGED_EXTENSION_MILLISECONDS) return;
+    log.infoRateLimited('endpoint paused', {
+      ...fields,
+      startedAt: endpoint.startedAt,
+      stated,
+      milliseconds,
+      before: Math.round(beforeMilliseconds),
+    });
+  }
+
   /** A misdirected response states nothing about the endpoint. */
   function recordAvailability(
     endpoint: GatewayEndpoint,
-    {isMisdirected, isLeaving}: ResponseHead,
+    head: ResponseHead,
   ): void {
-    if (isMisdirected || !isLeaving) return;
+    if (head.isMisdirected) return;
+    if (head.status === UNAVAILABLE) recordPause(endpoint, head);
+    if (!head.isLeaving) return;
     metrics.count('withdrawals', 'leaving');
     options.onLeaving(endpoint);
   }
 
+  function getPause(endpoint: GatewayEndpoint): number {
+    return pauses.getRemaining(endpoint, now());
+  }
+
+  function getWait(endpoint: GatewayEndpoint): number {
+    return Math.max(limits.getWait(endpoint, now()), getPause(endpoint));
+  }
+
   return {
     recordAvailability,
     recordHead(endpoint, head) {
@@ -129,12 +181,14 @@
     recordInstances: (instances) => limits.recordInstances(instances, now()),
     refresh: () => limits.setStageServices(listStageServices(state)),
     getRate: (endpoint) => limits.getRate(endpoint, now()),
-    getWait: (endpoint) => limits.getWait(endpoint, now()),
+    getWait,
+    getPause,
     estimateWait: (service, endpoints) =>
       estimateLimitWait(
         endpoints.map((endpoint) => ({
-          callsPerSecond: limits.getRate(endpoint, now()),
-          waitMilliseconds: limits.getWait(endpoint, now()),
+          callsPerSecond:
+            getPause(endpoint) > 0 ? 0 : limits.getRate(endpoint, now()),
+          waitMilliseconds: getWait(endpoint),
         })),
         preparations.get(service) ?? 0,
       ),
@@ -147,7 +201,10 @@
       };
     },
     reserve(endpoint) {
-      const wait = limits.reserve(endpoint, now());
+      const wait = Math.max(
+        limits.reserve(endpoint, now()),
+        getPause(endpoint),
+      );
       if (wait > 0) metrics.count('limitedCalls', 'delayed');
       return wait;
     },
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -34,7 +34,7 @@
    * the function returned ends that.
    */
   watchVersion(onGone: () => void): () => void;
-  /** Whether the incarnation of the endpoint may still get work. */
+  /** Whether the incarnation of the endpoint may still get work now. */
   isUsable(endpoint: GatewayEndpoint): boolean;
   /**
    * Undefined if no usable endpoint is left that was not tried.
@@ -110,10 +110,14 @@
       state.endpointListeners.add(check);
       return () => void state.endpointListeners.delete(check);
     },
-    isUsable: ({id, startedAt}) =>
+    isUsable: (endpoint) =>
+      limiter.getPause(endpoint) === 0 &&
       state.directory
         .getUsable(service.name)
-        .some((other) => other.id === id && other.startedAt === startedAt),
+        .some(
+          ({id, startedAt}) =>
+            id === endpoint.id && startedAt === endpoint.startedAt,
+        ),
     select(inputs) {
       const now = options.getInstant().monotonic;
       const {failureDomain} = settings;
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -15,7 +15,7 @@
   now(): number;
   readonly limiter: Pick<
     ReturnType<typeof createEndpointLimiter>,
-    'getWait' | 'reserve' | 'recordAvailability'
+    'getWait' | 'getPause' | 'reserve' | 'recordAvailability'
   >;
   /** Whether the incarnation of the endpoint said that it leaves. */
   isLeaving(endpoint: GatewayEndpoint): boolean;
@@ -65,8 +65,15 @@
   readonly endpoint: GatewayEndpoint;
   readonly handles: string[];
   bytes: number;
+  /**
+   * When the last of the results expires, in monotonic milliseconds; -Infinity
+   * where only a peer knows.
+   */
+  expiresAt: number;
 }
 
+/** The endpoint turned the release away. */
+const UNAVAILABLE = 503;
 /** Results of one endpoint that are freed within this time share a call. */
 const FREE_DELAY_MILLISECONDS = 10;
 /**
@@ -80,7 +87,8 @@
  * Memory counts as free only when the endpoint has confirmed the release, when
  * the release has failed twice, or when the result's time to live has ended. An
  * endpoint that leaves gets no release: its results expire, and as it gets no
- * more calls, their memory counts for nothing.
+ * more calls, their memory counts for nothing. One that wants no calls for a
+ * while gets the release after that, unless the results expire before.
  *
  * @example
  *     const tracker = createResultTracker(options);
@@ -110,27 +118,37 @@
     endpoint: GatewayEndpoint,
     handle: string,
     bytes: number,
+    expiresAt: number,
   ): void {
-    const waiting = pendingFrees.get(endpoint.id);
+    const key = `${endpoint.id}/${endpoint.startedAt}`;
+    const waiting = pendingFrees.get(key);
     if (waiting !== undefined) {
       waiting.handles.push(handle);
       waiting.bytes += bytes;
+      waiting.expiresAt = Math.max(waiting.expiresAt, expiresAt);
       return;
     }
-    const entry = {endpoint, handles: [handle], bytes};
-    pendingFrees.set(endpoint.id, entry);
+    const entry = {endpoint, handles: [handle], bytes, expiresAt};
+    pendingFrees.set(key, entry);
     const delay = Math.min(
       Math.max(FREE_DELAY_MILLISECONDS, limiter.getWait(endpoint)),
       MAXIMUM_FREE_DELAY_MILLISECONDS,
     );
-    setTimeout(() => {
-      pendingFrees.delete(endpoint.id);
-      sendFree(entry, false);
-    }, delay);
+    const sendLater = (milliseconds: number): void =>
+      void setTimeout(() => {
+        const pause = limiter.getPause(endpoint);
+        if (pause > 0 && now() + pause < entry.expiresAt) {
+          sendLater(pause);
+          return;
+        }
+        pendingFrees.delete(key);
+        sendFree(entry, false);
+      }, milliseconds);
+    sendLater(delay);
   }
 
-  /** Leaves the results to their expiry, as no release may be sent. */
-  function drop({endpoint, handles, bytes}: PendingFree, reason: string): void {
+  /** Leaves the results to their expiry; the endpoint is sent no release. */
+  function drop({endpoint, handles}: PendingFree, reason: string): void {
     metrics.count('releases', reason);
     log.infoRateLimited('stage results left to expire', {
       step: 'stage',
@@ -138,7 +156,6 @@
       handles: handles.length,
       reason,
     });
-    release(endpoint, bytes);
   }
 
   /**
@@ -146,16 +163,31 @@
    * may have closed a pooled connection.
    */
   function sendFree(entry: PendingFree, isRetry: boolean): void {
-    const {endpoint, handles, bytes} = entry;
-    if (options.isLeaving(endpoint)) return drop(entry, 'leaving');
+    const {endpoint, handles, bytes, expiresAt} = entry;
+    if (options.isLeaving(endpoint)) {
+      drop(entry, 'leaving');
+      release(endpoint, bytes);
+      return;
+    }
+    const dropUntilExpiry = (reason: string): void => {
+      drop(entry, reason);
+      const timeLeft = Math.max(0, expiresAt - now());
+      setTimeout(() => release(endpoint, bytes), timeLeft).unref();
+    };
+    if (limiter.getPause(endpoint) > 0) return dropUntilExpiry('paused');
+    let isTurnedAway = false;
     limiter.reserve(endpoint);
     const body = wire.formatFree(handles);
     endpointClient.send({
       ...buildStageRequest(wire, endpoint, wire.stageFree, body),
       needsNewConnection: isRetry,
-      onHead: (head) => limiter.recordAvailability(endpoint, head),
+      onHead(head) {
+        isTurnedAway = head.status === UNAVAILABLE;
+        limiter.recordAvailability(endpoint, head);
+      },
       onData: () => undefined,
       onEnd() {
+        if (isTurnedAway) return dropUntilExpiry('turnedAway');
         metrics.count('releases', 'answered');
         release(endpoint, bytes);
       },
@@ -192,11 +224,14 @@
         const result = results.get(handle);
         if (result === undefined) continue;
         results.delete(handle);
-        scheduleFree(result.endpoint, handle, result.bytes);
+        const {endpoint, bytes, expiresAt} = result;
+        scheduleFree(endpoint, handle, bytes, expiresAt);
       }
     },
     freeAt(endpoint, handles) {
-      for (const handle of handles) scheduleFree(endpoint, handle, 0);
+      for (const handle of handles) {
+        scheduleFree(endpoint, handle, 0, -Infinity);
+      }
     },
     dropExpired() {
       const time = now();
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -148,12 +148,19 @@
     return pieceTimes.get(kind, configured);
   }
 
-  /** The usable endpoints without a health penalty; all if each has one. */
+  /**
+   * The usable endpoints without a pause and, of these, without a health
+   * penalty. An attribute that all have excludes none.
+   */
   function getEndpoints(service: string): readonly GatewayEndpoint[] {
     const usable = state.directory.getUsable(service);
+    const open = usable.filter((endpoint) => limiter.getPause(endpoint) === 0);
+    const candidates = open.length > 0 ? open : usable;
     const time = now();
-    const healthy = usable.filter(({id}) => health.getPenalty(id, time) === 0);
-    return healthy.length > 0 ? healthy : usable;
+    const healthy = candidates.filter(
+      ({id}) => health.getPenalty(id, time) === 0,
+    );
+    return healthy.length > 0 ? healthy : candidates;
   }
 
   /**
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -26,7 +26,7 @@
   },
   withdrawals: {
     label: 'kind',
-    meaning: 'responses of endpoints that say that they take no more calls',
+    meaning: 'responses of endpoints that say that they take no calls',
   },
   releases: {
     label: 'result',
@@ -34,7 +34,8 @@
   },
   limitedCalls: {
     label: 'result',
-    meaning: 'calls for which the rate limits of endpoints left no room',
+    meaning:
+      'calls for which the rate limits and pauses of endpoints left no room',
   },
   streamRecords: {
     label: 'result',
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -99,7 +99,7 @@
   let inputs: readonly string[] = [];
   let handles: readonly string[] = [];
   let hasInputs = false;
-  /** The endpoint whose rate limit the call waited for. */
+  /** The endpoint whose rate limit or pause the call waited for. */
   let reserved: GatewayEndpoint | null = null;
 
   function recordOutcome(
@@ -129,7 +129,11 @@
 
   function refuse(refusal: Refusal): void {
     metrics.count('refusals', refusal.tag);
-    recordOutcome('refused', {refusal: refusal.tag, reason: refusal.message});
+    recordOutcome('refused', {
+      refusal: refusal.tag,
+      reason: refusal.message,
+      retryAfter: refusal.retryAfterMilliseconds,
+    });
     writer.refuse(refusal, call.id);
   }
 
@@ -153,14 +157,14 @@
   /** Ends the call because no endpoint is left that may run it. */
   function failWithoutEndpoint(): void {
     const wait = limiter.estimateWait(service.name, selector.listUsable());
-    if (wait === Infinity) failForLimits(wait);
-    else fail('no endpoint is left to try');
+    if (wait === 0) fail('no endpoint is left to try');
+    else failForLimits(Math.max(wait, NO_ENDPOINT_RETRY_MILLISECONDS));
   }
 
-  /** Ends the call because the rate limits of the endpoints are used up. */
+  /** Ends the call because the endpoints take no more calls for now. */
   function failForLimits(waitMilliseconds: number): void {
     metrics.count('limitedCalls', 'refused');
-    const reason = 'the rate limits of the endpoints leave no room';
+    const reason = 'the limits and pauses of the endpoints leave no room';
     if (runs > 0 || writer.isStarted) fail(reason);
     else refuseOverloaded(reason, waitMilliseconds);
   }
@@ -309,9 +313,9 @@
   }
 
   /**
-   * Reserves room for the call in the rate limit of an endpoint. Returns the
-   * milliseconds until the call may be sent; null if they are too many, after
-   * the response was written.
+   * Reserves room for the call in the rate limit of an endpoint, after the end
+   * of its pause. Returns the milliseconds until the call may be sent; null if
+   * they are too many, after the response was written.
    */
   function reserveRoom(endpoint: GatewayEndpoint): number | null {
     const now = getInstant().monotonic;
--- a/packages/hickorywharf-types/src/gateway/responseHead.ts
+++ b/packages/hickorywharf-types/src/gateway/responseHead.ts
@@ -1,4 +1,5 @@
 import type {StatedRateLimit} from './statedRateLimit.ts';
+import type {StatedRetryAfter} from './statedRetryAfter.ts';
 
 /** The status and headers of an endpoint's response. */
 export interface ResponseHead {
@@ -19,6 +20,8 @@
   readonly isLeaving: boolean;
   /** The rate limit that the endpoint states for calls to it. */
   readonly rateLimit: StatedRateLimit;
+  /** For how long the endpoint asks for no further requests. */
+  readonly retryAfter: StatedRetryAfter;
   /** Headers to forward to the caller, names and values alternating. */
   readonly headers: readonly string[];
 }
