Send nothing on a connection that opened after the endpoint withdrew

Cause: a request is written when its connection is open, up to 400 ms after its endpoint was chosen. Calls that can't be repeated and stage calls open one each. A request of a burst was so written after the endpoint had said that it leaves or wants none for a while: within the half second and the drain time that the users allow, but turned away for sure. Change: the client asks once more when a connection is open. A request that is not sent counts as not run, and not as a failure of the endpoint.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {createEndpointClient} from '../createEndpointClient.ts';
 
 const wire = {
@@ -136,3 +137,33 @@
   client.close();
   server.close();
 });
+
+test('nothing is sent to an endpoint that wants no requests once the connection is open', async (t) => {
+  let received = 0;
+  const server = await listen(() => (received += 1));
+  const client = createEndpointClient(wire);
+  let mayStillSend = true;
+  const result = new Promise((resolve) => {
+    client.send({
+      host: '127.0.0.1',
+      port: portOf(server),
+      method: 'GET',
+      path: '/',
+      headers: ['Host', 'x'],
+      body: null,
+      needsNewConnection: true,
+      mayStillSend: () => mayStillSend,
+      onHead: () => resolve('head'),
+      onData: () => undefined,
+      onEnd: () => resolve('complete'),
+      onFailure: ({tag}) => resolve(tag),
+    });
+  });
+  mayStillSend = false;
+  const timeout = sleep(300).then(() => 'none');
+  t.is(await Promise.race([result, timeout]), 'unsent');
+  await sleep(20);
+  t.is(received, 0);
+  client.close();
+  server.close();
+});
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -384,7 +384,10 @@
   respond(calls[0]!, ...made('a', 'b'));
   dispatcher.free(['a']);
   await sleep(30);
+  t.true(calls[1]!.request.mayStillSend?.());
   turnAway(calls[1]!, 100);
+  t.false(calls[1]!.request.mayStillSend?.());
+  t.false(calls[0]!.request.mayStillSend?.());
   dispatcher.free(['b']);
   dispatcher.order(
     {...TEST_ORDER, requestId: 's', pieces: [0]},
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -197,6 +197,7 @@
       }),
       body: options.body.length > 0 ? options.body : null,
       needsNewConnection: !context.isRetryable,
+      mayStillSend: () => !options.limiter.isWithdrawn(endpoint),
       onHead: handleHead,
       onData(chunk) {
         if (isSettled) return;
@@ -206,7 +207,9 @@
       onEnd: handleEnd,
       onFailure({tag, message}) {
         if (tag === 'unsent') {
-          health.recordFailure(endpoint.id, now());
+          if (!options.limiter.isWithdrawn(endpoint)) {
+            health.recordFailure(endpoint.id, now());
+          }
           settle({tag: 'notRun', reason: message});
           return;
         }
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -238,7 +238,9 @@
     };
     if (socket.connecting) {
       socket.once('connect', () => {
-        if (!isSettled) write();
+        if (isSettled) return;
+        if (input.mayStillSend?.() ?? true) write();
+        else fail('the endpoint wants no more requests');
       });
     } else write();
 
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -60,6 +60,8 @@
   getWait(endpoint: GatewayEndpoint): number;
   /** Milliseconds until the endpoint takes calls of this instance again. */
   getPause(endpoint: GatewayEndpoint): number;
+  /** Whether the endpoint said that it wants no calls now, or none any more. */
+  isWithdrawn(endpoint: GatewayEndpoint): boolean;
   /**
    * Milliseconds by which the limits and pauses of these endpoints of a service
    * delay a call that arrives now; Infinity if this instance may use none of
@@ -183,6 +185,8 @@
     getRate: (endpoint) => limits.getRate(endpoint, now()),
     getWait,
     getPause,
+    isWithdrawn: (endpoint) =>
+      getPause(endpoint) > 0 || state.directory.isLeaving(endpoint),
     estimateWait: (service, endpoints) =>
       estimateLimitWait(
         endpoints.map((endpoint) => ({
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -15,7 +15,7 @@
   now(): number;
   readonly limiter: Pick<
     ReturnType<typeof createEndpointLimiter>,
-    'getWait' | 'getPause' | 'reserve' | 'recordAvailability'
+    'getWait' | 'getPause' | 'isWithdrawn' | 'reserve' | 'recordAvailability'
   >;
   /** Whether the incarnation of the endpoint said that it leaves. */
   isLeaving(endpoint: GatewayEndpoint): boolean;
@@ -181,6 +181,7 @@
     endpointClient.send({
       ...buildStageRequest(wire, endpoint, wire.stageFree, body),
       needsNewConnection: isRetry,
+      mayStillSend: () => !limiter.isWithdrawn(endpoint),
       onHead(head) {
         isTurnedAway = head.status === UNAVAILABLE;
         limiter.recordAvailability(endpoint, head);
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -394,6 +394,7 @@
         key: order.key,
         inputs: order.inputs,
       })),
+      mayStillSend: () => !limiter.isWithdrawn(endpoint),
       onHead: (head) => limiter.recordHead(endpoint, head),
       onFailure(reason, isTimeout) {
         finish();
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -16,6 +16,11 @@
    * requests that can't be retried need a new connection.
    */
   readonly needsNewConnection: boolean;
+  /**
+   * Asked once a new connection is open; if false, nothing is sent. Without it
+   * the request is always sent.
+   */
+  mayStillSend?(): boolean;
   onHead(head: ResponseHead): void;
   onData(chunk: Buffer): void;
   /** Called when the response is complete. */
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -13,6 +13,8 @@
   readonly pieces: readonly StagePiece[];
   /** Time after which the call fails and is aborted. */
   readonly timeoutMilliseconds: number;
+  /** Asked before the call is written to a new connection. */
+  mayStillSend(): boolean;
   /** Receives the head of the response, before the outcomes or a failure. */
   onHead(head: ResponseHead): void;
   /** Receives one outcome for each piece, in the order of `pieces`. */
@@ -53,6 +55,7 @@
   const body = wire.formatPieces(pieces);
   const exchange = endpointClient.send({
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
+    mayStillSend: options.mayStillSend,
     onHead(responseHead) {
       head = responseHead;
       options.onHead(responseHead);
