Remember that an endpoint drains or leaves from its departure on

Cause: found by reading the change on endpoints that leave. Both statements were kept for 300 s from when they were made, so that an endpoint that stayed on the list for longer, went, and was listed again as ready, as by a store restored from a copy, got work again. Change: the time counts from the departure from the list. Result: the case added to createEndpointDirectory.test.ts failed without the change (the endpoint that drains was used again); its 14 cases pass.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
@@ -176,3 +176,15 @@
   directory.recordLeaving(endpoint('a'), at(2010));
   t.deepEqual(ids(directory.getUsable('desk')), ['a']);
 });
+
+test('an endpoint that left long after it drained or said so is not used when it returns', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  const draining = endpoint('a', {isDraining: true});
+  directory.update([draining, endpoint('b')], at(0));
+  directory.recordLeaving(endpoint('b'), at(0));
+  directory.update([draining, endpoint('b')], at(400_000));
+  directory.update([], at(401_000));
+  directory.update([], at(402_000));
+  directory.update([endpoint('a'), endpoint('b')], at(403_000));
+  t.deepEqual(directory.getUsable('desk'), []);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
@@ -194,7 +194,12 @@
         continue;
       }
       known.delete(id);
-      departed.set(getIncarnationKey(endpoint), now);
+      const key = getIncarnationKey(endpoint);
+      departed.set(key, now);
+      // From its departure on, as the same incarnation may be listed again.
+      for (const remembered of [drained, leaving]) {
+        if (remembered.has(key)) remembered.set(key, now);
+      }
       changes.push({tag: 'left', endpoint});
     }
     rebuild();
