--- a/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
@@ -2,6 +2,7 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {sleep} from 'hickorywharf-utils/sleep';
+import type {GatewayMetrics} from '../gatewayMetrics.ts';
 import {createResultTracker} from '../createResultTracker.ts';
 import type {EndpointRequest} from '../endpointRequest.ts';
 
@@ -51,7 +52,15 @@
       infoAlways: () => undefined,
     },
     now: () => performance.now(),
-    limiter: {getWait: () => 0, reserve: () => 0},
+    limiter: {
+      getWait: () => 0,
+      getPause: () => 0,
+      isWithdrawn: () => false,
+      recordAvailability: () => undefined,
+      reserve: () => 0,
+    },
+    metrics: {count: () => undefined} as unknown as GatewayMetrics,
+    isLeaving: () => false,
     onRelease: () => void (isReleased = true),
   });
   tracker.add('h', endpoint, RESULT_BYTES, 60_000);
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -34,20 +34,22 @@
     capacity: 1,
     lapseMilliseconds: 2000,
   });
-  state.directory.update(
-    Array.from({length: endpoints}, (_value, index) => ({
-      id: `scan-${index}`,
-      service: 'scan',
-      host: 'h',
-      port: index,
-      failureDomain: 'a',
-      isDraining: false,
-      startedAt: 1,
-      version: 'v1',
-      slots: 1,
-    })),
-    {monotonic: 0, wall: 0},
-  );
+  const listEndpoints = (startedAt: number): void =>
+    void state.directory.update(
+      Array.from({length: endpoints}, (_value, index) => ({
+        id: `scan-${index}`,
+        service: 'scan',
+        host: 'h',
+        port: index,
+        failureDomain: index === 0 ? 'a' : 'b',
+        isDraining: false,
+        startedAt,
+        version: 'v1',
+        slots: 1,
+      })),
+      {monotonic: 0, wall: 0},
+    );
+  listEndpoints(1);
   const stage = {
     slots: 1,
     waiting: 2,
@@ -103,6 +105,8 @@
       state,
       log,
       metrics,
+      onLeaving: (endpoint) =>
+        void state.directory.recordLeaving(endpoint, {monotonic: 0, wall: 0}),
       now: () => performance.now(),
     }),
     log,
@@ -110,9 +114,19 @@
     now: () => performance.now(),
   });
   let rateLimit: StatedRateLimit = {tag: 'none'};
+  let isLeaving = false;
   function respond(call: SentCall, ...next: readonly PieceOutcome[]): void {
     outcomes.push(...next);
-    call.request.onHead({status: 200, rateLimit} as ResponseHead, true);
+    const retryAfter = {tag: 'none'} as const;
+    const head = {status: 200, rateLimit, isLeaving, retryAfter};
+    call.request.onHead(head as ResponseHead, true);
+    call.request.onEnd();
+  }
+  /** Responds that the endpoint wants no calls for this time. */
+  function turnAway(call: SentCall, milliseconds: number): void {
+    const retryAfter = {tag: 'named', milliseconds} as const;
+    const head = {status: 503, rateLimit, isLeaving, retryAfter};
+    call.request.onHead(head as ResponseHead, true);
     call.request.onEnd();
   }
   const made = (...handles: readonly string[]) =>
@@ -120,7 +134,25 @@
   const setRateLimit = (limit: StatedRateLimit): void => {
     rateLimit = limit;
   };
-  return {dispatcher, calls, respond, made, setRateLimit, lines};
+  const setLeaving = (): void => {
+    isLeaving = true;
+  };
+  const restartAll = (): void => {
+    isLeaving = false;
+    listEndpoints(2);
+    dispatcher.refresh();
+  };
+  return {
+    dispatcher,
+    calls,
+    lines,
+    respond,
+    turnAway,
+    made,
+    setRateLimit,
+    setLeaving,
+    restartAll,
+  };
 }
 
 test('pieces of several requests go into one call', async (t) => {
@@ -299,3 +331,91 @@
   respond(calls[1]!, ...made('h-0', 'h-2'));
   t.deepEqual(lines, ['stage result reported twice']);
 });
+
+test('an endpoint that leaves gets neither queued pieces nor releases, and its next incarnation has all its memory', async (t) => {
+  const {dispatcher, calls, respond, made, setLeaving, restartAll} =
+    createTestDispatcher(1, 210);
+  const results: StageResult[] = [];
+  dispatcher.order(TEST_ORDER, (result) => results.push(result));
+  await sleep(5);
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  setLeaving();
+  respond(calls[0]!, ...made('a', 'b'));
+  t.is(results.length, 2);
+  dispatcher.free(['a', 'b']);
+  await sleep(60);
+  t.deepEqual(
+    calls.map(({path}) => path),
+    ['/run'],
+  );
+  restartAll();
+  t.deepEqual(
+    calls.map(({path, request}) => [
+      path,
+      JSON.parse(`${request.body}`).length,
+    ]),
+    [
+      ['/run', 2],
+      ['/run', 2],
+    ],
+  );
+});
+
+test('an endpoint that turned a batch away gets none until its time is over', async (t) => {
+  const {dispatcher, calls, turnAway} = createTestDispatcher(1);
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await sleep(5);
+  turnAway(calls[0]!, 300);
+  const waits = dispatcher.getWaitEstimate('scan')!;
+  t.true(waits.totalMilliseconds > 200, 'the estimate counts the pause');
+  t.true(waits.totalMilliseconds < 500, 'the endpoint is used after it');
+  await sleep(250);
+  t.is(calls.length, 1);
+  await sleep(120);
+  t.is(calls.length, 2);
+});
+
+test('pieces do not wait for an endpoint of their failure domain that wants no calls', async (t) => {
+  const {dispatcher, calls, respond, made, turnAway} = createTestDispatcher(2);
+  const order = {...TEST_ORDER, failureDomain: 'a'};
+  dispatcher.order(order, () => undefined);
+  await sleep(5);
+  respond(calls[0]!, ...made('a', 'b'));
+  dispatcher.free(['a', 'b']);
+  await sleep(30);
+  t.is(calls[1]?.path, '/free');
+  t.is(calls[1]?.endpoint, 0);
+  turnAway(calls[1]!, 5000);
+  dispatcher.order({...order, requestId: 's'}, () => undefined);
+  await sleep(5);
+  t.is(calls[2]?.endpoint, 1);
+});
+
+test('a release that was turned away is not repeated, and its memory counts until the results expire', async (t) => {
+  const {dispatcher, calls, respond, made, turnAway} = createTestDispatcher(
+    1,
+    210,
+  );
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await sleep(5);
+  respond(calls[0]!, ...made('a', 'b'));
+  dispatcher.free(['a']);
+  await sleep(30);
+  t.true(calls[1]!.request.mayStillSend?.());
+  turnAway(calls[1]!, 100);
+  t.false(calls[1]!.request.mayStillSend?.());
+  t.false(calls[0]!.request.mayStillSend?.());
+  dispatcher.free(['b']);
+  dispatcher.order(
+    {...TEST_ORDER, requestId: 's', pieces: [0]},
+    () => undefined,
+  );
+  await sleep(60);
+  t.is(calls.length, 2, 'neither the other release nor pieces are sent');
+  await sleep(100);
+  t.is(calls[2]?.path, '/free');
+  t.is(JSON.parse(`${calls[2]?.request.body}`).length, 1);
+  t.is(calls.length, 3, 'the pieces need memory');
+  respond(calls[2]!);
+  t.is(calls[3]?.path, '/run');
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -145,6 +145,10 @@
         !response.isSigned ||
         response.isEncoded
       ) {
+        // The id alone proves which request was turned away.
+        if (response.requestId !== null) {
+          options.limiter.recordAvailability(endpoint, response);
+        }
         return failAttempt(
           `an answer of status ${response.status} without proof`,
         );
@@ -235,6 +239,7 @@
       body: options.body.length > 0 ? options.body : null,
       needsNewConnection: !context.isRetryable || options.isRepeat,
       isExclusive: false,
+      mayStillSend: () => !options.limiter.isWithdrawn(endpoint),
       onHead: handleHead,
       onData(chunk) {
         if (isSettled) return;
@@ -244,7 +249,9 @@
       onEnd: handleEnd,
       onFailure({tag, message}) {
         if (tag === 'unsent') {
-          health.recordFailure(endpoint.id, now());
+          if (!options.limiter.isWithdrawn(endpoint)) {
+            health.recordFailure(endpoint.id, now());
+          }
           settle({tag: 'notRun', reason: message});
           return;
         }
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -267,7 +267,9 @@
     };
     if (socket.connecting) {
       socket.once('connect', () => {
-        if (!isSettled) write();
+        if (isSettled) return;
+        if (input.mayStillSend?.() ?? true) write();
+        else fail('the endpoint wants no more requests');
       });
     } else write();
 
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -23,6 +23,11 @@
    * so responses that name no request need a connection of their own.
    */
   readonly isExclusive: boolean;
+  /**
+   * Asked once a new connection is open; if false, nothing is sent. Without it
+   * the request is always sent.
+   */
+  mayStillSend?(): boolean;
   /**
    * `isFirst` is true for the first response of a connection, which can't be a
    * second response to an earlier request.
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -15,6 +15,8 @@
   readonly pieces: readonly StagePiece[];
   /** Time after which the call fails and is aborted. */
   readonly timeoutMilliseconds: number;
+  /** Asked before the call is written to a new connection. */
+  mayStillSend(): boolean;
   /** Receives the head of the response, before the outcomes or a failure. */
   onHead(head: ResponseHead): void;
   /** Receives one outcome for each piece, in the order of `pieces`. */
@@ -64,6 +66,7 @@
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
     // The response names neither the call nor its pieces.
     isExclusive: true,
+    mayStillSend: options.mayStillSend,
     onHead(responseHead) {
       head = responseHead;
       options.onHead(responseHead);
