Use a new connection for each call to the product's store

Callers saw: nothing reported; a test showed the item of another key, and a write's revision or conflict could be another's. Cause: an answer on a kept connection was believed by its place. Change: the client's agent works without keep-alive. Why it works: the first answer on a connection can't be to an earlier call. Evidence: the test failed before; the item a was returned for c.

--- a/packages/hickorywharf-platform/src/createStoreClient.ts
+++ b/packages/hickorywharf-platform/src/createStoreClient.ts
@@ -44,6 +44,9 @@
   const dispatcher = new Agent({
     connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
     connections: 4,
+    // Disables keep-alive: answers do not name their call, so a second answer to
+    // an earlier call would pass for the answer to the next one.
+    pipelining: 0,
   });
 
   function toError(tag: StoreError['tag'], message: string): StoreError {
