Read a pooled connection again whose last response ended while paused

What callers saw: a late answer or 504, as the next request on such a connection got no byte of its response until its timeout or deadline.

Cause: an exchange is paused while its caller reads slowly. If the response ended in the read that caused the pause, the connection was pooled paused, and nothing resumed it: no more is drained to a response that has ended.

Change: a connection whose response is complete is read again. An exchange that has ended neither pauses nor resumes its connection, which may be another exchange's by then.

Test before the change: the next request on the connection had no response after 1000 ms.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -134,3 +134,34 @@
   client.close();
   server.close();
 });
+
+test('a response that ends while it is paused leaves no pooled connection that is not read', async (t) => {
+  const server = await listen((socket) => {
+    socket.write(
+      'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=9\r\n\r\na',
+    );
+  });
+  const client = createEndpointClient(wire);
+  await new Promise<void>((resolve) => {
+    const exchange = client.send({
+      host: '127.0.0.1',
+      port: portOf(server),
+      method: 'GET',
+      path: '/',
+      headers: ['Host', 'x'],
+      body: null,
+      needsNewConnection: false,
+      onHead: () => undefined,
+      onData: () => exchange.pause(),
+      onEnd: resolve,
+      onFailure: ({message}) => t.fail(message),
+    });
+  });
+  const next = send(client, portOf(server)).then(({result}) => result);
+  const timeout = new Promise((resolve) =>
+    setTimeout(resolve, 1000, 'no response'),
+  );
+  t.is(await Promise.race([next, timeout]), 'complete');
+  client.close();
+  server.close();
+});
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -211,6 +211,8 @@
         if (isSettled) return true;
         // Bytes after a complete response make only the connection unusable.
         if (parser.isComplete()) {
+          // The next request would get no response on a paused socket.
+          if (socket.isPaused()) socket.resume();
           if (!isRead) keepAliveMilliseconds = 0;
           complete();
           return true;
@@ -246,8 +248,12 @@
       abort() {
         if (finish()) socket.destroy();
       },
-      pause: () => void socket.pause(),
-      resume: () => void socket.resume(),
+      pause() {
+        if (!isSettled) socket.pause();
+      },
+      resume() {
+        if (!isSettled) socket.resume();
+      },
     };
   }
 
