Don't count a caller's slow reading as silence of its server

What callers saw: streams that may resume were sent to a second server, and paused or broken off, when their caller read slowly; other callers were served by fewer servers, as the first one got a penalty.

Cause: while the caller does not take more, its server's connection is not read, but the timer for the next event ran on.

Change: the timer stops with the reading and starts again with it. The call's deadline still ends the stream.

Test before the change: 2 sends of a stream whose caller did not read for 1700 ms, expected 1.

--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -115,7 +115,7 @@
       );
     }
     function restartTimer(milliseconds: number): void {
-      if (options.responseTimeoutMilliseconds === null) return;
+      if (options.responseTimeoutMilliseconds === null || isSettled) return;
       if (timer !== null) clearTimeout(timer);
       timer = setTimeout(
         () => failAttempt(`silent for ${Math.round(milliseconds)} ms`),
@@ -162,8 +162,13 @@
         writer.startStream(head!);
       }
       if (!writer.sendEvents(events)) {
+        // The caller is slow, not the endpoint.
+        if (timer !== null) clearTimeout(timer);
         exchange.pause();
-        writer.onDrain(() => exchange.resume());
+        writer.onDrain(() => {
+          restartTimer(EVENT_TIMEOUT_MILLISECONDS);
+          exchange.resume();
+        });
       }
     }
 
