Close a connection without a hello after its two seconds

What callers saw: nothing of it.

Cause: each received byte restarted the timer, also that for the hello, so that a process that sent a frame of up to 8 MiB byte by byte kept its connection and the bytes without ever saying who it is.

Change: only bytes after the hello restart the timer.

Test before the change: such a connection was still open after 3.5 s.

--- a/packages/hickorywharf-transport/src/__tests__/createPeerClient.test.ts
+++ b/packages/hickorywharf-transport/src/__tests__/createPeerClient.test.ts
@@ -176,6 +176,28 @@
   t.is(log.errors[0]?.tag, 'peerSilent');
 });
 
+test('a process that sends bytes but never a hello is disconnected', async (t) => {
+  const {port, errors, connected} = await openServer(t);
+  const socket = connect(port, ADDRESS);
+  let isClosed = false;
+  socket.on('error', () => undefined);
+  socket.on('close', () => void (isClosed = true));
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(8_000_000, 0);
+  socket.write(length);
+  const timer = setInterval(() => {
+    if (!isClosed) socket.write('x');
+  }, 100);
+  t.teardown(() => {
+    clearInterval(timer);
+    socket.destroy();
+  });
+  await sleep(3500);
+  t.true(isClosed);
+  t.is(connected.length, 0);
+  t.is(errors[0]?.tag, 'peerSilent');
+});
+
 test('a lost connection is replaced by a new connection object', async (t) => {
   let accepted: Socket | null = null;
   const port = await listenPlain(t, (socket) => {
--- a/packages/hickorywharf-transport/src/runConnection.ts
+++ b/packages/hickorywharf-transport/src/runConnection.ts
@@ -50,10 +50,11 @@
   }
 
   function handleSilence(): void {
+    const missing = connection === null ? 'hello was' : 'bytes were';
     report(
       'peerSilent',
       'receive',
-      'no bytes were received within the timeout',
+      `no ${missing} received within the timeout`,
     );
     socket.destroy();
   }
@@ -108,7 +109,7 @@
   socket.setNoDelay(true);
   socket.on('error', () => socket.destroy());
   socket.on('data', (bytes) => {
-    silenceTimer.refresh();
+    if (connection !== null) silenceTimer.refresh();
     reader.read(bytes).match(
       (frames) => frames.forEach(handleFrame),
       (error) => {
