Bound the bytes of a stream

What callers saw: events without end until their time ended.

Cause: whole events were forwarded for as long as they came.

--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -51,6 +51,8 @@
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 /** The longest event of a stream; events usually have some hundred bytes. */
 const MAXIMUM_EVENT_BYTES = 65_536;
+/** One attempt of a stream: 100,000 tokens, each with an event of 160 bytes. */
+const MAXIMUM_STREAM_BYTES = 16_777_216;
 /** Least time left that is sent to an endpoint, also after the deadline. */
 const MINIMUM_TIME_MILLISECONDS = 1;
 
@@ -83,6 +85,7 @@
     let isSettled = false;
     let head: ResponseHead | null = null;
     let isStreaming = false;
+    let streamBytes = 0;
     const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
     let timer: NodeJS.Timeout | null = null;
 
@@ -147,6 +150,12 @@
     }
 
     function handleEvents(chunk: Buffer): void {
+      streamBytes += chunk.length;
+      if (streamBytes > MAXIMUM_STREAM_BYTES) {
+        return failAttempt(
+          `the stream is longer than ${MAXIMUM_STREAM_BYTES} bytes`,
+        );
+      }
       const events = splitter.append(chunk);
       if (splitter.getRemainderLength() > MAXIMUM_EVENT_BYTES) {
         return failAttempt(
