--- a/packages/hickorywharf-gateway/src/__tests__/attemptCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/attemptCall.test.ts
@@ -3,6 +3,7 @@
 import {attemptCall} from '../attemptCall.ts';
 import {createEndpointLoads} from '../createEndpointLoads.ts';
 import {createEventSplitter} from '../createEventSplitter.ts';
+import {createResponseMemory} from '../createResponseMemory.ts';
 import type {EndpointRequest} from '../endpointRequest.ts';
 
 test('a call is not sent on a new connection if its endpoint withdrew meanwhile, and is not run', async (t) => {
@@ -31,6 +32,7 @@
     health,
     limiter: {isWithdrawn: () => isWithdrawn},
     loads: createEndpointLoads(),
+    responseMemory: createResponseMemory(),
     responseTimeoutMilliseconds: null,
     now: () => 0,
     onFirstEvent: () => undefined,
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -237,6 +237,8 @@
         if (isSettled) return true;
         // Bytes after a complete response make only the connection unusable.
         if (parser.isComplete()) {
+          // The next request would get no response on a paused socket.
+          if (socket.isPaused()) socket.resume();
           if (!isRead) {
             logUnexpectedBytes(connection, bytes.length);
             keepAliveMilliseconds = 0;
@@ -277,8 +279,12 @@
       abort() {
         if (finish()) socket.destroy();
       },
-      pause: () => void socket.pause(),
-      resume: () => void socket.resume(),
+      pause() {
+        if (!isSettled) socket.pause();
+      },
+      resume() {
+        if (!isSettled) socket.resume();
+      },
     };
   }
 
