Forward resets as resets in the relay of the stand-ins

A server that resets a connection right after its data looked to the other side like one that ended it: Node's streams report an end when both come in one read. A response without a length would so look complete. The relay reads the server with onread, stops after each read, and forwards a reset as a reset; it also reads no faster than the receiver.

The new test failed before (an end instead of an error) and passes now.

--- a/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -88,3 +88,31 @@
   t.true(performance.now() - startedAt >= 290);
   t.is(link.sentBytes, 30_000);
 });
+
+test('a reset right after data is forwarded as a reset, not as an end', async (t) => {
+  const server = createServer((socket) => {
+    socket.on('error', () => socket.destroy());
+    socket.write('part');
+    socket.resetAndDestroy();
+  });
+  server.listen(0, ADDRESS);
+  await once(server, 'listening');
+  const relay = await createTcpRelay({address: ADDRESS, delayMilliseconds: 50});
+  relay.setTarget((server.address() as AddressInfo).port);
+  t.teardown(() => {
+    relay.close();
+    server.close();
+  });
+  for (let count = 0; count < 20; count += 1) {
+    const socket = connect(relay.port, ADDRESS);
+    const closed = once(socket, 'end').then(() => 'end');
+    const failed = new Promise((resolve) => socket.once('error', resolve));
+    socket.pause();
+    setTimeout(() => socket.resume(), 20);
+    const outcome = await Promise.race([
+      closed.catch(() => 'error'),
+      failed.then(() => 'error'),
+    ]);
+    t.is(outcome, 'error');
+  }
+});
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -29,9 +29,25 @@
   readonly server: Socket;
 }
 
+const READ_BUFFER_BYTES = 65_536;
+/** Most bytes of one direction that wait for the mode or the receiver. */
+const QUEUE_BYTES = 1_000_000;
+
+/** Resolves when the socket can take more bytes, or is closed. */
+function waitForDrain(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = () => {
+      socket.off('drain', finish).off('close', finish);
+      resolve();
+    };
+    socket.on('drain', finish).on('close', finish);
+  });
+}
+
 /**
  * Creates a TCP relay to a port of the same address that can delay, hold, reset
- * and half-close its connections. The caller owns it and closes it.
+ * and half-close its connections. It forwards ends and resets as such, and reads
+ * no faster than the receiver does. The caller owns it and closes it.
  *
  * @example
  *     const relay = await createTcpRelay({address: '127.0.0.1', delayMilliseconds: 300});
@@ -46,30 +62,31 @@
   let targetPort = 0;
   let mode: RelayMode = 'pass';
 
-  function forward(from: Socket, to: Socket, link?: Link): void {
-    // A queue for each direction keeps the bytes in order.
+  /** Forwards one direction; a queue keeps its bytes, end and reset in order. */
+  function createForwarder(to: Socket, link?: Link) {
     let queue = Promise.resolve();
+    let queuedBytes = 0;
     const enqueue = (task: () => Promise<void> | void) => {
       const modeDelay = waitForMode();
       queue = queue.then(() => modeDelay).then(task);
     };
-    const deliver = (bytes: Buffer): void => {
-      if (to.writable) to.write(bytes);
+    return {
+      /** Calls `onReady` when the sender may be read again. */
+      send(bytes: Buffer, onReady: () => void): void {
+        queuedBytes += bytes.length;
+        const isFull = link !== undefined || queuedBytes > QUEUE_BYTES;
+        enqueue(async () => {
+          // Bytes of a connection that is closed meanwhile do not use the link.
+          if (!to.destroyed) await link?.send(bytes.length);
+          if (to.writable && !to.write(bytes)) await waitForDrain(to);
+          queuedBytes -= bytes.length;
+          if (isFull) onReady();
+        });
+        if (!isFull) setImmediate(onReady);
+      },
+      end: () => enqueue(() => void to.end()),
+      reset: () => enqueue(() => void to.resetAndDestroy()),
     };
-    from.on('data', (bytes) => {
-      if (link === undefined) {
-        enqueue(() => deliver(bytes));
-        return;
-      }
-      // Bytes of a connection that is closed meanwhile do not use the link.
-      from.pause();
-      enqueue(async () => {
-        await link.send(bytes.length);
-        deliver(bytes);
-        from.resume();
-      });
-    });
-    from.on('end', () => enqueue(() => void to.end()));
   }
 
   async function waitForMode(): Promise<void> {
@@ -81,27 +98,47 @@
     }
   }
 
-  const listener = createServer({allowHalfOpen: true}, (client) => {
+  function accept(client: Socket): void {
+    const toClient = createForwarder(client, downlink);
     const server = connect({
       host: address,
       port: targetPort,
       allowHalfOpen: true,
+      // With data and a reset in one read, Node's streams report an end instead
+      // of the reset, unless reading stops after the data.
+      onread: {
+        buffer: Buffer.allocUnsafe(READ_BUFFER_BYTES),
+        callback(size, buffer) {
+          const bytes = Buffer.from((buffer as Buffer).subarray(0, size));
+          toClient.send(bytes, () => void server.resume());
+          return false;
+        },
+      },
     });
+    const toServer = createForwarder(server);
     const connection = {client, server};
     connections.add(connection);
-    const close = () => {
-      connections.delete(connection);
-      client.destroy();
-      server.destroy();
-    };
-    for (const socket of [client, server]) {
-      socket.setNoDelay(true);
-      socket.on('error', close);
-      socket.on('close', close);
+    for (const [from, to, forwarder] of [
+      [client, server, toServer],
+      [server, client, toClient],
+    ] as const) {
+      from.setNoDelay(true);
+      from.on('end', forwarder.end);
+      from.on('error', forwarder.reset);
+      from.on('close', (hasFailed) => {
+        if (!hasFailed) to.destroy();
+        if (client.destroyed && server.destroyed) {
+          connections.delete(connection);
+        }
+      });
     }
-    forward(client, server);
-    forward(server, client, downlink);
-  });
+    client.on('data', (bytes: Buffer) => {
+      client.pause();
+      toServer.send(bytes, () => void client.resume());
+    });
+  }
+
+  const listener = createServer({allowHalfOpen: true}, accept);
   await new Promise<void>((resolve, reject) => {
     listener.once('error', reject);
     listener.listen(0, address, resolve);
