Let the relay of the stand-ins refuse connections for a while

A server process that ends refuses connections until it is back at its address; a relay that only resets looks like a server that took the request.

--- a/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -116,3 +116,19 @@
     t.is(outcome, 'error');
   }
 });
+
+test('a stopped relay refuses connections until it starts at its port', async (t) => {
+  const {relay, socket} = await connectToEcho(t);
+  const failed = new Promise((resolve) => socket.once('error', resolve));
+  relay.stop();
+  await failed;
+  const refused = connect(relay.port, ADDRESS);
+  const error = await new Promise<NodeJS.ErrnoException>((resolve) =>
+    refused.once('error', resolve),
+  );
+  t.is(error.code, 'ECONNREFUSED');
+  await relay.start();
+  const accepted = connect(relay.port, ADDRESS);
+  accepted.write('one');
+  t.is(await readNext(accepted), 'one');
+});
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -1,4 +1,5 @@
 import {connect, createServer, type Socket} from 'node:net';
+import {listenOn} from 'hickorywharf-utils/listenOn';
 import type {Link} from './link.ts';
 
 /** How a relay forwards the bytes of its connections. */
@@ -12,6 +13,10 @@
   setMode(mode: RelayMode): void;
   /** Resets every open connection. */
   reset(): void;
+  /** Resets every open connection and refuses new ones until `start`. */
+  stop(): void;
+  /** Accepts connections at the same port again. */
+  start(): Promise<void>;
   /** Closes the sending direction towards one side of every connection. */
   halfClose(side: 'client' | 'server'): void;
   close(): void;
@@ -139,16 +144,15 @@
   }
 
   const listener = createServer({allowHalfOpen: true}, accept);
-  await new Promise<void>((resolve, reject) => {
-    listener.once('error', reject);
-    listener.listen(0, address, resolve);
-  });
-  const listenAddress = listener.address();
+  const port = await listenOn(listener, {host: address, port: 0});
+  function reset(): void {
+    for (const {client, server} of [...connections]) {
+      client.resetAndDestroy();
+      server.resetAndDestroy();
+    }
+  }
   return {
-    port:
-      typeof listenAddress === 'object' && listenAddress !== null
-        ? listenAddress.port
-        : 0,
+    port,
     setTarget(port) {
       targetPort = port;
     },
@@ -158,11 +162,13 @@
       for (const release of held) release();
       held.clear();
     },
-    reset() {
-      for (const {client, server} of [...connections]) {
-        client.resetAndDestroy();
-        server.resetAndDestroy();
-      }
+    reset,
+    stop() {
+      listener.close();
+      reset();
+    },
+    async start() {
+      await listenOn(listener, {host: address, port});
     },
     halfClose(side) {
       for (const connection of connections) connection[side].end();
