--- a/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -127,7 +127,12 @@
     refused.once('error', resolve),
   );
   t.is(error.code, 'ECONNREFUSED');
-  await relay.start();
+  const other = createServer();
+  other.listen(relay.port, ADDRESS);
+  await once(other, 'listening');
+  const started = relay.start();
+  setTimeout(() => other.close(), 100);
+  await started;
   const accepted = connect(relay.port, ADDRESS);
   accepted.write('one');
   t.is(await readNext(accepted), 'one');
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -1,5 +1,6 @@
 import {connect, createServer, type Socket} from 'node:net';
 import {listenOn} from 'hickorywharf-utils/listenOn';
+import {sleep} from 'hickorywharf-utils/sleep';
 import type {Link} from './link.ts';
 
 /** How a relay forwards the bytes of its connections. */
@@ -34,6 +35,7 @@
   readonly server: Socket;
 }
 
+const RETRY_MILLISECONDS = 50;
 const READ_BUFFER_BYTES = 65_536;
 /** Most bytes of one direction that wait for the mode or the receiver. */
 const QUEUE_BYTES = 1_000_000;
@@ -143,8 +145,20 @@
     });
   }
 
-  const listener = createServer({allowHalfOpen: true}, accept);
+  let listener = createServer({allowHalfOpen: true}, accept);
   const port = await listenOn(listener, {host: address, port: 0});
+  let isClosed = false;
+  /** Waits while an outgoing connection uses the port. */
+  async function start(): Promise<void> {
+    listener = createServer({allowHalfOpen: true}, accept);
+    try {
+      await listenOn(listener, {host: address, port});
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw error;
+      await sleep(RETRY_MILLISECONDS);
+      if (!isClosed) await start();
+    }
+  }
   function reset(): void {
     for (const {client, server} of [...connections]) {
       client.resetAndDestroy();
@@ -167,13 +181,12 @@
       listener.close();
       reset();
     },
-    async start() {
-      await listenOn(listener, {host: address, port});
-    },
+    start,
     halfClose(side) {
       for (const connection of connections) connection[side].end();
     },
     close() {
+      isClosed = true;
       listener.close();
       for (const {client, server} of [...connections]) {
         client.destroy();
