--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -3,7 +3,9 @@
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
 import type {StagePiece} from 'hickorywharf-types/gateway/stagePiece';
+import {startTimeout} from 'hickorywharf-utils/startTimeout';
 import {buildStageRequest} from './buildStageRequest.ts';
+import {createBodyBuffer} from './createBodyBuffer.ts';
 import type {EndpointClient} from './endpointClient.ts';
 
 interface StageCallOptions {
@@ -21,6 +23,11 @@
   onFailure(reason: string, isTimeout: boolean): void;
 }
 
+/** A handle is an address and an id of some ten bytes each. */
+const MAXIMUM_OUTCOME_BYTES = 1024;
+/** The rest of a response, or the whole one of a call that failed. */
+const MAXIMUM_ENVELOPE_BYTES = 16_384;
+
 /**
  * Sends a batch of pieces to an endpoint in one call. Exactly one of the two
  * handlers is called, once.
@@ -30,14 +37,16 @@
  */
 export function sendStageCall(options: StageCallOptions): void {
   const {wire, endpointClient, endpoint, pieces} = options;
-  const chunks: Buffer[] = [];
+  const maximumBytes =
+    MAXIMUM_ENVELOPE_BYTES + pieces.length * MAXIMUM_OUTCOME_BYTES;
+  const responseBody = createBodyBuffer(maximumBytes);
   let head: ResponseHead | null = null;
   let isSettled = false;
 
   function finish(): boolean {
     if (isSettled) return false;
     isSettled = true;
-    clearTimeout(timer);
+    stopTimeout();
     return true;
   }
   function fail(reason: string, isTimeout = false): void {
@@ -46,10 +55,10 @@
     options.onFailure(reason, isTimeout);
   }
 
-  const timer = setTimeout(
-    () => fail('no response in time', true),
-    options.timeoutMilliseconds,
-  );
+  const stopTimeout = startTimeout({
+    milliseconds: options.timeoutMilliseconds,
+    onTimeout: () => fail('no response in time', true),
+  });
   const body = wire.formatPieces(pieces);
   const exchange = endpointClient.send({
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
@@ -59,10 +68,13 @@
       head = responseHead;
       options.onHead(responseHead);
     },
-    onData: (chunk) => void chunks.push(chunk),
+    onData(chunk) {
+      if (responseBody.append(chunk)) return;
+      fail(`the response is longer than ${maximumBytes} bytes`);
+    },
     onEnd() {
       if (head?.status !== 200) return fail(`status ${head?.status}`);
-      const text = Buffer.concat(chunks).toString();
+      const text = responseBody.toBuffer().toString();
       wire.parsePieceOutcomes(text, pieces.length).match((outcomes) => {
         if (finish()) options.onOutcomes(outcomes);
       }, fail);
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -15,6 +15,7 @@
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import type {createInstantClock} from './createInstantClock.ts';
+import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
@@ -36,6 +37,7 @@
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly streams: ReturnType<typeof createStreamVersions>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly responseMemory: ReturnType<typeof createResponseMemory>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
   readonly log: GatewayLog;
@@ -319,11 +321,14 @@
 
   async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
     sends += 1;
+    context.isSent = true;
+    splitter.reset();
     return attemptCall({
       context,
       endpoint,
       inputs,
       body,
+      isRepeat: sends > 1,
       relay: writer,
       splitter,
       wire: options.wire,
@@ -331,6 +336,7 @@
       health,
       limiter,
       loads,
+      responseMemory: options.responseMemory,
       responseTimeoutMilliseconds: selector.getResponseTimeout(endpoint, runs),
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
@@ -426,10 +432,7 @@
     }
     selector.exclude(endpoint.id);
     if (result.tag !== 'notRun') runs += 1;
-    if (result.tag === 'broken') {
-      splitter.reset();
-      freeInputs();
-    }
+    if (result.tag === 'broken') freeInputs();
     const mayRetry =
       sends < MAXIMUM_SENDS &&
       (result.tag === 'notRun' ||
