--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -14,7 +14,9 @@
     isEncoded: false,
     isEventStream: false,
     isMisdirected: false,
+    isLeaving: false,
     rateLimit: {tag: 'none'},
+    retryAfter: {tag: 'none'},
     headers: [],
   }),
 } as unknown as GatewayWireFormat;
@@ -175,3 +177,34 @@
   client.close();
   server.close();
 });
+
+test('nothing is sent to an endpoint that wants no requests once the connection is open', async (t) => {
+  let received = 0;
+  const server = await listen(() => (received += 1));
+  const client = createEndpointClient(wire, log);
+  let mayStillSend = true;
+  const result = new Promise((resolve) => {
+    client.send({
+      host: '127.0.0.1',
+      port: portOf(server),
+      method: 'GET',
+      path: '/',
+      headers: ['Host', 'x'],
+      body: null,
+      needsNewConnection: true,
+      isExclusive: false,
+      mayStillSend: () => mayStillSend,
+      onHead: () => resolve('head'),
+      onData: () => undefined,
+      onEnd: () => resolve('complete'),
+      onFailure: ({tag}) => resolve(tag),
+    });
+  });
+  mayStillSend = false;
+  const timeout = sleep(300).then(() => 'none');
+  t.is(await Promise.race([result, timeout]), 'unsent');
+  await sleep(20);
+  t.is(received, 0);
+  client.close();
+  server.close();
+});
--- a/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
@@ -26,7 +26,7 @@
       endpointClient: {
         send(request) {
           setImmediate(() => {
-            request.onHead({status: 200} as ResponseHead);
+            request.onHead({status: 200} as ResponseHead, true);
             respond(request, () => isAborted);
           });
           return {
@@ -47,6 +47,7 @@
         inputs: null,
       }),
       timeoutMilliseconds: 2000,
+      mayStillSend: () => true,
       onHead: () => undefined,
       onOutcomes: (outcomes) =>
         resolve({outcomes: outcomes.length, reason: null, isAborted}),
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -4,17 +4,21 @@
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
 
 interface TrackerOptions {
   readonly wire: GatewayWireFormat;
   readonly endpointClient: EndpointClient;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   /** Monotonic milliseconds. */
   now(): number;
   readonly limiter: Pick<
     ReturnType<typeof createEndpointLimiter>,
-    'getWait' | 'reserve'
+    'getWait' | 'getPause' | 'isWithdrawn' | 'reserve' | 'recordAvailability'
   >;
+  /** Whether the incarnation of the endpoint said that it leaves. */
+  isLeaving(endpoint: GatewayEndpoint): boolean;
   /** Called when memory of an endpoint is free again. */
   onRelease(endpoint: GatewayEndpoint): void;
 }
@@ -63,8 +67,15 @@
   readonly endpoint: GatewayEndpoint;
   readonly handles: string[];
   bytes: number;
+  /**
+   * When the last of the results expires, in monotonic milliseconds; -Infinity
+   * where only a peer knows.
+   */
+  expiresAt: number;
 }
 
+/** The endpoint turned the release away. */
+const UNAVAILABLE = 503;
 /** Results of one endpoint that are freed within this time share a call. */
 const FREE_DELAY_MILLISECONDS = 10;
 /**
@@ -80,7 +91,10 @@
 /**
  * Tracks which endpoint holds which results, and how much memory these take.
  * Memory counts as free only when the endpoint has confirmed the release, when
- * the release has failed twice, or when the result's time to live has ended.
+ * the release has failed twice, or when the result's time to live has ended. An
+ * endpoint that leaves gets no release: its results expire, and as it gets no
+ * more calls, their memory counts for nothing. One that wants no calls for a
+ * while gets the release after that, unless the results expire before.
  *
  * @example
  *     const tracker = createResultTracker(options);
@@ -89,7 +103,7 @@
  *     tracker.getAllocatedBytes(endpoint.id); // 3000000 until it is confirmed
  */
 export function createResultTracker(options: TrackerOptions): ResultTracker {
-  const {wire, endpointClient, limiter, log, now, onRelease} = options;
+  const {wire, endpointClient, limiter, log, metrics, now, onRelease} = options;
   const allocatedBytes = new Map<string, number>();
   const results = new Map<string, TrackedResult>();
   const pendingFrees = new Map<string, PendingFree>();
@@ -110,23 +124,44 @@
     endpoint: GatewayEndpoint,
     handle: string,
     bytes: number,
+    expiresAt: number,
   ): void {
-    const waiting = pendingFrees.get(endpoint.id);
+    const key = `${endpoint.id}/${endpoint.startedAt}`;
+    const waiting = pendingFrees.get(key);
     if (waiting !== undefined) {
       waiting.handles.push(handle);
       waiting.bytes += bytes;
+      waiting.expiresAt = Math.max(waiting.expiresAt, expiresAt);
       return;
     }
-    const entry = {endpoint, handles: [handle], bytes};
-    pendingFrees.set(endpoint.id, entry);
+    const entry = {endpoint, handles: [handle], bytes, expiresAt};
+    pendingFrees.set(key, entry);
     const delay = Math.min(
       Math.max(FREE_DELAY_MILLISECONDS, limiter.getWait(endpoint)),
       MAXIMUM_FREE_DELAY_MILLISECONDS,
     );
-    setTimeout(() => {
-      pendingFrees.delete(endpoint.id);
-      sendFree(entry, false);
-    }, delay);
+    const sendLater = (milliseconds: number): void =>
+      void setTimeout(() => {
+        const pause = limiter.getPause(endpoint);
+        if (pause > 0 && now() + pause < entry.expiresAt) {
+          sendLater(pause);
+          return;
+        }
+        pendingFrees.delete(key);
+        sendFree(entry, false);
+      }, milliseconds);
+    sendLater(delay);
+  }
+
+  /** Leaves the results to their expiry; the endpoint is sent no release. */
+  function drop({endpoint, handles}: PendingFree, reason: string): void {
+    metrics.count('releases', reason);
+    log.infoRateLimited('stage results left to expire', {
+      step: 'stage',
+      peer: endpoint.id,
+      handles: handles.length,
+      reason,
+    });
   }
 
   /**
@@ -134,7 +169,19 @@
    * may have closed a pooled connection.
    */
   function sendFree(entry: PendingFree, isRetry: boolean): void {
-    const {endpoint, handles, bytes} = entry;
+    const {endpoint, handles, bytes, expiresAt} = entry;
+    if (options.isLeaving(endpoint)) {
+      drop(entry, 'leaving');
+      release(endpoint, bytes);
+      return;
+    }
+    const dropUntilExpiry = (reason: string): void => {
+      drop(entry, reason);
+      const timeLeft = Math.max(0, expiresAt - now());
+      setTimeout(() => release(endpoint, bytes), timeLeft).unref();
+    };
+    if (limiter.getPause(endpoint) > 0) return dropUntilExpiry('paused');
+    let isTurnedAway = false;
     limiter.reserve(endpoint);
     const body = wire.formatFree(handles);
     let receivedBytes = 0;
@@ -146,6 +193,7 @@
         sendFree(entry, true);
         return;
       }
+      metrics.count('releases', 'failed');
       log.infoRateLimited('failed to free stage results', {
         step: 'stage',
         peer: endpoint.id,
@@ -162,7 +210,11 @@
     const exchange = endpointClient.send({
       ...buildStageRequest(wire, endpoint, wire.stageFree, body),
       needsNewConnection: isRetry,
-      onHead: () => undefined,
+      mayStillSend: () => !limiter.isWithdrawn(endpoint),
+      onHead(head) {
+        isTurnedAway = head.status === UNAVAILABLE;
+        limiter.recordAvailability(endpoint, head);
+      },
       onData(chunk) {
         receivedBytes += chunk.length;
         if (receivedBytes > MAXIMUM_FREE_RESPONSE_BYTES) {
@@ -173,6 +225,8 @@
       },
       onEnd() {
         clearTimeout(timer);
+        if (isTurnedAway) return dropUntilExpiry('turnedAway');
+        metrics.count('releases', 'answered');
         release(endpoint, bytes);
       },
       onFailure: ({message}) => fail(message),
@@ -196,11 +250,14 @@
         const result = results.get(handle);
         if (result === undefined) continue;
         results.delete(handle);
-        scheduleFree(result.endpoint, handle, result.bytes);
+        const {endpoint, bytes, expiresAt} = result;
+        scheduleFree(endpoint, handle, bytes, expiresAt);
       }
     },
     freeAt(endpoint, handles) {
-      for (const handle of handles) scheduleFree(endpoint, handle, 0);
+      for (const handle of handles) {
+        scheduleFree(endpoint, handle, 0, -Infinity);
+      }
     },
     dropExpired() {
       const time = now();
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -102,7 +102,9 @@
     endpointClient,
     limiter,
     log,
+    metrics,
     now,
+    isLeaving: state.directory.isLeaving,
     onRelease({id, service}) {
       callTracker.clearFull(id);
       dispatch(service);
@@ -146,12 +148,19 @@
     return pieceTimes.get(kind, configured);
   }
 
-  /** The usable endpoints without a health penalty; all if each has one. */
+  /**
+   * The usable endpoints without a pause and, of these, without a health
+   * penalty. An attribute that all have excludes none.
+   */
   function getEndpoints(service: string): readonly GatewayEndpoint[] {
     const usable = state.directory.getUsable(service);
+    const open = usable.filter((endpoint) => limiter.getPause(endpoint) === 0);
+    const candidates = open.length > 0 ? open : usable;
     const time = now();
-    const healthy = usable.filter(({id}) => health.getPenalty(id, time) === 0);
-    return healthy.length > 0 ? healthy : usable;
+    const healthy = candidates.filter(
+      ({id}) => health.getPenalty(id, time) === 0,
+    );
+    return healthy.length > 0 ? healthy : candidates;
   }
 
   /**
@@ -395,6 +404,7 @@
         key: order.key,
         inputs: order.inputs,
       })),
+      mayStillSend: () => !limiter.isWithdrawn(endpoint),
       onHead: (head) => limiter.recordHead(endpoint, head),
       onFailure(reason, isTimeout) {
         finish();
--- a/packages/hickorywharf-types/src/gateway/responseHead.ts
+++ b/packages/hickorywharf-types/src/gateway/responseHead.ts
@@ -1,4 +1,5 @@
 import type {StatedRateLimit} from './statedRateLimit.ts';
+import type {StatedRetryAfter} from './statedRetryAfter.ts';
 
 /** The status and headers of an endpoint's response. */
 export interface ResponseHead {
@@ -15,8 +16,12 @@
   readonly isEventStream: boolean;
   /** Whether another endpoint than the one that the request names responded. */
   readonly isMisdirected: boolean;
+  /** Whether the endpoint states that it leaves and wants no further requests. */
+  readonly isLeaving: boolean;
   /** The rate limit that the endpoint states for calls to it. */
   readonly rateLimit: StatedRateLimit;
+  /** For how long the endpoint asks for no further requests. */
+  readonly retryAfter: StatedRetryAfter;
   /** Headers to forward to the caller, names and values alternating. */
   readonly headers: readonly string[];
 }
