--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -1,4 +1,6 @@
 import {connect, createServer, type Socket} from 'node:net';
+import {listenOn} from 'hickorywharf-utils/listenOn';
+import {sleep} from 'hickorywharf-utils/sleep';
 import type {Link} from './link.ts';
 
 /** How a relay forwards the bytes of its connections. */
@@ -12,6 +14,10 @@
   setMode(mode: RelayMode): void;
   /** Resets every open connection. */
   reset(): void;
+  /** Resets every open connection and refuses new ones until `start`. */
+  stop(): void;
+  /** Accepts connections at the same port again. */
+  start(): Promise<void>;
   /** Closes the sending direction towards one side of every connection. */
   halfClose(side: 'client' | 'server'): void;
   close(): void;
@@ -29,9 +35,26 @@
   readonly server: Socket;
 }
 
+const RETRY_MILLISECONDS = 50;
+const READ_BUFFER_BYTES = 65_536;
+/** Most bytes of one direction that wait for the mode or the receiver. */
+const QUEUE_BYTES = 1_000_000;
+
+/** Resolves when the socket can take more bytes, or is closed. */
+function waitForDrain(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = () => {
+      socket.off('drain', finish).off('close', finish);
+      resolve();
+    };
+    socket.on('drain', finish).on('close', finish);
+  });
+}
+
 /**
  * Creates a TCP relay to a port of the same address that can delay, hold, reset
- * and half-close its connections. The caller owns it and closes it.
+ * and half-close its connections. It forwards ends and resets as such, and reads
+ * no faster than the receiver does. The caller owns it and closes it.
  *
  * @example
  *     const relay = await createTcpRelay({address: '127.0.0.1', delayMilliseconds: 300});
@@ -46,30 +69,31 @@
   let targetPort = 0;
   let mode: RelayMode = 'pass';
 
-  function forward(from: Socket, to: Socket, link?: Link): void {
-    // A queue for each direction keeps the bytes in order.
+  /** Forwards one direction; a queue keeps its bytes, end and reset in order. */
+  function createForwarder(to: Socket, link?: Link) {
     let queue = Promise.resolve();
+    let queuedBytes = 0;
     const enqueue = (task: () => Promise<void> | void) => {
       const modeDelay = waitForMode();
       queue = queue.then(() => modeDelay).then(task);
     };
-    const deliver = (bytes: Buffer): void => {
-      if (to.writable) to.write(bytes);
+    return {
+      /** Calls `onReady` when the sender may be read again. */
+      send(bytes: Buffer, onReady: () => void): void {
+        queuedBytes += bytes.length;
+        const isFull = link !== undefined || queuedBytes > QUEUE_BYTES;
+        enqueue(async () => {
+          // Bytes of a connection that is closed meanwhile do not use the link.
+          if (!to.destroyed) await link?.send(bytes.length);
+          if (to.writable && !to.write(bytes)) await waitForDrain(to);
+          queuedBytes -= bytes.length;
+          if (isFull) onReady();
+        });
+        if (!isFull) setImmediate(onReady);
+      },
+      end: () => enqueue(() => void to.end()),
+      reset: () => enqueue(() => void to.resetAndDestroy()),
     };
-    from.on('data', (bytes) => {
-      if (link === undefined) {
-        enqueue(() => deliver(bytes));
-        return;
-      }
-      // Bytes of a connection that is closed meanwhile do not use the link.
-      from.pause();
-      enqueue(async () => {
-        await link.send(bytes.length);
-        deliver(bytes);
-        from.resume();
-      });
-    });
-    from.on('end', () => enqueue(() => void to.end()));
   }
 
   async function waitForMode(): Promise<void> {
@@ -81,37 +105,68 @@
     }
   }
 
-  const listener = createServer({allowHalfOpen: true}, (client) => {
+  function accept(client: Socket): void {
+    const toClient = createForwarder(client, downlink);
     const server = connect({
       host: address,
       port: targetPort,
       allowHalfOpen: true,
+      // With data and a reset in one read, Node's streams report an end instead
+      // of the reset, unless reading stops after the data.
+      onread: {
+        buffer: Buffer.allocUnsafe(READ_BUFFER_BYTES),
+        callback(size, buffer) {
+          const bytes = Buffer.from((buffer as Buffer).subarray(0, size));
+          toClient.send(bytes, () => void server.resume());
+          return false;
+        },
+      },
     });
+    const toServer = createForwarder(server);
     const connection = {client, server};
     connections.add(connection);
-    const close = () => {
-      connections.delete(connection);
-      client.destroy();
-      server.destroy();
-    };
-    for (const socket of [client, server]) {
-      socket.setNoDelay(true);
-      socket.on('error', close);
-      socket.on('close', close);
+    for (const [from, to, forwarder] of [
+      [client, server, toServer],
+      [server, client, toClient],
+    ] as const) {
+      from.setNoDelay(true);
+      from.on('end', forwarder.end);
+      from.on('error', forwarder.reset);
+      from.on('close', (hasFailed) => {
+        if (!hasFailed) to.destroy();
+        if (client.destroyed && server.destroyed) {
+          connections.delete(connection);
+        }
+      });
     }
-    forward(client, server);
-    forward(server, client, downlink);
-  });
-  await new Promise<void>((resolve, reject) => {
-    listener.once('error', reject);
-    listener.listen(0, address, resolve);
-  });
-  const listenAddress = listener.address();
+    client.on('data', (bytes: Buffer) => {
+      client.pause();
+      toServer.send(bytes, () => void client.resume());
+    });
+  }
+
+  let listener = createServer({allowHalfOpen: true}, accept);
+  const port = await listenOn(listener, {host: address, port: 0});
+  let isClosed = false;
+  /** Waits while an outgoing connection uses the port. */
+  async function start(): Promise<void> {
+    listener = createServer({allowHalfOpen: true}, accept);
+    try {
+      await listenOn(listener, {host: address, port});
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw error;
+      await sleep(RETRY_MILLISECONDS);
+      if (!isClosed) await start();
+    }
+  }
+  function reset(): void {
+    for (const {client, server} of [...connections]) {
+      client.resetAndDestroy();
+      server.resetAndDestroy();
+    }
+  }
   return {
-    port:
-      typeof listenAddress === 'object' && listenAddress !== null
-        ? listenAddress.port
-        : 0,
+    port,
     setTarget(port) {
       targetPort = port;
     },
@@ -121,16 +176,17 @@
       for (const release of held) release();
       held.clear();
     },
-    reset() {
-      for (const {client, server} of [...connections]) {
-        client.resetAndDestroy();
-        server.resetAndDestroy();
-      }
+    reset,
+    stop() {
+      listener.close();
+      reset();
     },
+    start,
     halfClose(side) {
       for (const connection of connections) connection[side].end();
     },
     close() {
+      isClosed = true;
       listener.close();
       for (const {client, server} of [...connections]) {
         client.destroy();
