Decide which part of a prompt ends the processes of endpoints

No component relates the ends of processes to what the calls had in common, so that a part of a prompt that ends every server is sent on for ever. Change: createPromptQuarantine, without input or output. A part gets a strike if a process ends while a call with it waits that was sent after its strike before; three quarantine it, four if it had answers before. An answer that goes on clears it. Ends that a quarantined part explains are held against no other. Instances merge ends, answers, verdicts and trials as records with ages, in any order, and tell on what is news. At most three trials end a wrong or outdated verdict. Parts, ends, suspects and quarantines are bounded. Nothing uses it yet. Result: createPromptQuarantine.test.ts, 14 tests.

--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
@@ -0,0 +1,215 @@
+import test from 'ava';
+import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import {createPromptQuarantine} from '../createPromptQuarantine.ts';
+
+type Quarantine = ReturnType<typeof createPromptQuarantine>;
+
+const PROBE_MILLISECONDS = 2;
+
+/** Ends a process under one call, which was sent 50 ms before. */
+function end(
+  quarantine: Quarantine,
+  process: string,
+  parts: readonly string[],
+  at: number,
+): PromptRecord[] {
+  const now = at + PROBE_MILLISECONDS;
+  const call = {parts, sentAt: at - 50};
+  return quarantine.recordEnd(process, [call], at, now);
+}
+
+/** Quarantines parts by ends of processes, the last one at 500 ms. */
+function quarantineParts(
+  quarantine: Quarantine,
+  parts: readonly string[],
+): PromptRecord[] {
+  return [100, 300, 500].flatMap((at) => end(quarantine, `e${at}`, parts, at));
+}
+
+const isSent = (
+  quarantine: Quarantine,
+  parts: readonly string[],
+  now: number,
+): boolean => quarantine.check(parts, now).tag !== 'refused';
+
+test('a part under which three processes ended one after the other is not sent again', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  end(quarantine, 'e1', ['bad'], 100);
+  end(quarantine, 'e2', ['bad'], 300);
+  t.true(isSent(quarantine, ['bad'], 310));
+  end(quarantine, 'e3', ['bad'], 500);
+  t.false(isSent(quarantine, ['bad'], 510));
+  t.false(isSent(quarantine, ['other', 'bad'], 510));
+  t.true(isSent(quarantine, ['other'], 510));
+});
+
+test('processes that end together quarantine no part', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  for (let index = 0; index < 20; index += 1) {
+    end(quarantine, `e${index}`, ['sound'], 1000 + index);
+  }
+  t.true(isSent(quarantine, ['sound'], 1100));
+});
+
+test('a part whose answers go on between the ends is not quarantined', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  for (let at = 100; at < 5000; at += 100) {
+    end(quarantine, `e${at}`, ['sound', 'bad'], at);
+    quarantine.recordProgress(['sound'], at + 60);
+  }
+  t.true(isSent(quarantine, ['sound'], 5000));
+  t.false(isSent(quarantine, ['bad'], 5000));
+});
+
+test('a part that a peer has seen going on after an end is cleared, whichever is told first', (t) => {
+  for (const isEndFirst of [true, false]) {
+    const observer = createPromptQuarantine('front-1');
+    const peer = createPromptQuarantine('front-2');
+    const records = quarantineParts(observer, ['sound']);
+    if (isEndFirst) peer.merge(records, 503);
+    const own = peer.recordProgress(['sound'], 504);
+    const told = isEndFirst ? own : peer.merge(records, 505);
+    observer.merge(told, 506);
+    t.true(isSent(observer, ['sound'], 560));
+    t.true(isSent(peer, ['sound'], 560));
+  }
+});
+
+test('an end that follows from a quarantined part is not held against other parts', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  quarantineParts(quarantine, ['bad']);
+  for (let at = 600; at < 2000; at += 100) {
+    end(quarantine, `e${at}`, ['bad', 'sound'], at);
+  }
+  t.true(isSent(quarantine, ['sound'], 2000));
+});
+
+test('of two parts that always come together, the one with answers before is still sent', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  quarantine.recordProgress(['shared'], 0);
+  quarantineParts(quarantine, ['shared', 'bad']);
+  t.true(isSent(quarantine, ['shared'], 510));
+  t.false(isSent(quarantine, ['shared', 'bad'], 510));
+});
+
+test('of two parts quarantined together, a call with one of them tells which is sound', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  quarantineParts(quarantine, ['shared', 'bad']);
+  t.false(isSent(quarantine, ['shared'], 1400));
+  t.false(isSent(quarantine, ['shared', 'bad'], 1600), 'has both');
+  t.is(quarantine.check(['shared'], 1600).tag, 'trial');
+  quarantine.startTrial(['shared'], 1600);
+  t.false(isSent(quarantine, ['shared'], 1610), 'one call only');
+  quarantine.recordProgress(['shared'], 1700);
+  t.true(isSent(quarantine, ['shared'], 1710));
+  t.false(isSent(quarantine, ['shared', 'bad'], 1710));
+});
+
+test('ends that several instances saw add up, in any order', (t) => {
+  const first = createPromptQuarantine('front-1');
+  const second = createPromptQuarantine('front-2');
+  const third = createPromptQuarantine('front-3');
+  const told = [
+    end(second, 'e2', ['bad'], 300),
+    end(first, 'e1', ['bad'], 100).map((record) => ({
+      ...record,
+      ageMilliseconds: 202,
+      ...(record.tag === 'end' && {
+        suspects: record.suspects.map(({part}) => ({
+          part,
+          sentAgeMilliseconds: 252,
+        })),
+      }),
+    })),
+  ] as PromptRecord[][];
+  third.merge(told[0]!, 302);
+  third.merge(told[1]!, 302);
+  t.true(isSent(third, ['bad'], 400));
+  end(third, 'e3', ['bad'], 500);
+  t.false(isSent(third, ['bad'], 510));
+});
+
+test('an instance that connects learns the quarantine before it sends', (t) => {
+  const known = createPromptQuarantine('front-1');
+  quarantineParts(known, ['bad']);
+  known.startTrial(['bad'], 20_600);
+  const started = createPromptQuarantine('front-2');
+  // Its clock starts at another time.
+  started.merge(known.list(21_000), 4000);
+  t.false(isSent(started, ['bad'], 4010));
+  t.false(isSent(started, ['bad'], 40_000), 'the first trial is used up');
+});
+
+test('records that went round are not told again', (t) => {
+  const first = createPromptQuarantine('front-1');
+  const second = createPromptQuarantine('front-2');
+  const records = quarantineParts(first, ['bad', 'sound']);
+  const cleared = first.recordProgress(['sound'], 600);
+  t.is(second.merge([...records, ...cleared], 610).length > 0, true);
+  t.deepEqual(first.merge(second.list(700), 710), []);
+  t.deepEqual(second.merge(first.list(800), 810), []);
+});
+
+test('one instance alone runs the trials, which are three at most', (t) => {
+  const names = ['front-1', 'front-2', 'front-3'];
+  const instances = names.map(createPromptQuarantine);
+  for (const instance of instances) instance.setInstances(names);
+  let trials = 0;
+  const [first, ...others] = instances as [Quarantine, ...Quarantine[]];
+  const records = quarantineParts(first, ['bad']);
+  for (const other of others) other.merge(records, 510);
+  for (let now = 600; now < 3_000_000; now += 500) {
+    for (const instance of instances) {
+      const told = instance.recordAsked(['bad'], now);
+      const decision = instance.check(['bad'], now);
+      if (decision.tag === 'trial') {
+        trials += 1;
+        told.push(...instance.startTrial(decision.parts, now));
+        told.push(...end(instance, `trial${now}`, ['bad'], now + 60));
+      } else t.is(decision.tag, 'refused');
+      for (const other of instances) other.merge(told, now + 70);
+      instance.dropExpired(now);
+    }
+  }
+  t.is(trials, 3);
+});
+
+test('an answer in a trial ends the quarantine at all instances', (t) => {
+  const names = ['front-1', 'front-2'];
+  const [first, second] = names.map(createPromptQuarantine) as [
+    Quarantine,
+    Quarantine,
+  ];
+  second.merge(quarantineParts(first, ['mended']), 510);
+  t.false(isSent(second, ['mended'], 600));
+  const now = 20_700;
+  t.is(first.check(['mended'], now).tag, 'trial');
+  const trial = first.startTrial(['mended'], now);
+  second.merge(trial, now + 10);
+  second.merge(first.recordProgress(['mended'], now + 100), now + 110);
+  t.true(isSent(second, ['mended'], now + 120));
+  t.true(isSent(first, ['mended'], now + 120));
+});
+
+test('a quarantine that no call asks for ends', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  quarantineParts(quarantine, ['bad']);
+  quarantine.dropExpired(310_000);
+  t.is(quarantine.getSize(), 0);
+});
+
+test('parts, ends and quarantines are bounded', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  for (let index = 0; index < 1000; index += 1) {
+    const parts = Array.from(
+      {length: 20},
+      (_value, part) => `${index}-${part}`,
+    );
+    for (const at of [100, 300, 500]) {
+      end(quarantine, `e${index}-${at}`, parts, index * 1000 + at);
+    }
+  }
+  t.true(quarantine.getSize() <= 256);
+  const records = quarantine.list(1_000_000);
+  t.true(records.filter(({tag}) => tag === 'end').length <= 64);
+});
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
@@ -0,0 +1,167 @@
+import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import {countStrikes} from './countStrikes.ts';
+
+interface Suspect {
+  readonly part: string;
+  /** When the last waiting call with the part was sent. */
+  readonly sentAt: number;
+}
+
+interface ProcessEnd {
+  readonly process: string;
+  readonly endedAt: number;
+}
+
+/** Times are monotonic milliseconds. */
+interface PromptEvidence {
+  /** Records the end of a process; returns the suspects that are new. */
+  recordEnd(
+    process: string,
+    endedAt: number,
+    suspects: readonly Suspect[],
+  ): string[];
+  /**
+   * Records that an answer with the part went on. Returns whether that clears
+   * the part: it was suspect since a later time than its progress before.
+   */
+  recordProgress(part: string, at: number): boolean;
+  /** When an answer with the part last went on; -Infinity if none is known. */
+  getProgressAt(part: string): number;
+  /**
+   * The strikes of a part since its last progress, without the ends that
+   * another one of the given parts explains.
+   */
+  countStrikes(part: string, explanations: readonly string[]): number;
+  /** The ends since the last progress of a part. */
+  listEnds(part: string): ProcessEnd[];
+  /** The suspects that are recorded of one end: those sent last. */
+  limitSuspects(
+    suspects: ReadonlyArray<readonly [part: string, sentAt: number]>,
+  ): ReadonlyArray<readonly [part: string, sentAt: number]>;
+  list(now: number): PromptRecord[];
+  dropExpired(now: number): void;
+}
+
+/** Older ends count no more. */
+const REMEMBER_MILLISECONDS = 300_000;
+/** Beyond these numbers, the oldest is dropped. */
+const MAXIMUM_ENDS = 64;
+const MAXIMUM_SUSPECTS = 256;
+const MAXIMUM_PROGRESS = 20_000;
+
+/**
+ * Remembers which processes of endpoints ended under which parts of prompts,
+ * and when answers with a part last went on.
+ *
+ * @example
+ *     const evidence = createPromptEvidence();
+ *     evidence.recordEnd('engine-1/17', 50, [{part: '5c1e', sentAt: 0}]);
+ *     evidence.countStrikes('5c1e', []); // 1
+ */
+export function createPromptEvidence(): PromptEvidence {
+  /** When the waiting calls were sent, by part, for each ended process. */
+  const ends = new Map<
+    string,
+    ProcessEnd & {readonly suspects: Map<string, number>}
+  >();
+  /** When answers last went on, by part, the oldest first. */
+  const progress = new Map<string, number>();
+  /** Since when parts are suspect. */
+  const suspectedAt = new Map<string, number>();
+
+  const getProgressAt = (part: string): number =>
+    progress.get(part) ?? -Infinity;
+
+  function suspect(part: string, at: number): void {
+    suspectedAt.set(part, Math.max(at, suspectedAt.get(part) ?? -Infinity));
+  }
+
+  function listPartEnds(part: string) {
+    const progressAt = getProgressAt(part);
+    return [...ends.values()].filter(
+      ({suspects, endedAt}) => suspects.has(part) && endedAt > progressAt,
+    );
+  }
+
+  return {
+    recordEnd(process, endedAt, suspects) {
+      let end = ends.get(process);
+      if (end === undefined) {
+        end = {process, endedAt, suspects: new Map()};
+        ends.set(process, end);
+        if (ends.size > MAXIMUM_ENDS) ends.delete(ends.keys().next().value!);
+      }
+      const added: string[] = [];
+      for (const {part, sentAt} of suspects) {
+        const known = end.suspects.get(part);
+        if (known !== undefined) {
+          end.suspects.set(part, Math.max(known, sentAt));
+          continue;
+        }
+        if (end.suspects.size >= MAXIMUM_SUSPECTS) break;
+        end.suspects.set(part, sentAt);
+        suspect(part, end.endedAt);
+        added.push(part);
+      }
+      return added;
+    },
+    recordProgress(part, at) {
+      const before = getProgressAt(part);
+      if (at <= before) return false;
+      // Moved to the end, as the oldest is dropped first.
+      progress.delete(part);
+      progress.set(part, at);
+      if (progress.size > MAXIMUM_PROGRESS) {
+        progress.delete(progress.keys().next().value!);
+      }
+      const since = suspectedAt.get(part);
+      return since !== undefined && before < since && at >= since;
+    },
+    getProgressAt,
+    countStrikes(part, explanations) {
+      const unexplained = listPartEnds(part).filter(
+        ({suspects}) =>
+          !explanations.some((other) => other !== part && suspects.has(other)),
+      );
+      return countStrikes(
+        unexplained.map(({suspects, endedAt}) => ({
+          sentAt: suspects.get(part)!,
+          endedAt,
+        })),
+      );
+    },
+    listEnds: (part) =>
+      listPartEnds(part).map(({process, endedAt}) => ({process, endedAt})),
+    limitSuspects: (suspects) =>
+      [...suspects]
+        .sort(([, left], [, right]) => right - left)
+        .slice(0, MAXIMUM_SUSPECTS),
+    list(now) {
+      const records: PromptRecord[] = [...ends.values()].map((end) => ({
+        tag: 'end',
+        process: end.process,
+        ageMilliseconds: now - end.endedAt,
+        suspects: [...end.suspects].map(([part, sentAt]) => ({
+          part,
+          sentAgeMilliseconds: now - sentAt,
+        })),
+      }));
+      const cleared = [...suspectedAt.keys()]
+        .filter((part) => progress.has(part))
+        .map((part): PromptRecord => {
+          const ageMilliseconds = now - getProgressAt(part);
+          return {tag: 'progress', part, ageMilliseconds};
+        });
+      return [...records, ...cleared];
+    },
+    dropExpired(now) {
+      const oldestAt = now - REMEMBER_MILLISECONDS;
+      for (const [process, {endedAt}] of ends) {
+        if (endedAt < oldestAt) ends.delete(process);
+      }
+      for (const [part, at] of suspectedAt) {
+        if (at < oldestAt) suspectedAt.delete(part);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/createQuarantineTable.ts
@@ -0,0 +1,233 @@
+import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
+import type {QuarantineDecision} from './quarantineDecision.ts';
+
+type RecordOf<Tag extends PromptRecord['tag']> = Extract<
+  PromptRecord,
+  {tag: Tag}
+>;
+
+interface Quarantine {
+  /** End of the last process that is held against the part. */
+  readonly startedAt: number;
+  /** Other parts that were quarantined by the same evidence. */
+  readonly others: readonly string[];
+  /** Number of trials that were started. */
+  trials: number;
+  /** Whether the first of them told apart several parts. */
+  hasSplit: boolean;
+  /** When a call with the part last arrived, as far as was told. */
+  askedAt: number;
+}
+
+/** Every `now` is in monotonic milliseconds. */
+interface QuarantineTable {
+  /** Replaces the known instances, including this one. */
+  setInstances(names: readonly string[]): void;
+  add(
+    part: string,
+    quarantine: Pick<Quarantine, 'startedAt' | 'others' | 'askedAt'>,
+  ): void;
+  /** Ends the quarantine of a part if it started before; true if so. */
+  release(part: string, at: number): boolean;
+  has(part: string): boolean;
+  listParts(): readonly string[];
+  getSize(): number;
+  /** Whether a call with these parts may be sent. */
+  check(parts: readonly string[], now: number): QuarantineDecision;
+  /** Records the trial of parts; returns what to tell peers. */
+  startTrial(parts: readonly string[], now: number): PromptRecord[];
+  /** Records that a call was refused; returns what to tell peers. */
+  recordAsked(parts: readonly string[], now: number): PromptRecord[];
+  /** Merges the trial at another instance; false if it is no news. */
+  mergeTrial(record: RecordOf<'trial'>): boolean;
+  /** Merges a call at another instance; false if it is no news. */
+  mergeAsked(record: RecordOf<'asked'>, now: number): boolean;
+  list(now: number): PromptRecord[];
+  /** Ends the quarantines that no call has asked for. */
+  dropExpired(now: number): void;
+}
+
+/** Times of the trials after the quarantine has started. */
+const TRIAL_MILLISECONDS = [20_000, 80_000, 260_000];
+/**
+ * Time of an additional first trial if other parts were quarantined by the same
+ * evidence: with a call that has not all of them, to tell them apart.
+ */
+const SPLIT_MILLISECONDS = 1000;
+const MAXIMUM_TRIALS = 3;
+/** A quarantine that no call has asked for ends after this time. */
+const UNUSED_MILLISECONDS = 300_000;
+/** How often peers are told that calls still ask for a part. */
+const ASKED_INTERVAL_MILLISECONDS = 30_000;
+/** Beyond this number, the one that was asked for least recently ends. */
+const MAXIMUM_QUARANTINES = 256;
+/** Retry delay where another instance runs the trial. */
+const OTHER_TRIAL_MILLISECONDS = 5000;
+/** Retry delay without a further trial. */
+const NO_TRIAL_MILLISECONDS = 60_000;
+
+/**
+ * Keeps the quarantined parts of prompts and their trials: now and then one
+ * call with a quarantined part may be sent, and ends the quarantine if its
+ * answer goes on. All instances agree which of them runs the trial of a part.
+ *
+ * @param name name of this instance
+ * @example
+ *     const quarantines = createQuarantineTable('front-1');
+ *     quarantines.add('5c1e', {startedAt: now, others: [], askedAt: now});
+ *     quarantines.check(['5c1e'], now); // {tag: 'refused', ...}
+ */
+export function createQuarantineTable(name: string): QuarantineTable {
+  const quarantines = new Map<string, Quarantine>();
+  let instances: readonly string[] = [name];
+
+  const has = (part: string): boolean => quarantines.has(part);
+
+  /** Whether a call tells the part apart from others of the same evidence. */
+  function isSplit(
+    {others, trials}: Quarantine,
+    parts: readonly string[],
+  ): boolean {
+    const rest = others.some((other) => has(other) && !parts.includes(other));
+    return trials === 0 && rest;
+  }
+
+  /** Milliseconds until the next trial; Infinity if none is left. */
+  function getTrialWait(
+    quarantine: Quarantine,
+    parts: readonly string[],
+    now: number,
+  ): number {
+    const {startedAt, trials, hasSplit} = quarantine;
+    const regular = hasSplit ? trials - 1 : trials;
+    const delay = isSplit(quarantine, parts)
+      ? SPLIT_MILLISECONDS
+      : (TRIAL_MILLISECONDS[regular] ?? Infinity);
+    if (trials >= MAXIMUM_TRIALS) return Infinity;
+    return Math.max(0, startedAt + delay - now);
+  }
+
+  return {
+    setInstances(names) {
+      instances = names;
+    },
+    add(part, quarantine) {
+      quarantines.set(part, {...quarantine, trials: 0, hasSplit: false});
+      if (quarantines.size <= MAXIMUM_QUARANTINES) return;
+      const [oldest] = [...quarantines].sort(
+        ([, left], [, right]) => left.askedAt - right.askedAt,
+      );
+      quarantines.delete(oldest![0]);
+    },
+    release(part, at) {
+      const quarantine = quarantines.get(part);
+      if (quarantine === undefined || at < quarantine.startedAt) return false;
+      return quarantines.delete(part);
+    },
+    has,
+    listParts: () => [...quarantines.keys()],
+    getSize: () => quarantines.size,
+    check(parts, now) {
+      if (quarantines.size === 0) return {tag: 'allowed'};
+      const held = parts.filter(has);
+      if (held.length === 0) return {tag: 'allowed'};
+      let part = held[0]!;
+      let wait = 0;
+      for (const other of held) {
+        const next = getTrialWait(quarantines.get(other)!, held, now);
+        if (next > wait) [part, wait] = [other, next];
+      }
+      if (wait === 0) {
+        // Any instance may try what tells parts apart, as few calls do.
+        const mayTry =
+          held.every((other) => isSplit(quarantines.get(other)!, held)) ||
+          orderByRendezvous([...held].sort()[0]!, instances)[0] === name;
+        if (mayTry) return {tag: 'trial', parts: held};
+        wait = OTHER_TRIAL_MILLISECONDS;
+      }
+      const retryAfterMilliseconds = Number.isFinite(wait)
+        ? wait
+        : NO_TRIAL_MILLISECONDS;
+      return {tag: 'refused', part, retryAfterMilliseconds};
+    },
+    startTrial: (parts, now) =>
+      parts
+        // Before any of them changes what tells the others apart.
+        .map((part) => {
+          const quarantine = quarantines.get(part);
+          return {
+            part,
+            quarantine,
+            isFirst: quarantine && isSplit(quarantine, parts),
+          };
+        })
+        .flatMap(({part, quarantine, isFirst = false}) => {
+          if (quarantine === undefined) return [];
+          const index = quarantine.trials;
+          quarantine.trials += 1;
+          quarantine.hasSplit ||= isFirst;
+          quarantine.askedAt = now;
+          const {hasSplit} = quarantine;
+          return [
+            {tag: 'trial', part, index, hasSplit, ageMilliseconds: 0},
+          ] as const;
+        }),
+    recordAsked: (parts, now) =>
+      parts.flatMap((part) => {
+        const quarantine = quarantines.get(part);
+        if (quarantine === undefined) return [];
+        const isTold = now - quarantine.askedAt < ASKED_INTERVAL_MILLISECONDS;
+        if (isTold) return [];
+        quarantine.askedAt = now;
+        return [{tag: 'asked', part, ageMilliseconds: 0}] as const;
+      }),
+    mergeTrial({part, index, hasSplit}) {
+      const quarantine = quarantines.get(part);
+      if (quarantine === undefined || index < quarantine.trials) return false;
+      quarantine.trials = index + 1;
+      quarantine.hasSplit ||= hasSplit;
+      return true;
+    },
+    mergeAsked({part, ageMilliseconds}, now) {
+      const quarantine = quarantines.get(part);
+      if (quarantine === undefined) return false;
+      const askedAt = now - ageMilliseconds;
+      // Several instances may tell of calls at the same time.
+      const least = quarantine.askedAt + ASKED_INTERVAL_MILLISECONDS / 2;
+      if (askedAt < least) return false;
+      quarantine.askedAt = askedAt;
+      return true;
+    },
+    list: (now) =>
+      [...quarantines].flatMap(
+        ([
+          part,
+          {startedAt, others, trials, hasSplit, askedAt},
+        ]): PromptRecord[] => {
+          const ageMilliseconds = now - startedAt;
+          const index = trials - 1;
+          return [
+            {tag: 'verdict', part, others, ageMilliseconds},
+            ...(trials > 0
+              ? [
+                  {
+                    tag: 'trial',
+                    part,
+                    index,
+                    hasSplit,
+                    ageMilliseconds,
+                  } as const,
+                ]
+              : []),
+            {tag: 'asked', part, ageMilliseconds: now - askedAt},
+          ];
+        },
+      ),
+    dropExpired(now) {
+      for (const [part, {askedAt}] of quarantines) {
+        if (now - askedAt > UNUSED_MILLISECONDS) quarantines.delete(part);
+      }
+    },
+  };
+}
