Tell the bad part of a prompt from one that most calls share

Change: a verdict names the other suspects with two strikes or more. A call without one of them is tried after 1 s, and if its answer goes on, the rest of the suspects is quarantined at once. A clearing is relayed once, and a told one denies a verdict only if it is later by more than 250 ms. Answers move no part in the list of those known, and strikes are counted for all suspects of an end together.

--- a/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
@@ -24,14 +24,19 @@
    * Records that an answer with the part went on. Returns whether that clears
    * the part: it was suspect since a later time than its progress before.
    */
-  recordProgress(part: string, at: number): boolean;
+  recordProgress(part: string, at: number, isOwn: boolean): boolean;
   /** When an answer with the part last went on; -Infinity if none is known. */
   getProgressAt(part: string): number;
+  /** The same, but not later than it really was. */
+  getSureProgressAt(part: string): number;
   /**
-   * The strikes of a part since its last progress, without the ends that
-   * another one of the given parts explains.
+   * The strikes of each of the parts since its last progress, without the ends
+   * that another one of the explanations was waiting at.
    */
-  countStrikes(part: string, explanations: readonly string[]): number;
+  countStrikes(
+    parts: readonly string[],
+    explanations: readonly string[],
+  ): ReadonlyMap<string, number>;
   /** The ends since the last progress of a part. */
   listEnds(part: string): ProcessEnd[];
   /** The suspects that are recorded of one end: those sent last. */
@@ -42,6 +47,8 @@
   dropExpired(now: number): void;
 }
 
+/** What peers tell looks later by the time of its transfer, up to this one. */
+const LATENCY_MILLISECONDS = 250;
 /** Older ends count no more. */
 const REMEMBER_MILLISECONDS = 300_000;
 /** Beyond these numbers, the oldest is dropped. */
@@ -56,7 +63,7 @@
  * @example
  *     const evidence = createPromptEvidence();
  *     evidence.recordEnd('engine-1/17', 50, [{part: '5c1e', sentAt: 0}]);
- *     evidence.countStrikes('5c1e', []); // 1
+ *     evidence.countStrikes(['5c1e'], []).get('5c1e'); // 1
  */
 export function createPromptEvidence(): PromptEvidence {
   /** When the waiting calls were sent, by part, for each ended process. */
@@ -64,13 +71,13 @@
     string,
     ProcessEnd & {readonly suspects: Map<string, number>}
   >();
-  /** When answers last went on, by part, the oldest first. */
-  const progress = new Map<string, number>();
+  /** When answers last went on, by part, in the order of their first. */
+  const progress = new Map<string, {at: number; isOwn: boolean}>();
   /** Since when parts are suspect. */
   const suspectedAt = new Map<string, number>();
 
   const getProgressAt = (part: string): number =>
-    progress.get(part) ?? -Infinity;
+    progress.get(part)?.at ?? -Infinity;
 
   function suspect(part: string, at: number): void {
     suspectedAt.set(part, Math.max(at, suspectedAt.get(part) ?? -Infinity));
@@ -105,12 +112,10 @@
       }
       return added;
     },
-    recordProgress(part, at) {
+    recordProgress(part, at, isOwn) {
       const before = getProgressAt(part);
       if (at <= before) return false;
-      // Moved to the end, as the oldest is dropped first.
-      progress.delete(part);
-      progress.set(part, at);
+      progress.set(part, {at, isOwn});
       if (progress.size > MAXIMUM_PROGRESS) {
         progress.delete(progress.keys().next().value!);
       }
@@ -118,16 +123,32 @@
       return since !== undefined && before < since && at >= since;
     },
     getProgressAt,
-    countStrikes(part, explanations) {
-      const unexplained = listPartEnds(part).filter(
-        ({suspects}) =>
-          !explanations.some((other) => other !== part && suspects.has(other)),
+    getSureProgressAt(part) {
+      const known = progress.get(part);
+      if (known === undefined) return -Infinity;
+      return known.isOwn ? known.at : known.at - LATENCY_MILLISECONDS;
+    },
+    countStrikes(parts, explanations) {
+      const explained = new Map(
+        [...ends.values()].map(({process, suspects}) => [
+          process,
+          explanations.filter((part) => suspects.has(part)),
+        ]),
       );
-      return countStrikes(
-        unexplained.map(({suspects, endedAt}) => ({
-          sentAt: suspects.get(part)!,
-          endedAt,
-        })),
+      const isExplained = (process: string, part: string): boolean => {
+        const found = explained.get(process)!;
+        return found.length > 1 || (found.length === 1 && found[0] !== part);
+      };
+      return new Map(
+        parts.map((part) => {
+          const counted = listPartEnds(part)
+            .filter(({process}) => !isExplained(process, part))
+            .map(({suspects, endedAt}) => ({
+              sentAt: suspects.get(part)!,
+              endedAt,
+            }));
+          return [part, countStrikes(counted)] as const;
+        }),
       );
     },
     listEnds: (part) =>
@@ -150,7 +171,7 @@
         .filter((part) => progress.has(part))
         .map((part): PromptRecord => {
           const ageMilliseconds = now - getProgressAt(part);
-          return {tag: 'progress', part, ageMilliseconds};
+          return {tag: 'progress', part, ageMilliseconds, isRelayed: true};
         });
       return [...records, ...cleared];
     },
--- a/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
@@ -58,6 +58,8 @@
  * come together, it leaves the one that is known to be sound.
  */
 const MAXIMUM_PROVEN_STRIKES = 4;
+/** Strikes from which a part is told as another suspect of the same ends. */
+const SUSPECT_STRIKES = 2;
 /** Bounds the parts that are told with one. */
 const MAXIMUM_OTHERS = 16;
 
@@ -85,10 +87,28 @@
  */
 export function createPromptQuarantine(name: string): PromptQuarantine {
   const evidence = createPromptEvidence();
-  const quarantines = createQuarantineTable(name);
+  const quarantines = createQuarantineTable(name, evidence.getProgressAt);
 
-  const countStrikes = (part: string): number =>
-    evidence.countStrikes(part, quarantines.listParts());
+  const countStrikes = (
+    parts: readonly string[],
+  ): ReadonlyMap<string, number> =>
+    evidence.countStrikes(parts, quarantines.listParts());
+
+  function quarantineAll(
+    guilty: readonly string[],
+    suspects: readonly string[],
+    startedAt: number,
+    now: number,
+  ): PromptRecord[] {
+    return guilty.map((part) => {
+      const others = suspects
+        .filter((other) => other !== part)
+        .slice(0, MAXIMUM_OTHERS);
+      quarantines.add(part, {startedAt, others, askedAt: now});
+      const ageMilliseconds = now - startedAt;
+      return {tag: 'verdict', part, others, ageMilliseconds};
+    });
+  }
 
   /** Quarantines the parts whose strikes have reached the limit. */
   function conclude(
@@ -96,20 +116,17 @@
     startedAt: number,
     now: number,
   ): PromptRecord[] {
+    const strikes = countStrikes(parts);
     const guilty = parts.filter((part) => {
       if (quarantines.has(part)) return false;
       const isProven = evidence.getProgressAt(part) > -Infinity;
       const limit = isProven ? MAXIMUM_PROVEN_STRIKES : MAXIMUM_STRIKES;
-      return countStrikes(part) >= limit;
-    });
-    return guilty.map((part) => {
-      const others = guilty
-        .filter((other) => other !== part)
-        .slice(0, MAXIMUM_OTHERS);
-      quarantines.add(part, {startedAt, others, askedAt: now});
-      const ageMilliseconds = now - startedAt;
-      return {tag: 'verdict', part, others, ageMilliseconds};
+      return strikes.get(part)! >= limit;
     });
+    const suspects = parts.filter(
+      (part) => strikes.get(part)! >= SUSPECT_STRIKES && !quarantines.has(part),
+    );
+    return quarantineAll(guilty, suspects, startedAt, now);
   }
 
   function mergeEnd(
@@ -143,13 +160,35 @@
 
   function createProgress(part: string, now: number): PromptRecord {
     const ageMilliseconds = now - evidence.getProgressAt(part);
-    return {tag: 'progress', part, ageMilliseconds};
+    return {tag: 'progress', part, ageMilliseconds, isRelayed: false};
   }
 
-  /** Returns whether the progress clears the part or ends its quarantine. */
+  /**
+   * Applies progress at another instance. Returns whether it clears the part or
+   * ends its quarantine.
+   */
   function applyProgress(part: string, at: number): boolean {
-    const isCleared = evidence.recordProgress(part, at);
-    return quarantines.release(part, at) || isCleared;
+    const isCleared = evidence.recordProgress(part, at, false);
+    return quarantines.release(part, at) !== null || isCleared;
+  }
+
+  /**
+   * Quarantines the other suspects of the ends that a part was quarantined for,
+   * which is sound.
+   */
+  function concludeRest(
+    released: NonNullable<ReturnType<Table['release']>>,
+    soundParts: readonly string[],
+    now: number,
+  ): PromptRecord[] {
+    const {others, startedAt} = released;
+    const rest = others.filter(
+      (part) =>
+        !soundParts.includes(part) &&
+        !quarantines.has(part) &&
+        evidence.getProgressAt(part) < startedAt,
+    );
+    return quarantineAll(rest, rest, startedAt, now);
   }
 
   const mergers: {
@@ -161,13 +200,15 @@
     end: (record, now) => mergeEnd(record, now),
     progress(record, now) {
       const {part, ageMilliseconds} = record;
-      return applyProgress(part, now - ageMilliseconds) ? [record] : [];
+      const isNews = applyProgress(part, now - ageMilliseconds);
+      // Each relay makes it look later, so that it is relayed only once.
+      return isNews && !record.isRelayed ? [{...record, isRelayed: true}] : [];
     },
     verdict(record, now) {
       const {part, others, ageMilliseconds} = record;
       const startedAt = now - ageMilliseconds;
       if (quarantines.has(part)) return [];
-      if (evidence.getProgressAt(part) > startedAt) {
+      if (evidence.getSureProgressAt(part) > startedAt) {
         return [createProgress(part, now)];
       }
       quarantines.add(part, {startedAt, others, askedAt: startedAt});
@@ -185,9 +226,21 @@
     recordAsked: quarantines.recordAsked,
     getSize: quarantines.getSize,
     recordProgress: (parts, now) =>
-      parts
-        .filter((part) => applyProgress(part, now))
-        .map((part) => ({tag: 'progress', part, ageMilliseconds: 0})),
+      parts.flatMap((part): PromptRecord[] => {
+        const isCleared = evidence.recordProgress(part, now, true);
+        const released = quarantines.release(part, now);
+        if (released === null && !isCleared) return [];
+        const record = {
+          tag: 'progress',
+          part,
+          ageMilliseconds: 0,
+          isRelayed: false,
+        } as const;
+        return [
+          record,
+          ...(released ? concludeRest(released, parts, now) : []),
+        ];
+      }),
     recordEnd(process, waiting, endedAt, now) {
       const suspects = new Map<string, number>();
       for (const {parts, sentAt} of waiting) {
@@ -218,7 +271,7 @@
     describe(part, now) {
       const progressAt = evidence.getProgressAt(part);
       return {
-        strikes: countStrikes(part),
+        strikes: countStrikes([part]).get(part)!,
         progressAge: progressAt === -Infinity ? null : now - progressAt,
         ends: evidence
           .listEnds(part)
--- a/packages/hickorywharf-decisions/src/gateway/createQuarantineTable.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createQuarantineTable.ts
@@ -10,7 +10,7 @@
 interface Quarantine {
   /** End of the last process that is held against the part. */
   readonly startedAt: number;
-  /** Other parts that were quarantined by the same evidence. */
+  /** Other parts that the same evidence is held against. */
   readonly others: readonly string[];
   /** Number of trials that were started. */
   trials: number;
@@ -28,14 +28,14 @@
     part: string,
     quarantine: Pick<Quarantine, 'startedAt' | 'others' | 'askedAt'>,
   ): void;
-  /** Ends the quarantine of a part if it started before; true if so. */
-  release(part: string, at: number): boolean;
+  /** Ends the quarantine of a part if it started before; null if not. */
+  release(part: string, at: number): Readonly<Quarantine> | null;
   has(part: string): boolean;
   listParts(): readonly string[];
   getSize(): number;
   /** Whether a call with these parts may be sent. */
   check(parts: readonly string[], now: number): QuarantineDecision;
-  /** Records the trial of parts; returns what to tell peers. */
+  /** Records the trial by a call with these parts; returns what to tell peers. */
   startTrial(parts: readonly string[], now: number): PromptRecord[];
   /** Records that a call was refused; returns what to tell peers. */
   recordAsked(parts: readonly string[], now: number): PromptRecord[];
@@ -51,8 +51,8 @@
 /** Times of the trials after the quarantine has started. */
 const TRIAL_MILLISECONDS = [20_000, 80_000, 260_000];
 /**
- * Time of an additional first trial if other parts were quarantined by the same
- * evidence: with a call that has not all of them, to tell them apart.
+ * Time of an additional first trial if the same evidence is held against other
+ * parts: with a call that has not all of them, to tell them apart.
  */
 const SPLIT_MILLISECONDS = 1000;
 const MAXIMUM_TRIALS = 3;
@@ -73,12 +73,16 @@
  * answer goes on. All instances agree which of them runs the trial of a part.
  *
  * @param name name of this instance
+ * @param getProgressAt when an answer with a part last went on
  * @example
- *     const quarantines = createQuarantineTable('front-1');
+ *     const quarantines = createQuarantineTable('front-1', getProgressAt);
  *     quarantines.add('5c1e', {startedAt: now, others: [], askedAt: now});
  *     quarantines.check(['5c1e'], now); // {tag: 'refused', ...}
  */
-export function createQuarantineTable(name: string): QuarantineTable {
+export function createQuarantineTable(
+  name: string,
+  getProgressAt: (part: string) => number,
+): QuarantineTable {
   const quarantines = new Map<string, Quarantine>();
   let instances: readonly string[] = [name];
 
@@ -86,11 +90,15 @@
 
   /** Whether a call tells the part apart from others of the same evidence. */
   function isSplit(
-    {others, trials}: Quarantine,
+    {startedAt, others, trials}: Quarantine,
     parts: readonly string[],
   ): boolean {
-    const rest = others.some((other) => has(other) && !parts.includes(other));
-    return trials === 0 && rest;
+    const isSuspect = (part: string): boolean =>
+      has(part) || getProgressAt(part) < startedAt;
+    return (
+      trials === 0 &&
+      others.some((other) => !parts.includes(other) && isSuspect(other))
+    );
   }
 
   /** Milliseconds until the next trial; Infinity if none is left. */
@@ -122,8 +130,9 @@
     },
     release(part, at) {
       const quarantine = quarantines.get(part);
-      if (quarantine === undefined || at < quarantine.startedAt) return false;
-      return quarantines.delete(part);
+      if (quarantine === undefined || at < quarantine.startedAt) return null;
+      quarantines.delete(part);
+      return quarantine;
     },
     has,
     listParts: () => [...quarantines.keys()],
@@ -135,13 +144,13 @@
       let part = held[0]!;
       let wait = 0;
       for (const other of held) {
-        const next = getTrialWait(quarantines.get(other)!, held, now);
+        const next = getTrialWait(quarantines.get(other)!, parts, now);
         if (next > wait) [part, wait] = [other, next];
       }
       if (wait === 0) {
         // Any instance may try what tells parts apart, as few calls do.
         const mayTry =
-          held.every((other) => isSplit(quarantines.get(other)!, held)) ||
+          held.every((other) => isSplit(quarantines.get(other)!, parts)) ||
           orderByRendezvous([...held].sort()[0]!, instances)[0] === name;
         if (mayTry) return {tag: 'trial', parts: held};
         wait = OTHER_TRIAL_MILLISECONDS;
--- a/packages/hickorywharf-types/src/gateway/promptRecord.ts
+++ b/packages/hickorywharf-types/src/gateway/promptRecord.ts
@@ -20,12 +20,17 @@
       }>;
     })
   /** An answer to a prompt with the part went on. */
-  | (Aged & {readonly tag: 'progress'; readonly part: string})
+  | (Aged & {
+      readonly tag: 'progress';
+      readonly part: string;
+      /** Whether another instance than the sender observed it. */
+      readonly isRelayed: boolean;
+    })
   /** The part was quarantined. */
   | (Aged & {
       readonly tag: 'verdict';
       readonly part: string;
-      /** Other parts that were quarantined by the same evidence. */
+      /** Other parts that the same evidence is held against. */
       readonly others: readonly string[];
     })
   /** One call with the quarantined part may be sent. */
