Quarantine a part of prompts under which endpoints end

What callers saw: requests of one kind ended servers one after the other, and sound requests that waited beside them failed or were sent again. Cause: an instance sends a call to a further endpoint when the first one is gone, and goes on accepting calls with the same part of the prompt. Nothing relates the ends of endpoints to what the calls had in common, neither within an instance nor between instances. Change: calls are watched from their sending until their answers go on. If a connection breaks, one connection to the process is tried, without a request, and the endpoint list is watched for 3 s: only a process that is gone is an end. Ends, clearings, verdicts and trials travel in an optional field of heartbeats, not in a frame of their own, as older builds close a connection on an unknown tag. A peer that connects gets the whole state. Each call is asked about when it arrives, before its stages and before each send; a retry waits up to 100 ms for the check of the endpoint before. A call with a quarantined part gets 503 "quarantined" with Retry-After, or the failure as before if it may have run. Log lines and the metrics endpointEnds and promptParts tell ends under a quarantined part from others. Why it works: a bad part never has an answer that goes on, and sound parts have one soon, at some instance; so strikes add up for the bad part alone.

--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -6,6 +6,7 @@
 import type {CallContext} from './callContext.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {CallWatch} from './callWatch.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {EndpointClient} from './endpointClient.ts';
@@ -24,6 +25,8 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
+  /** Is told what becomes of the call, and ended with it. */
+  readonly watch: CallWatch;
   /**
    * Time for a whole response, or for the first data of a stream. Null for no
    * timeouts, as the call can't be retried elsewhere.
@@ -62,6 +65,7 @@
     splitter,
     wire,
     health,
+    watch,
     now,
   } = options;
   const {call} = context;
@@ -81,6 +85,7 @@
       if (timer !== null) clearTimeout(timer);
       context.cleanups.delete(abandon);
       load.end();
+      watch.end();
       resolve(result);
     }
     function abandon(): void {
@@ -131,6 +136,7 @@
       const events = splitter.append(chunk);
       restartTimer(EVENT_TIMEOUT_MILLISECONDS);
       if (events === null) return;
+      watch.recordEvents();
       if (!writer.isStarted) {
         load.recordPrefillDone();
         options.onFirstEvent();
@@ -156,6 +162,7 @@
       }
       if (isStreaming) {
         if (splitter.getRemainder().length > 0) {
+          watch.recordBroken('the stream ended within an event');
           return failAttempt('the stream ended within an event');
         }
         if (!writer.isStarted) writer.startStream(head);
@@ -165,6 +172,7 @@
       const body = Buffer.concat(chunks);
       const isSuccess = head.status >= 200 && head.status < 300;
       if (!isSuccess) return settle({tag: 'failed', head, body});
+      watch.recordAnswer();
       health.recordResponse(endpoint.id, now() - startedAt);
       writer.sendResponse(head, body);
       settle({tag: 'delivered'});
@@ -206,6 +214,7 @@
           settle({tag: 'notRun', reason: message});
           return;
         }
+        watch.recordBroken(message);
         failAttempt(message);
       },
     });
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -14,7 +14,7 @@
 /** Fields that a heartbeat may have in addition. */
 type HeartbeatFields = Pick<
   Extract<Frame, {tag: 'heartbeat'}>,
-  'endpointLimits' | 'streams'
+  'endpointLimits' | 'streams' | 'promptRecords'
 >;
 
 interface PeerConnectionsOptions {
@@ -31,6 +31,8 @@
   getStatusFrame(): Frame;
   /** Fields for the heartbeats to peers that this instance connected to. */
   getHeartbeatFields(): HeartbeatFields;
+  /** Fields that a peer gets at once when a connection with it is made. */
+  getFirstFields(): HeartbeatFields;
   /** Receives a frame of a peer that connected to this instance. */
   onRequest(connection: Connection, frame: Frame): void;
   /** Called when a peer that connected to this instance has disconnected. */
@@ -58,6 +60,8 @@
   sendHeartbeat(name: string, fields: HeartbeatFields): boolean;
   /** Replies with a heartbeat to a peer that connected to this instance. */
   replyHeartbeat(connection: Connection, fields: HeartbeatFields): void;
+  /** Sends a heartbeat with fields at once to every connected peer. */
+  broadcastHeartbeat(fields: HeartbeatFields): void;
   /** Makes peers order elsewhere; orders that were accepted still run. */
   announceLeaving(): void;
   close(): Promise<void>;
@@ -131,6 +135,7 @@
           connected.set(name, connection);
           leaving.delete(name);
           log.infoAlways('peer connected', {step: 'peer', peer: name});
+          sendFirstFields(connection, createHeartbeat(false));
         },
         onDisconnected(connection) {
           if (connected.get(name) === connection) connected.delete(name);
@@ -152,6 +157,12 @@
     clients.delete(name);
   }
 
+  function sendFirstFields(connection: Connection, heartbeat: Frame): void {
+    const fields = options.getFirstFields();
+    if (Object.keys(fields).length === 0) return;
+    connection.send({...heartbeat, ...fields});
+  }
+
   function sendStatus(): void {
     const status = isLeaving ? createHeartbeat(true) : options.getStatusFrame();
     for (const connection of inbound) connection.send(status);
@@ -169,7 +180,10 @@
         identity,
         silenceTimeoutMilliseconds: SILENCE_TIMEOUT_MILLISECONDS,
         handlers: {
-          onConnected: (connection) => void inbound.add(connection),
+          onConnected(connection) {
+            inbound.add(connection);
+            sendFirstFields(connection, createHeartbeat(isLeaving));
+          },
           onDisconnected(connection) {
             inbound.delete(connection);
             options.onRequesterDisconnected(connection);
@@ -213,6 +227,12 @@
       false,
     replyHeartbeat: (connection, fields) =>
       void connection.send({...createHeartbeat(isLeaving), ...fields}),
+    broadcastHeartbeat(fields) {
+      const heartbeat = {...createHeartbeat(false), ...fields};
+      for (const connection of connected.values()) connection.send(heartbeat);
+      const reply = {...createHeartbeat(isLeaving), ...fields};
+      for (const connection of inbound) connection.send(reply);
+    },
     send: (name, frame) => connected.get(name)?.send(frame) ?? false,
     async close() {
       if (heartbeatTimer !== null) clearInterval(heartbeatTimer);
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
@@ -0,0 +1,219 @@
+import {createPromptQuarantine} from 'hickorywharf-decisions/gateway/createPromptQuarantine';
+import {createWaitingCalls} from 'hickorywharf-decisions/gateway/createWaitingCalls';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import type {CallWatch} from './callWatch.ts';
+import {createEndDetector} from './createEndDetector.ts';
+import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
+import type {GatewayState} from './gatewayState.ts';
+
+interface QuarantineOptions {
+  /** Name of this instance. */
+  readonly name: string;
+  readonly state: GatewayState;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+  /** Monotonic milliseconds. */
+  now(): number;
+  /** Sends records to all connected peers. */
+  broadcast(records: readonly PromptRecord[]): void;
+}
+
+interface PromptQuarantineSync {
+  setInstances(names: readonly string[]): void;
+  /**
+   * Null if a call with these parts may go on. With `isSend` the call is sent
+   * at once, and uses up the trial of a quarantined part.
+   */
+  check(
+    parts: readonly string[],
+    requestId: string,
+    isSend: boolean,
+  ): {readonly part: string; readonly retryAfterMilliseconds: number} | null;
+  /** Watches a call that is sent to an endpoint now. */
+  watchCall(
+    endpoint: GatewayEndpoint,
+    requestId: string,
+    parts: readonly string[],
+  ): CallWatch;
+  /** Resolves when it is known whether the endpoint's process ended. */
+  waitForProbe(endpoint: GatewayEndpoint): Promise<void>;
+  /** Handles what a peer told. */
+  handle(peer: string, records: readonly PromptRecord[]): void;
+  /** All records, for a peer that has connected. */
+  listRecords(): PromptRecord[];
+  /** Drops what is too old. To be called regularly. */
+  flush(): void;
+}
+
+/** Reads of complete events after which a stream has gone on. */
+const PROGRESS_READS = 2;
+/** Bounds the lists in one log line. */
+const MAXIMUM_LOGGED = 12;
+
+/**
+ * Keeps calls from being sent whose prompts have a part under which processes
+ * of endpoints ended, and exchanges with peers what each instance observed.
+ *
+ * @example
+ *     const quarantine = createPromptQuarantineSync(options);
+ *     const watch = quarantine.watchCall(endpoint, '9c41', ['5c1e07a2']);
+ *     watch.recordBroken('read ECONNRESET');
+ *     watch.end();
+ */
+export function createPromptQuarantineSync(
+  options: QuarantineOptions,
+): PromptQuarantineSync {
+  const {state, log, metrics, now} = options;
+  const quarantine = createPromptQuarantine(options.name);
+  const waiting = createWaitingCalls();
+  const detector = createEndDetector({state, metrics});
+
+  function describePart(part: string) {
+    const {strikes, progressAge, ends} = quarantine.describe(part, now());
+    return {
+      part,
+      strikes,
+      progressAge: progressAge === null ? null : Math.round(progressAge),
+      ends: ends
+        .slice(-MAXIMUM_LOGGED)
+        .map(({process, age}) => ({process, age: Math.round(age)})),
+    };
+  }
+
+  const loggers: {
+    readonly [Tag in PromptRecord['tag']]: (
+      record: Extract<PromptRecord, {tag: Tag}>,
+      source: string,
+    ) => void;
+  } = {
+    end({process, suspects, ageMilliseconds}, source) {
+      log.infoRateLimited('prompt parts suspected', {
+        step: 'quarantine',
+        process,
+        source,
+        age: Math.round(ageMilliseconds),
+        suspects: suspects
+          .slice(0, MAXIMUM_LOGGED)
+          .map(({part, sentAgeMilliseconds}) => ({
+            part,
+            sentAge: Math.round(sentAgeMilliseconds),
+            strikes: quarantine.describe(part, now()).strikes,
+            isQuarantined: quarantine.isQuarantined(part),
+          })),
+        suspectCount: suspects.length,
+      });
+    },
+    progress({part, ageMilliseconds}, source) {
+      log.infoRateLimited('prompt part cleared', {
+        step: 'quarantine',
+        part,
+        source,
+        age: Math.round(ageMilliseconds),
+      });
+    },
+    verdict({part, others, ageMilliseconds}, source) {
+      log.infoAlways('prompt part quarantined', {
+        step: 'quarantine',
+        source,
+        age: Math.round(ageMilliseconds),
+        others,
+        ...describePart(part),
+      });
+    },
+    trial({part, index}, source) {
+      log.infoAlways('prompt part on trial', {
+        step: 'quarantine',
+        part,
+        source,
+        index,
+      });
+    },
+    asked: () => undefined,
+  };
+
+  /** Logs records that are new and tells all peers. */
+  function tell(records: readonly PromptRecord[], source: string): void {
+    if (records.length === 0) return;
+    for (const record of records) {
+      metrics.count('promptParts', record.tag);
+      loggers[record.tag](record as never, source);
+    }
+    options.broadcast(records);
+  }
+
+  function handleBroken(
+    endpoint: GatewayEndpoint,
+    process: string,
+    reason: string,
+  ): void {
+    const endedAt = now();
+    const calls = waiting.list(process);
+    detector.check(endpoint, (proof) => {
+      const records = quarantine.recordEnd(process, calls, endedAt, now());
+      log.infoAlways('endpoint process ended', {
+        step: 'quarantine',
+        peer: endpoint.id,
+        process,
+        reason,
+        proof,
+        age: Math.round(now() - endedAt),
+        waiting: calls.length,
+        requestIds: calls
+          .slice(0, MAXIMUM_LOGGED)
+          .map(({requestId}) => requestId),
+        explainedBy: [...new Set(calls.flatMap(({parts}) => parts))].filter(
+          quarantine.isQuarantined,
+        ),
+      });
+      tell(records, 'own');
+    });
+  }
+
+  return {
+    setInstances: quarantine.setInstances,
+    check(parts, requestId, isSend) {
+      const decision = quarantine.check(parts, now());
+      if (decision.tag === 'allowed') return null;
+      if (decision.tag === 'trial') {
+        if (!isSend) return null;
+        log.infoAlways('call with a quarantined prompt part sent', {
+          step: 'quarantine',
+          requestId,
+          evidence: decision.parts.map(describePart),
+        });
+        tell(quarantine.startTrial(parts, now()), 'own');
+        return null;
+      }
+      metrics.count('promptParts', 'refused');
+      tell(quarantine.recordAsked(parts, now()), 'own');
+      return decision;
+    },
+    watchCall(endpoint, requestId, parts) {
+      const process = `${endpoint.id}/${endpoint.startedAt}`;
+      const end = waiting.start(process, {requestId, parts, sentAt: now()});
+      let reads = 0;
+      const recordProgress = (): void => {
+        end();
+        tell(quarantine.recordProgress(parts, now()), 'own');
+      };
+      return {
+        recordEvents() {
+          reads += 1;
+          if (reads === PROGRESS_READS) recordProgress();
+        },
+        recordAnswer: recordProgress,
+        recordBroken: (reason) => handleBroken(endpoint, process, reason),
+        end,
+      };
+    },
+    waitForProbe: detector.waitForProbe,
+    handle(peer, records) {
+      if (records.length === 0) return;
+      tell(quarantine.merge(records, now()), peer);
+    },
+    listRecords: () => quarantine.list(now()),
+    flush: () => quarantine.dropExpired(now()),
+  };
+}
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -37,5 +37,13 @@
     meaning:
       'streams that callers resumed, by where the version was known from',
   },
+  endpointEnds: {
+    label: 'result',
+    meaning: 'broken connections by whether the process of the endpoint ended',
+  },
+  promptParts: {
+    label: 'event',
+    meaning: 'parts of prompts by what was decided about them',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/refusal.ts
+++ b/packages/hickorywharf-gateway/src/refusal.ts
@@ -9,6 +9,7 @@
     | 'unconfirmed'
     | 'overloaded'
     | 'versionUnknown'
+    | 'quarantined'
     | 'noEndpoint'
     | 'stopping'
     | 'deadlineExceeded'
--- a/packages/hickorywharf-gateway/src/refusalStatuses.ts
+++ b/packages/hickorywharf-gateway/src/refusalStatuses.ts
@@ -13,6 +13,7 @@
   unconfirmed: 503,
   overloaded: 503,
   versionUnknown: 503,
+  quarantined: 503,
   noEndpoint: 503,
   stopping: 503,
   deadlineExceeded: 503,
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -17,6 +17,7 @@
 import {createInstantClock} from './createInstantClock.ts';
 import {createPeerConnections} from './createPeerConnections.ts';
 import {createPeerStateSync} from './createPeerStateSync.ts';
+import {createPromptQuarantineSync} from './createPromptQuarantineSync.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
 import {createStateUpdater} from './createStateUpdater.ts';
@@ -97,9 +98,18 @@
     getInstant,
     send: (peer, exchange) => peers.sendHeartbeat(peer, {streams: exchange}),
   });
+  const quarantine = createPromptQuarantineSync({
+    name: settings.name,
+    state,
+    log,
+    metrics,
+    now,
+    broadcast: (promptRecords) => peers.broadcastHeartbeat({promptRecords}),
+  });
   /** Left out without reports, as most heartbeats have none. */
   const getHeartbeatFields = () => {
     streams.flush();
+    quarantine.flush();
     const endpointLimits = limiter.listReports();
     return endpointLimits.length > 0 ? {endpointLimits} : {};
   };
@@ -139,8 +149,13 @@
       ...getHeartbeatFields(),
     }),
     getHeartbeatFields,
+    getFirstFields() {
+      const promptRecords = quarantine.listRecords();
+      return promptRecords.length > 0 ? {promptRecords} : {};
+    },
     onRequest(connection, frame) {
       if (frame.tag === 'heartbeat') {
+        quarantine.handle(connection.peer.name, frame.promptRecords ?? []);
         limiter.recordReports(frame.endpointLimits ?? []);
         const reply = frame.streams && streams.handle(frame.streams);
         if (reply) peers.replyHeartbeat(connection, {streams: reply});
@@ -150,8 +165,9 @@
     },
     onRequesterDisconnected: router.cancelRequests,
     onReply(name, frame) {
-      if (frame.tag === 'heartbeat' && frame.streams !== undefined) {
-        streams.handle(frame.streams);
+      if (frame.tag === 'heartbeat') {
+        quarantine.handle(name, frame.promptRecords ?? []);
+        if (frame.streams !== undefined) streams.handle(frame.streams);
       }
       if (frame.tag === 'stageWaits') {
         limiter.recordReports(frame.endpointLimits ?? []);
@@ -195,6 +211,7 @@
     health,
     limiter,
     streams,
+    quarantine,
     loads: createEndpointLoads(),
     budget,
     router,
@@ -247,7 +264,9 @@
       const {name, capacity} = settings;
       limiter.recordInstances([...others, {name, capacity}]);
       peers.setInstances(others);
-      // Connects to those that keep records of streams before one is asked.
+      quarantine.setInstances([...others.map((other) => other.name), name]);
+      // Connects to those that keep records of streams before one is asked, and
+      // through which all instances are told of prompts.
       for (const keeper of rankStreamHomes([...others, {name, capacity}])) {
         if (keeper !== name) peers.isConnected(keeper);
       }
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -3,6 +3,7 @@
 import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import {estimateEngineTime} from 'hickorywharf-decisions/gateway/estimateEngineTime';
 import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
+import {listSharedParts} from 'hickorywharf-decisions/gateway/listSharedParts';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
@@ -15,6 +16,7 @@
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import type {createInstantClock} from './createInstantClock.ts';
+import type {createPromptQuarantineSync} from './createPromptQuarantineSync.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
@@ -35,6 +37,7 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly streams: ReturnType<typeof createStreamVersions>;
+  readonly quarantine: ReturnType<typeof createPromptQuarantineSync>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
@@ -86,11 +89,13 @@
   input: ServedCall,
 ): Promise<void> {
   const {settings, state, health, limiter, loads, budget} = options;
+  const {quarantine} = options;
   const {log, metrics, getInstant} = options;
   const {context, body, relay: writer} = input;
   const {call, route, service} = context;
   const splitter = createEventSplitter();
   const selector = createEndpointSelector(options, context);
+  const promptParts = listSharedParts(call.promptParts);
   let sends = 0;
   /** Number of attempts after which the call may have run. */
   let runs = 0;
@@ -168,6 +173,25 @@
     });
   }
 
+  /**
+   * Ends a call whose prompt has a quarantined part. False if the call may go
+   * on; with `isSend`, if it may be sent now.
+   */
+  function refuseQuarantined(isSend: boolean): boolean {
+    const found = quarantine.check(promptParts, call.id, isSend);
+    if (found === null) return false;
+    const reason = `endpoints ended under the part ${found.part} of the prompt`;
+    if (runs > 0 || writer.isStarted) fail(reason);
+    else {
+      refuse({
+        tag: 'quarantined',
+        message: reason,
+        retryAfterMilliseconds: found.retryAfterMilliseconds,
+      });
+    }
+    return true;
+  }
+
   /**
    * Finds the version at which the caller's stream continues. False if it is
    * not known or does not serve any more; the response is written.
@@ -331,12 +355,14 @@
       health,
       limiter,
       loads,
+      watch: quarantine.watchCall(endpoint, call.id, promptParts),
       responseTimeoutMilliseconds: selector.getResponseTimeout(endpoint, runs),
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
     });
   }
 
+  if (refuseQuarantined(false)) return;
   budget.recordRequest(service.name, context.arrivedAt);
   context.cleanups.add(freeInputs);
   const isResumed = call.resumedRequestId !== null || call.lastEventId !== null;
@@ -345,6 +371,7 @@
     return;
   }
   while (!context.isEnded) {
+    if (refuseQuarantined(false)) break;
     if (!(await prepareInputs())) break;
     if (
       context.account !== null &&
@@ -391,6 +418,7 @@
       fail('the budget of repeats is used up');
       break;
     }
+    if (refuseQuarantined(true)) break;
     const lastEventId = splitter.getLastId() ?? call.lastEventId;
     if (lastEventId !== null) {
       log.infoRateLimited('stream resumes', {
@@ -434,7 +462,11 @@
       sends < MAXIMUM_SENDS &&
       (result.tag === 'notRun' ||
         (context.isRetryable && runs < route.maximumEndpoints));
-    if (mayRetry) continue;
+    if (mayRetry) {
+      // The end of a process may quarantine a part of this prompt.
+      await quarantine.waitForProbe(endpoint);
+      continue;
+    }
     if (result.tag === 'failed') {
       recordOutcome('failed', {peer: endpoint.id, status: result.head.status});
       writer.sendResponse(result.head, result.body);
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -53,6 +53,35 @@
   version: isName,
 });
 
+const isPromptPart = hasFields({part: isName, ageMilliseconds: isNotNegative});
+
+const PROMPT_RECORD_CHECKS: Readonly<Record<string, Check>> = {
+  end: hasFields({
+    process: isName,
+    ageMilliseconds: isNotNegative,
+    suspects: isArrayOf(
+      hasFields({part: isName, sentAgeMilliseconds: isNotNegative}),
+    ),
+  }),
+  progress: (value) =>
+    isPromptPart(value) && hasFields({isRelayed: isBoolean})(value),
+  verdict: (value) =>
+    isPromptPart(value) && hasFields({others: isArrayOf(isName)})(value),
+  trial: (value) =>
+    isPromptPart(value) &&
+    hasFields({index: isCount, hasSplit: isBoolean})(value),
+  asked: isPromptPart,
+};
+
+function isPromptRecord(value: unknown): boolean {
+  if (!isObject(value) || typeof value['tag'] !== 'string') return false;
+  const {tag} = value;
+  return (
+    Object.hasOwn(PROMPT_RECORD_CHECKS, tag) &&
+    PROMPT_RECORD_CHECKS[tag]!(value)
+  );
+}
+
 const OUTPUT_CHECKS: Readonly<Record<string, Check>> = {
   encode: hasFields({vector: isNumberArray}),
   retrieve: isDocuments,
@@ -160,6 +189,7 @@
       isArrayOf(hasFields({askId: isCount, origin: isNullOr(isStreamOrigin)})),
     ),
   }),
+  isPromptRecord,
   isStageResult: hasFields({
     tag: isOneOf('made', 'inputGone', 'expired', 'failed'),
     piece: isCount,
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -75,6 +75,9 @@
     configurationSequence: isCount,
     endpointLimits: isOptionalLimitReports,
     streams: frameChecks.isOptional(frameChecks.isStreamExchange),
+    promptRecords: frameChecks.isOptional(
+      isArrayOf(frameChecks.isPromptRecord),
+    ),
   },
   homes: {homes: isHomeIntervalArray},
   configurationAt: {sequence: isCount},
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -2,6 +2,7 @@
 import type {ConfigurationEntry} from './configurationEntry.ts';
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
+import type {PromptRecord} from './gateway/promptRecord.ts';
 import type {SerializedConfiguration} from './gateway/serializedConfiguration.ts';
 import type {StreamExchange} from './gateway/streamExchange.ts';
 import type {StageOrder} from './gateway/stageOrder.ts';
@@ -117,6 +118,8 @@
       readonly endpointLimits?: readonly EndpointLimitReport[];
       /** Left out if there is nothing to tell. */
       readonly streams?: StreamExchange;
+      /** Left out if there is nothing to tell. */
+      readonly promptRecords?: readonly PromptRecord[];
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
