Start the health of an endpoint anew with its next process

Cause: failures were kept by the endpoint's id. If a process ended under a part of a prompt, up to hundreds of calls failed at once, and the next process with the same id got the longest penalty, up to 6.4 s, for what the part did. Change: a change of the start time in the endpoint list discards what was recorded of the process before.

--- a/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
@@ -51,6 +51,7 @@
     getInstant: () => ({monotonic: 0, wall: 0}),
     onChange() {},
     onEndpointRemoved() {},
+    onEndpointRestarted() {},
     log: {infoAlways() {}, infoRateLimited() {}},
   });
   updater.applyConfiguration(CONFIGURATION, {monotonic: 0, wall: 0});
--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -73,6 +73,7 @@
     getInstant,
     onChange() {},
     onEndpointRemoved() {},
+    onEndpointRestarted() {},
     log: {infoAlways() {}, infoRateLimited() {}},
   });
   let peer: ReturnType<typeof createPeerStateSync> | null = null;
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -14,6 +14,8 @@
   onChange(): void;
   /** Called for each endpoint that was removed, before `onChange`. */
   onEndpointRemoved(endpointId: string): void;
+  /** Called for each endpoint that another process runs now. */
+  onEndpointRestarted(endpointId: string): void;
   /** Called after each list, changed or not, with the time of its read. */
   onEndpointsConfirmed(readAt: Instant): void;
 }
@@ -57,6 +59,7 @@
         service: endpoint.service,
       });
       if (tag === 'left') onEndpointRemoved(endpoint.id);
+      if (tag === 'restarted') options.onEndpointRestarted(endpoint.id);
     }
     options.onEndpointsConfirmed(readAt);
     if (changes.length === 0) return;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -189,6 +189,7 @@
       dispatcher.refresh();
       server.refresh();
     },
+    onEndpointRestarted: health.remove,
     onEndpointsConfirmed: streams.recordList,
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
