--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
@@ -0,0 +1,282 @@
+import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import {createPromptEvidence} from './createPromptEvidence.ts';
+import {createQuarantineTable} from './createQuarantineTable.ts';
+
+type RecordOf<Tag extends PromptRecord['tag']> = Extract<
+  PromptRecord,
+  {tag: Tag}
+>;
+type Table = ReturnType<typeof createQuarantineTable>;
+
+/** Every `now` is in monotonic milliseconds. */
+interface PromptQuarantine extends Pick<
+  Table,
+  'setInstances' | 'check' | 'startTrial' | 'recordAsked' | 'getSize'
+> {
+  /** Records that an answer to a call went on; returns what to tell peers. */
+  recordProgress(parts: readonly string[], now: number): PromptRecord[];
+  /**
+   * Records the end of a process under calls that waited for its answers;
+   * returns what to tell peers.
+   */
+  recordEnd(
+    process: string,
+    waiting: ReadonlyArray<{
+      readonly parts: readonly string[];
+      readonly sentAt: number;
+    }>,
+    endedAt: number,
+    now: number,
+  ): PromptRecord[];
+  /**
+   * Merges what a peer told. Returns what was news to this instance, or is to
+   * the peer, to tell all peers.
+   */
+  merge(records: readonly PromptRecord[], now: number): PromptRecord[];
+  /** All that this instance knows, for a peer that has connected. */
+  list(now: number): PromptRecord[];
+  /** Drops what is too old. */
+  dropExpired(now: number): void;
+  isQuarantined(part: string): boolean;
+  /** What is held against a part, for the log. */
+  describe(
+    part: string,
+    now: number,
+  ): {
+    readonly strikes: number;
+    /** Time since an answer with the part went on; null if none is known. */
+    readonly progressAge: number | null;
+    /** Processes that ended since, with their ages. */
+    readonly ends: ReadonlyArray<{process: string; age: number}>;
+  };
+}
+
+/** Strikes after which a part is quarantined. */
+const MAXIMUM_STRIKES = 3;
+/**
+ * The same for a part that has had answers before. Of two parts that always
+ * come together, it leaves the one that is known to be sound.
+ */
+const MAXIMUM_PROVEN_STRIKES = 4;
+/** Strikes from which a part is told as another suspect of the same ends. */
+const SUSPECT_STRIKES = 2;
+/** Bounds the parts that are told with one. */
+const MAXIMUM_OTHERS = 16;
+
+/** Progress and verdicts first, as they explain the ends. */
+const MERGE_ORDER: Readonly<Record<PromptRecord['tag'], number>> = {
+  progress: 0,
+  verdict: 1,
+  trial: 2,
+  asked: 3,
+  end: 4,
+};
+
+/**
+ * Finds parts of prompts that end the processes of endpoints, and keeps calls
+ * with them from being sent. A part gets a strike if a process ends while a
+ * call with the part waits that was sent after its strike before; an answer
+ * that goes on clears the part and ends its quarantine. Instances merge what
+ * each of them observes, so that all reach the same verdict.
+ *
+ * @param name name of this instance
+ * @example
+ *     const quarantine = createPromptQuarantine('front-1');
+ *     quarantine.recordEnd('engine-1/17', [{parts: ['5c1e'], sentAt}], endedAt, now);
+ *     quarantine.check(['5c1e'], now); // {tag: 'allowed'} before three strikes
+ */
+export function createPromptQuarantine(name: string): PromptQuarantine {
+  const evidence = createPromptEvidence();
+  const quarantines = createQuarantineTable(name, evidence.getProgressAt);
+
+  const countStrikes = (
+    parts: readonly string[],
+  ): ReadonlyMap<string, number> =>
+    evidence.countStrikes(parts, quarantines.listParts());
+
+  function quarantineAll(
+    guilty: readonly string[],
+    suspects: readonly string[],
+    startedAt: number,
+    now: number,
+  ): PromptRecord[] {
+    return guilty.map((part) => {
+      const others = suspects
+        .filter((other) => other !== part)
+        .slice(0, MAXIMUM_OTHERS);
+      quarantines.add(part, {startedAt, others, askedAt: now});
+      const ageMilliseconds = now - startedAt;
+      return {tag: 'verdict', part, others, ageMilliseconds};
+    });
+  }
+
+  /** Quarantines the parts whose strikes have reached the limit. */
+  function conclude(
+    parts: readonly string[],
+    startedAt: number,
+    now: number,
+  ): PromptRecord[] {
+    const strikes = countStrikes(parts);
+    const guilty = parts.filter((part) => {
+      if (quarantines.has(part)) return false;
+      const isProven = evidence.getProgressAt(part) > -Infinity;
+      const limit = isProven ? MAXIMUM_PROVEN_STRIKES : MAXIMUM_STRIKES;
+      return strikes.get(part)! >= limit;
+    });
+    const suspects = parts.filter(
+      (part) => strikes.get(part)! >= SUSPECT_STRIKES && !quarantines.has(part),
+    );
+    return quarantineAll(guilty, suspects, startedAt, now);
+  }
+
+  function mergeEnd(
+    record: RecordOf<'end'>,
+    now: number,
+    isOwn = false,
+  ): PromptRecord[] {
+    const {process, suspects, ageMilliseconds} = record;
+    const endedAt = now - ageMilliseconds;
+    const added = evidence.recordEnd(
+      process,
+      endedAt,
+      suspects.map(({part, sentAgeMilliseconds}) => ({
+        part,
+        sentAt: now - sentAgeMilliseconds,
+      })),
+    );
+    if (added.length === 0 && !isOwn) return [];
+    const news = new Set(added);
+    const told = {
+      ...record,
+      suspects: suspects.filter(({part}) => news.has(part)),
+    };
+    const cleared = added
+      .filter((part) => evidence.getProgressAt(part) > endedAt)
+      .map((part) => createProgress(part, now));
+    const parts = suspects.map(({part}) => part);
+    const verdicts = conclude(parts, endedAt, now);
+    return [...(added.length > 0 ? [told] : []), ...cleared, ...verdicts];
+  }
+
+  function createProgress(part: string, now: number): PromptRecord {
+    const ageMilliseconds = now - evidence.getProgressAt(part);
+    return {tag: 'progress', part, ageMilliseconds, isRelayed: false};
+  }
+
+  /**
+   * Applies progress at another instance. Returns whether it clears the part or
+   * ends its quarantine.
+   */
+  function applyProgress(part: string, at: number): boolean {
+    const isCleared = evidence.recordProgress(part, at, false);
+    return quarantines.release(part, at) !== null || isCleared;
+  }
+
+  /**
+   * Quarantines the other suspects of the ends that a part was quarantined for,
+   * which is sound.
+   */
+  function concludeRest(
+    released: NonNullable<ReturnType<Table['release']>>,
+    soundParts: readonly string[],
+    now: number,
+  ): PromptRecord[] {
+    const {others, startedAt} = released;
+    const rest = others.filter(
+      (part) =>
+        !soundParts.includes(part) &&
+        !quarantines.has(part) &&
+        evidence.getProgressAt(part) < startedAt,
+    );
+    return quarantineAll(rest, rest, startedAt, now);
+  }
+
+  const mergers: {
+    readonly [Tag in PromptRecord['tag']]: (
+      record: RecordOf<Tag>,
+      now: number,
+    ) => PromptRecord[];
+  } = {
+    end: (record, now) => mergeEnd(record, now),
+    progress(record, now) {
+      const {part, ageMilliseconds} = record;
+      const isNews = applyProgress(part, now - ageMilliseconds);
+      // Each relay makes it look later, so that it is relayed only once.
+      return isNews && !record.isRelayed ? [{...record, isRelayed: true}] : [];
+    },
+    verdict(record, now) {
+      const {part, others, ageMilliseconds} = record;
+      const startedAt = now - ageMilliseconds;
+      if (quarantines.has(part)) return [];
+      if (evidence.getSureProgressAt(part) > startedAt) {
+        return [createProgress(part, now)];
+      }
+      quarantines.add(part, {startedAt, others, askedAt: startedAt});
+      return [record];
+    },
+    trial: (record) => (quarantines.mergeTrial(record) ? [record] : []),
+    asked: (record, now) =>
+      quarantines.mergeAsked(record, now) ? [record] : [],
+  };
+
+  return {
+    setInstances: quarantines.setInstances,
+    check: quarantines.check,
+    startTrial: quarantines.startTrial,
+    recordAsked: quarantines.recordAsked,
+    getSize: quarantines.getSize,
+    recordProgress: (parts, now) =>
+      parts.flatMap((part): PromptRecord[] => {
+        const isCleared = evidence.recordProgress(part, now, true);
+        const released = quarantines.release(part, now);
+        if (released === null && !isCleared) return [];
+        const record = {
+          tag: 'progress',
+          part,
+          ageMilliseconds: 0,
+          isRelayed: false,
+        } as const;
+        return [
+          record,
+          ...(released ? concludeRest(released, parts, now) : []),
+        ];
+      }),
+    recordEnd(process, waiting, endedAt, now) {
+      const suspects = new Map<string, number>();
+      for (const {parts, sentAt} of waiting) {
+        for (const part of parts) {
+          suspects.set(part, Math.max(sentAt, suspects.get(part) ?? -Infinity));
+        }
+      }
+      const record: RecordOf<'end'> = {
+        tag: 'end',
+        process,
+        ageMilliseconds: now - endedAt,
+        suspects: evidence
+          .limitSuspects([...suspects])
+          .map(([part, sentAt]) => ({part, sentAgeMilliseconds: now - sentAt})),
+      };
+      return mergeEnd(record, now, true);
+    },
+    merge: (records, now) =>
+      [...records]
+        .sort((left, right) => MERGE_ORDER[left.tag] - MERGE_ORDER[right.tag])
+        .flatMap((record) => mergers[record.tag](record as never, now)),
+    list: (now) => [...evidence.list(now), ...quarantines.list(now)],
+    dropExpired(now) {
+      evidence.dropExpired(now);
+      quarantines.dropExpired(now);
+    },
+    isQuarantined: quarantines.has,
+    describe(part, now) {
+      const progressAt = evidence.getProgressAt(part);
+      return {
+        strikes: countStrikes([part]).get(part)!,
+        progressAge: progressAt === -Infinity ? null : now - progressAt,
+        ends: evidence
+          .listEnds(part)
+          .map(({process, endedAt}) => ({process, age: now - endedAt})),
+      };
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -8,6 +8,7 @@
 import {createBodyBuffer} from './createBodyBuffer.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {CallWatch} from './callWatch.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
 import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
@@ -34,6 +35,8 @@
   readonly loads: ReturnType<typeof createEndpointLoads>;
   /** Shared by all calls of the instance. */
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
+  /** Is told what becomes of the call, and ended with it. */
+  readonly watch: CallWatch;
   /**
    * Time for a whole response, or for the first event of a stream. Null for no
    * timeouts, as the call can't be retried elsewhere.
@@ -82,6 +85,7 @@
     splitter,
     wire,
     health,
+    watch,
     now,
   } = options;
   const {call} = context;
@@ -110,6 +114,7 @@
       context.cleanups.delete(abandon);
       load.end();
       if (result.tag !== 'delivered' && result.tag !== 'failed') memory.close();
+      watch.end();
       resolve(result);
     }
     function abandon(): void {
@@ -176,6 +181,7 @@
       }
       if (events === null) return;
       restartTimer(EVENT_TIMEOUT_MILLISECONDS);
+      watch.recordEvents();
       if (!writer.isStarted) {
         load.recordPrefillDone();
         options.onFirstEvent();
@@ -215,6 +221,7 @@
       }
       if (isStreaming) {
         if (splitter.getRemainder().length > 0) {
+          watch.recordBroken('the stream ended within an event');
           return failAttempt('the stream ended within an event');
         }
         if (!writer.isStarted) writer.startStream(head);
@@ -224,6 +231,7 @@
       const body = responseBody.toBuffer();
       const isSuccess = head.status >= 200 && head.status < 300;
       if (!isSuccess) return settle({tag: 'failed', head, body});
+      watch.recordAnswer();
       health.recordResponse(endpoint.id, now() - startedAt);
       writer.sendResponse(head, body);
       settle({tag: 'delivered'});
@@ -269,6 +277,7 @@
           settle({tag: 'notRun', reason: message});
           return;
         }
+        watch.recordBroken(message);
         failAttempt(message);
       },
     });
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -14,6 +14,8 @@
   onChange(): void;
   /** Called for each endpoint that was removed, before `onChange`. */
   onEndpointRemoved(endpointId: string): void;
+  /** Called for each endpoint that another process runs now. */
+  onEndpointRestarted(endpointId: string): void;
   /** Called after each list, changed or not, with the time of its read. */
   onEndpointsConfirmed(readAt: Instant): void;
 }
@@ -72,6 +74,7 @@
     logChanges(changes);
     for (const {tag, endpoint} of changes) {
       if (tag === 'left') onEndpointRemoved(endpoint.id);
+      if (tag === 'restarted') options.onEndpointRestarted(endpoint.id);
     }
     options.onEndpointsConfirmed(readAt);
     notify(changes);
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -18,6 +18,7 @@
 import {createPeerConnections} from './createPeerConnections.ts';
 import {createPeerStateSync} from './createPeerStateSync.ts';
 import {createResponseMemory} from './createResponseMemory.ts';
+import {createPromptQuarantineSync} from './createPromptQuarantineSync.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
 import {createStateUpdater} from './createStateUpdater.ts';
@@ -99,9 +100,18 @@
     getInstant,
     send: (peer, exchange) => peers.sendHeartbeat(peer, {streams: exchange}),
   });
+  const quarantine = createPromptQuarantineSync({
+    name: settings.name,
+    state,
+    log,
+    metrics,
+    now,
+    broadcast: (promptRecords) => peers.broadcastHeartbeat({promptRecords}),
+  });
   /** Left out without reports, as most heartbeats have none. */
   const getHeartbeatFields = () => {
     streams.flush();
+    quarantine.flush();
     const endpointLimits = limiter.listReports();
     return endpointLimits.length > 0 ? {endpointLimits} : {};
   };
@@ -141,8 +151,13 @@
       ...getHeartbeatFields(),
     }),
     getHeartbeatFields,
+    getFirstFields() {
+      const promptRecords = quarantine.listRecords();
+      return promptRecords.length > 0 ? {promptRecords} : {};
+    },
     onRequest(connection, frame) {
       if (frame.tag === 'heartbeat') {
+        quarantine.handle(connection.peer.name, frame.promptRecords ?? []);
         limiter.recordReports(frame.endpointLimits ?? []);
         const reply = frame.streams && streams.handle(frame.streams);
         if (reply) peers.replyHeartbeat(connection, {streams: reply});
@@ -152,8 +167,9 @@
     },
     onRequesterDisconnected: router.cancelRequests,
     onReply(name, frame) {
-      if (frame.tag === 'heartbeat' && frame.streams !== undefined) {
-        streams.handle(frame.streams);
+      if (frame.tag === 'heartbeat') {
+        quarantine.handle(name, frame.promptRecords ?? []);
+        if (frame.streams !== undefined) streams.handle(frame.streams);
       }
       if (frame.tag === 'stageWaits') {
         limiter.recordReports(frame.endpointLimits ?? []);
@@ -175,6 +191,7 @@
       dispatcher.refresh();
       server.refresh();
     },
+    onEndpointRestarted: health.remove,
     onEndpointsConfirmed: streams.recordList,
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
@@ -197,6 +214,7 @@
     health,
     limiter,
     streams,
+    quarantine,
     loads: createEndpointLoads(),
     responseMemory: createResponseMemory(),
     budget,
@@ -250,7 +268,9 @@
       const {name, capacity} = settings;
       limiter.recordInstances([...others, {name, capacity}]);
       peers.setInstances(others);
-      // Connects to those that keep records of streams before one is asked.
+      quarantine.setInstances([...others.map((other) => other.name), name]);
+      // Connects to those that keep records of streams before one is asked, and
+      // through which all instances are told of prompts.
       for (const keeper of rankStreamHomes([...others, {name, capacity}])) {
         if (keeper !== name) peers.isConnected(keeper);
       }
