Accept no verdict again that an answer has ended

Cause: an instance that had ended a quarantine by an answer took the same verdict again from a peer that had not heard of the answer, told it on, and the observer of the answer denied it again. Change: a verdict has an id, the same for all instances that conclude from the same end; an instance remembers which one an answer ended, in a bounded table. Result: "a verdict that an answer has ended is not told anew".

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
@@ -234,7 +234,7 @@
   // The answer went on at 400 ms; it was relayed for 150 ms.
   const progress = {tag: 'progress', part: 'bad', isRelayed: true} as const;
   quarantine.merge([{...progress, ageMilliseconds: 0}], 550);
-  const verdict = {tag: 'verdict', part: 'bad', others: []} as const;
+  const verdict = {tag: 'verdict', part: 'bad', id: 'e1', others: []} as const;
   quarantine.merge([{...verdict, ageMilliseconds: 60}], 560);
   t.false(isSent(quarantine, ['bad'], 570));
 });
@@ -251,3 +251,17 @@
   t.deepEqual(third.merge(relayed, 620), []);
   t.true(isSent(third, ['sound'], 620));
 });
+
+test('a verdict that an answer has ended is not told anew', (t) => {
+  const first = createPromptQuarantine('front-1');
+  const second = createPromptQuarantine('front-2');
+  const verdicts = quarantineParts(first, ['sound']).filter(
+    ({tag}) => tag === 'verdict',
+  );
+  second.merge(verdicts, 505);
+  second.merge(first.recordProgress(['sound'], 520), 525);
+  t.deepEqual(second.merge(verdicts, 530), []);
+  t.deepEqual(first.merge(verdicts, 530), []);
+  t.true(isSent(second, ['sound'], 540));
+  t.true(isSent(first, ['sound'], 540));
+});
--- a/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
@@ -58,6 +58,8 @@
  * come together, it leaves the one that is known to be sound.
  */
 const MAXIMUM_PROVEN_STRIKES = 4;
+/** Bounds the ended quarantines that are remembered. */
+const MAXIMUM_ENDED = 1000;
 /** Strikes from which a part is told as another suspect of the same ends. */
 const SUSPECT_STRIKES = 2;
 /** Bounds the parts that are told with one. */
@@ -88,6 +90,8 @@
 export function createPromptQuarantine(name: string): PromptQuarantine {
   const evidence = createPromptEvidence();
   const quarantines = createQuarantineTable(name, evidence.getProgressAt);
+  /** The last quarantine of a part that an answer ended; it is not told anew. */
+  const ended = new Map<string, string>();
 
   const countStrikes = (
     parts: readonly string[],
@@ -97,23 +101,23 @@
   function quarantineAll(
     guilty: readonly string[],
     suspects: readonly string[],
-    startedAt: number,
+    {id, startedAt}: {readonly id: string; readonly startedAt: number},
     now: number,
   ): PromptRecord[] {
     return guilty.map((part) => {
       const others = suspects
         .filter((other) => other !== part)
         .slice(0, MAXIMUM_OTHERS);
-      quarantines.add(part, {startedAt, others, askedAt: now});
+      quarantines.add(part, {id, startedAt, others, askedAt: now});
       const ageMilliseconds = now - startedAt;
-      return {tag: 'verdict', part, others, ageMilliseconds};
+      return {tag: 'verdict', part, id, others, ageMilliseconds};
     });
   }
 
   /** Quarantines the parts whose strikes have reached the limit. */
   function conclude(
     parts: readonly string[],
-    startedAt: number,
+    end: {readonly id: string; readonly startedAt: number},
     now: number,
   ): PromptRecord[] {
     const strikes = countStrikes(parts);
@@ -126,7 +130,7 @@
     const suspects = parts.filter(
       (part) => strikes.get(part)! >= SUSPECT_STRIKES && !quarantines.has(part),
     );
-    return quarantineAll(guilty, suspects, startedAt, now);
+    return quarantineAll(guilty, suspects, end, now);
   }
 
   function mergeEnd(
@@ -154,7 +158,8 @@
       .filter((part) => evidence.getProgressAt(part) > endedAt)
       .map((part) => createProgress(part, now));
     const parts = suspects.map(({part}) => part);
-    const verdicts = conclude(parts, endedAt, now);
+    const end = {id: process, startedAt: endedAt};
+    const verdicts = conclude(parts, end, now);
     return [...(added.length > 0 ? [told] : []), ...cleared, ...verdicts];
   }
 
@@ -163,13 +168,24 @@
     return {tag: 'progress', part, ageMilliseconds, isRelayed: false};
   }
 
+  function recordEnded(part: string, id: string): void {
+    ended.set(part, id);
+    if (ended.size > MAXIMUM_ENDED) ended.delete(ended.keys().next().value!);
+  }
+
+  function release(part: string, at: number): ReturnType<Table['release']> {
+    const released = quarantines.release(part, at);
+    if (released !== null) recordEnded(part, released.id);
+    return released;
+  }
+
   /**
    * Applies progress at another instance. Returns whether it clears the part or
    * ends its quarantine.
    */
   function applyProgress(part: string, at: number): boolean {
     const isCleared = evidence.recordProgress(part, at, false);
-    return quarantines.release(part, at) !== null || isCleared;
+    return release(part, at) !== null || isCleared;
   }
 
   /**
@@ -188,7 +204,7 @@
         !quarantines.has(part) &&
         evidence.getProgressAt(part) < startedAt,
     );
-    return quarantineAll(rest, rest, startedAt, now);
+    return quarantineAll(rest, rest, released, now);
   }
 
   const mergers: {
@@ -205,13 +221,14 @@
       return isNews && !record.isRelayed ? [{...record, isRelayed: true}] : [];
     },
     verdict(record, now) {
-      const {part, others, ageMilliseconds} = record;
+      const {part, id, others, ageMilliseconds} = record;
       const startedAt = now - ageMilliseconds;
-      if (quarantines.has(part)) return [];
+      if (quarantines.has(part) || ended.get(part) === id) return [];
       if (evidence.getSureProgressAt(part) > startedAt) {
+        recordEnded(part, id);
         return [createProgress(part, now)];
       }
-      quarantines.add(part, {startedAt, others, askedAt: startedAt});
+      quarantines.add(part, {id, startedAt, others, askedAt: startedAt});
       return [record];
     },
     trial: (record) => (quarantines.mergeTrial(record) ? [record] : []),
@@ -228,7 +245,7 @@
     recordProgress: (parts, now) =>
       parts.flatMap((part): PromptRecord[] => {
         const isCleared = evidence.recordProgress(part, now, true);
-        const released = quarantines.release(part, now);
+        const released = release(part, now);
         if (released === null && !isCleared) return [];
         const record = {
           tag: 'progress',
--- a/packages/hickorywharf-decisions/src/gateway/createQuarantineTable.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createQuarantineTable.ts
@@ -8,6 +8,8 @@
 >;
 
 interface Quarantine {
+  /** The same for all instances that conclude from the same end. */
+  readonly id: string;
   /** End of the last process that is held against the part. */
   readonly startedAt: number;
   /** Other parts that the same evidence is held against. */
@@ -26,7 +28,7 @@
   setInstances(names: readonly string[]): void;
   add(
     part: string,
-    quarantine: Pick<Quarantine, 'startedAt' | 'others' | 'askedAt'>,
+    quarantine: Pick<Quarantine, 'id' | 'startedAt' | 'others' | 'askedAt'>,
   ): void;
   /** Ends the quarantine of a part if it started before; null if not. */
   release(part: string, at: number): Readonly<Quarantine> | null;
@@ -76,7 +78,7 @@
  * @param getProgressAt when an answer with a part last went on
  * @example
  *     const quarantines = createQuarantineTable('front-1', getProgressAt);
- *     quarantines.add('5c1e', {startedAt: now, others: [], askedAt: now});
+ *     quarantines.add('5c1e', {id: 'engine-1/17', startedAt: now, others: [], askedAt: now});
  *     quarantines.check(['5c1e'], now); // {tag: 'refused', ...}
  */
 export function createQuarantineTable(
@@ -212,12 +214,12 @@
       [...quarantines].flatMap(
         ([
           part,
-          {startedAt, others, trials, hasSplit, askedAt},
+          {id, startedAt, others, trials, hasSplit, askedAt},
         ]): PromptRecord[] => {
           const ageMilliseconds = now - startedAt;
           const index = trials - 1;
           return [
-            {tag: 'verdict', part, others, ageMilliseconds},
+            {tag: 'verdict', part, id, others, ageMilliseconds},
             ...(trials > 0
               ? [
                   {
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -66,7 +66,8 @@
   progress: (value) =>
     isPromptPart(value) && hasFields({isRelayed: isBoolean})(value),
   verdict: (value) =>
-    isPromptPart(value) && hasFields({others: isArrayOf(isName)})(value),
+    isPromptPart(value) &&
+    hasFields({id: isName, others: isArrayOf(isName)})(value),
   trial: (value) =>
     isPromptPart(value) &&
     hasFields({index: isCount, hasSplit: isBoolean})(value),
--- a/packages/hickorywharf-types/src/gateway/promptRecord.ts
+++ b/packages/hickorywharf-types/src/gateway/promptRecord.ts
@@ -30,6 +30,8 @@
   | (Aged & {
       readonly tag: 'verdict';
       readonly part: string;
+      /** The same for all instances that conclude from the same end. */
+      readonly id: string;
       /** Other parts that the same evidence is held against. */
       readonly others: readonly string[];
     })
