Read what arrived before a peer counts as silent

Cause: a process that is blocked for longer than the 800 ms of silence that a peer is allowed closes the connection to each peer, as Node runs due timers before it reads sockets; the heartbeats were waiting there. The orders of stages at these peers are then assigned anew, and an instance without its reader reads the store. Change: the silence of a peer, and of one that has yet to send its hello, is timed by `startTimeout`, which reads what arrived before it gives up. This was found while looking at largeConfiguration.test.ts, whose instances had lost each other by such timeouts in a run that failed.

--- a/packages/hickorywharf-transport/src/runConnection.ts
+++ b/packages/hickorywharf-transport/src/runConnection.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+import {startTimeout} from 'hickorywharf-utils/startTimeout';
 import type {Connection} from './connection.ts';
 import type {ConnectionHandlers} from './connectionHandlers.ts';
 import {createFrameReader} from './createFrameReader.ts';
@@ -35,10 +36,8 @@
   let connection: Connection | null = null;
   // Only received bytes restart this timer. The timeout of a Node socket is
   // unsuitable: each write restarts it, including this process's heartbeats.
-  let silenceTimer = setTimeout(
-    handleSilence,
-    TRANSPORT_LIMITS.helloTimeoutMilliseconds,
-  );
+  let silenceMilliseconds: number = TRANSPORT_LIMITS.helloTimeoutMilliseconds;
+  let stopSilenceTimeout = startSilenceTimeout();
 
   function report(
     tag: TransportError['tag'],
@@ -49,6 +48,18 @@
     handlers.onError({tag, step, peer, message});
   }
 
+  function startSilenceTimeout(): () => void {
+    return startTimeout({
+      milliseconds: silenceMilliseconds,
+      onTimeout: handleSilence,
+    });
+  }
+
+  function restartSilenceTimeout(): void {
+    stopSilenceTimeout();
+    stopSilenceTimeout = startSilenceTimeout();
+  }
+
   function handleSilence(): void {
     report(
       'peerSilent',
@@ -82,12 +93,10 @@
   function handleHello(frame: Frame): void {
     const error = findHelloError(frame, expectedPeer);
     if (error === null && frame.tag === 'hello') {
-      clearTimeout(silenceTimer);
-      silenceTimer = setTimeout(
-        handleSilence,
+      silenceMilliseconds =
         options.silenceTimeoutMilliseconds ??
-          TRANSPORT_LIMITS.silenceTimeoutMilliseconds,
-      );
+        TRANSPORT_LIMITS.silenceTimeoutMilliseconds;
+      restartSilenceTimeout();
       connection = {peer: frame.identity, send};
       handlers.onConnected(connection);
       return;
@@ -108,7 +117,7 @@
   socket.setNoDelay(true);
   socket.on('error', () => socket.destroy());
   socket.on('data', (bytes) => {
-    silenceTimer.refresh();
+    restartSilenceTimeout();
     reader.read(bytes).match(
       (frames) => frames.forEach(handleFrame),
       (error) => {
@@ -118,7 +127,7 @@
     );
   });
   socket.on('close', () => {
-    clearTimeout(silenceTimer);
+    stopSilenceTimeout();
     const ended = connection;
     connection = null;
     if (ended !== null) handlers.onDisconnected(ended);
