Count the memory of a result once that is reported twice

Cause: the account of an endpoint's memory added the bytes of a result again if the endpoint reported the same result for another piece, and took them off once. The endpoint counted as fuller than it was for the life of the instance. Change: a result that is tracked already is not added again. Result: "a result that is reported twice does not take up memory for good" failed before (bytes were left), passes now, with the two others of its file.

--- a/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
@@ -22,6 +22,7 @@
 /** Frees one result at an endpoint that behaves as `respond` says. */
 async function freeOne(
   respond: (request: EndpointRequest, isAborted: () => boolean) => void,
+  isReportedTwice = false,
 ) {
   const logged: unknown[] = [];
   let aborted = 0;
@@ -64,6 +65,7 @@
     onRelease: () => void (isReleased = true),
   });
   tracker.add('h', endpoint, RESULT_BYTES, 60_000);
+  if (isReportedTwice) tracker.add('h', endpoint, RESULT_BYTES, 60_000);
   tracker.free(['h']);
   const startedAt = performance.now();
   while (!isReleased && performance.now() - startedAt < 5000) await sleep(10);
@@ -98,3 +100,8 @@
   t.is(aborted, 2);
   t.like(logged[0], {reason: 'the response is longer than 16384 bytes'});
 });
+
+test('a result that is reported twice does not take up memory for good', async (t) => {
+  const {allocatedBytes} = await freeOne((request) => request.onEnd(), true);
+  t.is(allocatedBytes, 0);
+});
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -241,6 +241,8 @@
     },
     has: (handle) => results.has(handle),
     add(handle, endpoint, bytes, keepMilliseconds) {
+      // An endpoint that reports a result twice holds it once.
+      if (results.has(handle)) return;
       const expiresAt = now() + keepMilliseconds;
       results.set(handle, {endpoint, bytes, expiresAt});
       addBytes(endpoint.id, bytes);
