--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -21,6 +21,12 @@
   }),
 } as unknown as GatewayWireFormat;
 
+const lines: Array<[string, Readonly<Record<string, unknown>>]> = [];
+const log = {
+  infoRateLimited: (...line: (typeof lines)[number]) => void lines.push(line),
+  infoAlways: () => undefined,
+};
+
 type RequestHandler = (socket: net.Socket, count: number) => void;
 
 async function listen(onRequest: RequestHandler): Promise<net.Server> {
@@ -44,7 +50,7 @@
 function send(
   client: ReturnType<typeof createEndpointClient>,
   port: number,
-  needsNewConnection = false,
+  use: {needsNewConnection?: boolean; isExclusive?: boolean} = {},
 ): Promise<SendResult> {
   return new Promise((resolve) => {
     let body = '';
@@ -55,7 +61,9 @@
       path: '/',
       headers: ['Host', 'x'],
       body: null,
-      needsNewConnection,
+      needsNewConnection: false,
+      isExclusive: false,
+      ...use,
       onHead: () => undefined,
       onData: (chunk) => void (body += chunk),
       onEnd: () => resolve({result: 'complete', body}),
@@ -72,7 +80,7 @@
     socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
     socket.resetAndDestroy();
   });
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   for (let iteration = 0; iteration < 20; iteration += 1) {
     t.is((await send(client, portOf(server))).result, 'unknown');
   }
@@ -84,7 +92,7 @@
   const server = await listen((socket) =>
     socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'),
   );
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   t.deepEqual(await send(client, portOf(server)), {
     result: 'complete',
     body: 'whole',
@@ -97,7 +105,7 @@
   const server = await listen(() => undefined);
   const port = portOf(server);
   await new Promise((resolve) => server.close(resolve));
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   t.is((await send(client, port)).result, 'unsent');
   client.close();
 });
@@ -110,12 +118,20 @@
       'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=9\r\n\r\naHTTP/1.1 200',
     );
   });
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   for (let iteration = 0; iteration < 3; iteration += 1) {
     const {result, body} = await send(client, portOf(server));
     t.deepEqual({result, body}, {result: 'complete', body: 'a'});
   }
   t.is(connections.size, 3);
+  const peer = `127.0.0.1:${portOf(server)}`;
+  t.deepEqual(
+    lines.filter(([, fields]) => fields['peer'] === peer),
+    Array.from({length: 3}, () => [
+      'unexpected bytes after a response',
+      {step: 'receive', peer, bytes: 74, requests: 1},
+    ]),
+  );
   client.close();
   server.close();
 });
@@ -128,11 +144,11 @@
       'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=9\r\n\r\na',
     );
   });
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   await send(client, portOf(server));
   await send(client, portOf(server));
   t.is(connections.size, 1);
-  await send(client, portOf(server), true);
+  await send(client, portOf(server), {needsNewConnection: true});
   t.is(connections.size, 2);
   client.close();
   server.close();
@@ -141,7 +157,7 @@
 test('nothing is sent to an endpoint that wants no requests once the connection is open', async (t) => {
   let received = 0;
   const server = await listen(() => (received += 1));
-  const client = createEndpointClient(wire);
+  const client = createEndpointClient(wire, log);
   let mayStillSend = true;
   const result = new Promise((resolve) => {
     client.send({
@@ -152,6 +168,7 @@
       headers: ['Host', 'x'],
       body: null,
       needsNewConnection: true,
+      isExclusive: false,
       mayStillSend: () => mayStillSend,
       onHead: () => resolve('head'),
       onData: () => undefined,
@@ -167,3 +184,27 @@
   client.close();
   server.close();
 });
+
+test('an exclusive connection is neither taken from the pool nor pooled', async (t) => {
+  const connections = new Set<net.Socket>();
+  let open = 0;
+  const server = await listen((socket) => {
+    connections.add(socket);
+    open += 1;
+    socket.on('close', () => void (open -= 1));
+    socket.write(
+      'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=9\r\n\r\na',
+    );
+  });
+  const client = createEndpointClient(wire, log);
+  const isExclusive = true;
+  await send(client, portOf(server), {isExclusive});
+  await send(client, portOf(server));
+  t.is(connections.size, 2);
+  await send(client, portOf(server), {isExclusive});
+  t.is(connections.size, 3);
+  await sleep(50);
+  t.is(open, 1);
+  client.close();
+  server.close();
+});
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -64,7 +64,11 @@
       ['scan', {name: 'scan', maximumConnections: 9, stage, engine: null}],
     ]),
   } as unknown as GatewayConfiguration;
-  const log = {infoRateLimited: () => undefined, infoAlways: () => undefined};
+  const lines: string[] = [];
+  const log = {
+    infoRateLimited: (message: string) => void lines.push(message),
+    infoAlways: () => undefined,
+  };
   const metrics = createGatewayMetrics();
   const dispatcher = createStageDispatcher({
     state,
@@ -147,6 +151,7 @@
     setRateLimit,
     setLeaving,
     restartAll,
+    lines,
   };
 }
 
@@ -402,3 +407,15 @@
   respond(calls[2]!);
   t.is(calls[3]?.path, '/run');
 });
+
+test('a result that an endpoint reports for two pieces is logged', async (t) => {
+  const {dispatcher, calls, respond, made, lines} = createTestDispatcher(1);
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await sleep(5);
+  respond(calls[0]!, ...made('h-0', 'h-1'));
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  await sleep(5);
+  t.deepEqual(lines, []);
+  respond(calls[1]!, ...made('h-0', 'h-2'));
+  t.deepEqual(lines, ['stage result reported twice']);
+});
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -55,6 +55,8 @@
   const body = wire.formatPieces(pieces);
   const exchange = endpointClient.send({
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
+    // The response names neither the call nor its pieces.
+    isExclusive: true,
     mayStillSend: options.mayStillSend,
     onHead(responseHead) {
       head = responseHead;
