--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -119,14 +119,14 @@
     outcomes.push(...next);
     const retryAfter = {tag: 'none'} as const;
     const head = {status: 200, rateLimit, isLeaving, retryAfter};
-    call.request.onHead(head as ResponseHead);
+    call.request.onHead(head as ResponseHead, true);
     call.request.onEnd();
   }
   /** Responds that the endpoint wants no calls for this time. */
   function turnAway(call: SentCall, milliseconds: number): void {
     const retryAfter = {tag: 'named', milliseconds} as const;
     const head = {status: 503, rateLimit, isLeaving, retryAfter};
-    call.request.onHead(head as ResponseHead);
+    call.request.onHead(head as ResponseHead, true);
     call.request.onEnd();
   }
   const made = (...handles: readonly string[]) =>
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -2,11 +2,14 @@
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {startTimeout} from 'hickorywharf-utils/startTimeout';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
+import {createBodyBuffer} from './createBodyBuffer.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
+import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {EndpointClient} from './endpointClient.ts';
 
@@ -15,6 +18,11 @@
   readonly endpoint: GatewayEndpoint;
   readonly inputs: readonly string[];
   readonly body: Buffer;
+  /**
+   * Whether the call was sent before. Its endpoint may respond a second time to
+   * an earlier attempt, with the same request id.
+   */
+  readonly isRepeat: boolean;
   /** Writes the response to the caller. */
   readonly relay: ReturnType<typeof createResponseWriter>;
   /** Shared by all attempts of the call: a resumed stream needs the last id. */
@@ -24,8 +32,10 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
+  /** Shared by all calls of the instance. */
+  readonly responseMemory: ReturnType<typeof createResponseMemory>;
   /**
-   * Time for a whole response, or for the first data of a stream. Null for no
+   * Time for a whole response, or for the first event of a stream. Null for no
    * timeouts, as the call can't be retried elsewhere.
    */
   readonly responseTimeoutMilliseconds: number | null;
@@ -36,10 +46,17 @@
 }
 
 /**
- * Longest time without data, after the first, of a stream that can resume at
- * another endpoint.
+ * Longest time without a complete event, after the first, of a stream that can
+ * resume at another endpoint.
  */
 const EVENT_TIMEOUT_MILLISECONDS = 1200;
+/**
+ * The longest response that is not a stream; as the deployment's limit for the
+ * bodies of requests.
+ */
+const MAXIMUM_RESPONSE_BYTES = 4_194_304;
+/** The longest event of a stream; events usually have some hundred bytes. */
+const MAXIMUM_EVENT_BYTES = 65_536;
 /** Least time left that is sent to an endpoint, also after the deadline. */
 const MINIMUM_TIME_MILLISECONDS = 1;
 
@@ -47,8 +64,9 @@
  * Sends a call to an endpoint and forwards its response. A response is accepted
  * only if it names the request, carries the endpoint's signature and has no
  * content encoding. One that says that the call did not run needs no signature;
- * it must only not name another request. A stream is forwarded in complete
- * events, so that it can resume at another endpoint.
+ * without the name of the request, it has to be the first response of its
+ * connection. A stream is forwarded in complete events, so that it can resume at
+ * another endpoint.
  *
  * @returns never rejects
  * @example
@@ -72,15 +90,23 @@
     let isSettled = false;
     let head: ResponseHead | null = null;
     let isStreaming = false;
-    const chunks: Buffer[] = [];
-    let timer: NodeJS.Timeout | null = null;
+    const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
+    let stopTimeout: (() => void) | null = null;
+
+    // Kept until the call ends, as a slow caller may still read the response.
+    const memory = options.responseMemory.open(() => {
+      if (isSettled) writer.abort();
+      else failAttempt('too many bytes of responses are held');
+    });
+    context.cleanups.add(memory.close);
 
     function settle(result: AttemptResult): void {
       if (isSettled) return;
       isSettled = true;
-      if (timer !== null) clearTimeout(timer);
+      stopTimeout?.();
       context.cleanups.delete(abandon);
       load.end();
+      if (result.tag !== 'delivered' && result.tag !== 'failed') memory.close();
       resolve(result);
     }
     function abandon(): void {
@@ -97,19 +123,20 @@
     }
     function restartTimer(milliseconds: number): void {
       if (options.responseTimeoutMilliseconds === null) return;
-      if (timer !== null) clearTimeout(timer);
-      timer = setTimeout(
-        () => failAttempt(`silent for ${Math.round(milliseconds)} ms`),
+      stopTimeout?.();
+      stopTimeout = startTimeout({
         milliseconds,
-      );
+        onTimeout: () =>
+          failAttempt(`silent for ${Math.round(milliseconds)} ms`),
+      });
     }
 
-    function handleHead(response: ResponseHead): void {
+    function handleHead(response: ResponseHead, isFirst: boolean): void {
       if (response.requestId !== null && response.requestId !== call.id) {
         return failAttempt(`the answer is to request ${response.requestId}`);
       }
       head = response;
-      if (response.isNotRun) {
+      if (response.isNotRun && (response.requestId !== null || isFirst)) {
         options.limiter.recordHead(endpoint, response);
         return;
       }
@@ -133,8 +160,13 @@
 
     function handleEvents(chunk: Buffer): void {
       const events = splitter.append(chunk);
-      restartTimer(EVENT_TIMEOUT_MILLISECONDS);
+      if (splitter.getRemainderLength() > MAXIMUM_EVENT_BYTES) {
+        return failAttempt(
+          `an event is longer than ${MAXIMUM_EVENT_BYTES} bytes`,
+        );
+      }
       if (events === null) return;
+      restartTimer(EVENT_TIMEOUT_MILLISECONDS);
       if (!writer.isStarted) {
         load.recordPrefillDone();
         options.onFirstEvent();
@@ -147,6 +179,15 @@
       }
     }
 
+    function handleBody(chunk: Buffer): void {
+      if (!responseBody.append(chunk)) {
+        return failAttempt(
+          `the response is longer than ${MAXIMUM_RESPONSE_BYTES} bytes`,
+        );
+      }
+      memory.add(chunk.length);
+    }
+
     function handleEnd(): void {
       if (head === null) return failAttempt('no answer');
       if (head.isNotRun) {
@@ -166,7 +207,7 @@
         writer.endStream();
         return settle({tag: 'delivered'});
       }
-      const body = Buffer.concat(chunks);
+      const body = responseBody.toBuffer();
       const isSuccess = head.status >= 200 && head.status < 300;
       if (!isSuccess) return settle({tag: 'failed', head, body});
       health.recordResponse(endpoint.id, now() - startedAt);
@@ -196,14 +237,14 @@
             : null,
       }),
       body: options.body.length > 0 ? options.body : null,
-      needsNewConnection: !context.isRetryable,
+      needsNewConnection: !context.isRetryable || options.isRepeat,
       isExclusive: false,
       mayStillSend: () => !options.limiter.isWithdrawn(endpoint),
       onHead: handleHead,
       onData(chunk) {
         if (isSettled) return;
         if (isStreaming) handleEvents(chunk);
-        else chunks.push(chunk);
+        else handleBody(chunk);
       },
       onEnd: handleEnd,
       onFailure({tag, message}) {
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -83,6 +83,10 @@
  * the results that share a call.
  */
 const MAXIMUM_FREE_DELAY_MILLISECONDS = 1000;
+/** Time for a whole response to a call that frees results. */
+const FREE_TIMEOUT_MILLISECONDS = 1000;
+/** The response needs no body; one is skipped. */
+const MAXIMUM_FREE_RESPONSE_BYTES = 16_384;
 
 /**
  * Tracks which endpoint holds which results, and how much memory these take.
@@ -180,7 +184,30 @@
     let isTurnedAway = false;
     limiter.reserve(endpoint);
     const body = wire.formatFree(handles);
-    endpointClient.send({
+    let receivedBytes = 0;
+
+    function fail(message: string): void {
+      clearTimeout(timer);
+      exchange.abort();
+      if (!isRetry) {
+        sendFree(entry, true);
+        return;
+      }
+      metrics.count('releases', 'failed');
+      log.infoRateLimited('failed to free stage results', {
+        step: 'stage',
+        peer: endpoint.id,
+        handles: handles.length,
+        reason: message,
+      });
+      release(endpoint, bytes);
+    }
+
+    const timer = setTimeout(
+      () => fail(`no response within ${FREE_TIMEOUT_MILLISECONDS} ms`),
+      FREE_TIMEOUT_MILLISECONDS,
+    );
+    const exchange = endpointClient.send({
       ...buildStageRequest(wire, endpoint, wire.stageFree, body),
       needsNewConnection: isRetry,
       mayStillSend: () => !limiter.isWithdrawn(endpoint),
@@ -188,26 +215,21 @@
         isTurnedAway = head.status === UNAVAILABLE;
         limiter.recordAvailability(endpoint, head);
       },
-      onData: () => undefined,
+      onData(chunk) {
+        receivedBytes += chunk.length;
+        if (receivedBytes > MAXIMUM_FREE_RESPONSE_BYTES) {
+          fail(
+            `the response is longer than ${MAXIMUM_FREE_RESPONSE_BYTES} bytes`,
+          );
+        }
+      },
       onEnd() {
+        clearTimeout(timer);
         if (isTurnedAway) return dropUntilExpiry('turnedAway');
         metrics.count('releases', 'answered');
         release(endpoint, bytes);
       },
-      onFailure({message}) {
-        if (!isRetry) {
-          sendFree(entry, true);
-          return;
-        }
-        metrics.count('releases', 'failed');
-        log.infoRateLimited('failed to free stage results', {
-          step: 'stage',
-          peer: endpoint.id,
-          handles: handles.length,
-          reason: message,
-        });
-        release(endpoint, bytes);
-      },
+      onFailure: ({message}) => fail(message),
     });
   }
 
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -28,7 +28,11 @@
    * the request is always sent.
    */
   mayStillSend?(): boolean;
-  onHead(head: ResponseHead): void;
+  /**
+   * `isFirst` is true for the first response of a connection, which can't be a
+   * second response to an earlier request.
+   */
+  onHead(head: ResponseHead, isFirst: boolean): void;
   onData(chunk: Buffer): void;
   /** Called when the response is complete. */
   onEnd(): void;
