Let no pause of the test process decide three tests of the dispatcher

Cause: three tests of createStageDispatcher.test.ts slept for set times and looked at what had happened; each failed once or more at load averages around 10, as a pause of the test process took the place of the time that they allow. Change: they wait for the event, check the least time as before, and limit the time in ticks of 5 ms, of which a pause takes one.

--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -25,6 +25,22 @@
 
 const CALL_MILLISECONDS = 20;
 /** A dispatcher with endpoints that respond only when a test calls `respond`. */
+const TICK_MILLISECONDS = 5;
+const MAXIMUM_TICKS = 1000;
+
+/**
+ * Waits until a condition holds. Returns the ticks until then: unlike elapsed
+ * time, a pause of the test process counts as one.
+ */
+async function countTicks(holds: () => boolean): Promise<number> {
+  let ticks = 0;
+  while (!holds() && ticks < MAXIMUM_TICKS) {
+    await sleep(TICK_MILLISECONDS);
+    ticks += 1;
+  }
+  return ticks;
+}
+
 function createTestDispatcher(endpoints: number, roomBytes = 1000) {
   const calls: SentCall[] = [];
   const outcomes: PieceOutcome[] = [];
@@ -209,8 +225,8 @@
   dispatcher.order(TEST_ORDER, (result) => results.push(result));
   await sleep(5);
   const slow = calls[0]!;
-  await sleep(CALL_MILLISECONDS * 2 + 200);
-  t.true(slow.isAborted);
+  const ticks = await countTicks(() => slow.isAborted);
+  t.true(ticks <= (CALL_MILLISECONDS * 2 + 200) / TICK_MILLISECONDS);
   t.not(calls[1]!.endpoint, slow.endpoint);
   respond(calls[1]!, ...made('a', 'b'));
   t.deepEqual(
@@ -235,9 +251,10 @@
   const cancel = dispatcher.order(TEST_ORDER, () => t.fail());
   await sleep(5);
   respond(calls[0]!, {tag: 'noRoom'}, {tag: 'noRoom'});
-  await sleep(40);
-  t.is(calls.length, 1);
-  await sleep(80);
+  const respondedAt = performance.now();
+  const ticks = await countTicks(() => calls.length > 1);
+  t.true(performance.now() - respondedAt >= 40);
+  t.true(ticks <= 120 / TICK_MILLISECONDS);
   t.is(calls.length, 2);
   cancel();
 });
@@ -366,13 +383,14 @@
   const {dispatcher, calls, turnAway} = createTestDispatcher(1);
   dispatcher.order(TEST_ORDER, () => undefined);
   await sleep(5);
+  const turnedAwayAt = performance.now();
   turnAway(calls[0]!, 300);
   const waits = dispatcher.getWaitEstimate('scan')!;
   t.true(waits.totalMilliseconds > 200, 'the estimate counts the pause');
   t.true(waits.totalMilliseconds < 500, 'the endpoint is used after it');
-  await sleep(250);
-  t.is(calls.length, 1);
-  await sleep(120);
+  const ticks = await countTicks(() => calls.length > 1);
+  t.true(performance.now() - turnedAwayAt >= 250);
+  t.true(ticks <= 370 / TICK_MILLISECONDS);
   t.is(calls.length, 2);
 });
 
