Pass no stream on as whole that ended before its first event

Callers saw: status 200 and a complete stream without any event, if an endpoint sent the head of a stream with neither a length nor chunks and its process ended. Cause: such a stream ends with its connection, and an end before the first event was taken for the end of the stream; only one within an event was not. Change: the client of endpoints says whether a response was framed. An unframed stream without a byte of its body has broken off: it is sent to another endpoint if it may be, and counts as a connection that broke for the quarantine of prompt parts. Framed streams without events are passed on as before. Why it works: a stream that may be whole has an event, or a framing that shows its end. A resumed stream that has nothing left and no framing now ends with 502.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -228,7 +228,7 @@
       isExclusive: false,
       onHead: () => undefined,
       onData: () => exchange.pause(),
-      onEnd: resolve,
+      onEnd: () => resolve(),
       onFailure: ({message}) => t.fail(message),
     });
   });
--- a/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
@@ -102,6 +102,9 @@
 });
 
 test('a result that is reported twice does not take up memory for good', async (t) => {
-  const {allocatedBytes} = await freeOne((request) => request.onEnd(), true);
+  const {allocatedBytes} = await freeOne(
+    (request) => request.onEnd(true),
+    true,
+  );
   t.is(allocatedBytes, 0);
 });
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -136,14 +136,14 @@
     const retryAfter = {tag: 'none'} as const;
     const head = {status: 200, rateLimit, isLeaving, retryAfter};
     call.request.onHead(head as ResponseHead, true);
-    call.request.onEnd();
+    call.request.onEnd(true);
   }
   /** Responds that the endpoint wants no calls for this time. */
   function turnAway(call: SentCall, milliseconds: number): void {
     const retryAfter = {tag: 'named', milliseconds} as const;
     const head = {status: 503, rateLimit, isLeaving, retryAfter};
     call.request.onHead(head as ResponseHead, true);
-    call.request.onEnd();
+    call.request.onEnd(true);
   }
   const made = (...handles: readonly string[]) =>
     handles.map((handle): PieceOutcome => ({tag: 'made', handle}));
--- a/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
@@ -74,7 +74,7 @@
     for (let piece = 0; piece < PIECE_COUNT; piece += 1) {
       request.onData(Buffer.alloc(1000));
     }
-    request.onEnd();
+    request.onEnd(true);
   });
   t.is(outcomes, PIECE_COUNT);
 });
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -208,7 +208,18 @@
       memory.add(chunk.length);
     }
 
-    function handleEnd(): void {
+    /** Null if the stream may be whole. */
+    function describeBreakOff(isFramed: boolean): string | null {
+      if (splitter.getRemainder().length > 0) {
+        return 'the stream ended within an event';
+      }
+      if (!isFramed && streamBytes === 0) {
+        return 'the stream ended before its first event';
+      }
+      return null;
+    }
+
+    function handleEnd(isFramed: boolean): void {
       if (head === null) return failAttempt('no answer');
       if (head.isNotRun) {
         const isInputGone = head.status === 409;
@@ -220,9 +231,10 @@
         return;
       }
       if (isStreaming) {
-        if (splitter.getRemainder().length > 0) {
-          watch.recordBroken('the stream ended within an event');
-          return failAttempt('the stream ended within an event');
+        const breakOff = describeBreakOff(isFramed);
+        if (breakOff !== null) {
+          watch.recordBroken(breakOff);
+          return failAttempt(breakOff);
         }
         if (!writer.isStarted) writer.startStream(head);
         writer.endStream();
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -205,14 +205,14 @@
       socket.destroy();
       input.onFailure({tag: isSent ? 'unknown' : 'unsent', message});
     }
-    function complete(): void {
+    function complete(isFramed: boolean): void {
       if (!finish()) return;
       // After an early response the endpoint may still read the request body,
       // so the connection is not pooled.
       const isReusable = isWritten && !input.isExclusive;
       if (isReusable) release(connection, keepAliveMilliseconds);
       else socket.destroy();
-      input.onEnd();
+      input.onEnd(isFramed);
     }
 
     const parser = createResponseParser(
@@ -243,7 +243,7 @@
             logUnexpectedBytes(connection, bytes.length);
             keepAliveMilliseconds = 0;
           }
-          complete();
+          complete(true);
           return true;
         }
         if (!isRead) fail(parser.getError());
@@ -251,7 +251,7 @@
       },
       onEnd() {
         keepAliveMilliseconds = 0;
-        if (parser.finish()) complete();
+        if (parser.finish()) complete(false);
         else fail('the answer was cut off');
       },
       onClose: fail,
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -34,8 +34,12 @@
    */
   onHead(head: ResponseHead, isFirst: boolean): void;
   onData(chunk: Buffer): void;
-  /** Called when the response is complete. */
-  onEnd(): void;
+  /**
+   * Called when the response is complete. `isFramed` is false if it had neither
+   * a length nor chunks and ended with its connection, as it also does if the
+   * endpoint's process ends.
+   */
+  onEnd(isFramed: boolean): void;
   /** Called at most once, and never after `onEnd`. */
   onFailure(failure: SendFailure): void;
 }
