Bound waits of the dispatcher's tests in time, not in ticks

Cause: the last change bounded them in ticks of 5 ms; a tick takes up to 6 ms, so that 120 ms had become up to 144: a weaker check where nothing pauses. Change: the time is bounded as before, in milliseconds, of which a pause of the test process counts for 10 at most. The least times are as they were.

--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -26,19 +26,21 @@
 const CALL_MILLISECONDS = 20;
 /** A dispatcher with endpoints that respond only when a test calls `respond`. */
 const TICK_MILLISECONDS = 5;
-const MAXIMUM_TICKS = 1000;
+const MAXIMUM_WAIT_MILLISECONDS = 5000;
 
 /**
- * Waits until a condition holds. Returns the ticks until then: unlike elapsed
- * time, a pause of the test process counts as one.
+ * Waits until a condition holds. Returns the milliseconds until then, of which
+ * a pause of the test process counts for two ticks at most.
  */
-async function countTicks(holds: () => boolean): Promise<number> {
-  let ticks = 0;
-  while (!holds() && ticks < MAXIMUM_TICKS) {
+async function measureWait(holds: () => boolean): Promise<number> {
+  const deadline = performance.now() + MAXIMUM_WAIT_MILLISECONDS;
+  let elapsed = 0;
+  while (!holds() && performance.now() < deadline) {
+    const tickedAt = performance.now();
     await sleep(TICK_MILLISECONDS);
-    ticks += 1;
+    elapsed += Math.min(performance.now() - tickedAt, 2 * TICK_MILLISECONDS);
   }
-  return ticks;
+  return elapsed;
 }
 
 function createTestDispatcher(endpoints: number, roomBytes = 1000) {
@@ -225,8 +227,8 @@
   dispatcher.order(TEST_ORDER, (result) => results.push(result));
   await sleep(5);
   const slow = calls[0]!;
-  const ticks = await countTicks(() => slow.isAborted);
-  t.true(ticks <= (CALL_MILLISECONDS * 2 + 200) / TICK_MILLISECONDS);
+  const waited = await measureWait(() => slow.isAborted);
+  t.true(waited <= CALL_MILLISECONDS * 2 + 200);
   t.not(calls[1]!.endpoint, slow.endpoint);
   respond(calls[1]!, ...made('a', 'b'));
   t.deepEqual(
@@ -252,9 +254,9 @@
   await sleep(5);
   respond(calls[0]!, {tag: 'noRoom'}, {tag: 'noRoom'});
   const respondedAt = performance.now();
-  const ticks = await countTicks(() => calls.length > 1);
+  const waited = await measureWait(() => calls.length > 1);
   t.true(performance.now() - respondedAt >= 40);
-  t.true(ticks <= 120 / TICK_MILLISECONDS);
+  t.true(waited <= 120);
   t.is(calls.length, 2);
   cancel();
 });
@@ -388,9 +390,9 @@
   const waits = dispatcher.getWaitEstimate('scan')!;
   t.true(waits.totalMilliseconds > 200, 'the estimate counts the pause');
   t.true(waits.totalMilliseconds < 500, 'the endpoint is used after it');
-  const ticks = await countTicks(() => calls.length > 1);
+  const waited = await measureWait(() => calls.length > 1);
   t.true(performance.now() - turnedAwayAt >= 250);
-  t.true(ticks <= 370 / TICK_MILLISECONDS);
+  t.true(waited <= 370);
   t.is(calls.length, 2);
 });
 
