--- a/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
@@ -82,11 +82,12 @@
 /**
  * Tracks the endpoints and which of them may get work, from successive reads of
  * the whole list. Draining persists for one incarnation of an endpoint, even if
- * later lists do not state it, and so does its own statement that it leaves. The registration of an endpoint that is missing
- * right after an outage of the store may only have expired: the endpoint stays
- * in use until `lapseMilliseconds` after the first list read from the store
- * since the outage, a time within which a running endpoint has registered
- * again. At other times a missing endpoint has left.
+ * later lists do not state it, and so does its own statement that it leaves.
+ * The registration of an endpoint that is missing right after an outage of the
+ * store may only have expired: the endpoint stays in use until
+ * `lapseMilliseconds` after the first list read from the store since the
+ * outage, a time within which a running endpoint has registered again. At other
+ * times a missing endpoint has left.
  *
  * @param lapseMilliseconds how long after the store has recovered missing
  *     endpoints are kept
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -131,7 +131,7 @@
     return connection;
   }
 
-  /** Bytes that belong to no response, as a second answer to a request. */
+  /** Logs bytes that belong to no response, such as a second response. */
   function logUnexpectedBytes(
     {address, requests}: PooledConnection,
     bytes: number,
