Log a second response within a body without a length, and ids sent again

Two ways in which a caller may get a body that isn't its endpoint's could not be told apart in the logs: the end of a connection ends both a response without a length and a second one behind it, and a late second response to an earlier request with the same id looks like that of the present one. Each gets a line, and each connection remembers the ids that it carried; a connection is closed after 256 requests, which bounds them.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -50,7 +50,11 @@
 function send(
   client: ReturnType<typeof createEndpointClient>,
   port: number,
-  use: {needsNewConnection?: boolean; isExclusive?: boolean} = {},
+  use: {
+    requestId?: string;
+    needsNewConnection?: boolean;
+    isExclusive?: boolean;
+  } = {},
 ): Promise<SendResult> {
   return new Promise((resolve) => {
     let body = '';
@@ -59,6 +63,7 @@
       port,
       method: 'GET',
       path: '/',
+      requestId: null,
       headers: ['Host', 'x'],
       body: null,
       needsNewConnection: false,
@@ -189,6 +194,7 @@
       port: portOf(server),
       method: 'GET',
       path: '/',
+      requestId: null,
       headers: ['Host', 'x'],
       body: null,
       needsNewConnection: true,
@@ -222,6 +228,7 @@
       port: portOf(server),
       method: 'GET',
       path: '/',
+      requestId: null,
       headers: ['Host', 'x'],
       body: null,
       needsNewConnection: false,
@@ -240,3 +247,34 @@
   client.close();
   server.close();
 });
+
+test('a status line within a response without a length is logged', async (t) => {
+  const server = await listen((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nagain');
+  });
+  const client = createEndpointClient(wire, log);
+  await send(client, portOf(server), {requestId: 'unframed'});
+  client.close();
+  server.close();
+  const logged = lines.find(([, {requestId}]) => requestId === 'unframed');
+  t.like(logged, [
+    'status line within a response without a length',
+    {step: 'receive', requests: 1},
+  ]);
+});
+
+test('a request id that is sent again on a connection is logged', async (t) => {
+  const server = await listen((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na');
+  });
+  const client = createEndpointClient(wire, log);
+  await send(client, portOf(server), {requestId: 'again'});
+  await send(client, portOf(server), {requestId: 'again'});
+  client.close();
+  server.close();
+  const logged = lines.find(([, {requestId}]) => requestId === 'again');
+  t.like(logged, [
+    'request id sent again on a connection',
+    {step: 'call', requests: 2},
+  ]);
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -254,6 +254,7 @@
       port: endpoint.port,
       method: context.method,
       path: context.target,
+      requestId: call.id,
       headers: wire.formatCallHeaders({
         call,
         timeLeftMilliseconds: Math.max(
--- a/packages/hickorywharf-gateway/src/buildStageRequest.ts
+++ b/packages/hickorywharf-gateway/src/buildStageRequest.ts
@@ -21,6 +21,7 @@
     port,
     method,
     path,
+    requestId: null,
     headers,
     body,
     needsNewConnection: false,
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {createResponseParser} from './createResponseParser.ts';
+import {createStatusLineFinder} from './createStatusLineFinder.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {EndpointRequest} from './endpointRequest.ts';
 import type {GatewayLog} from './gatewayLog.ts';
@@ -13,6 +14,8 @@
   consumer: ResponseConsumer | null;
   /** Number of requests that were sent on it. */
   requests: number;
+  /** Ids of the requests that were sent on it. */
+  readonly requestIds: Set<string>;
   idleTimer: NodeJS.Timeout | null;
 }
 
@@ -40,6 +43,8 @@
 const UNSTATED_KEEP_ALIVE_MILLISECONDS = 300;
 /** Most idle connections per endpoint; more are closed after the response. */
 const MAXIMUM_IDLE_CONNECTIONS = 8;
+/** Bounds the ids that are kept for a connection. */
+const MAXIMUM_REQUESTS_PER_CONNECTION = 256;
 const READ_BUFFER_BYTES = 16_384;
 
 /** Idle time for which a connection may be pooled; 0 to close it. */
@@ -115,6 +120,7 @@
       address: `${host}:${port}`,
       consumer: null,
       requests: 0,
+      requestIds: new Set(),
       idleTimer: null,
     };
     connections.add(connection);
@@ -144,6 +150,41 @@
     });
   }
 
+  /**
+   * Logs a response that has neither a length nor chunks and holds the start of
+   * another one: all that arrives before the end of the connection is its body.
+   */
+  function logStatusLine(
+    {address, requests}: PooledConnection,
+    requestId: string | null,
+    bytes: number,
+  ): void {
+    log.infoRateLimited('status line within a response without a length', {
+      requestId,
+      step: 'receive',
+      peer: address,
+      bytes,
+      requests,
+    });
+  }
+
+  function recordRequest(
+    connection: PooledConnection,
+    requestId: string | null,
+  ): void {
+    connection.requests += 1;
+    if (requestId === null) return;
+    if (connection.requestIds.has(requestId)) {
+      log.infoRateLimited('request id sent again on a connection', {
+        requestId,
+        step: 'call',
+        peer: connection.address,
+        requests: connection.requests,
+      });
+    }
+    connection.requestIds.add(requestId);
+  }
+
   function removeIdle(connection: PooledConnection): void {
     if (connection.idleTimer === null) return;
     clearTimeout(connection.idleTimer);
@@ -155,7 +196,10 @@
 
   function release(connection: PooledConnection, milliseconds: number): void {
     const list = idle.get(connection.address) ?? [];
-    if (milliseconds <= 0 || list.length >= MAXIMUM_IDLE_CONNECTIONS) {
+    const isUsedUp =
+      list.length >= MAXIMUM_IDLE_CONNECTIONS ||
+      connection.requests >= MAXIMUM_REQUESTS_PER_CONNECTION;
+    if (milliseconds <= 0 || isUsedUp) {
       connection.socket.destroy();
       return;
     }
@@ -180,8 +224,10 @@
 
   function send(input: EndpointRequest): ReturnType<EndpointClient['send']> {
     const connection = acquire(input);
-    connection.requests += 1;
+    recordRequest(connection, input.requestId);
     const {socket} = connection;
+    const statusLines = createStatusLineFinder();
+    let bodyBytes = 0;
     let isSettled = false;
     let isSent = !socket.connecting;
     let isWritten = false;
@@ -207,6 +253,9 @@
     }
     function complete(isFramed: boolean): void {
       if (!finish()) return;
+      if (statusLines.isFound()) {
+        logStatusLine(connection, input.requestId, bodyBytes);
+      }
       // After an early response the endpoint may still read the request body,
       // so the connection is not pooled.
       const isReusable = isWritten && !input.isExclusive;
@@ -224,6 +273,8 @@
           input.onHead(head, connection.requests === 1);
         },
         onBody(bytes) {
+          bodyBytes += bytes.length;
+          if (parser.isCloseDelimited()) statusLines.append(bytes);
           if (!isSettled) input.onData(Buffer.from(bytes));
         },
         onEnd: () => undefined,
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -7,6 +7,8 @@
   readonly port: number;
   readonly method: string;
   readonly path: string;
+  /** The id that its response names; null if responses name none. */
+  readonly requestId: string | null;
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: Buffer | string | null;
