Pass no body on that holds another response

What callers saw: an answer with the right id and stamp whose body isn't the server's: behind the server's bytes it has the head and body of a second answer ("the whole bodyHTTP/1.1 200 OK ...").

Cause: the end of a body without a length is the end of its connection, so all that comes before counts as the body, also a second answer. Class of fault: the end of an answer is believed by an event that other bytes may precede.

Change: the status line of another response within such a body makes the response incomplete. Only bytes that may begin a status line are held back, at most twelve. The reason in 'attempt failed' replaces the log line, and the test of the line now checks reason and outcome.

Why it works: whatever follows the first body begins with a status line or is no answer; the parser reports no end once it has seen one, so no success is written, and nothing from the status line on is passed to a caller.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -45,6 +45,8 @@
 interface SendResult {
   readonly result: 'complete' | 'unsent' | 'unknown';
   readonly body: string;
+  /** Why it is not complete. */
+  readonly message?: string;
 }
 
 function send(
@@ -72,7 +74,7 @@
       onHead: () => undefined,
       onData: (chunk) => void (body += chunk),
       onEnd: () => resolve({result: 'complete', body}),
-      onFailure: ({tag}) => resolve({result: tag, body}),
+      onFailure: ({tag, message}) => resolve({result: tag, body, message}),
     });
   });
 }
@@ -248,19 +250,18 @@
   server.close();
 });
 
-test('a status line within a response without a length is logged', async (t) => {
+test('a response without a length that holds another response is not complete', async (t) => {
   const server = await listen((socket) => {
     socket.end('HTTP/1.1 200 OK\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nagain');
   });
   const client = createEndpointClient(wire, log);
-  await send(client, portOf(server), {requestId: 'unframed'});
+  t.deepEqual(await send(client, portOf(server)), {
+    result: 'unknown',
+    body: 'whole',
+    message: 'another response within a body without a length',
+  });
   client.close();
   server.close();
-  const logged = lines.find(([, {requestId}]) => requestId === 'unframed');
-  t.like(logged, [
-    'status line within a response without a length',
-    {step: 'receive', requests: 1},
-  ]);
 });
 
 test('a request id that is sent again on a connection is logged', async (t) => {
--- a/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
@@ -185,3 +185,26 @@
   );
   t.pass();
 });
+
+test('a body without a length that holds the status line of another response is rejected', (t) => {
+  const first = 'HTTP/1.1 200 OK\r\n\r\nbody';
+  const whole = first + 'HTTP/1.1 200 OK\r\n\r\nagain';
+  for (let cut = first.length; cut < whole.length; cut += 1) {
+    const chunks = [whole.slice(0, cut), whole.slice(cut)];
+    const result = parseAll(chunks.map((chunk) => Buffer.from(chunk)));
+    t.like(result, {body: 'body', isEnded: false, isAccepted: false});
+  }
+});
+
+test('a body without a length that ends like the start of a status line is whole', (t) => {
+  const {body, isComplete} = parse('HTTP/1.1 200 OK\r\n\r\nbody HTTP/1.1 2');
+  t.deepEqual([body, isComplete], ['body HTTP/1.1 2', true]);
+});
+
+test('a status line in a body with a length is a part of it', (t) => {
+  const text = 'HTTP/1.1 200 OK\r\n';
+  const {body, isComplete} = parse(
+    `HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\n\r\n${text}`,
+  );
+  t.deepEqual([body, isComplete], [text, true]);
+});
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -1,7 +1,6 @@
 import net from 'node:net';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {createResponseParser} from './createResponseParser.ts';
-import {createStatusLineFinder} from './createStatusLineFinder.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {EndpointRequest} from './endpointRequest.ts';
 import type {GatewayLog} from './gatewayLog.ts';
@@ -150,24 +149,6 @@
     });
   }
 
-  /**
-   * Logs a response that has neither a length nor chunks and holds the start of
-   * another one: all that arrives before the end of the connection is its body.
-   */
-  function logStatusLine(
-    {address, requests}: PooledConnection,
-    requestId: string | null,
-    bytes: number,
-  ): void {
-    log.infoRateLimited('status line within a response without a length', {
-      requestId,
-      step: 'receive',
-      peer: address,
-      bytes,
-      requests,
-    });
-  }
-
   function recordRequest(
     connection: PooledConnection,
     requestId: string | null,
@@ -226,8 +207,6 @@
     const connection = acquire(input);
     recordRequest(connection, input.requestId);
     const {socket} = connection;
-    const statusLines = createStatusLineFinder();
-    let bodyBytes = 0;
     let isSettled = false;
     let isSent = !socket.connecting;
     let isWritten = false;
@@ -253,9 +232,6 @@
     }
     function complete(isFramed: boolean): void {
       if (!finish()) return;
-      if (statusLines.isFound()) {
-        logStatusLine(connection, input.requestId, bodyBytes);
-      }
       // After an early response the endpoint may still read the request body,
       // so the connection is not pooled.
       const isReusable = isWritten && !input.isExclusive;
@@ -273,8 +249,6 @@
           input.onHead(head, connection.requests === 1);
         },
         onBody(bytes) {
-          bodyBytes += bytes.length;
-          if (parser.isCloseDelimited()) statusLines.append(bytes);
           if (!isSettled) input.onData(Buffer.from(bytes));
         },
         onEnd: () => undefined,
--- a/packages/hickorywharf-gateway/src/createResponseParser.ts
+++ b/packages/hickorywharf-gateway/src/createResponseParser.ts
@@ -1,3 +1,4 @@
+import {createStatusLineFinder} from './createStatusLineFinder.ts';
 import type {ResponseHandlers} from './responseHandlers.ts';
 
 interface ResponseParser {
@@ -59,8 +60,9 @@
 /**
  * Parses one HTTP/1.1 response incrementally. It rejects responses that could
  * be understood in two ways: several lengths, a length with a transfer coding,
- * folded lines, header names with invalid characters. It also rejects heads,
- * chunk extensions and trailers above a limit, but limits no body.
+ * folded lines, header names with invalid characters, and the status line of
+ * another response in a body that ends with its connection. It also rejects
+ * heads, chunk extensions and trailers above a limit, but limits no body.
  *
  * @param isHeadRequest the response has no body, whatever its head says
  * @example
@@ -80,6 +82,7 @@
   let contentLengths: string[] = [];
   let codings: string[] = [];
   let error = 'bytes that are no answer';
+  const statusLines = createStatusLineFinder();
   /** Bytes of the complete lines of each limited part. */
   const partBytes = new Map<string, number>();
 
@@ -200,14 +203,22 @@
     return start + size;
   }
 
+  /** Reads a body that ends with its connection; false after a status line. */
+  function readUntilClose(bytes: Buffer): boolean {
+    const body = statusLines.append(bytes);
+    if (body.length > 0) handlers.onBody(body);
+    if (!statusLines.isFound()) return true;
+    reject('another response within a body without a length');
+    return false;
+  }
+
   return {
     read(bytes) {
       let position = 0;
       while (position < bytes.length) {
         if (state === 'broken' || state === 'done') return false;
         if (state === 'untilClose') {
-          handlers.onBody(bytes.subarray(position));
-          return true;
+          return readUntilClose(bytes.subarray(position));
         }
         position =
           state === 'length' || state === 'chunk'
@@ -217,7 +228,11 @@
       return (state as ParserState) !== 'broken';
     },
     finish() {
-      if (state === 'untilClose') end();
+      if (state === 'untilClose') {
+        const rest = statusLines.getRemainder();
+        if (rest.length > 0) handlers.onBody(rest);
+        end();
+      }
       return state === 'done';
     },
     isCloseDelimited: () =>
