Send a request id once on a connection

What callers saw: a caller that sends a call again with the same id gets body and stamp of its first run as the answer to the second one.

Cause: an id proves the request, not the exchange. A late second answer to the first run has the id that is expected, on a pooled connection that carried the first run. Only the gateway's own repeats went on a new connection. Class of fault: an answer that is believed by a name which several exchanges share.

Change: a connection is passed over for an id that it carried before, whoever repeats it, and the option for repeats goes. The log line goes too, as it can't be written any more.

Why it works: an id and a connection now name one exchange, and the ids of all requests of a connection are kept until it closes.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -264,18 +264,36 @@
   server.close();
 });
 
-test('a request id that is sent again on a connection is logged', async (t) => {
+test('a request id is sent once on a connection', async (t) => {
+  const connections: net.Socket[] = [];
   const server = await listen((socket) => {
+    connections.push(socket);
     socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na');
   });
   const client = createEndpointClient(wire, log);
-  await send(client, portOf(server), {requestId: 'again'});
-  await send(client, portOf(server), {requestId: 'again'});
+  for (const requestId of ['a', 'a', 'b', 'a']) {
+    await send(client, portOf(server), {requestId});
+  }
+  const [first, second, third, fourth] = connections;
+  t.not(first, second);
+  t.is(second, third);
+  t.false([first, second].includes(fourth));
+  client.close();
+  server.close();
+});
+
+test('a connection is closed after 256 requests', async (t) => {
+  const connections = new Set<net.Socket>();
+  const server = await listen((socket) => {
+    connections.add(socket);
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na');
+  });
+  const client = createEndpointClient(wire, log);
+  for (let sent = 0; sent < 257; sent += 1) {
+    await send(client, portOf(server), {requestId: String(sent)});
+    if (sent < 256) t.is(connections.size, 1);
+  }
+  t.is(connections.size, 2);
   client.close();
   server.close();
-  const logged = lines.find(([, {requestId}]) => requestId === 'again');
-  t.like(logged, [
-    'request id sent again on a connection',
-    {step: 'call', requests: 2},
-  ]);
 });
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -19,11 +19,6 @@
   readonly endpoint: GatewayEndpoint;
   readonly inputs: readonly string[];
   readonly body: Buffer;
-  /**
-   * Whether the call was sent before. Its endpoint may respond a second time to
-   * an earlier attempt, with the same request id.
-   */
-  readonly isRepeat: boolean;
   /** Writes the response to the caller. */
   readonly relay: ReturnType<typeof createResponseWriter>;
   /** Shared by all attempts of the call: a resumed stream needs the last id. */
@@ -272,7 +267,7 @@
             : null,
       }),
       body: options.body.length > 0 ? options.body : null,
-      needsNewConnection: !context.isRetryable || options.isRepeat,
+      needsNewConnection: !context.isRetryable,
       isExclusive: false,
       mayStillSend: () => !options.limiter.isWithdrawn(endpoint),
       onHead: handleHead,
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -13,7 +13,7 @@
   consumer: ResponseConsumer | null;
   /** Number of requests that were sent on it. */
   requests: number;
-  /** Ids of the requests that were sent on it. */
+  /** Ids of the requests that were sent on it; each is sent once. */
   readonly requestIds: Set<string>;
   idleTimer: NodeJS.Timeout | null;
 }
@@ -149,23 +149,6 @@
     });
   }
 
-  function recordRequest(
-    connection: PooledConnection,
-    requestId: string | null,
-  ): void {
-    connection.requests += 1;
-    if (requestId === null) return;
-    if (connection.requestIds.has(requestId)) {
-      log.infoRateLimited('request id sent again on a connection', {
-        requestId,
-        step: 'call',
-        peer: connection.address,
-        requests: connection.requests,
-      });
-    }
-    connection.requestIds.add(requestId);
-  }
-
   function removeIdle(connection: PooledConnection): void {
     if (connection.idleTimer === null) return;
     clearTimeout(connection.idleTimer);
@@ -193,10 +176,14 @@
   }
 
   function acquire(input: EndpointRequest): PooledConnection {
-    const {host, port} = input;
+    const {host, port, requestId} = input;
     const isPooled = !input.needsNewConnection && !input.isExclusive;
     const connection = isPooled
-      ? idle.get(`${host}:${port}`)?.at(-1)
+      ? idle
+          .get(`${host}:${port}`)
+          ?.findLast(
+            ({requestIds}) => requestId === null || !requestIds.has(requestId),
+          )
       : undefined;
     if (connection === undefined) return connect(host, port);
     removeIdle(connection);
@@ -205,7 +192,8 @@
 
   function send(input: EndpointRequest): ReturnType<EndpointClient['send']> {
     const connection = acquire(input);
-    recordRequest(connection, input.requestId);
+    connection.requests += 1;
+    if (input.requestId !== null) connection.requestIds.add(input.requestId);
     const {socket} = connection;
     let isSettled = false;
     let isSent = !socket.connecting;
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -7,7 +7,11 @@
   readonly port: number;
   readonly method: string;
   readonly path: string;
-  /** The id that its response names; null if responses name none. */
+  /**
+   * The id that its response names; null if responses name none. It is sent once
+   * on a connection, as an endpoint may send a second response to an earlier
+   * request with the same id.
+   */
   readonly requestId: string | null;
   /** Alternating names and values. */
   readonly headers: string[];
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -373,7 +373,6 @@
       endpoint,
       inputs,
       body,
-      isRepeat: sends > 1,
       relay: writer,
       splitter,
       wire: options.wire,
