Log which requests waited at the end of an endpoint's process

The ids of the calls that waited differ each time that a caller sends a request again, so that the logs of several ends could not tell whether the same request was there. Each is now named by a digest of method, host, path with query, client account and body.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/simulatePromptQuarantine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/simulatePromptQuarantine.ts
@@ -163,7 +163,12 @@
     const isInTouch = now - startedAt[call.instance]! > CONTACT_MILLISECONDS;
     if (isInTouch) for (const {arrivals} of held) arrivals.push(now);
     const process = `e${index}/${server.starts}`;
-    const end = waiting.start(process, {requestId: '', parts, sentAt: now});
+    const end = waiting.start(process, {
+      requestId: '',
+      parts,
+      getRequest: () => '',
+      sentAt: now,
+    });
     const running: RunningCall = {call, process, end};
     server.running.add(running);
     schedule(between(30, 300), () => {
--- a/packages/hickorywharf-decisions/src/gateway/createWaitingCalls.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createWaitingCalls.ts
@@ -12,6 +12,8 @@
 interface WaitingCall {
   readonly requestId: string;
   readonly parts: readonly string[];
+  /** Names the request as a whole. */
+  readonly getRequest: () => string;
   readonly sentAt: number;
 }
 
@@ -20,7 +22,7 @@
  *
  * @example
  *     const calls = createWaitingCalls();
- *     const end = calls.start('engine-1/17', {requestId: '9c41', parts, sentAt});
+ *     const end = calls.start('engine-1/17', {requestId: '9c41', parts, getRequest, sentAt});
  *     calls.list('engine-1/17').length; // 1
  *     end();
  */
--- a/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
+++ b/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
@@ -31,11 +31,15 @@
     requestId: string,
     isSend: boolean,
   ): {readonly part: string; readonly retryAfterMilliseconds: number} | null;
-  /** Watches a call that is sent to an endpoint now. */
+  /**
+   * Watches a call that is sent to an endpoint now. `getRequest` names the
+   * request as a whole.
+   */
   watchCall(
     endpoint: GatewayEndpoint,
     requestId: string,
     parts: readonly string[],
+    getRequest: () => string,
   ): CallWatch;
   /** Resolves when it is known whether the endpoint's process ended. */
   waitForProbe(endpoint: GatewayEndpoint): Promise<void>;
@@ -58,7 +62,7 @@
  *
  * @example
  *     const quarantine = createPromptQuarantineSync(options);
- *     const watch = quarantine.watchCall(endpoint, '9c41', ['5c1e07a2']);
+ *     const watch = quarantine.watchCall(endpoint, '9c41', ['5c1e07a2'], getRequest);
  *     watch.recordBroken('read ECONNRESET');
  *     watch.end();
  */
@@ -163,6 +167,9 @@
         requestIds: calls
           .slice(0, MAXIMUM_LOGGED)
           .map(({requestId}) => requestId),
+        requests: calls
+          .slice(0, MAXIMUM_LOGGED)
+          .map(({getRequest}) => getRequest()),
         explainedBy: [...new Set(calls.flatMap(({parts}) => parts))].filter(
           quarantine.isQuarantined,
         ),
@@ -190,9 +197,11 @@
       tell(quarantine.recordAsked(parts, now()), 'own');
       return decision;
     },
-    watchCall(endpoint, requestId, parts) {
+    watchCall(endpoint, requestId, parts, getRequest) {
       const process = `${endpoint.id}/${endpoint.startedAt}`;
-      const end = waiting.start(process, {requestId, parts, sentAt: now()});
+      const sentAt = now();
+      const call = {requestId, parts, getRequest, sentAt};
+      const end = waiting.start(process, call);
       let reads = 0;
       const recordProgress = (): void => {
         end();
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -3,6 +3,7 @@
 import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import {estimateEngineTime} from 'hickorywharf-decisions/gateway/estimateEngineTime';
 import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
+import {identifyRequest} from 'hickorywharf-decisions/gateway/identifyRequest';
 import {listSharedParts} from 'hickorywharf-decisions/gateway/listSharedParts';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
@@ -99,6 +100,7 @@
   const splitter = createEventSplitter();
   const selector = createEndpointSelector(options, context);
   const promptParts = listSharedParts(call.promptParts);
+  let requestName: string | undefined;
   let sends = 0;
   /** Number of attempts after which the call may have run. */
   let runs = 0;
@@ -109,6 +111,12 @@
   /** The endpoint whose rate limit or pause the call waited for. */
   let reserved: GatewayEndpoint | null = null;
 
+  /** Computed when an endpoint has ended, as bodies may be large. */
+  function getRequest(): string {
+    requestName ??= identifyRequest({...context, host: route.host, body});
+    return requestName;
+  }
+
   function recordOutcome(
     outcome: string,
     fields: Record<string, unknown>,
@@ -381,7 +389,7 @@
       limiter,
       loads,
       responseMemory: options.responseMemory,
-      watch: quarantine.watchCall(endpoint, call.id, promptParts),
+      watch: quarantine.watchCall(endpoint, call.id, promptParts, getRequest),
       responseTimeoutMilliseconds: selector.getResponseTimeout(endpoint, runs),
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
