Simulate requests that end servers with up to 30 instances

The simulation of the quarantine plays a bad request at 3, 10 and 30 instances, in series and 20 times a second, beside crashes of other causes and restarts. 18 runs of the test: at most three requests later than the bound, as asked.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/promptQuarantineSimulation.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/promptQuarantineSimulation.test.ts
@@ -1,4 +1,5 @@
 import test, {type ExecutionContext} from 'ava';
+import {REQUEST_PREFIX} from '../requestPrefix.ts';
 import {simulatePromptQuarantine} from './simulatePromptQuarantine.ts';
 
 type Options = Parameters<typeof simulatePromptQuarantine>[0];
@@ -12,10 +13,12 @@
 
 const CONTACT_MILLISECONDS = 3000;
 const COUNTED_CRASHES = 5;
+const COUNTED_REQUEST_CRASHES = 3;
 const ALLOWED_ARRIVALS = 3;
 const LEAST_SOUND_SHARE = 0.5;
 const LEAST_COUNTED = 20;
 
+const BAD_REQUEST = `${REQUEST_PREFIX}bad`;
 const SESSIONS = 40;
 const SEEDS = [1, 2];
 
@@ -113,6 +116,39 @@
     random() < 0.1 ? ['shared', 'beside'] : ['other', getSession(random)],
 });
 
+test('a request does not go on ending servers of many instances', (t) => {
+  for (const instances of [3, 10, 30]) {
+    for (const markedPerSecond of [0.3, 1, 20]) {
+      for (const seed of SEEDS) {
+        const {bad, sound} = simulatePromptQuarantine({
+          seed,
+          instances,
+          servers: 9,
+          badParts: [BAD_REQUEST],
+          markedPerSecond,
+          soundPerSecond: 15,
+          getMarkedParts: () => [BAD_REQUEST],
+          getSoundParts: (random) => [REQUEST_PREFIX + random()],
+          milliseconds: 100_000,
+          ...(seed % 2 === 0 && DISRUPTIONS),
+        });
+        const [{arrivals, crashes}] = bad as [(typeof bad)[number]];
+        const boundedAt =
+          crashes[COUNTED_REQUEST_CRASHES - 1]! + CONTACT_MILLISECONDS;
+        const late = arrivals.filter((at) => at > boundedAt).length;
+        const name = `${instances} instances, ${markedPerSecond} a second, seed ${seed}`;
+        t.true(late <= ALLOWED_ARRIVALS, `${late} requests: ${name}`);
+        const after = sound.filter(({sentAt}) => sentAt > boundedAt);
+        const answered = after.filter(({isAnswered}) => isAnswered).length;
+        t.true(
+          answered >= after.length * LEAST_SOUND_SHARE,
+          `${answered} of ${after.length} sound requests: ${name}`,
+        );
+      }
+    }
+  }
+});
+
 test('servers that crash one after the other for another reason leave no part quarantined', (t) => {
   const lastCrash = 20_000;
   const times = Array.from({length: 40}, (_value, index) => 8000 + index * 300);
