Keep a request that has just ended endpoints from the last one left

What callers saw: with three servers of a service, one request, its repeat by the gateway and that of its caller ended all of them within 0.3 s, and nobody was served until they were back, after about 3 s.

Cause: an end counts only as a third of a verdict, and until then the request is sent on like any other, also where that takes the last endpoint from all.

Change: a request under which two endpoints have ended, or one at which no other request waited, is not sent to the last endpoint of its service for 3 s. It ends with 503 and the rest of that time, or with 502 if it may have run.

Why it works: ends are told to all instances at once, and processes that are known to have ended don't count as left, though they are still listed.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
@@ -322,3 +322,24 @@
   }
   t.is(sent, 2);
 });
+
+test('a request that has just ended a process is not sent to the last one that is left', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  end(quarantine, 'e1', [REQUEST], 100);
+  const getWait = (processes: readonly string[], now: number): number =>
+    quarantine.getLastEndpointWait(REQUEST, processes, now);
+  t.is(getWait(['e1', 'e2', 'e3'], 150), 0);
+  t.is(getWait(['e1', 'e2'], 150), 2950);
+  t.is(getWait(['e2'], 3100), 0);
+});
+
+test('requests that waited together at one end are sent to the last process that is left', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  const names = ['a', 'b'].map((name) => REQUEST_PREFIX + name);
+  end(quarantine, 'e1', names, 100);
+  const [first, second] = names as [string, string];
+  t.is(quarantine.getLastEndpointWait(first, ['e2'], 150), 0);
+  end(quarantine, 'e2', [first], 200);
+  t.is(quarantine.getLastEndpointWait(first, ['e3'], 250), 2950);
+  t.is(quarantine.getLastEndpointWait(second, ['e3'], 250), 0);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
@@ -45,6 +45,13 @@
    * not wait; of the request that waited at most of them.
    */
   countEndsBesideRequest(part: string): number;
+  /**
+   * The last end that a request probably caused, since its last whole answer:
+   * it is not the first one, or no other request waited. -Infinity if none.
+   */
+  getLikelyEndAt(request: string): number;
+  /** Whether this process of an endpoint ended. */
+  hasEnded(process: string): boolean;
   /** Whether a process ended under the part since its last progress. */
   isSuspect(part: string): boolean;
   /** Whether any process ended that is remembered. */
@@ -187,6 +194,18 @@
       }
       return partEnds.length - Math.max(0, ...waited.values());
     },
+    getLikelyEndAt(request) {
+      const requestEnds = listPartEnds(request);
+      const isLikely =
+        requestEnds.length > 1 ||
+        requestEnds.some(
+          ({suspects}) =>
+            [...suspects.keys()].filter(isRequestName).length === 1,
+        );
+      if (!isLikely) return -Infinity;
+      return Math.max(...requestEnds.map(({endedAt}) => endedAt));
+    },
+    hasEnded: (process) => ends.has(process),
     isSuspect: (part) => suspectedAt.has(part),
     hasEnds: () => ends.size > 0,
     listEnds: (part) =>
--- a/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
@@ -39,6 +39,17 @@
   /** Drops what is too old. */
   dropExpired(now: number): void;
   isQuarantined(part: string): boolean;
+  /**
+   * Milliseconds for which a request is kept from the last endpoint of its
+   * service that is left, as it has just ended others; 0 if it may be sent.
+   *
+   * @param processes those of the endpoints that may run it
+   */
+  getLastEndpointWait(
+    request: string,
+    processes: readonly string[],
+    now: number,
+  ): number;
   /** Whether a process ended under the part or request, and it still counts. */
   isSuspect(part: string): boolean;
   /** Whether any process ended, and it still counts. */
@@ -70,6 +81,8 @@
  * better than a part of its prompt.
  */
 const MINIMUM_OTHER_ENDS = 2;
+/** An endpoint that has ended is back after about this time. */
+const RESTART_MILLISECONDS = 3000;
 /** Bounds the ended quarantines that are remembered. */
 const MAXIMUM_ENDED = 1000;
 /** Strikes from which a part is told as another suspect of the same ends. */
@@ -313,6 +326,12 @@
       quarantines.dropExpired(now);
     },
     isQuarantined: quarantines.has,
+    getLastEndpointWait(request, processes, now) {
+      const left = processes.filter((process) => !evidence.hasEnded(process));
+      if (left.length > 1) return 0;
+      const likelyEndAt = evidence.getLikelyEndAt(request);
+      return Math.max(0, likelyEndAt + RESTART_MILLISECONDS - now);
+    },
     isSuspect: evidence.isSuspect,
     hasEnds: evidence.hasEnds,
     describe(part, now) {
--- a/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
+++ b/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
@@ -35,6 +35,16 @@
     call: QuarantinedCall,
     isSend: boolean,
   ): {readonly part: string; readonly retryAfterMilliseconds: number} | null;
+  /**
+   * Milliseconds for which a call is kept from the last endpoint that is left;
+   * 0 if it may be sent.
+   *
+   * @param endpoints those that may run it
+   */
+  getLastEndpointWait(
+    call: QuarantinedCall,
+    endpoints: readonly GatewayEndpoint[],
+  ): number;
   /** Watches a call that is sent to an endpoint now. */
   watchCall(endpoint: GatewayEndpoint, call: QuarantinedCall): CallWatch;
   /** Resolves when it is known whether the endpoint's process ended. */
@@ -49,6 +59,10 @@
 
 /** Reads of complete events after which a stream has gone on. */
 const PROGRESS_READS = 2;
+/** Identifies one process of an endpoint. */
+const getProcess = ({id, startedAt}: GatewayEndpoint): string =>
+  `${id}/${startedAt}`;
+
 /** Bounds the lists in one log line. */
 const MAXIMUM_LOGGED = 12;
 
@@ -199,8 +213,16 @@
       tell(quarantine.recordAsked(parts, now()), 'own');
       return decision;
     },
+    getLastEndpointWait({getRequest}, endpoints) {
+      if (!quarantine.hasEnds()) return 0;
+      return quarantine.getLastEndpointWait(
+        getRequest(),
+        endpoints.map(getProcess),
+        now(),
+      );
+    },
     watchCall(endpoint, call) {
-      const process = `${endpoint.id}/${endpoint.startedAt}`;
+      const process = getProcess(endpoint);
       const sentAt = now();
       let end = waiting.start(process, {...call, sentAt});
       let reads = 0;
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -208,15 +208,32 @@
     const reason = isRequestName(found.part)
       ? 'endpoints ended under this request'
       : `endpoints ended under the part ${found.part} of the prompt`;
+    endQuarantined(reason, found.retryAfterMilliseconds);
+    return true;
+  }
+
+  /**
+   * Ends a call under which endpoints have just ended, if one is left for all
+   * others. False if the call may go on.
+   */
+  function refuseLastEndpoint(): boolean {
+    const wait = quarantine.getLastEndpointWait(
+      quarantinedCall,
+      selector.listUsable(),
+    );
+    if (wait === 0) return false;
+    endQuarantined('endpoints ended under this request, one is left', wait);
+    return true;
+  }
+
+  function endQuarantined(
+    reason: string,
+    retryAfterMilliseconds: number,
+  ): void {
     if (runs > 0 || writer.isStarted) fail(reason);
     else {
-      refuse({
-        tag: 'quarantined',
-        message: reason,
-        retryAfterMilliseconds: found.retryAfterMilliseconds,
-      });
+      refuse({tag: 'quarantined', message: reason, retryAfterMilliseconds});
     }
-    return true;
   }
 
   /**
@@ -410,7 +427,7 @@
     return;
   }
   while (!context.isEnded) {
-    if (refuseQuarantined(false)) break;
+    if (refuseQuarantined(false) || refuseLastEndpoint()) break;
     if (!(await prepareInputs())) break;
     if (
       context.account !== null &&
@@ -455,7 +472,7 @@
       fail('the budget of repeats is used up');
       break;
     }
-    if (refuseQuarantined(true)) break;
+    if (refuseLastEndpoint() || refuseQuarantined(true)) break;
     const lastEventId = splitter.getLastId() ?? call.lastEventId;
     if (lastEventId !== null) {
       log.infoRateLimited('stream resumes', {
