Tell requests that look alike from one that ends endpoints

Three ends under them quarantined the request that all of them look like, and as that explained the ends, the bad part was not quarantined.

Change: each instance remembers the last 4096 requests that were answered whole. Such a request explains no end of a part, and is quarantined after four ends in place of three; an instance that knows of an answer denies the verdict of one that doesn't. A request that was quarantined for ends that a part explains is released when the part is quarantined.

Why it works: a request that ends each server that begins it is never answered whole, those that look like it and are sound are.

Three tests of the decisions are new.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
@@ -343,3 +343,40 @@
   t.is(quarantine.getLastEndpointWait(first, ['e3'], 250), 2950);
   t.is(quarantine.getLastEndpointWait(second, ['e3'], 250), 0);
 });
+
+test('requests that look like one with a bad part of the prompt are sent again', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  quarantine.recordProgress(['shared', REQUEST], 0);
+  for (let at = 100; at < 2000; at += 100) {
+    if (isSent(quarantine, ['shared', 'bad', REQUEST], at - 50)) {
+      end(quarantine, `e${at}`, ['shared', 'bad', REQUEST], at);
+    }
+  }
+  t.false(isSent(quarantine, ['shared', 'bad', REQUEST], 2000));
+  t.true(isSent(quarantine, ['shared', REQUEST], 2000));
+});
+
+test('a request is sent again once a part of its prompt explains the ends', (t) => {
+  const quarantine = createPromptQuarantine('front-1');
+  for (const [index, name] of ['a', 'a', 'a', 'b', 'b'].entries()) {
+    const at = 100 + 200 * index;
+    end(quarantine, `e${at}`, ['bad', REQUEST_PREFIX + name], at);
+  }
+  t.true(isSent(quarantine, [`${REQUEST_PREFIX}a`], 1000));
+  t.false(isSent(quarantine, ['bad', `${REQUEST_PREFIX}a`], 1000));
+});
+
+test('a request that a peer has seen answered whole before is quarantined by neither after three ends', (t) => {
+  const observer = createPromptQuarantine('front-1');
+  const peer = createPromptQuarantine('front-2');
+  peer.recordProgress([REQUEST], 0);
+  const told = peer.merge(quarantineParts(observer, [REQUEST]), 503);
+  t.false(isSent(observer, [REQUEST], 504));
+  observer.merge(told, 505);
+  t.true(isSent(observer, [REQUEST], 510));
+  t.true(isSent(peer, [REQUEST], 510));
+  const more = end(observer, 'e600', [REQUEST], 600);
+  peer.merge(more, 603);
+  t.false(isSent(observer, [REQUEST], 610));
+  t.false(isSent(peer, [REQUEST], 610));
+});
--- a/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
@@ -41,8 +41,9 @@
   /** The same ends, each of them counted. */
   countEnds(part: string, explanations: readonly string[]): number;
   /**
-   * The ends since the last progress of a part at which a request with it did
-   * not wait; of the request that waited at most of them.
+   * The ends since the last progress of a part that no single request accounts
+   * for: those without the request that waited at most of them. One that was
+   * ever answered whole accounts for none.
    */
   countEndsBesideRequest(part: string): number;
   /**
@@ -52,8 +53,6 @@
   getLikelyEndAt(request: string): number;
   /** Whether this process of an endpoint ended. */
   hasEnded(process: string): boolean;
-  /** Whether a process ended under the part since its last progress. */
-  isSuspect(part: string): boolean;
   /** Whether any process ended that is remembered. */
   hasEnds(): boolean;
   /** The ends since the last progress of a part. */
@@ -73,7 +72,12 @@
 /** Beyond these numbers, the oldest is dropped. */
 const MAXIMUM_ENDS = 64;
 const MAXIMUM_SUSPECTS = 256;
-const MAXIMUM_PROGRESS = 20_000;
+const MAXIMUM_PART_PROGRESS = 20_000;
+const MAXIMUM_REQUEST_PROGRESS = 4096;
+
+function dropOldest(map: Map<string, unknown>, maximum: number): void {
+  if (map.size > maximum) map.delete(map.keys().next().value!);
+}
 
 /**
  * Remembers which processes of endpoints ended under which parts of prompts,
@@ -91,12 +95,30 @@
     ProcessEnd & {readonly suspects: Map<string, number>}
   >();
   /** When answers last went on, by part, in the order of their first. */
-  const progress = new Map<string, {at: number; isOwn: boolean}>();
+  const partProgress = new Map<string, {at: number; isOwn: boolean}>();
+  /** When answers were last whole, by request, in that order. */
+  const requestProgress: typeof partProgress = new Map();
   /** Since when parts are suspect. */
   const suspectedAt = new Map<string, number>();
 
+  const getProgress = (part: string) =>
+    (isRequestName(part) ? requestProgress : partProgress).get(part);
   const getProgressAt = (part: string): number =>
-    progress.get(part)?.at ?? -Infinity;
+    getProgress(part)?.at ?? -Infinity;
+
+  function setProgress(
+    part: string,
+    progress: {readonly at: number; readonly isOwn: boolean},
+  ): void {
+    if (isRequestName(part)) {
+      requestProgress.delete(part);
+      requestProgress.set(part, progress);
+      dropOldest(requestProgress, MAXIMUM_REQUEST_PROGRESS);
+    } else {
+      partProgress.set(part, progress);
+      dropOldest(partProgress, MAXIMUM_PART_PROGRESS);
+    }
+  }
 
   function suspect(part: string, at: number): void {
     suspectedAt.set(part, Math.max(at, suspectedAt.get(part) ?? -Infinity));
@@ -157,16 +179,13 @@
     recordProgress(part, at, isOwn) {
       const before = getProgressAt(part);
       if (at <= before) return false;
-      progress.set(part, {at, isOwn});
-      if (progress.size > MAXIMUM_PROGRESS) {
-        progress.delete(progress.keys().next().value!);
-      }
+      setProgress(part, {at, isOwn});
       const since = suspectedAt.get(part);
       return since !== undefined && before < since && at >= since;
     },
     getProgressAt,
     getSureProgressAt(part) {
-      const known = progress.get(part);
+      const known = getProgress(part);
       if (known === undefined) return -Infinity;
       return known.isOwn ? known.at : known.at - LATENCY_MILLISECONDS;
     },
@@ -186,10 +205,11 @@
     countEndsBesideRequest(part) {
       const partEnds = listPartEnds(part);
       const waited = new Map<string, number>();
-      for (const {suspects, endedAt} of partEnds) {
+      for (const {suspects} of partEnds) {
         for (const name of suspects.keys()) {
-          const counts = isRequestName(name) && endedAt > getProgressAt(name);
-          if (counts) waited.set(name, (waited.get(name) ?? 0) + 1);
+          const isCounted =
+            isRequestName(name) && getProgress(name) === undefined;
+          if (isCounted) waited.set(name, (waited.get(name) ?? 0) + 1);
         }
       }
       return partEnds.length - Math.max(0, ...waited.values());
@@ -206,7 +226,6 @@
       return Math.max(...requestEnds.map(({endedAt}) => endedAt));
     },
     hasEnded: (process) => ends.has(process),
-    isSuspect: (part) => suspectedAt.has(part),
     hasEnds: () => ends.size > 0,
     listEnds: (part) =>
       listPartEnds(part).map(({process, endedAt}) => ({process, endedAt})),
@@ -225,7 +244,7 @@
         })),
       }));
       const cleared = [...suspectedAt.keys()]
-        .filter((part) => progress.has(part))
+        .filter((part) => getProgress(part) !== undefined)
         .map((part): PromptRecord => {
           const ageMilliseconds = now - getProgressAt(part);
           return {tag: 'progress', part, ageMilliseconds, isRelayed: true};
--- a/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
@@ -50,8 +50,6 @@
     processes: readonly string[],
     now: number,
   ): number;
-  /** Whether a process ended under the part or request, and it still counts. */
-  isSuspect(part: string): boolean;
   /** Whether any process ended, and it still counts. */
   hasEnds(): boolean;
   /** What is held against a part, for the log. */
@@ -76,6 +74,8 @@
 const MAXIMUM_PROVEN_STRIKES = 4;
 /** Ends after which a request as a whole is quarantined. */
 const MAXIMUM_REQUEST_ENDS = 3;
+/** The same for one that has had whole answers: sound ones look like it. */
+const MAXIMUM_PROVEN_REQUEST_ENDS = 4;
 /**
  * Ends under other requests than one, without which this one explains them
  * better than a part of its prompt.
@@ -130,20 +130,35 @@
         .filter((other) => other !== part)
         .slice(0, MAXIMUM_OTHERS);
       quarantines.add(part, {id, startedAt, others, askedAt: now});
+      if (!isRequestName(part)) releaseExplained(part, now);
       const ageMilliseconds = now - startedAt;
       return {tag: 'verdict', part, id, others, ageMilliseconds};
     });
   }
 
+  const isProven = (suspect: string): boolean =>
+    evidence.getProgressAt(suspect) > -Infinity;
+
   /** Whether the ends held against a request have reached the limit. */
   const isRequestGuilty = (request: string): boolean =>
     evidence.countEnds(request, quarantines.listParts()) >=
-    MAXIMUM_REQUEST_ENDS;
+    (isProven(request) ? MAXIMUM_PROVEN_REQUEST_ENDS : MAXIMUM_REQUEST_ENDS);
+
+  /**
+   * Releases the requests that were quarantined for ends that the part, which
+   * now is too, explains.
+   */
+  function releaseExplained(part: string, now: number): void {
+    for (const request of quarantines.listParts().filter(isRequestName)) {
+      const isExplained =
+        evidence.countEnds(request, [part]) < evidence.countEnds(request, []);
+      if (isExplained && !isRequestGuilty(request)) release(request, now);
+    }
+  }
 
   /** Whether the strikes of a part have, and no request explains them. */
   function isPartGuilty(part: string, strikes: number): boolean {
-    const isProven = evidence.getProgressAt(part) > -Infinity;
-    const limit = isProven ? MAXIMUM_PROVEN_STRIKES : MAXIMUM_STRIKES;
+    const limit = isProven(part) ? MAXIMUM_PROVEN_STRIKES : MAXIMUM_STRIKES;
     return (
       strikes >= limit &&
       evidence.countEndsBesideRequest(part) >= MINIMUM_OTHER_ENDS
@@ -226,7 +241,8 @@
    */
   function applyProgress(part: string, at: number): boolean {
     const isCleared = evidence.recordProgress(part, at, false);
-    return release(part, at) !== null || isCleared;
+    const isAlike = isRequestName(part) && !isRequestGuilty(part);
+    return release(part, isAlike ? Infinity : at) !== null || isCleared;
   }
 
   /**
@@ -269,7 +285,13 @@
         recordEnded(part, id);
         return [createProgress(part, now)];
       }
+      if (isRequestName(part) && isProven(part) && !isRequestGuilty(part)) {
+        // Not known to the peer, which quarantines it after fewer ends.
+        recordEnded(part, id);
+        return [createProgress(part, now)];
+      }
       quarantines.add(part, {id, startedAt, others, askedAt: startedAt});
+      if (!isRequestName(part)) releaseExplained(part, now);
       return [record];
     },
     trial: (record) => (quarantines.mergeTrial(record) ? [record] : []),
@@ -332,7 +354,6 @@
       const likelyEndAt = evidence.getLikelyEndAt(request);
       return Math.max(0, likelyEndAt + RESTART_MILLISECONDS - now);
     },
-    isSuspect: evidence.isSuspect,
     hasEnds: evidence.hasEnds,
     describe(part, now) {
       const progressAt = evidence.getProgressAt(part);
--- a/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
+++ b/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
@@ -20,10 +20,12 @@
   broadcast(records: readonly PromptRecord[]): void;
 }
 
-type QuarantinedCall = Pick<
+interface QuarantinedCall extends Pick<
   Parameters<ReturnType<typeof createWaitingCalls>['start']>[1],
   'requestId' | 'parts' | 'getRequest'
->;
+> {
+  readonly bodyBytes: number;
+}
 
 interface PromptQuarantineSync {
   setInstances(names: readonly string[]): void;
@@ -57,6 +59,11 @@
   flush(): void;
 }
 
+/**
+ * Whole answers to requests with longer bodies are remembered only while an end
+ * is, as their names take more time to compute.
+ */
+const MAXIMUM_PROVEN_BYTES = 65_536;
 /** Reads of complete events after which a stream has gone on. */
 const PROGRESS_READS = 2;
 /** Identifies one process of an endpoint. */
@@ -72,7 +79,7 @@
  *
  * @example
  *     const quarantine = createPromptQuarantineSync(options);
- *     const watch = quarantine.watchCall(endpoint, {requestId: '9c41', parts, getRequest});
+ *     const watch = quarantine.watchCall(endpoint, {requestId: '9c41', parts, getRequest, bodyBytes: 0});
  *     watch.recordBroken('read ECONNRESET');
  *     watch.end();
  */
@@ -239,11 +246,10 @@
         },
         recordAnswer() {
           recordProgress();
-          if (!quarantine.hasEnds() && quarantine.getSize() === 0) return;
-          const request = call.getRequest();
-          const isHeld =
-            quarantine.isSuspect(request) || quarantine.isQuarantined(request);
-          if (isHeld) tell(quarantine.recordProgress([request], now()), 'own');
+          if (call.bodyBytes > MAXIMUM_PROVEN_BYTES && !quarantine.hasEnds()) {
+            return;
+          }
+          tell(quarantine.recordProgress([call.getRequest()], now()), 'own');
         },
         recordBroken: (reason) => handleBroken(endpoint, process, reason),
         end: () => end(),
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -104,7 +104,8 @@
   const quarantinedCall = {
     requestId: call.id,
     parts: listSharedParts(call.promptParts),
-    /** Computed when an endpoint has ended, as bodies may be large. */
+    bodyBytes: body.length,
+    /** Computed when it is needed, as bodies may be large. */
     getRequest(): string {
       requestName ??= identifyRequest({...context, host: route.host, body});
       return requestName;
