Pass no body on whose length another response fills up

What callers saw: an answer with the right id and stamp, of the right length, whose last bytes are the start of another response, of the same request or of an earlier one on a pooled connection.

Cause: once as many bytes as stated had arrived, the body was complete, whatever came in between and behind. Bytes behind it only closed the connection. Class of fault: the end of an answer is believed by an event that other bytes may precede.

Change: if bytes follow a body with a length in the read that ends it, and a status line begins within the body, the response is not complete. Bodies of one read with nothing behind them are not searched.

Why it works: the second response is as long as the first, so it always reaches beyond what is missing; a sound body that quotes a status line ends its read. Bytes that arrive in a later read than the end of the body are not seen in time, and the events of a stream with a length have been passed on.

--- a/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
@@ -208,3 +208,24 @@
   );
   t.deepEqual([body, isComplete], [text, true]);
 });
+
+test('a body with a length that another response fills up is rejected', (t) => {
+  const head = 'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n';
+  for (let bodyBytes = 0; bodyBytes < 20; bodyBytes += 1) {
+    const whole = `${head}${'x'.repeat(bodyBytes)}${head}${'y'.repeat(20)}`;
+    for (let cut = 0; cut < head.length + 20; cut += 1) {
+      const chunks = [whole.slice(0, cut), whole.slice(cut)];
+      const result = parseAll(chunks.map((chunk) => Buffer.from(chunk)));
+      t.like(result, {isEnded: false, isAccepted: false, isComplete: false});
+    }
+  }
+});
+
+test('a body with a length is whole if a second response follows it', (t) => {
+  const first = 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody HTTP';
+  for (let cut = 0; cut <= first.length; cut += 1) {
+    const chunks = [first.slice(0, cut), first.slice(cut) + first];
+    const {body, isEnded} = parseAll(chunks.map((chunk) => Buffer.from(chunk)));
+    t.deepEqual([body, isEnded], ['body HTTP', true]);
+  }
+});
--- a/packages/hickorywharf-gateway/src/createResponseParser.ts
+++ b/packages/hickorywharf-gateway/src/createResponseParser.ts
@@ -60,9 +60,10 @@
 /**
  * Parses one HTTP/1.1 response incrementally. It rejects responses that could
  * be understood in two ways: several lengths, a length with a transfer coding,
- * folded lines, header names with invalid characters, and the status line of
- * another response in a body that ends with its connection. It also rejects
- * heads, chunk extensions and trailers above a limit, but limits no body.
+ * folded lines, header names with invalid characters, the status line of another
+ * response in a body that ends with its connection, and one in a body with a
+ * length that more bytes follow. It also rejects heads, chunk extensions and
+ * trailers above a limit, but limits no body.
  *
  * @param isHeadRequest the response has no body, whatever its head says
  * @example
@@ -193,14 +194,34 @@
     return feed + 1;
   }
 
+  /**
+   * Whether another response begins within the last part of a body with a
+   * length, or within the parts before it. `bytes` goes on behind that part.
+   */
+  function isFilledUp(bytes: Buffer, partBytes: number): boolean {
+    if (statusLines.isFound()) return true;
+    const heldBytes = statusLines.getRemainder().length;
+    const precedingBytes = statusLines.append(bytes).length;
+    return statusLines.isFound() && precedingBytes < heldBytes + partBytes;
+  }
+
   function consumeBody(bytes: Buffer, start: number): number {
-    const size = Math.min(remaining, bytes.length - start);
-    remaining -= size;
-    handlers.onBody(bytes.subarray(start, start + size));
-    if (remaining > 0) return start + size;
+    const stop = start + Math.min(remaining, bytes.length - start);
+    const part = bytes.subarray(start, stop);
+    remaining -= part.length;
+    handlers.onBody(part);
+    if (remaining > 0) {
+      if (state === 'length') statusLines.append(part);
+      return stop;
+    }
     if (state === 'chunk') state = 'chunkEnd';
-    else end();
-    return start + size;
+    else if (
+      stop < bytes.length &&
+      isFilledUp(bytes.subarray(start), part.length)
+    ) {
+      reject('another response within a body with a length');
+    } else end();
+    return stop;
   }
 
   /** Reads a body that ends with its connection; false after a status line. */
