Turn a head down that is joined from two responses

What callers saw: an answer with the status of another one, or with headers of two, such as a stamp 'stHTTP/1.1 200 OK' beside the right one.

Cause: a reason phrase and the value of a header may hold any text, so a line that broke off within one went on with the status line of the next response. Class of fault: the end of an answer is believed by an event that other bytes may precede.

Change: a line of the head within which a status line begins is turned down.

Why it works: a head that breaks off goes on with the status line of the next response; at the start of a line or in a name it was invalid before.

--- a/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
@@ -229,3 +229,12 @@
     t.deepEqual([body, isEnded], ['body HTTP', true]);
   }
 });
+
+test('the heads of two responses are not read as one', (t) => {
+  const head =
+    'HTTP/1.1 200 OK\r\nRequest-Id: a\r\nAge: 1\r\nContent-Length: 4\r\n\r\n';
+  for (let cut = 1; cut < head.length; cut += 1) {
+    const {isEnded, isAccepted} = parse(`${head.slice(0, cut)}${head}body`);
+    t.deepEqual([isEnded, isAccepted], [false, false], head.slice(0, cut));
+  }
+});
--- a/packages/hickorywharf-gateway/src/createResponseParser.ts
+++ b/packages/hickorywharf-gateway/src/createResponseParser.ts
@@ -22,6 +22,8 @@
 const MAXIMUM_CHUNK_EXTENSION_BYTES = 16_384;
 const MAXIMUM_TRAILER_BYTES = 16_384;
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
+/** The status line of another response, behind a line that broke off. */
+const JOINED_STATUS_LINE = /.HTTP\/1\.[01] [1-5]\d\d(?: |$)/;
 const HEADER =
   /^([!#$%&'*+\-.^_`|~\dA-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
 const LENGTH = /^\d{1,15}$/;
@@ -61,9 +63,9 @@
  * Parses one HTTP/1.1 response incrementally. It rejects responses that could
  * be understood in two ways: several lengths, a length with a transfer coding,
  * folded lines, header names with invalid characters, the status line of another
- * response in a body that ends with its connection, and one in a body with a
- * length that more bytes follow. It also rejects heads, chunk extensions and
- * trailers above a limit, but limits no body.
+ * response within a line of the head or in a body that ends with its connection,
+ * and one in a body with a length that more bytes follow. It also rejects heads,
+ * chunk extensions and trailers above a limit, but limits no body.
  *
  * @param isHeadRequest the response has no body, whatever its head says
  * @example
@@ -190,6 +192,8 @@
     const isHead = state === 'status' || state === 'headers';
     if (isHead && lines > MAXIMUM_HEAD_LINES) {
       reject(`the head has more than ${MAXIMUM_HEAD_LINES} lines`);
+    } else if (isHead && JOINED_STATUS_LINE.test(text)) {
+      reject('another response within a head');
     } else state = lineHandlers[state]!(text);
     return feed + 1;
   }
