Pass no chunk on that another response fills up

What callers saw: a stream that looks complete, with the right id and stamp, one of whose events holds the head of a second answer.

Cause: the bytes of a chunk were passed on before its end had arrived. A second answer that followed a chunk that broke off filled it up with its head, which ends in a blank line as an event does. The missing end of the chunk was noticed after that, and the stream went on at another server. Class of fault: the end of an answer is believed by an event that other bytes may precede.

Change: a chunk whose end arrives with it is passed on at once, as before. One that arrives in parts is passed on up to a status line, and from there once its end has arrived, or beyond 64 KiB.

Why it works: behind a second response that fills a chunk up there is no end of the chunk, so the answer is turned down with the foreign bytes held back. A sound chunk that quotes a status line is passed on whole.

--- a/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
@@ -238,3 +238,49 @@
     t.deepEqual([isEnded, isAccepted], [false, false], head.slice(0, cut));
   }
 });
+
+test('a chunk that another response fills up is not passed on from there', (t) => {
+  const chunk = `200\r\nbody${chunkedHead}200\r\n`;
+  const whole = `${chunkedHead}${chunk}${'x'.repeat(600)}\r\n0\r\n\r\n`;
+  for (let cut = chunkedHead.length + 5; cut < whole.length; cut += 1) {
+    const chunks = [whole.slice(0, cut), whole.slice(cut)];
+    const {body, isAccepted} = parseAll(
+      chunks.map((bytes) => Buffer.from(bytes)),
+    );
+    t.false(isAccepted);
+    t.true('body'.startsWith(body), body);
+  }
+});
+
+test('a chunk that holds a status line is whole however it is split', (t) => {
+  const texts = ['HTTP/1.1 200 OK HT', 'TP/1.1 200 ', 'H', 'a HTTP/1.1 2'];
+  const chunks = texts.map((text) => `${text.length.toString(16)}\r\n${text}`);
+  const whole = `${chunkedHead}${chunks.join('\r\n')}\r\n0\r\n\r\n`;
+  fc.assert(
+    fc.property(fc.array(fc.nat(whole.length), {maxLength: 12}), (cuts) => {
+      const positions = [0, ...cuts.sort((a, b) => a - b), whole.length];
+      const {body, isComplete} = parseAll(
+        positions
+          .slice(1)
+          .map((end, index) => Buffer.from(whole.slice(positions[index], end))),
+      );
+      t.deepEqual([body, isComplete], [texts.join(''), true]);
+    }),
+  );
+});
+
+test('a long chunk that holds a status line is not held back without end', (t) => {
+  let bodyBytes = 0;
+  const parser = createResponseParser(
+    {
+      onHead: () => undefined,
+      onBody: ({length}) => void (bodyBytes += length),
+      onEnd: () => undefined,
+    },
+    false,
+  );
+  parser.read(Buffer.from(`${chunkedHead}fffffff\r\nHTTP/1.1 200 OK`));
+  const part = Buffer.alloc(10_000, 'x');
+  for (let count = 0; count < 100; count += 1) parser.read(part);
+  t.true(bodyBytes > 900_000, `${bodyBytes} bytes were passed on`);
+});
--- a/packages/hickorywharf-gateway/src/createResponseParser.ts
+++ b/packages/hickorywharf-gateway/src/createResponseParser.ts
@@ -30,6 +30,7 @@
 const CHUNK_SIZE = /^([\dA-Fa-f]{1,12})[ \t]*(?:;.*)?$/;
 /** A line, or the start of one, without a chunk extension. */
 const PLAIN_CHUNK_SIZE = /^[\dA-Fa-f]*\r?$/;
+const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
 const BODYLESS: ReadonlySet<number> = new Set([204, 304]);
 const HEAD = {name: 'head', maximumBytes: MAXIMUM_HEAD_BYTES} as const;
@@ -64,8 +65,9 @@
  * be understood in two ways: several lengths, a length with a transfer coding,
  * folded lines, header names with invalid characters, the status line of another
  * response within a line of the head or in a body that ends with its connection,
- * and one in a body with a length that more bytes follow. It also rejects heads,
- * chunk extensions and trailers above a limit, but limits no body.
+ * and one in a body with a length that more bytes follow. From one in a chunk on,
+ * it waits for the end of the chunk. It also rejects heads, chunk extensions and
+ * trailers above a limit, but limits no body.
  *
  * @param isHeadRequest the response has no body, whatever its head says
  * @example
@@ -85,7 +87,7 @@
   let contentLengths: string[] = [];
   let codings: string[] = [];
   let error = 'bytes that are no answer';
-  const statusLines = createStatusLineFinder();
+  let statusLines = createStatusLineFinder();
   /** Bytes of the complete lines of each limited part. */
   const partBytes = new Map<string, number>();
 
@@ -161,7 +163,15 @@
       remaining = parseInt(size, 16);
       return remaining === 0 ? 'trailers' : 'chunk';
     },
-    chunkEnd: (text) => (text === '' ? 'chunkSize' : 'broken'),
+    chunkEnd(text) {
+      if (text !== '') return 'broken';
+      const held = statusLines.getHeld();
+      if (held.length > 0) handlers.onBody(held);
+      if (held.length > 0 || statusLines.isFound()) {
+        statusLines = createStatusLineFinder();
+      }
+      return 'chunkSize';
+    },
     trailers(text) {
       if (text !== '') return HEADER.test(text) ? 'trailers' : 'broken';
       end();
@@ -209,17 +219,14 @@
     return statusLines.isFound() && precedingBytes < heldBytes + partBytes;
   }
 
-  function consumeBody(bytes: Buffer, start: number): number {
+  function consumeLength(bytes: Buffer, start: number): number {
     const stop = start + Math.min(remaining, bytes.length - start);
     const part = bytes.subarray(start, stop);
     remaining -= part.length;
     handlers.onBody(part);
     if (remaining > 0) {
-      if (state === 'length') statusLines.append(part);
-      return stop;
-    }
-    if (state === 'chunk') state = 'chunkEnd';
-    else if (
+      if (!statusLines.isFound()) statusLines.append(part);
+    } else if (
       stop < bytes.length &&
       isFilledUp(bytes.subarray(start), part.length)
     ) {
@@ -228,6 +235,25 @@
     return stop;
   }
 
+  /**
+   * Passes on what belongs to a chunk: all of it if its end is in order, else
+   * what comes before a status line, until the end has arrived.
+   */
+  function consumeChunk(bytes: Buffer, start: number): number {
+    const stop = start + Math.min(remaining, bytes.length - start);
+    const part = bytes.subarray(start, stop);
+    remaining -= part.length;
+    const isEnded =
+      remaining === 0 &&
+      bytes[stop] === CARRIAGE_RETURN &&
+      bytes[stop + 1] === LINE_FEED;
+    const isHeld = statusLines.getHeld().length > 0;
+    const passed = isEnded && !isHeld ? part : statusLines.append(part);
+    if (passed.length > 0) handlers.onBody(passed);
+    if (remaining === 0) state = 'chunkEnd';
+    return stop;
+  }
+
   /** Reads a body that ends with its connection; false after a status line. */
   function readUntilClose(bytes: Buffer): boolean {
     const body = statusLines.append(bytes);
@@ -237,6 +263,12 @@
     return false;
   }
 
+  /** Each returns the position after what it parsed; lines by default. */
+  const consumers: Partial<Record<ParserState, typeof consumeLine>> = {
+    length: consumeLength,
+    chunk: consumeChunk,
+  };
+
   return {
     read(bytes) {
       let position = 0;
@@ -245,10 +277,7 @@
         if (state === 'untilClose') {
           return readUntilClose(bytes.subarray(position));
         }
-        position =
-          state === 'length' || state === 'chunk'
-            ? consumeBody(bytes, position)
-            : consumeLine(bytes, position);
+        position = (consumers[state] ?? consumeLine)(bytes, position);
       }
       return (state as ParserState) !== 'broken';
     },
--- a/packages/hickorywharf-gateway/src/createStatusLineFinder.ts
+++ b/packages/hickorywharf-gateway/src/createStatusLineFinder.ts
@@ -1,13 +1,20 @@
 interface StatusLineFinder {
-  /** Adds bytes. Returns those that cannot belong to a status line. */
+  /**
+   * Adds bytes. Returns those before a status line, without those that are held
+   * back: from a status line on, or those with which one may begin.
+   */
   append(chunk: Buffer): Buffer;
-  /** Whether a status line was found; what follows it is dropped. */
+  /** Whether a status line was found. */
   isFound(): boolean;
   /** Bytes at the end with which a status line may begin. */
   getRemainder(): Buffer;
+  /** All bytes that are held back, those from a status line on included. */
+  getHeld(): Buffer;
 }
 
 const EMPTY = Buffer.alloc(0);
+/** Bytes from a status line on that are held back; beyond, all are returned. */
+const MAXIMUM_HELD_BYTES = 65_536;
 /** Patterns of the characters of a status line, up to the status. */
 const CHARACTERS: readonly string[] = [
   ...['H', 'T', 'T', 'P', '/', '1', '\\.', '[01]', ' '],
@@ -31,22 +38,43 @@
  *     finder.isFound(); // true
  */
 export function createStatusLineFinder(): StatusLineFinder {
-  let remainder: Buffer = EMPTY;
+  let held: Buffer[] = [];
+  let heldBytes = 0;
   let isFound = false;
+
+  function hold(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    held.push(Buffer.from(bytes));
+    heldBytes += bytes.length;
+  }
+
+  const getHeld = (): Buffer =>
+    held.length === 0 ? EMPTY : Buffer.concat(held);
+
+  function take(): Buffer {
+    const bytes = getHeld();
+    held = [];
+    heldBytes = 0;
+    return bytes;
+  }
+
   return {
     append(chunk) {
-      if (isFound) return EMPTY;
-      const bytes =
-        remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]);
+      if (isFound) {
+        hold(chunk);
+        return heldBytes > MAXIMUM_HELD_BYTES ? take() : EMPTY;
+      }
+      const bytes = held.length === 0 ? chunk : Buffer.concat([take(), chunk]);
       const text = bytes.toString('latin1');
       const start = STATUS_LINE.exec(text)?.index;
       isFound = start !== undefined;
       const end =
         start ?? UNFINISHED_STATUS_LINE.exec(text)?.index ?? text.length;
-      remainder = isFound ? EMPTY : Buffer.from(bytes.subarray(end));
+      hold(bytes.subarray(end));
       return bytes.subarray(0, end);
     },
     isFound: () => isFound,
-    getRemainder: () => remainder,
+    getRemainder: () => (isFound ? EMPTY : getHeld()),
+    getHeld,
   };
 }
