Reproduce an engine's stream that goes on with a second answer

An engine breaks its stream off, without a length, and sends it again on the same connection. The tokens of both count as one generation.

--- a/packages/hickorywharf-endpoints/src/__tests__/lateAnswers.test.ts
+++ b/packages/hickorywharf-endpoints/src/__tests__/lateAnswers.test.ts
@@ -114,3 +114,24 @@
     }
   });
 }
+
+test('a stream of an engine that breaks off does not go on with a second answer', async (t) => {
+  const formatTokens = (token: string) =>
+    `data: ${JSON.stringify({tokens: [token]})}\n\n`;
+  const end = `data: ${JSON.stringify({finished: {count: 2, cachedTokens: 0}})}\n\n`;
+  const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n';
+  const first = head + formatTokens('a');
+  const server = createServer((_request, {socket}) =>
+    socket?.end(first + first + formatTokens('b') + end),
+  );
+  const port = await listenOn(server, {host: '127.0.0.1', port: 0});
+  t.teardown(() => server.close());
+  const tokens: string[] = [];
+  const result = await createEngineBackend(`http://127.0.0.1:${port}`).run({
+    attempt: createAttempt('a', 'generate'),
+    remainingMilliseconds: 1000,
+    onTokens: (added) => void tokens.push(...added),
+    signal: new AbortController().signal,
+  });
+  t.true(result.isErr(), `${tokens.join(' ')} passed as whole`);
+});
