Do not go on reading an engine's stream with a second response

What callers saw: tokens of an engine's stream twice, in an answer that looks complete, if the stream broke off and came again on the same connection.

Cause: a stream without a length ends with its connection, and lines that are no data were skipped, so also the head of a second response. Class of fault: the end of an answer is believed by an event that other bytes may precede.

Evidence: the test of lateAnswers.test.ts failed before, with tokens a, a, b for a generation of two.

Change: a line that is no data and holds a status line ends the attempt with an error. Within a line of data a status line was an error before, as it is no JSON. Data that quotes one is not affected.

Result: the test passes, with the other tests of the package.

--- a/packages/hickorywharf-endpoints/src/createEngineBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createEngineBackend.ts
@@ -9,6 +9,7 @@
 type RunOptions = Parameters<Backend['run']>[0];
 
 const DATA_PREFIX = 'data: ';
+const STATUS_LINE = /HTTP\/1\.[01] [1-5]\d\d/;
 
 /** One event of the engine's response stream. */
 interface EngineEvent {
@@ -57,7 +58,11 @@
     }
     const lines = createInterface({input: response.body});
     for await (const line of lines) {
-      if (!line.startsWith(DATA_PREFIX)) continue;
+      if (!line.startsWith(DATA_PREFIX)) {
+        // Without a length, what follows on the connection is read as well.
+        if (!STATUS_LINE.test(line)) continue;
+        throw new Error("another response within the engine's stream");
+      }
       const event = JSON.parse(line.slice(DATA_PREFIX.length)) as EngineEvent;
       if (event.tokens !== undefined) onTokens(event.tokens);
       if (event.finished !== undefined) {
