Reproduce a refusal of an entry that takes the place of another answer

A caller sends a request, and bytes that are not HTTP behind it. The entry writes a problem document at once, which the caller reads as the answer to its request: status 400 and outcome notRun, while the request runs.

--- a/packages/hickorywharf-entry/src/__tests__/createHttpServer.test.ts
+++ b/packages/hickorywharf-entry/src/__tests__/createHttpServer.test.ts
@@ -2,6 +2,7 @@
 import test, {type ExecutionContext} from 'ava';
 import fc from 'fast-check';
 import type {EntryEvent} from 'hickorywharf-decisions/entry/entryEvent';
+import {sleep} from 'hickorywharf-utils/sleep';
 import {request} from 'undici';
 import {createHttpApplication} from '../createHttpApplication.ts';
 import {createHttpServer} from '../createHttpServer.ts';
@@ -208,3 +209,23 @@
   await body.dump();
   t.is(statusCode, 200);
 });
+
+test('bytes that are not HTTP, behind a request, are not answered in its place', async (t) => {
+  const server = await createHttpServer({
+    async fetch() {
+      await sleep(50);
+      return new Response('the answer');
+    },
+    address: ADDRESS,
+    port: 0,
+  });
+  t.teardown(() => server.stopListening());
+  const text = await new Promise<string>((resolve) => {
+    let received = '';
+    const socket = connect(server.port, ADDRESS);
+    socket.on('data', (chunk) => void (received += chunk.toString()));
+    socket.on('close', () => resolve(received));
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\nnonsense\r\n\r\n');
+  });
+  t.regex(text, /^HTTP\/1\.1 200 OK\r\n[^]*\r\n\r\nthe answer$/);
+});
