Refuse bytes that are no request after the answers before them, in entries too

What callers saw: status 400 and outcome notRun for a request that runs, if bytes that are not HTTP followed it on its connection.

Cause: as in the gateway, the refusal was written at once.

Evidence: the new test of createHttpServer.test.ts failed before.

Change: what tracks the responses that a connection is due moves from the gateway's server into createResponseTracker, which both servers use.

Why it works: as in the gateway: nothing but the responses to whole requests is written while one is due.

Result: the test passes, with 71 tests of the entry's package, malformed requests, the gateway, slow callers and paused servers.

--- a/packages/hickorywharf-entry/src/createHttpServer.ts
+++ b/packages/hickorywharf-entry/src/createHttpServer.ts
@@ -1,5 +1,6 @@
 import type {Server, ServerResponse} from 'node:http';
 import {serve} from '@hono/node-server';
+import {createResponseTracker} from 'hickorywharf-utils/createResponseTracker';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {answerClientError} from './answerClientError.ts';
 
@@ -35,6 +36,7 @@
   options: HttpServerOptions,
 ): Promise<HttpServer> {
   const open = new Set<ServerResponse>();
+  const responses = createResponseTracker();
   let isDraining = false;
   const {promise, resolve, reject} = Promise.withResolvers<number>();
   const server = serve(
@@ -47,9 +49,14 @@
     ({port}) => resolve(port),
   ) as Server;
   server.on('error', reject);
-  server.on('clientError', answerClientError);
+  server.on('clientError', (error, socket) => {
+    if (!responses.finishMalformed(error, socket)) {
+      answerClientError(error, socket);
+    }
+  });
   server.prependListener('request', (_incoming, outgoing) => {
     open.add(outgoing);
+    responses.add(outgoing);
     outgoing.once('close', () => open.delete(outgoing));
     if (isDraining) outgoing.shouldKeepAlive = false;
   });
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
-import type {Duplex} from 'node:stream';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
+import {createResponseTracker} from 'hickorywharf-utils/createResponseTracker';
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {admitCall} from './admitCall.ts';
 import type {CallContext} from './callContext.ts';
@@ -23,13 +23,6 @@
   close(): void;
 }
 
-interface CallerConnection {
-  /** Responses that are not complete, in the order of their requests. */
-  readonly responses: Set<http.ServerResponse>;
-  /** Whether bytes arrived that are no request; none is read after them. */
-  isMalformed: boolean;
-}
-
 /** Length of the accept queue, for bursts of new connections. */
 const ACCEPT_BACKLOG = 1024;
 /** The deployment's limits, used until a configuration is active. */
@@ -46,8 +39,6 @@
 const DEADLINE_SLACK_MILLISECONDS = 60;
 /** Retry delay for callers whose request was not sent before its deadline. */
 const UNSENT_RETRY_MILLISECONDS = 300;
-/** Node's code for the end of a connection within a request. */
-const CALLER_ENDED = 'HPE_INVALID_EOF_STATE';
 /** Retry delay for callers that are refused because the instance stops. */
 const STOPPING_RETRY_MILLISECONDS = 100;
 
@@ -62,7 +53,7 @@
 export function createCallServer(options: ServeOptions): CallServer {
   const {settings, state, wire, log, metrics, getInstant} = options;
   let active = 0;
-  const connections = new WeakMap<Duplex, CallerConnection>();
+  const responses = createResponseTracker();
 
   function getLimits(): GatewayConfiguration['limits'] {
     return state.configuration?.limits ?? DEFAULT_LIMITS;
@@ -182,27 +173,6 @@
     await serveCall(options, {context, body: body.value, relay: writer});
   }
 
-  function isOwed({responses}: CallerConnection): boolean {
-    return [...responses].some(({req}) => req.complete);
-  }
-
-  /** Closes a malformed connection after the last response to a whole request. */
-  function trackResponse(
-    {socket}: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): void {
-    const connection = connections.get(socket) ?? {
-      responses: new Set(),
-      isMalformed: false,
-    };
-    connections.set(socket, connection);
-    connection.responses.add(response);
-    response.once('close', () => {
-      connection.responses.delete(response);
-      if (connection.isMalformed && !isOwed(connection)) socket.end();
-    });
-  }
-
   /** Closes the connection if the rest of a request arrives too slowly. */
   function limitUnreadRequest(request: http.IncomingMessage): void {
     if (request.complete) return;
@@ -221,7 +191,7 @@
     },
     (request, response) => {
       active += 1;
-      trackResponse(request, response);
+      responses.add(response);
       response.once('close', () => {
         active -= 1;
       });
@@ -244,14 +214,7 @@
       socket.destroy();
       return;
     }
-    const connection = connections.get(socket);
-    if (connection !== undefined && isOwed(connection)) {
-      // The caller would take these bytes for a part of the response it waits
-      // for. One that has closed its side waits for none.
-      connection.isMalformed = true;
-      if (error.code === CALLER_ENDED) socket.destroy();
-      return;
-    }
+    if (responses.finishMalformed(error, socket)) return;
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400;
     const reason = http.STATUS_CODES[status];
     socket.end(
