Reset the connection of an HTTP/1.0 caller whose stream breaks off

What callers saw: a stream that broke off ends as a whole one, if the caller speaks HTTP/1.0.

Cause: such a response has neither a length nor chunks, so the end of its connection is its end, and the connection was closed in order. Class of fault: the end of an answer is believed by an event that other causes have as well.

Change: such a connection is reset. HTTP/1.1 callers get chunks, of which the last is missing, as before.

--- a/packages/hickorywharf-gateway/src/createResponseWriter.ts
+++ b/packages/hickorywharf-gateway/src/createResponseWriter.ts
@@ -14,7 +14,10 @@
   /** Sends complete events; false if the caller reads slowly. */
   sendEvents(events: Buffer): boolean;
   endStream(): void;
-  /** Closes the connection, so that the response does not look complete. */
+  /**
+   * Closes or resets the connection, so that the response does not look
+   * complete.
+   */
   abort(): void;
   /** Sends a problem document; closes the connection of a started response. */
   refuse(refusal: Refusal, requestId: string | null): void;
@@ -45,6 +48,13 @@
     response.writeHead(status, [...headers, ...closing] as never);
   }
 
+  function abort(): void {
+    // HTTP/1.0 has no chunks: the end of the connection would end the response.
+    const {req, socket} = response;
+    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
+    response.destroy();
+  }
+
   return {
     get isStarted() {
       return isStarted;
@@ -57,9 +67,9 @@
     startStream: (head) => writeHead(head.status, head.headers),
     sendEvents: (events) => response.write(events),
     endStream: () => void response.end(),
-    abort: () => void response.destroy(),
+    abort,
     refuse(refusal, requestId) {
-      if (isStarted) return void response.destroy();
+      if (isStarted) return abort();
       const {tag, message, retryAfterMilliseconds} = refusal;
       const status = refusalStatuses[tag];
       const isNotRun = status !== 502 && status !== 504;
