--- a/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
@@ -208,3 +208,79 @@
   );
   t.deepEqual([body, isComplete], [text, true]);
 });
+
+test('a body with a length that another response fills up is rejected', (t) => {
+  const head = 'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n';
+  for (let bodyBytes = 0; bodyBytes < 20; bodyBytes += 1) {
+    const whole = `${head}${'x'.repeat(bodyBytes)}${head}${'y'.repeat(20)}`;
+    for (let cut = 0; cut < head.length + 20; cut += 1) {
+      const chunks = [whole.slice(0, cut), whole.slice(cut)];
+      const result = parseAll(chunks.map((chunk) => Buffer.from(chunk)));
+      t.like(result, {isEnded: false, isAccepted: false, isComplete: false});
+    }
+  }
+});
+
+test('a body with a length is whole if a second response follows it', (t) => {
+  const first = 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody HTTP';
+  for (let cut = 0; cut <= first.length; cut += 1) {
+    const chunks = [first.slice(0, cut), first.slice(cut) + first];
+    const {body, isEnded} = parseAll(chunks.map((chunk) => Buffer.from(chunk)));
+    t.deepEqual([body, isEnded], ['body HTTP', true]);
+  }
+});
+
+test('the heads of two responses are not read as one', (t) => {
+  const head =
+    'HTTP/1.1 200 OK\r\nRequest-Id: a\r\nAge: 1\r\nContent-Length: 4\r\n\r\n';
+  for (let cut = 1; cut < head.length; cut += 1) {
+    const {isEnded, isAccepted} = parse(`${head.slice(0, cut)}${head}body`);
+    t.deepEqual([isEnded, isAccepted], [false, false], head.slice(0, cut));
+  }
+});
+
+test('a chunk that another response fills up is not passed on from there', (t) => {
+  const chunk = `200\r\nbody${chunkedHead}200\r\n`;
+  const whole = `${chunkedHead}${chunk}${'x'.repeat(600)}\r\n0\r\n\r\n`;
+  for (let cut = chunkedHead.length + 5; cut < whole.length; cut += 1) {
+    const chunks = [whole.slice(0, cut), whole.slice(cut)];
+    const {body, isAccepted} = parseAll(
+      chunks.map((bytes) => Buffer.from(bytes)),
+    );
+    t.false(isAccepted);
+    t.true('body'.startsWith(body), body);
+  }
+});
+
+test('a chunk that holds a status line is whole however it is split', (t) => {
+  const texts = ['HTTP/1.1 200 OK HT', 'TP/1.1 200 ', 'H', 'a HTTP/1.1 2'];
+  const chunks = texts.map((text) => `${text.length.toString(16)}\r\n${text}`);
+  const whole = `${chunkedHead}${chunks.join('\r\n')}\r\n0\r\n\r\n`;
+  fc.assert(
+    fc.property(fc.array(fc.nat(whole.length), {maxLength: 12}), (cuts) => {
+      const positions = [0, ...cuts.sort((a, b) => a - b), whole.length];
+      const {body, isComplete} = parseAll(
+        positions
+          .slice(1)
+          .map((end, index) => Buffer.from(whole.slice(positions[index], end))),
+      );
+      t.deepEqual([body, isComplete], [texts.join(''), true]);
+    }),
+  );
+});
+
+test('a long chunk that holds a status line is not held back without end', (t) => {
+  let bodyBytes = 0;
+  const parser = createResponseParser(
+    {
+      onHead: () => undefined,
+      onBody: ({length}) => void (bodyBytes += length),
+      onEnd: () => undefined,
+    },
+    false,
+  );
+  parser.read(Buffer.from(`${chunkedHead}fffffff\r\nHTTP/1.1 200 OK`));
+  const part = Buffer.alloc(10_000, 'x');
+  for (let count = 0; count < 100; count += 1) parser.read(part);
+  t.true(bodyBytes > 900_000, `${bodyBytes} bytes were passed on`);
+});
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
+import {createResponseTracker} from 'hickorywharf-utils/createResponseTracker';
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {admitCall} from './admitCall.ts';
 import type {CallContext} from './callContext.ts';
@@ -52,6 +53,7 @@
 export function createCallServer(options: ServeOptions): CallServer {
   const {settings, state, wire, log, metrics, getInstant} = options;
   let active = 0;
+  const responses = createResponseTracker();
 
   function getLimits(): GatewayConfiguration['limits'] {
     return state.configuration?.limits ?? DEFAULT_LIMITS;
@@ -189,6 +191,7 @@
     },
     (request, response) => {
       active += 1;
+      responses.add(response);
       response.once('close', () => {
         active -= 1;
       });
@@ -211,6 +214,7 @@
       socket.destroy();
       return;
     }
+    if (responses.finishMalformed(error, socket)) return;
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400;
     const reason = http.STATUS_CODES[status];
     socket.end(
