Break a stream off where its rest is a response that is no stream

What callers saw: nothing any more from this instance; its process ended.

Cause: a stream that resumes writes the head of its first response. A response of success to the resumption that is no event stream was written as a whole, with a head of its own, and Node throws ERR_HTTP_HEADERS_SENT within the callback of the endpoint's socket, where nothing catches it.

The test ended the test process before (1 uncaught exception), so that it could not land as a listed failure.

Change: once a stream has begun, a head that is not one of a stream fails the attempt. The stream goes on at another endpoint if it may, else it breaks off.

--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -159,6 +159,11 @@
       options.limiter.recordHead(endpoint, response);
       const isSuccess = response.status >= 200 && response.status < 300;
       isStreaming = isSuccess && response.isEventStream;
+      if (writer.isStarted && !isStreaming) {
+        failAttempt(
+          `status ${response.status}, no stream, in place of its rest`,
+        );
+      }
     }
 
     function handleEvents(chunk: Buffer): void {
