--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createPromptQuarantine.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createQuarantine.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
-import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
-import {createPromptQuarantine} from '../createPromptQuarantine.ts';
+import type {QuarantineRecord} from 'hickorywharf-types/gateway/quarantineRecord';
+import {createQuarantine} from '../createQuarantine.ts';
 import {REQUEST_PREFIX} from '../requestPrefix.ts';
 
-type Quarantine = ReturnType<typeof createPromptQuarantine>;
+type Quarantine = ReturnType<typeof createQuarantine>;
 
 const PROBE_MILLISECONDS = 2;
 
@@ -13,7 +13,7 @@
   process: string,
   parts: readonly string[],
   at: number,
-): PromptRecord[] {
+): QuarantineRecord[] {
   const now = at + PROBE_MILLISECONDS;
   const call = {parts, sentAt: at - 50};
   return quarantine.recordEnd(process, [call], at, now);
@@ -23,7 +23,7 @@
 function quarantineParts(
   quarantine: Quarantine,
   parts: readonly string[],
-): PromptRecord[] {
+): QuarantineRecord[] {
   return [100, 300, 500].flatMap((at) => end(quarantine, `e${at}`, parts, at));
 }
 
@@ -34,7 +34,7 @@
 ): boolean => quarantine.check(parts, now).tag !== 'refused';
 
 test('a part under which three processes ended one after the other is not sent again', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   end(quarantine, 'e1', ['bad'], 100);
   end(quarantine, 'e2', ['bad'], 300);
   t.true(isSent(quarantine, ['bad'], 310));
@@ -45,7 +45,7 @@
 });
 
 test('processes that end together quarantine no part', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (let index = 0; index < 20; index += 1) {
     end(quarantine, `e${index}`, ['sound'], 1000 + index);
   }
@@ -53,7 +53,7 @@
 });
 
 test('a part whose answers go on between the ends is not quarantined', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (let at = 100; at < 5000; at += 100) {
     end(quarantine, `e${at}`, ['sound', 'bad'], at);
     quarantine.recordProgress(['sound'], at + 60);
@@ -64,8 +64,8 @@
 
 test('a part that a peer has seen going on after an end is cleared, whichever is told first', (t) => {
   for (const isEndFirst of [true, false]) {
-    const observer = createPromptQuarantine('front-1');
-    const peer = createPromptQuarantine('front-2');
+    const observer = createQuarantine('front-1');
+    const peer = createQuarantine('front-2');
     const records = quarantineParts(observer, ['sound']);
     if (isEndFirst) peer.merge(records, 503);
     const own = peer.recordProgress(['sound'], 504);
@@ -77,7 +77,7 @@
 });
 
 test('an end that follows from a quarantined part is not held against other parts', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   quarantineParts(quarantine, ['bad']);
   for (let at = 600; at < 2000; at += 100) {
     end(quarantine, `e${at}`, ['bad', 'sound'], at);
@@ -86,7 +86,7 @@
 });
 
 test('of two parts that always come together, the one with answers before is still sent', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   quarantine.recordProgress(['shared'], 0);
   quarantineParts(quarantine, ['shared', 'bad']);
   t.true(isSent(quarantine, ['shared'], 510));
@@ -94,7 +94,7 @@
 });
 
 test('of two parts quarantined together, a call with one of them tells which is sound', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   quarantineParts(quarantine, ['shared', 'bad']);
   t.false(isSent(quarantine, ['shared'], 1400));
   t.false(isSent(quarantine, ['shared', 'bad'], 1600), 'has both');
@@ -107,9 +107,9 @@
 });
 
 test('ends that several instances saw add up, in any order', (t) => {
-  const first = createPromptQuarantine('front-1');
-  const second = createPromptQuarantine('front-2');
-  const third = createPromptQuarantine('front-3');
+  const first = createQuarantine('front-1');
+  const second = createQuarantine('front-2');
+  const third = createQuarantine('front-3');
   const told = [
     end(second, 'e2', ['bad'], 300),
     end(first, 'e1', ['bad'], 100).map((record) => ({
@@ -122,7 +122,7 @@
         })),
       }),
     })),
-  ] as PromptRecord[][];
+  ] as QuarantineRecord[][];
   third.merge(told[0]!, 302);
   third.merge(told[1]!, 302);
   t.true(isSent(third, ['bad'], 400));
@@ -131,10 +131,10 @@
 });
 
 test('an instance that connects learns the quarantine before it sends', (t) => {
-  const known = createPromptQuarantine('front-1');
+  const known = createQuarantine('front-1');
   quarantineParts(known, ['bad']);
   known.startTrial(['bad'], 20_600);
-  const started = createPromptQuarantine('front-2');
+  const started = createQuarantine('front-2');
   // Its clock starts at another time.
   started.merge(known.list(21_000), 4000);
   t.false(isSent(started, ['bad'], 4010));
@@ -142,8 +142,8 @@
 });
 
 test('records that went round are not told again', (t) => {
-  const first = createPromptQuarantine('front-1');
-  const second = createPromptQuarantine('front-2');
+  const first = createQuarantine('front-1');
+  const second = createQuarantine('front-2');
   const records = quarantineParts(first, ['bad', 'sound']);
   t.true(second.merge(records, 505).length > 0);
   const cleared = first.recordProgress(['sound'], 600);
@@ -154,7 +154,7 @@
 
 test('one instance alone runs the trials, which are three at most', (t) => {
   const names = ['front-1', 'front-2', 'front-3'];
-  const instances = names.map(createPromptQuarantine);
+  const instances = names.map(createQuarantine);
   for (const instance of instances) instance.setInstances(names);
   let trials = 0;
   const [first, ...others] = instances as [Quarantine, ...Quarantine[]];
@@ -178,7 +178,7 @@
 
 test('an answer in a trial ends the quarantine at all instances', (t) => {
   const names = ['front-1', 'front-2'];
-  const [first, second] = names.map(createPromptQuarantine) as [
+  const [first, second] = names.map(createQuarantine) as [
     Quarantine,
     Quarantine,
   ];
@@ -194,14 +194,14 @@
 });
 
 test('a quarantine that no call asks for ends', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   quarantineParts(quarantine, ['bad']);
   quarantine.dropExpired(310_000);
   t.is(quarantine.getSize(), 0);
 });
 
 test('parts, ends and quarantines are bounded', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (let index = 0; index < 1000; index += 1) {
     const parts = Array.from(
       {length: 20},
@@ -217,7 +217,7 @@
 });
 
 test('if the part of most calls is quarantined in place of the bad one, one call without that finds it out', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   end(quarantine, 'e1', ['shared', 'session'], 100);
   end(quarantine, 'e2', ['shared', 'bad'], 300);
   end(quarantine, 'e3', ['shared', 'bad'], 500);
@@ -231,7 +231,7 @@
 });
 
 test('an answer before the ends, told late, does not deny the verdict', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   // The answer went on at 400 ms; it was relayed for 150 ms.
   const progress = {tag: 'progress', part: 'bad', isRelayed: true} as const;
   quarantine.merge([{...progress, ageMilliseconds: 0}], 550);
@@ -241,9 +241,11 @@
 });
 
 test('a clearing is relayed once, as each relay makes it look later', (t) => {
-  const [first, second, third] = ['1', '2', '3'].map(
-    createPromptQuarantine,
-  ) as [Quarantine, Quarantine, Quarantine];
+  const [first, second, third] = ['1', '2', '3'].map(createQuarantine) as [
+    Quarantine,
+    Quarantine,
+    Quarantine,
+  ];
   const records = quarantineParts(first, ['sound']);
   second.merge(records, 503);
   third.merge(records, 503);
@@ -254,8 +256,8 @@
 });
 
 test('a verdict that an answer has ended is not told anew', (t) => {
-  const first = createPromptQuarantine('front-1');
-  const second = createPromptQuarantine('front-2');
+  const first = createQuarantine('front-1');
+  const second = createQuarantine('front-2');
   const verdicts = quarantineParts(first, ['sound']).filter(
     ({tag}) => tag === 'verdict',
   );
@@ -270,7 +272,7 @@
 const REQUEST = `${REQUEST_PREFIX}a`;
 
 test('a request under which three processes ended at once is not sent again', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (const process of ['e1', 'e2', 'e3']) {
     t.true(isSent(quarantine, [REQUEST], 100));
     end(quarantine, process, [REQUEST], 100);
@@ -280,7 +282,7 @@
 });
 
 test('a request that was answered between the ends is sent again', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (let at = 100; at < 2000; at += 200) {
     end(quarantine, `e${at}`, [REQUEST], at);
     end(quarantine, `e${at + 50}`, [REQUEST], at + 50);
@@ -290,7 +292,7 @@
 });
 
 test('parts of a prompt are not quarantined for the ends under one request', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (let at = 100; at < 2000; at += 100) {
     end(quarantine, `e${at}`, ['shared', REQUEST], at);
   }
@@ -299,7 +301,7 @@
 });
 
 test('a part is quarantined by the fifth end under several requests', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (const [index, name] of ['a', 'a', 'a', 'b', 'b'].entries()) {
     const at = 100 + 200 * index;
     end(quarantine, `e${at}`, ['bad', REQUEST_PREFIX + name], at);
@@ -308,7 +310,7 @@
 });
 
 test('a quarantined request is sent twice more at most', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   quarantineParts(quarantine, [REQUEST]);
   let sent = 0;
   for (let now = 600; now < 3_000_000; now += 1000) {
@@ -324,7 +326,7 @@
 });
 
 test('a request that has just ended a process is not sent to the last one that is left', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   end(quarantine, 'e1', [REQUEST], 100);
   const getWait = (processes: readonly string[], now: number): number =>
     quarantine.getLastEndpointWait(REQUEST, processes, now);
@@ -334,7 +336,7 @@
 });
 
 test('requests that waited together at one end are sent to the last process that is left', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   const names = ['a', 'b'].map((name) => REQUEST_PREFIX + name);
   end(quarantine, 'e1', names, 100);
   const [first, second] = names as [string, string];
@@ -345,7 +347,7 @@
 });
 
 test('requests that look like one with a bad part of the prompt are sent again', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   quarantine.recordProgress(['shared', REQUEST], 0);
   for (let at = 100; at < 2000; at += 100) {
     if (isSent(quarantine, ['shared', 'bad', REQUEST], at - 50)) {
@@ -357,7 +359,7 @@
 });
 
 test('a request is sent again once a part of its prompt explains the ends', (t) => {
-  const quarantine = createPromptQuarantine('front-1');
+  const quarantine = createQuarantine('front-1');
   for (const [index, name] of ['a', 'a', 'a', 'b', 'b'].entries()) {
     const at = 100 + 200 * index;
     end(quarantine, `e${at}`, ['bad', REQUEST_PREFIX + name], at);
@@ -367,8 +369,8 @@
 });
 
 test('a request that a peer has seen answered whole before is quarantined by neither after three ends', (t) => {
-  const observer = createPromptQuarantine('front-1');
-  const peer = createPromptQuarantine('front-2');
+  const observer = createQuarantine('front-1');
+  const peer = createQuarantine('front-2');
   peer.recordProgress([REQUEST], 0);
   const told = peer.merge(quarantineParts(observer, [REQUEST]), 503);
   t.false(isSent(observer, [REQUEST], 504));
--- a/packages/hickorywharf-decisions/src/gateway/__tests__/promptQuarantineSimulation.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/quarantineSimulation.test.ts
@@ -1,8 +1,8 @@
 import test, {type ExecutionContext} from 'ava';
 import {REQUEST_PREFIX} from '../requestPrefix.ts';
-import {simulatePromptQuarantine} from './simulatePromptQuarantine.ts';
+import {simulateQuarantine} from './simulateQuarantine.ts';
 
-type Options = Parameters<typeof simulatePromptQuarantine>[0];
+type Options = Parameters<typeof simulateQuarantine>[0];
 interface Prompts extends Pick<
   Options,
   'badParts' | 'badFrom' | 'getMarkedParts' | 'getSoundParts'
@@ -44,7 +44,7 @@
     for (const markedPerSecond of [1, 20]) {
       for (const seed of SEEDS) {
         const name = `${instances} instances, ${markedPerSecond} a second, seed ${seed}`;
-        const {bad, sound} = simulatePromptQuarantine({
+        const {bad, sound} = simulateQuarantine({
           seed,
           instances,
           servers: 3 * instances,
@@ -120,7 +120,7 @@
   for (const instances of [3, 10, 30]) {
     for (const markedPerSecond of [0.3, 1, 20]) {
       for (const seed of SEEDS) {
-        const {bad, sound} = simulatePromptQuarantine({
+        const {bad, sound} = simulateQuarantine({
           seed,
           instances,
           servers: 9,
@@ -153,7 +153,7 @@
   const lastCrash = 20_000;
   const times = Array.from({length: 40}, (_value, index) => 8000 + index * 300);
   for (const seed of [1, 2, 3]) {
-    const {sound} = simulatePromptQuarantine({
+    const {sound} = simulateQuarantine({
       seed,
       instances: 3,
       servers: 9,
@@ -175,7 +175,7 @@
 
 for (const seed of [4, 18, 24, 186]) {
   test(`a part that turns bad while answers with it go on does not go on ending servers, seed ${seed}`, (t) => {
-    const {bad} = simulatePromptQuarantine({
+    const {bad} = simulateQuarantine({
       seed,
       instances: 3,
       servers: 9,
--- a/packages/hickorywharf-decisions/src/gateway/__tests__/simulatePromptQuarantine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/simulateQuarantine.ts
@@ -1,6 +1,6 @@
-import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import type {QuarantineRecord} from 'hickorywharf-types/gateway/quarantineRecord';
 import {createRandom} from 'hickorywharf-utils/createRandom';
-import {createPromptQuarantine} from '../createPromptQuarantine.ts';
+import {createQuarantine} from '../createQuarantine.ts';
 import {createWaitingCalls} from '../createWaitingCalls.ts';
 
 interface SimulationOptions {
@@ -66,7 +66,7 @@
  * Plays requests at instances with a quarantine each, and servers that some
  * parts of prompts end. Times are milliseconds of the simulation.
  */
-export function simulatePromptQuarantine(
+export function simulateQuarantine(
   options: SimulationOptions,
 ): SimulationResult {
   const random = createRandom(options.seed);
@@ -83,7 +83,7 @@
     (_value, index) => `front-${index}`,
   );
   const createInstance = (name: string) => {
-    const quarantine = createPromptQuarantine(name);
+    const quarantine = createQuarantine(name);
     quarantine.setInstances(names);
     return {quarantine, waiting: createWaitingCalls()};
   };
@@ -101,7 +101,7 @@
   }));
   const sound: Array<SimulationResult['sound'][number]> = [];
 
-  function broadcast(from: number, records: readonly PromptRecord[]): void {
+  function broadcast(from: number, records: readonly QuarantineRecord[]): void {
     if (records.length === 0) return;
     instances.forEach((_instance, index) => {
       if (index === from) return;
--- a/packages/hickorywharf-decisions/src/gateway/createPromptQuarantine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createQuarantine.ts
@@ -1,21 +1,21 @@
-import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
-import {createPromptEvidence} from './createPromptEvidence.ts';
+import type {QuarantineRecord} from 'hickorywharf-types/gateway/quarantineRecord';
+import {createQuarantineEvidence} from './createQuarantineEvidence.ts';
 import {createQuarantineTable} from './createQuarantineTable.ts';
 import {isRequestName} from './isRequestName.ts';
 
-type RecordOf<Tag extends PromptRecord['tag']> = Extract<
-  PromptRecord,
+type RecordOf<Tag extends QuarantineRecord['tag']> = Extract<
+  QuarantineRecord,
   {tag: Tag}
 >;
 type Table = ReturnType<typeof createQuarantineTable>;
 
 /** Every `now` is in monotonic milliseconds. */
-interface PromptQuarantine extends Pick<
+interface Quarantine extends Pick<
   Table,
   'setInstances' | 'check' | 'startTrial' | 'recordAsked' | 'getSize'
 > {
   /** Records that an answer to a call went on; returns what to tell peers. */
-  recordProgress(parts: readonly string[], now: number): PromptRecord[];
+  recordProgress(parts: readonly string[], now: number): QuarantineRecord[];
   /**
    * Records the end of a process under calls that waited for its answers;
    * returns what to tell peers.
@@ -28,14 +28,14 @@
     }>,
     endedAt: number,
     now: number,
-  ): PromptRecord[];
+  ): QuarantineRecord[];
   /**
    * Merges what a peer told. Returns what was news to this instance, or is to
    * the peer, to tell all peers.
    */
-  merge(records: readonly PromptRecord[], now: number): PromptRecord[];
+  merge(records: readonly QuarantineRecord[], now: number): QuarantineRecord[];
   /** All that this instance knows, for a peer that has connected. */
-  list(now: number): PromptRecord[];
+  list(now: number): QuarantineRecord[];
   /** Drops what is too old. */
   dropExpired(now: number): void;
   isQuarantined(part: string): boolean;
@@ -91,7 +91,7 @@
 const MAXIMUM_OTHERS = 16;
 
 /** Progress and verdicts first, as they explain the ends. */
-const MERGE_ORDER: Readonly<Record<PromptRecord['tag'], number>> = {
+const MERGE_ORDER: Readonly<Record<QuarantineRecord['tag'], number>> = {
   progress: 0,
   verdict: 1,
   trial: 2,
@@ -109,12 +109,12 @@
  *
  * @param name name of this instance
  * @example
- *     const quarantine = createPromptQuarantine('front-1');
+ *     const quarantine = createQuarantine('front-1');
  *     quarantine.recordEnd('engine-1/17', [{parts: ['5c1e'], sentAt}], endedAt, now);
  *     quarantine.check(['5c1e'], now); // {tag: 'allowed'} before three strikes
  */
-export function createPromptQuarantine(name: string): PromptQuarantine {
-  const evidence = createPromptEvidence();
+export function createQuarantine(name: string): Quarantine {
+  const evidence = createQuarantineEvidence();
   const quarantines = createQuarantineTable(name, evidence.getProgressAt);
   /** The last quarantine of a part that an answer ended; it is not told anew. */
   const ended = new Map<string, string>();
@@ -124,7 +124,7 @@
     suspects: readonly string[],
     {id, startedAt}: {readonly id: string; readonly startedAt: number},
     now: number,
-  ): PromptRecord[] {
+  ): QuarantineRecord[] {
     return guilty.map((part) => {
       const others = suspects
         .filter((other) => other !== part)
@@ -170,7 +170,7 @@
     suspects: readonly string[],
     end: {readonly id: string; readonly startedAt: number},
     now: number,
-  ): PromptRecord[] {
+  ): QuarantineRecord[] {
     const open = suspects.filter((suspect) => !quarantines.has(suspect));
     const parts = open.filter((suspect) => !isRequestName(suspect));
     const explanations = quarantines
@@ -193,7 +193,7 @@
     record: RecordOf<'end'>,
     now: number,
     isOwn = false,
-  ): PromptRecord[] {
+  ): QuarantineRecord[] {
     const {process, suspects, ageMilliseconds} = record;
     const endedAt = now - ageMilliseconds;
     const added = evidence.recordEnd(
@@ -224,7 +224,7 @@
     return [...(added.length > 0 ? [told] : []), ...cleared, ...verdicts];
   }
 
-  function createProgress(part: string, now: number): PromptRecord {
+  function createProgress(part: string, now: number): QuarantineRecord {
     const ageMilliseconds = now - evidence.getProgressAt(part);
     return {tag: 'progress', part, ageMilliseconds, isRelayed: false};
   }
@@ -258,7 +258,7 @@
     released: NonNullable<ReturnType<Table['release']>>,
     soundParts: readonly string[],
     now: number,
-  ): PromptRecord[] {
+  ): QuarantineRecord[] {
     const {others, startedAt} = released;
     const rest = others.filter(
       (part) =>
@@ -270,10 +270,10 @@
   }
 
   const mergers: {
-    readonly [Tag in PromptRecord['tag']]: (
+    readonly [Tag in QuarantineRecord['tag']]: (
       record: RecordOf<Tag>,
       now: number,
-    ) => PromptRecord[];
+    ) => QuarantineRecord[];
   } = {
     end: (record, now) => mergeEnd(record, now),
     progress(record, now) {
@@ -311,7 +311,7 @@
     recordAsked: quarantines.recordAsked,
     getSize: quarantines.getSize,
     recordProgress: (parts, now) =>
-      parts.flatMap((part): PromptRecord[] => {
+      parts.flatMap((part): QuarantineRecord[] => {
         const isCleared = evidence.recordProgress(part, now, true);
         const released = release(part, now);
         if (released === null && !isCleared) return [];
--- a/packages/hickorywharf-decisions/src/gateway/createPromptEvidence.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createQuarantineEvidence.ts
@@ -1,4 +1,4 @@
-import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import type {QuarantineRecord} from 'hickorywharf-types/gateway/quarantineRecord';
 import {countStrikes} from './countStrikes.ts';
 import {isRequestName} from './isRequestName.ts';
 
@@ -14,7 +14,7 @@
 }
 
 /** Times are monotonic milliseconds. */
-interface PromptEvidence {
+interface QuarantineEvidence {
   /** Records the end of a process; returns the suspects that are new. */
   recordEnd(
     process: string,
@@ -63,7 +63,7 @@
   limitSuspects(
     suspects: ReadonlyArray<readonly [part: string, sentAt: number]>,
   ): ReadonlyArray<readonly [part: string, sentAt: number]>;
-  list(now: number): PromptRecord[];
+  list(now: number): QuarantineRecord[];
   dropExpired(now: number): void;
 }
 
@@ -86,11 +86,11 @@
  * and when answers with a part last went on.
  *
  * @example
- *     const evidence = createPromptEvidence();
+ *     const evidence = createQuarantineEvidence();
  *     evidence.recordEnd('engine-1/17', 50, [{part: '5c1e', sentAt: 0}]);
  *     evidence.countStrikes(['5c1e'], []).get('5c1e'); // 1
  */
-export function createPromptEvidence(): PromptEvidence {
+export function createQuarantineEvidence(): QuarantineEvidence {
   /** When the waiting calls were sent, by part, for each ended process. */
   const ends = new Map<
     string,
@@ -237,7 +237,7 @@
         .sort(([, left], [, right]) => right - left)
         .slice(0, MAXIMUM_SUSPECTS),
     list(now) {
-      const records: PromptRecord[] = [...ends.values()].map((end) => ({
+      const records: QuarantineRecord[] = [...ends.values()].map((end) => ({
         tag: 'end',
         process: end.process,
         ageMilliseconds: now - end.endedAt,
@@ -248,7 +248,7 @@
       }));
       const cleared = [...suspectedAt.keys()]
         .filter((part) => getProgress(part) !== undefined)
-        .map((part): PromptRecord => {
+        .map((part): QuarantineRecord => {
           const ageMilliseconds = now - getProgressAt(part);
           return {tag: 'progress', part, ageMilliseconds, isRelayed: true};
         });
--- a/packages/hickorywharf-decisions/src/gateway/createQuarantineTable.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createQuarantineTable.ts
@@ -1,10 +1,10 @@
-import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import type {QuarantineRecord} from 'hickorywharf-types/gateway/quarantineRecord';
 import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
 import {isRequestName} from './isRequestName.ts';
 import type {QuarantineDecision} from './quarantineDecision.ts';
 
-type RecordOf<Tag extends PromptRecord['tag']> = Extract<
-  PromptRecord,
+type RecordOf<Tag extends QuarantineRecord['tag']> = Extract<
+  QuarantineRecord,
   {tag: Tag}
 >;
 
@@ -39,14 +39,14 @@
   /** Whether a call with these parts may be sent. */
   check(parts: readonly string[], now: number): QuarantineDecision;
   /** Records the trial by a call with these parts; returns what to tell peers. */
-  startTrial(parts: readonly string[], now: number): PromptRecord[];
+  startTrial(parts: readonly string[], now: number): QuarantineRecord[];
   /** Records that a call was refused; returns what to tell peers. */
-  recordAsked(parts: readonly string[], now: number): PromptRecord[];
+  recordAsked(parts: readonly string[], now: number): QuarantineRecord[];
   /** Merges the trial at another instance; false if it is no news. */
   mergeTrial(record: RecordOf<'trial'>): boolean;
   /** Merges a call at another instance; false if it is no news. */
   mergeAsked(record: RecordOf<'asked'>, now: number): boolean;
-  list(now: number): PromptRecord[];
+  list(now: number): QuarantineRecord[];
   /** Ends the quarantines that no call has asked for. */
   dropExpired(now: number): void;
 }
@@ -231,7 +231,7 @@
         ([
           part,
           {id, startedAt, others, trials, hasSplit, askedAt},
-        ]): PromptRecord[] => {
+        ]): QuarantineRecord[] => {
           const ageMilliseconds = now - startedAt;
           const index = trials - 1;
           return [
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -14,7 +14,7 @@
 /** Fields that a heartbeat may have in addition. */
 type HeartbeatFields = Pick<
   Extract<Frame, {tag: 'heartbeat'}>,
-  'endpointLimits' | 'streams' | 'promptRecords'
+  'endpointLimits' | 'streams' | 'quarantineRecords'
 >;
 
 interface PeerConnectionsOptions {
--- a/packages/hickorywharf-gateway/src/createPromptQuarantineSync.ts
+++ b/packages/hickorywharf-gateway/src/createQuarantineSync.ts
@@ -1,7 +1,7 @@
-import {createPromptQuarantine} from 'hickorywharf-decisions/gateway/createPromptQuarantine';
+import {createQuarantine} from 'hickorywharf-decisions/gateway/createQuarantine';
 import {createWaitingCalls} from 'hickorywharf-decisions/gateway/createWaitingCalls';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
-import type {PromptRecord} from 'hickorywharf-types/gateway/promptRecord';
+import type {QuarantineRecord} from 'hickorywharf-types/gateway/quarantineRecord';
 import type {CallWatch} from './callWatch.ts';
 import {createEndDetector} from './createEndDetector.ts';
 import type {GatewayLog} from './gatewayLog.ts';
@@ -17,7 +17,7 @@
   /** Monotonic milliseconds. */
   now(): number;
   /** Sends records to all connected peers. */
-  broadcast(records: readonly PromptRecord[]): void;
+  broadcast(records: readonly QuarantineRecord[]): void;
 }
 
 interface QuarantinedCall extends Pick<
@@ -27,7 +27,7 @@
   readonly bodyBytes: number;
 }
 
-interface PromptQuarantineSync {
+interface QuarantineSync {
   setInstances(names: readonly string[]): void;
   /**
    * Null if a call may go on. With `isSend` the call is sent at once, and uses
@@ -52,9 +52,9 @@
   /** Resolves when it is known whether the endpoint's process ended. */
   waitForProbe(endpoint: GatewayEndpoint): Promise<void>;
   /** Handles what a peer told. */
-  handle(peer: string, records: readonly PromptRecord[]): void;
+  handle(peer: string, records: readonly QuarantineRecord[]): void;
   /** All records, for a peer that has connected. */
-  listRecords(): PromptRecord[];
+  listRecords(): QuarantineRecord[];
   /** Drops what is too old. To be called regularly. */
   flush(): void;
 }
@@ -78,16 +78,16 @@
  * of endpoints ended, and exchanges with peers what each instance observed.
  *
  * @example
- *     const quarantine = createPromptQuarantineSync(options);
+ *     const quarantine = createQuarantineSync(options);
  *     const watch = quarantine.watchCall(endpoint, {requestId: '9c41', parts, getRequest, bodyBytes: 0});
  *     watch.recordBroken('read ECONNRESET');
  *     watch.end();
  */
-export function createPromptQuarantineSync(
+export function createQuarantineSync(
   options: QuarantineOptions,
-): PromptQuarantineSync {
+): QuarantineSync {
   const {state, log, metrics, now} = options;
-  const quarantine = createPromptQuarantine(options.name);
+  const quarantine = createQuarantine(options.name);
   const waiting = createWaitingCalls();
   const detector = createEndDetector({state, metrics});
 
@@ -104,13 +104,13 @@
   }
 
   const loggers: {
-    readonly [Tag in PromptRecord['tag']]: (
-      record: Extract<PromptRecord, {tag: Tag}>,
+    readonly [Tag in QuarantineRecord['tag']]: (
+      record: Extract<QuarantineRecord, {tag: Tag}>,
       source: string,
     ) => void;
   } = {
     end({process, suspects, ageMilliseconds}, source) {
-      log.infoRateLimited('prompt parts suspected', {
+      log.infoRateLimited('suspects of an ended process', {
         step: 'quarantine',
         process,
         source,
@@ -127,7 +127,7 @@
       });
     },
     progress({part, ageMilliseconds}, source) {
-      log.infoRateLimited('prompt part cleared', {
+      log.infoRateLimited('suspect cleared', {
         step: 'quarantine',
         part,
         source,
@@ -135,7 +135,7 @@
       });
     },
     verdict({part, others, ageMilliseconds}, source) {
-      log.infoAlways('prompt part quarantined', {
+      log.infoAlways('suspect quarantined', {
         step: 'quarantine',
         source,
         age: Math.round(ageMilliseconds),
@@ -144,7 +144,7 @@
       });
     },
     trial({part, index}, source) {
-      log.infoAlways('prompt part on trial', {
+      log.infoAlways('suspect on trial', {
         step: 'quarantine',
         part,
         source,
@@ -155,7 +155,7 @@
   };
 
   /** Logs records that are new and tells all peers. */
-  function tell(records: readonly PromptRecord[], source: string): void {
+  function tell(records: readonly QuarantineRecord[], source: string): void {
     if (records.length === 0) return;
     for (const record of records) {
       metrics.count('promptParts', record.tag);
@@ -208,7 +208,7 @@
       if (decision.tag === 'allowed') return null;
       if (decision.tag === 'trial') {
         if (!isSend) return null;
-        log.infoAlways('call with a quarantined prompt part sent', {
+        log.infoAlways('quarantined call sent', {
           step: 'quarantine',
           requestId,
           evidence: decision.parts.map(describePart),
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -17,7 +17,7 @@
 import {createInstantClock} from './createInstantClock.ts';
 import {createPeerConnections} from './createPeerConnections.ts';
 import {createPeerStateSync} from './createPeerStateSync.ts';
-import {createPromptQuarantineSync} from './createPromptQuarantineSync.ts';
+import {createQuarantineSync} from './createQuarantineSync.ts';
 import {createResponseMemory} from './createResponseMemory.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
@@ -100,13 +100,14 @@
     getInstant,
     send: (peer, exchange) => peers.sendHeartbeat(peer, {streams: exchange}),
   });
-  const quarantine = createPromptQuarantineSync({
+  const quarantine = createQuarantineSync({
     name: settings.name,
     state,
     log,
     metrics,
     now,
-    broadcast: (promptRecords) => peers.broadcastHeartbeat({promptRecords}),
+    broadcast: (quarantineRecords) =>
+      peers.broadcastHeartbeat({quarantineRecords}),
   });
   /** Left out without reports, as most heartbeats have none. */
   const getHeartbeatFields = () => {
@@ -152,12 +153,12 @@
     }),
     getHeartbeatFields,
     getFirstFields() {
-      const promptRecords = quarantine.listRecords();
-      return promptRecords.length > 0 ? {promptRecords} : {};
+      const quarantineRecords = quarantine.listRecords();
+      return quarantineRecords.length > 0 ? {quarantineRecords} : {};
     },
     onRequest(connection, frame) {
       if (frame.tag === 'heartbeat') {
-        quarantine.handle(connection.peer.name, frame.promptRecords ?? []);
+        quarantine.handle(connection.peer.name, frame.quarantineRecords ?? []);
         limiter.recordReports(frame.endpointLimits ?? []);
         const reply = frame.streams && streams.handle(frame.streams);
         if (reply) peers.replyHeartbeat(connection, {streams: reply});
@@ -168,7 +169,7 @@
     onRequesterDisconnected: router.cancelRequests,
     onReply(name, frame) {
       if (frame.tag === 'heartbeat') {
-        quarantine.handle(name, frame.promptRecords ?? []);
+        quarantine.handle(name, frame.quarantineRecords ?? []);
         if (frame.streams !== undefined) streams.handle(frame.streams);
       }
       if (frame.tag === 'stageWaits') {
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -18,7 +18,7 @@
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import type {createInstantClock} from './createInstantClock.ts';
-import type {createPromptQuarantineSync} from './createPromptQuarantineSync.ts';
+import type {createQuarantineSync} from './createQuarantineSync.ts';
 import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
@@ -41,7 +41,7 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly streams: ReturnType<typeof createStreamVersions>;
-  readonly quarantine: ReturnType<typeof createPromptQuarantineSync>;
+  readonly quarantine: ReturnType<typeof createQuarantineSync>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
   readonly budget: ReturnType<typeof createRetryBudget>;
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -74,7 +74,7 @@
   asked: isPromptPart,
 };
 
-function isPromptRecord(value: unknown): boolean {
+function isQuarantineRecord(value: unknown): boolean {
   if (!isObject(value) || typeof value['tag'] !== 'string') return false;
   const {tag} = value;
   return (
@@ -190,7 +190,7 @@
       isArrayOf(hasFields({askId: isCount, origin: isNullOr(isStreamOrigin)})),
     ),
   }),
-  isPromptRecord,
+  isQuarantineRecord,
   isStageResult: hasFields({
     tag: isOneOf('made', 'inputGone', 'expired', 'failed'),
     piece: isCount,
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -75,8 +75,8 @@
     configurationSequence: isCount,
     endpointLimits: isOptionalLimitReports,
     streams: frameChecks.isOptional(frameChecks.isStreamExchange),
-    promptRecords: frameChecks.isOptional(
-      isArrayOf(frameChecks.isPromptRecord),
+    quarantineRecords: frameChecks.isOptional(
+      isArrayOf(frameChecks.isQuarantineRecord),
     ),
   },
   homes: {homes: isHomeIntervalArray},
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -2,7 +2,7 @@
 import type {ConfigurationEntry} from './configurationEntry.ts';
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
-import type {PromptRecord} from './gateway/promptRecord.ts';
+import type {QuarantineRecord} from './gateway/quarantineRecord.ts';
 import type {SerializedConfiguration} from './gateway/serializedConfiguration.ts';
 import type {StreamExchange} from './gateway/streamExchange.ts';
 import type {StageOrder} from './gateway/stageOrder.ts';
@@ -119,7 +119,7 @@
       /** Left out if there is nothing to tell. */
       readonly streams?: StreamExchange;
       /** Left out if there is nothing to tell. */
-      readonly promptRecords?: readonly PromptRecord[];
+      readonly quarantineRecords?: readonly QuarantineRecord[];
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
--- a/packages/hickorywharf-types/src/gateway/promptRecord.ts
+++ b/packages/hickorywharf-types/src/gateway/quarantineRecord.ts
@@ -4,10 +4,11 @@
 }
 
 /**
- * What instances tell each other about parts of prompts under which processes
- * of endpoints ended.
+ * What instances tell each other about the suspects of ended processes of
+ * endpoints. A suspect, `part`, is a part of a prompt or the name of a request
+ * as a whole.
  */
-export type PromptRecord =
+export type QuarantineRecord =
   /** A process of an endpoint ended while calls with these parts waited. */
   | (Aged & {
       readonly tag: 'end';
