Let a slow link of the stand-ins deliver bytes as it sends them

Cause: a relay with a link delivered each read of up to 64 KB as a whole, once the link had sent the last byte of it: at 15 KB/s nothing arrived for 4.3 s, where a network delivers the first packet after 0.1 s. A response that had started looked like none to the receiver. Change: the relay puts the bytes on the link as before, all at once and before those of later reads, and delivers each packet of 1460 bytes when it was sent. The bandwidth and the wait of others behind a large read are the same. Test: "a slow link delivers the first bytes before the last ones are sent".

--- a/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -89,6 +89,15 @@
   t.is(link.sentBytes, 30_000);
 });
 
+test('a slow link delivers the first bytes before the last ones are sent', async (t) => {
+  const {socket} = await connectToEcho(t, createLink(10_000));
+  const startedAt = performance.now();
+  socket.write(Buffer.alloc(20_000));
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  t.true(bytes.length < 20_000);
+  t.true(performance.now() - startedAt < 1000);
+});
+
 test('a reset right after data is forwarded as a reset, not as an end', async (t) => {
   const server = createServer((socket) => {
     socket.on('error', () => socket.destroy());
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -37,9 +37,18 @@
 
 const RETRY_MILLISECONDS = 50;
 const READ_BUFFER_BYTES = 65_536;
+/** What a link delivers at a time: the payload of an Ethernet packet. */
+const PACKET_BYTES = 1460;
 /** Most bytes of one direction that wait for the mode or the receiver. */
 const QUEUE_BYTES = 1_000_000;
 
+function splitIntoPackets(bytes: Buffer): Buffer[] {
+  const count = Math.ceil(bytes.length / PACKET_BYTES);
+  return Array.from({length: count}, (_value, index) =>
+    bytes.subarray(index * PACKET_BYTES, (index + 1) * PACKET_BYTES),
+  );
+}
+
 /** Resolves when the socket can take more bytes, or is closed. */
 function waitForDrain(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
@@ -77,15 +86,25 @@
       const modeDelay = waitForMode();
       queue = queue.then(() => modeDelay).then(task);
     };
+    /** All packets are put on the link at once, before those of others. */
+    const sendPackets = (bytes: Buffer) =>
+      (link === undefined ? [bytes] : splitIntoPackets(bytes)).map(
+        (packet) => ({
+          packet,
+          // Bytes of a connection that is closed do not use the link.
+          sent: to.destroyed ? undefined : link?.send(packet.length),
+        }),
+      );
     return {
       /** Calls `onReady` when the sender may be read again. */
       send(bytes: Buffer, onReady: () => void): void {
         queuedBytes += bytes.length;
         const isFull = link !== undefined || queuedBytes > QUEUE_BYTES;
         enqueue(async () => {
-          // Bytes of a connection that is closed meanwhile do not use the link.
-          if (!to.destroyed) await link?.send(bytes.length);
-          if (to.writable && !to.write(bytes)) await waitForDrain(to);
+          for (const {packet, sent} of sendPackets(bytes)) {
+            await sent;
+            if (to.writable && !to.write(packet)) await waitForDrain(to);
+          }
           queuedBytes -= bytes.length;
           if (isFull) onReady();
         });
