Know of a newer configuration once the store begins to send it

What callers saw: 200 for a removed route and a revoked key, three seconds and more after the store had accepted the configuration that removed them, from an instance on a full link. Cause: an instance knew that a newer configuration exists only from a peer, or once it had read all of it. One that reads the store itself, alone or since its reader's copy is too old, fills its link with a response of up to 1.4 MB, behind which it hears no peer (they count as silent after 0.8 s); a read that took too long was dropped with what it had shown, and the old configuration went on deciding as in an outage of the store. Change: the store's client tells the start of a value as soon as it has arrived; the adapter takes the version from it, and the instance counts a newer one as known, as one that a peer announces. Then it is not certain of permanent refusals, and after `applyMilliseconds` without confirmation it decides nothing by the old one. An outage of the store, without a response, still outdates nothing.

--- a/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
@@ -91,6 +91,15 @@
   t.is(admit(3000, '/open/', null), 'unconfirmed');
 });
 
+test('a configuration decides nothing after its time if the store began to send a newer one', (t) => {
+  const {updater, admit} = createInstance();
+  updater.recordStoreVersion(7);
+  t.is(admit(3000, '/open/', null), 'admitted');
+  updater.recordStoreVersion(8);
+  t.is(admit(2900, '/open/', null), 'admitted');
+  t.is(admit(3000, '/open/', null), 'unconfirmed');
+});
+
 test('a request that a newer configuration may allow is not refused permanently', (t) => {
   const {updater, admit} = createInstance();
   t.is(admit(100, '/added/', 'key'), 'unknownRoute');
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -23,6 +23,8 @@
 interface StateUpdater {
   /** Records the version of a peer's configuration; -1 for none. */
   recordPeerVersion(version: number, peer: string): void;
+  /** Records the version of a configuration that the store began to send. */
+  recordStoreVersion(version: number): void;
   /** Applies a configuration that was requested from the store at `readAt`. */
   applyConfiguration(next: GatewayConfiguration, readAt: Instant): void;
   /** Applies that an incarnation of an endpoint said that it leaves. */
@@ -80,17 +82,20 @@
     notify(changes);
   }
 
+  function recordVersion(version: number, peer: string | null): void {
+    if (version <= state.newestVersion) return;
+    state.newestVersion = version;
+    log.infoAlways('newer configuration announced', {
+      step: 'configuration',
+      peer,
+      version,
+      before: state.configuration?.version ?? -1,
+    });
+  }
+
   return {
-    recordPeerVersion(version, peer) {
-      if (version <= state.newestVersion) return;
-      state.newestVersion = version;
-      log.infoAlways('newer configuration announced', {
-        step: 'configuration',
-        peer,
-        version,
-        before: state.configuration?.version ?? -1,
-      });
-    },
+    recordPeerVersion: recordVersion,
+    recordStoreVersion: (version) => recordVersion(version, null),
     applyConfiguration(next, readAt) {
       const currentVersion = state.configuration?.version ?? -1;
       if (next.version < currentVersion) return;
--- a/packages/hickorywharf-gateway/src/gatewayState.ts
+++ b/packages/hickorywharf-gateway/src/gatewayState.ts
@@ -8,7 +8,10 @@
 export interface GatewayState {
   /** Null until the first configuration was read. */
   configuration: GatewayConfiguration | null;
-  /** Newest version that this instance or a peer has; -1 for none. */
+  /**
+   * Newest version that this instance or a peer has, or that the store began to
+   * send; -1 for none.
+   */
   newestVersion: number;
   routes: ReturnType<typeof createRouteTable>;
   /** When the store last confirmed the configuration. */
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -162,7 +162,9 @@
     getAge: () => state.configurationFreshness.getAge(getInstant()),
     async read() {
       const sentAt = getInstant();
-      const read = await readStore('configuration', source.readConfiguration);
+      const read = await readStore('configuration', () =>
+        source.readConfiguration(stateUpdater.recordStoreVersion),
+      );
       const value = read.unwrapOr(null);
       if (value === null) return false;
       // The copy may lack a newer version, which is written again.
--- a/packages/hickorywharf-types/src/gateway/gatewaySource.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySource.ts
@@ -19,10 +19,16 @@
 
 /** Reads the configuration and registers instances in the platform's store. */
 export interface GatewaySource {
-  /** The newest configuration; null if operators have written none yet. */
-  readConfiguration(): Promise<
-    Result<GatewayConfiguration | null, SourceError>
-  >;
+  /**
+   * The newest configuration; null if operators have written none yet.
+   *
+   * @param onVersion receives the version of the configuration as soon as it
+   *     has arrived, which is long before the rest on a slow link; not called
+   *     if the configuration does not start with its version
+   */
+  readConfiguration(
+    onVersion: (version: number) => void,
+  ): Promise<Result<GatewayConfiguration | null, SourceError>>;
   readEndpoints(): Promise<Result<GatewayEndpoint[], SourceError>>;
   /** Registers this instance or renews its registration for some seconds. */
   announce(): Promise<Result<null, SourceError>>;
