Reset connections of the relay that are just being ended

Cause: the relay of the stand-ins forwards an end and a reset in turn. Only stand-ins and tests reset sockets: the program of the platform, undici and hono have no such call. Change: resetSocket waits for the end of a shutdown that is under way. The relay uses it for resets that it forwards and for its own.

--- a/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -1,5 +1,8 @@
+import {execFile} from 'node:child_process';
 import {once} from 'node:events';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import path from 'node:path';
+import {promisify} from 'node:util';
 import test from 'ava';
 import {createLink} from '../createLink.ts';
 import type {Link} from '../link.ts';
@@ -117,6 +120,17 @@
   }
 });
 
+// In a process of its own, as a thread with a socket left open never ends.
+test('a reset right after an end is forwarded, and the process can end', async (t) => {
+  const program = path.join(import.meta.dirname, 'relayEndWithReset.ts');
+  const {stdout} = await promisify(execFile)(process.execPath, [program], {
+    timeout: 20_000,
+    killSignal: 'SIGKILL',
+  });
+  // The server notices by a write, before or after the reset is read.
+  t.true(['ECONNRESET', 'EPIPE'].includes(stdout.trim()), stdout);
+});
+
 test('a stopped relay refuses connections until it starts at its port', async (t) => {
   const {relay, socket} = await connectToEcho(t);
   const failed = new Promise((resolve) => socket.once('error', resolve));
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -2,6 +2,7 @@
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {Link} from './link.ts';
+import {resetSocket} from './resetSocket.ts';
 
 /** How a relay forwards the bytes of its connections. */
 type RelayMode = 'pass' | 'delay' | 'hold';
@@ -92,7 +93,7 @@
         if (!isFull) setImmediate(onReady);
       },
       end: () => enqueue(() => void to.end()),
-      reset: () => enqueue(() => void to.resetAndDestroy()),
+      reset: () => enqueue(() => resetSocket(to)),
     };
   }
 
@@ -161,8 +162,8 @@
   }
   function reset(): void {
     for (const {client, server} of [...connections]) {
-      client.resetAndDestroy();
-      server.resetAndDestroy();
+      resetSocket(client);
+      resetSocket(server);
     }
   }
   return {
