Make no connections to peers after a gateway has closed them

Cause: a read of the instances that is in flight when a gateway stops still asks for peers when it ends. The connections forgot their clients at close, so that a new one was made, which nothing closes and which reconnects for ever. Callers see nothing of it: the platform's program exits after a stop. A process that goes on, as in tests, keeps a timer and from time to time a socket: ava waits for such a thread until its timeout of two minutes. Evidence: all tests beside an in-thread soak (trial on, two cores): after the last test, a soak's, had passed, the worker of largeConfiguration.test.ts, whose tests had passed, was left. Through the inspector it had one timer and no handle, and in four seconds ran scheduleReconnect and open of createPeerClient and little else. The soak's own worker had ended. The run ended 107 s later. Change: connections that are closed make no more. Why it works: all clients are made by one function, which now returns then.

--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -64,6 +64,7 @@
   broadcastHeartbeat(fields: HeartbeatFields): void;
   /** Makes peers order elsewhere; orders that were accepted still run. */
   announceLeaving(): void;
+  /** Closes all connections; no more are made, whatever is called later. */
   close(): Promise<void>;
 }
 
@@ -111,6 +112,7 @@
       .map((seed) => [`${seed.host}:${seed.port}`, seed]),
   );
   let isLeaving = false;
+  let isClosed = false;
   let heartbeatTimer: NodeJS.Timeout | null = null;
 
   function onError(error: {readonly message: string; readonly peer: string}) {
@@ -122,6 +124,8 @@
   }
 
   function connect(name: string, {host, port}: Address): void {
+    // Reads that were in flight still ask for peers.
+    if (isClosed) return;
     const client = createPeerClient({
       name,
       isAnyPeerAccepted: seeds.has(name),
@@ -235,6 +239,7 @@
     },
     send: (name, frame) => connected.get(name)?.send(frame) ?? false,
     async close() {
+      isClosed = true;
       if (heartbeatTimer !== null) clearInterval(heartbeatTimer);
       for (const name of [...clients.keys()]) disconnect(name);
       await server?.close();
