Reset callers' connections also while they are being ended

Cause: the connection of an HTTP/1.0 caller whose stream breaks off is reset. If it is just being ended, libuv refuses the reset, and Node never closes the handle, as was found with the relay of the stand-ins. Change: resetSocket moves to the utilities, and the gateway uses it too.

--- a/packages/hickorywharf-gateway/src/createResponseWriter.ts
+++ b/packages/hickorywharf-gateway/src/createResponseWriter.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
+import {resetSocket} from 'hickorywharf-utils/resetSocket';
 import type {GatewayState} from './gatewayState.ts';
 import type {Refusal} from './refusal.ts';
 import {refusalStatuses} from './refusalStatuses.ts';
@@ -51,7 +52,7 @@
   function abort(): void {
     // HTTP/1.0 has no chunks: the end of the connection would end the response.
     const {req, socket} = response;
-    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
+    if (req.httpVersion === '1.0' && socket !== null) resetSocket(socket);
     response.destroy();
   }
 
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -2,7 +2,7 @@
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {Link} from './link.ts';
-import {resetSocket} from './resetSocket.ts';
+import {resetSocket} from 'hickorywharf-utils/resetSocket';
 
 /** How a relay forwards the bytes of its connections. */
 type RelayMode = 'pass' | 'delay' | 'hold';
