Give no port twice to processes that are yet to start

Cause: the soak finds four ports for each entry before it starts any. They are random ones of 20,000 that are free at that moment, so that a later call may find one of an earlier call again: with 24 entries in 20% of the runs (by calculation), with 3 in 0.3%. The two entries then end each other's start. Change: findFreePorts gives each port once in a process.

--- a/packages/hickorywharf-bench/src/deployment/findFreePorts.ts
+++ b/packages/hickorywharf-bench/src/deployment/findFreePorts.ts
@@ -5,6 +5,9 @@
 const HIGHEST_PORT = 32_000;
 const ATTEMPT_LIMIT = 1000;
 
+/** Ports of earlier calls, which may not be in use yet. */
+const givenPorts = new Set<number>();
+
 function open(address: string, port: number): Promise<Server | null> {
   return new Promise((resolve) => {
     const server = createServer();
@@ -19,8 +22,9 @@
 }
 
 /**
- * Finds ports that are free at the moment. They lie outside the range of
- * ephemeral ports, so that no outgoing connection takes one before it is used.
+ * Finds ports that are free at the moment, other ones in each call of a process.
+ * They lie outside the range of ephemeral ports, so that no outgoing connection
+ * takes one before it is used.
  *
  * @returns as many distinct ports as `count`
  * @throws if 1000 random ports do not yield enough free ones
@@ -35,8 +39,11 @@
   for (let attempt = 0; found.size < count; attempt += 1) {
     if (attempt > ATTEMPT_LIMIT) throw new Error(`no free port on ${address}`);
     const port = choosePort();
+    if (givenPorts.has(port)) continue;
     const server = await open(address, port);
-    if (server !== null) found.set(port, server);
+    if (server === null) continue;
+    givenPorts.add(port);
+    found.set(port, server);
   }
   const closed = [...found.values()].map(
     (server) => new Promise((resolve) => server.close(resolve)),
