--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -1,8 +1,8 @@
 import {connect, createServer, type Socket} from 'node:net';
 import {listenOn} from 'hickorywharf-utils/listenOn';
+import {resetSocket} from 'hickorywharf-utils/resetSocket';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {Link} from './link.ts';
-import {resetSocket} from 'hickorywharf-utils/resetSocket';
 
 /** How a relay forwards the bytes of its connections. */
 type RelayMode = 'pass' | 'delay' | 'hold';
