--- a/packages/hickorywharf-decisions/src/gateway/createQuarantineEvidence.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createQuarantineEvidence.ts
@@ -28,10 +28,10 @@
   recordProgress(part: string, at: number, isOwn: boolean): boolean;
   /** When an answer with the part last went on; -Infinity if none is known. */
   getProgressAt(part: string): number;
-  /** Whether this instance saw the last answer that went on. */
-  isProgressOwn(part: string): boolean;
   /** The same, but not later than it really was. */
   getSureProgressAt(part: string): number;
+  /** Whether this instance saw that answer. */
+  isProgressOwn(part: string): boolean;
   /**
    * The strikes of each of the parts since its last progress, without the ends
    * that another one of the explanations was waiting at.
@@ -83,7 +83,8 @@
 
 /**
  * Remembers which processes of endpoints ended under which parts of prompts,
- * and when answers with a part last went on.
+ * and when answers with a part last went on. A request as a whole, by its name,
+ * counts as a part of itself; its answers go on once they are whole.
  *
  * @example
  *     const evidence = createQuarantineEvidence();
--- a/packages/hickorywharf-gateway/src/createQuarantineSync.ts
+++ b/packages/hickorywharf-gateway/src/createQuarantineSync.ts
@@ -66,16 +66,17 @@
 const MAXIMUM_PROVEN_BYTES = 65_536;
 /** Reads of complete events after which a stream has gone on. */
 const PROGRESS_READS = 2;
+/** Bounds the lists in one log line. */
+const MAXIMUM_LOGGED = 12;
+
 /** Identifies one process of an endpoint. */
 const getProcess = ({id, startedAt}: GatewayEndpoint): string =>
   `${id}/${startedAt}`;
 
-/** Bounds the lists in one log line. */
-const MAXIMUM_LOGGED = 12;
-
 /**
- * Keeps calls from being sent whose prompts have a part under which processes
- * of endpoints ended, and exchanges with peers what each instance observed.
+ * Keeps calls from being sent under which, or under a part of whose prompts,
+ * processes of endpoints ended, and exchanges with peers what each instance
+ * observed.
  *
  * @example
  *     const quarantine = createQuarantineSync(options);
