Leave a stopping instance out of the list of instances

Cause: a planned stop withdraws the registration, and the next read of the instance list, every 2 s, registered the instance again while its calls ended; then its lease kept it listed for up to 12 s. Peers rank the listed instances for the batches of stages, so that each stop moved these duties three times.

Change: an instance that stops does not renew its registration, and withdraws it after a renewal that is under way.

--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -254,7 +254,7 @@
   );
   await metricsServer.listen(settings.metrics.host, settings.metrics.port);
   await peers.listen();
-  const stopSync = startStateSync({
+  const polling = startStateSync({
     source,
     state,
     beliefs: stateUpdater,
@@ -308,7 +308,7 @@
       });
       const end = settings.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
       peers.announceLeaving();
-      void source.withdraw();
+      void polling.withdraw();
       for (;;) {
         const elapsed = now() - stoppedAt;
         if (elapsed >= STOP_NOTICE_MILLISECONDS) {
@@ -318,7 +318,7 @@
         }
         await sleep(STOP_CHECK_MILLISECONDS);
       }
-      stopSync();
+      polling.stop();
       server.close();
       readinessServer.close();
       metricsServer.close();
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -29,6 +29,13 @@
   onInstances(others: readonly GatewayInstance[]): void;
 }
 
+interface StateSync {
+  /** Withdraws the registration of this instance; polling goes on. */
+  withdraw(): Promise<void>;
+  /** Stops the polling. */
+  stop(): void;
+}
+
 /** A part of the state that is kept fresh, from the store or from a peer. */
 interface SyncedState {
   /** Time within which a change has to be applied, in milliseconds. */
@@ -82,12 +89,14 @@
  * the peer that polls it for the failure domain. After a failed read the
  * configuration and the endpoints stay as they are, and their age grows.
  *
- * @returns a function that stops the polling
+ * An instance that stops does not renew its registration: peers rank the
+ * registered instances, and one that comes and goes moves duties each time.
+ *
  * @example
- *     const stop = startStateSync(options);
- *     stop();
+ *     const stateSync = startStateSync(options);
+ *     stateSync.stop();
  */
-export function startStateSync(options: StateSyncOptions): () => void {
+export function startStateSync(options: StateSyncOptions): StateSync {
   const {
     source,
     state,
@@ -108,6 +117,8 @@
   let generation = 0;
   let restoredAt = -Infinity;
   let knownOthers: readonly GatewayInstance[] = [];
+  /** The last registration or renewal; it may be under way. */
+  let announcing = Promise.resolve();
 
   function logFailure(step: string, message: string): void {
     if (failedSteps.has(step)) return;
@@ -138,7 +149,7 @@
         version: state.configuration?.version ?? null,
       });
       // The registration of this instance is among what was lost.
-      void readStore('announce', source.announce);
+      void announce();
     }
     generation = next;
   }
@@ -157,6 +168,14 @@
     return result;
   }
 
+  /** Registers this instance or renews its registration, unless it stops. */
+  async function announce(): Promise<void> {
+    announcing = announcing.then(async () => {
+      if (!state.isStopping) await readStore('announce', source.announce);
+    });
+    await announcing;
+  }
+
   const configuration: SyncedState = {
     getLimit: () => settings.applyMilliseconds,
     getAge: () => state.configurationFreshness.getAge(getInstant()),
@@ -264,7 +283,7 @@
   }
 
   async function readInstances(): Promise<boolean> {
-    await readStore('announce', source.announce);
+    await announce();
     const read = await readStore('instances', source.readInstances);
     if (read.isErr()) return false;
     const listed = new Set(read.value.map((instance) => instance.name));
@@ -322,8 +341,14 @@
     );
   }
   poll(readInstances, () => INSTANCES_INTERVAL_MILLISECONDS);
-  return () => {
-    isStopped = true;
-    for (const timer of timers) clearTimeout(timer);
+  return {
+    async withdraw() {
+      await announcing;
+      await source.withdraw();
+    },
+    stop() {
+      isStopped = true;
+      for (const timer of timers) clearTimeout(timer);
+    },
   };
 }
