Learn the times of stage calls only from calls that computed all pieces

Cause: endpoints without memory for results reject pieces at once. The time of such calls went into the endpoint's speed and into the time of a piece; after some thirty of them calls were expected to take next to nothing and timed out after 150 ms, in less than the time of any real call. An endpoint goes on with a call that timed out and keeps its results for 4 s, so that it had no memory for the next call either: the state fed itself until the load was gone.

Change: only calls whose pieces were all computed change the estimates.

Evidence: 'stage call failed' 87 times, 'no response in time' at all four endpoints of a service between 37.7 and 37.9 while 'held' was 0 to 780 kB of 1,225, and 236 of 236 pieces without room in a second before.

--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -43,7 +43,11 @@
   return elapsed;
 }
 
-function createTestDispatcher(endpoints: number, roomBytes = 1000) {
+function createTestDispatcher(
+  endpoints: number,
+  roomBytes = 1000,
+  callMilliseconds = CALL_MILLISECONDS,
+) {
   const calls: SentCall[] = [];
   const outcomes: PieceOutcome[] = [];
   const state = createGatewayState({
@@ -72,7 +76,7 @@
     slots: 1,
     waiting: 2,
     batch: 4,
-    callMilliseconds: CALL_MILLISECONDS,
+    callMilliseconds,
     pieceMilliseconds: 1,
     roomBytes,
     keepMilliseconds: 4000,
@@ -279,6 +283,18 @@
   );
 });
 
+test('rejections for lack of memory, which take no time, do not shorten the timeout of calls', async (t) => {
+  const {dispatcher, calls, respond} = createTestDispatcher(1, 1000, 200);
+  dispatcher.order(TEST_ORDER, () => undefined);
+  for (let rejections = 1; rejections <= 30; rejections += 1) {
+    await measureWait(() => calls.length === rejections);
+    respond(calls.at(-1)!, {tag: 'noRoom'}, {tag: 'noRoom'});
+  }
+  await measureWait(() => calls.length > 30);
+  await sleep(250);
+  t.false(calls.at(-1)!.isAborted, 'a call may take the time of a whole one');
+});
+
 test('results of a cancelled order are freed', async (t) => {
   const {dispatcher, calls, respond, made} = createTestDispatcher(1);
   const cancel = dispatcher.order(TEST_ORDER, () => t.fail());
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -426,7 +426,8 @@
         const elapsed = now() - startedAt;
         metrics.count('stageCalls', 'answered');
         metrics.time('stageCall', elapsed);
-        recordTime(elapsed);
+        // A rejected piece takes no time, so such a call says nothing about it.
+        if (outcomes.every(({tag}) => tag === 'made')) recordTime(elapsed);
         // An endpoint that computed some pieces gets the next call at once: it
         // rejects pieces that do not fit, and results of other dispatchers may
         // be freed there without notice.
