Do not confirm a configuration while a newer one is known to exist

Cause: an instance that started on a store that was restored from a copy read the older configuration again and again, and each read counted as the store's confirmation of its keys, although a peer had named a newer version.

Change: such a read confirms nothing and counts as failed, so that a peer is asked for the newer configuration.

What callers saw: five calls with a key that was taken away ran 4.0 to 4.3 s after the store's acknowledgement, against 4 s.

Why it works: versions only rise, so an older one than is known can't be what operators want now; keys then go stale by the age of the last confirmation.

--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -41,8 +41,9 @@
 /**
  * Applies configurations and endpoint lists, from the store or from a peer, to
  * the state of this instance. Data older than the state is ignored and does not
- * make the state count as fresher. The version decides which configuration is
- * older; for endpoint lists it is the time of the read.
+ * make the state count as fresher, and neither does a configuration while a
+ * newer one is known to exist. The version decides which configuration is older;
+ * for endpoint lists it is the time of the read.
  *
  * @example
  *     const updater = createStateUpdater(options);
@@ -112,6 +113,8 @@
         });
         onChange();
       }
+      // A store that was restored from a copy may have lost the newer one.
+      if (next.version < state.newestVersion) return;
       state.configurationFreshness.recordRead(readAt);
     },
     recordLeaving(endpoint) {
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -42,7 +42,10 @@
   getLimit(): number;
   /** Time since the store last confirmed it, in milliseconds. */
   getAge(): number;
-  /** Reads the store; false if the read failed or found nothing. */
+  /**
+   * Reads the store; false if the read failed, or found nothing or what is
+   * known to be old.
+   */
   read(): Promise<boolean>;
   /** Fetches from a peer; false if it did not reply in time. */
   fetch(peer: string): Promise<boolean>;
@@ -192,7 +195,8 @@
         value.version > (state.configuration?.version ?? -1);
       if (!isConfirmed) return true;
       stateUpdater.applyConfiguration(value, sentAt);
-      return true;
+      // A newer one that is known to exist may be had from a peer.
+      return value.version >= state.newestVersion;
     },
     async fetch(peer) {
       const hasReply = await peerSync.fetchState(peer);
