Restart the timers of silent peers and streams without a new timer each time

Cause: each frame of a peer and each event of a stream cleared a timer and made a new one, with its closures: 4.2% of the processor time of an instance that is idle among 24 (profile of the program, 15 s).

Change: createSilenceTimer notes the time of the last message; one timeout at a time starts the next one for what is left. What arrived while the event loop was blocked is still read before it fires, as with startTimeout, which it uses.

--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -2,7 +2,7 @@
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
-import {startTimeout} from 'hickorywharf-utils/startTimeout';
+import {createSilenceTimer} from 'hickorywharf-utils/createSilenceTimer';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
 import {createBodyBuffer} from './createBodyBuffer.ts';
@@ -93,7 +93,10 @@
     let isStreaming = false;
     let streamBytes = 0;
     const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
-    let stopTimeout: (() => void) | null = null;
+    let silenceMilliseconds = 0;
+    const silenceTimer = createSilenceTimer(() =>
+      failAttempt(`silent for ${Math.round(silenceMilliseconds)} ms`),
+    );
 
     // Kept until the call ends, as a slow caller may still read the response.
     const memory = options.responseMemory.open(() => {
@@ -105,7 +108,7 @@
     function settle(result: AttemptResult): void {
       if (isSettled) return;
       isSettled = true;
-      stopTimeout?.();
+      silenceTimer.stop();
       context.cleanups.delete(abandon);
       load.end();
       if (result.tag !== 'delivered' && result.tag !== 'failed') memory.close();
@@ -126,12 +129,8 @@
     }
     function restartTimer(milliseconds: number): void {
       if (options.responseTimeoutMilliseconds === null || isSettled) return;
-      stopTimeout?.();
-      stopTimeout = startTimeout({
-        milliseconds,
-        onTimeout: () =>
-          failAttempt(`silent for ${Math.round(milliseconds)} ms`),
-      });
+      silenceMilliseconds = milliseconds;
+      silenceTimer.restart(milliseconds);
     }
 
     function handleHead(response: ResponseHead, isFirst: boolean): void {
@@ -190,7 +189,7 @@
       }
       if (!writer.sendEvents(events)) {
         // The caller is slow, not the endpoint.
-        stopTimeout?.();
+        silenceTimer.stop();
         exchange.pause();
         writer.onDrain(() => {
           restartTimer(EVENT_TIMEOUT_MILLISECONDS);
--- a/packages/hickorywharf-transport/src/runConnection.ts
+++ b/packages/hickorywharf-transport/src/runConnection.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
-import {startTimeout} from 'hickorywharf-utils/startTimeout';
+import {createSilenceTimer} from 'hickorywharf-utils/createSilenceTimer';
 import type {Connection} from './connection.ts';
 import type {ConnectionHandlers} from './connectionHandlers.ts';
 import {createFrameReader} from './createFrameReader.ts';
@@ -37,7 +37,8 @@
   // Only received bytes restart this timer. The timeout of a Node socket is
   // unsuitable: each write restarts it, including this process's heartbeats.
   let silenceMilliseconds: number = TRANSPORT_LIMITS.helloTimeoutMilliseconds;
-  let stopSilenceTimeout = startSilenceTimeout();
+  const silenceTimer = createSilenceTimer(handleSilence);
+  silenceTimer.restart(silenceMilliseconds);
 
   function report(
     tag: TransportError['tag'],
@@ -48,18 +49,6 @@
     handlers.onError({tag, step, peer, message});
   }
 
-  function startSilenceTimeout(): () => void {
-    return startTimeout({
-      milliseconds: silenceMilliseconds,
-      onTimeout: handleSilence,
-    });
-  }
-
-  function restartSilenceTimeout(): void {
-    stopSilenceTimeout();
-    stopSilenceTimeout = startSilenceTimeout();
-  }
-
   function handleSilence(): void {
     const missing = connection === null ? 'hello was' : 'bytes were';
     report(
@@ -80,11 +69,7 @@
     const bytes = encodeFrame(frame);
     if (bytes.length > TRANSPORT_LIMITS.maximumFrameBytes) {
       // The peer would close the connection and fail everything in flight.
-      report(
-        'frameTooLarge',
-        'send',
-        `a ${frame.tag} frame exceeds the size limit`,
-      );
+      report('frameTooLarge', 'send', `a ${frame.tag} frame exceeds the size limit`);
       return false;
     }
     socket.write(bytes);
@@ -97,7 +82,7 @@
       silenceMilliseconds =
         options.silenceTimeoutMilliseconds ??
         TRANSPORT_LIMITS.silenceTimeoutMilliseconds;
-      restartSilenceTimeout();
+      silenceTimer.restart(silenceMilliseconds);
       connection = {peer: frame.identity, send};
       handlers.onConnected(connection);
       return;
@@ -118,7 +103,7 @@
   socket.setNoDelay(true);
   socket.on('error', () => socket.destroy());
   socket.on('data', (bytes) => {
-    if (connection !== null) restartSilenceTimeout();
+    if (connection !== null) silenceTimer.restart(silenceMilliseconds);
     reader.read(bytes).match(
       (frames) => frames.forEach(handleFrame),
       (error) => {
@@ -128,7 +113,7 @@
     );
   });
   socket.on('close', () => {
-    stopSilenceTimeout();
+    silenceTimer.stop();
     const ended = connection;
     connection = null;
     if (ended !== null) handlers.onDisconnected(ended);
