Encode a frame for several peers once

Cause: the heartbeats and waits that an instance sends at the same moment to all its peers are the same bytes, and were encoded for each of them.

Change: sendToAll encodes once; a connection takes encoded frames too.

--- a/packages/hickorywharf-endpoint/src/__tests__/createEntryPeers.test.ts
+++ b/packages/hickorywharf-endpoint/src/__tests__/createEntryPeers.test.ts
@@ -19,6 +19,7 @@
   const connection: Connection = {
     peer: {name: 'entry-1', incarnation, role: 'entry', failureDomain: 'a'},
     send: (frame) => sent.push(frame) > 0,
+    sendEncoded: () => false,
   };
   return {connection, sent};
 }
--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -104,7 +104,12 @@
       } as const;
       const decoded: unknown = codec.decode(codec.encode(frame));
       if (!isFrame(decoded)) throw new Error('not a frame');
-      peer.handleRequest({peer: identity, send: reply}, decoded);
+      const connection = {
+        peer: identity,
+        send: reply,
+        sendEncoded: () => false,
+      };
+      peer.handleRequest(connection, decoded);
       return true;
     },
   });
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -1,6 +1,7 @@
 import {createPeerClient} from 'hickorywharf-transport/createPeerClient';
 import {createPeerServer} from 'hickorywharf-transport/createPeerServer';
 import type {Connection} from 'hickorywharf-transport/connection';
+import {sendToAll} from 'hickorywharf-transport/sendToAll';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
@@ -169,7 +170,7 @@
 
   function sendStatus(): void {
     const status = isLeaving ? createHeartbeat(true) : options.getStatusFrame();
-    for (const connection of inbound) connection.send(status);
+    sendToAll(inbound, status);
   }
 
   return {
@@ -202,9 +203,7 @@
           ...createHeartbeat(false),
           ...options.getHeartbeatFields(),
         };
-        for (const connection of connected.values()) {
-          connection.send(heartbeat);
-        }
+        sendToAll(connected.values(), heartbeat);
       }, HEARTBEAT_INTERVAL_MILLISECONDS);
     },
     setInstances(instances) {
@@ -233,9 +232,8 @@
       void connection.send({...createHeartbeat(isLeaving), ...fields}),
     broadcastHeartbeat(fields) {
       const heartbeat = {...createHeartbeat(false), ...fields};
-      for (const connection of connected.values()) connection.send(heartbeat);
-      const reply = {...createHeartbeat(isLeaving), ...fields};
-      for (const connection of inbound) connection.send(reply);
+      sendToAll(connected.values(), heartbeat);
+      sendToAll(inbound, {...createHeartbeat(isLeaving), ...fields});
     },
     send: (name, frame) => connected.get(name)?.send(frame) ?? false,
     async close() {
--- a/packages/hickorywharf-transport/src/connection.ts
+++ b/packages/hickorywharf-transport/src/connection.ts
@@ -10,4 +10,9 @@
   readonly peer: ProcessIdentity;
   /** Returns false only if no byte of the frame was or will be written. */
   send(frame: Frame): boolean;
+  /**
+   * Sends a frame that was encoded before, for several connections; false as
+   * with `send`.
+   */
+  sendEncoded(bytes: Buffer, tag: Frame['tag']): boolean;
 }
--- a/packages/hickorywharf-transport/src/runConnection.ts
+++ b/packages/hickorywharf-transport/src/runConnection.ts
@@ -59,23 +59,25 @@
     socket.destroy();
   }
 
-  function send(frame: Frame): boolean {
+  function sendEncoded(bytes: Buffer, tag: Frame['tag']): boolean {
     if (socket.destroyed || !socket.writable) return false;
     if (socket.writableLength > TRANSPORT_LIMITS.maximumUnsentBytes) {
       report('peerReadsTooSlowly', 'send', 'the unsent bytes exceed the limit');
       socket.destroy();
       return false;
     }
-    const bytes = encodeFrame(frame);
     if (bytes.length > TRANSPORT_LIMITS.maximumFrameBytes) {
       // The peer would close the connection and fail everything in flight.
-      report('frameTooLarge', 'send', `a ${frame.tag} frame exceeds the size limit`);
+      report('frameTooLarge', 'send', `a ${tag} frame exceeds the size limit`);
       return false;
     }
     socket.write(bytes);
     return true;
   }
 
+  const send = (frame: Frame): boolean =>
+    sendEncoded(encodeFrame(frame), frame.tag);
+
   function handleHello(frame: Frame): void {
     const error = findHelloError(frame, expectedPeer);
     if (error === null && frame.tag === 'hello') {
@@ -83,7 +85,7 @@
         options.silenceTimeoutMilliseconds ??
         TRANSPORT_LIMITS.silenceTimeoutMilliseconds;
       silenceTimer.restart(silenceMilliseconds);
-      connection = {peer: frame.identity, send};
+      connection = {peer: frame.identity, send, sendEncoded};
       handlers.onConnected(connection);
       return;
     }
