Load less at the start of the gateway

Cause: the program's bundle had zod's error texts in all languages, the decoders and WebAssembly of the histogram library, and loaded modules that the logger uses for rotating files from the folder of packages if they were there.

Error texts of settings are unchanged.

--- a/packages/hickorywharf-bench/src/history/historySchemas.ts
+++ b/packages/hickorywharf-bench/src/history/historySchemas.ts
@@ -1,5 +1,5 @@
 import type {HistoryEvent} from 'hickorywharf-types/historyEvent';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const text = z.string();
 const count = z.int().min(0);
--- a/packages/hickorywharf-configuration/src/assignHalves.ts
+++ b/packages/hickorywharf-configuration/src/assignHalves.ts
@@ -2,7 +2,7 @@
 import {getNearestName} from 'hickorywharf-utils/getNearestName';
 import type {splitAssignment} from 'hickorywharf-validation/splitAssignment';
 import {err, ok, type Result} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {Document} from './document.ts';
 
 type Assignment = z.infer<typeof splitAssignment>;
--- a/packages/hickorywharf-endpoint/src/createCoreFromSettings.ts
+++ b/packages/hickorywharf-endpoint/src/createCoreFromSettings.ts
@@ -2,7 +2,7 @@
 import {queuePolicies} from 'hickorywharf-decisions/endpoint/policies/queuePolicies';
 import {PARTITION_COUNT} from 'hickorywharf-decisions/homes/partitionCount';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/hickorywharf-endpoint/src/createHomeManager.ts
+++ b/packages/hickorywharf-endpoint/src/createHomeManager.ts
@@ -9,7 +9,7 @@
 import type {Clock} from 'hickorywharf-utils/clock';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 interface HomeManagerOptions {
   readonly settings: z.infer<typeof endpointSettings>;
--- a/packages/hickorywharf-endpoint/src/runEndpoint.ts
+++ b/packages/hickorywharf-endpoint/src/runEndpoint.ts
@@ -21,7 +21,7 @@
 import {sleep} from 'hickorywharf-utils/sleep';
 import {startTimer} from 'hickorywharf-utils/startTimer';
 import type {endpointSettings} from 'hickorywharf-validation/endpointSettings';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {createBackendRunner} from './createBackendRunner.ts';
 import type {createEndpointTelemetry} from './createEndpointTelemetry.ts';
 import {createCoreFromSettings} from './createCoreFromSettings.ts';
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -24,7 +24,7 @@
 import {sleep} from 'hickorywharf-utils/sleep';
 import {startTimer} from 'hickorywharf-utils/startTimer';
 import type {entrySettings} from 'hickorywharf-validation/entrySettings';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {createResponderRegistry} from './createResponderRegistry.ts';
 import {createEndpointConnections} from './createEndpointConnections.ts';
 import type {createEntryTelemetry} from './createEntryTelemetry.ts';
--- a/packages/hickorywharf-gateway/src/createGatewayMetrics.ts
+++ b/packages/hickorywharf-gateway/src/createGatewayMetrics.ts
@@ -1,4 +1,4 @@
-import {build} from 'hdr-histogram-js';
+import {build} from 'hdr-histogram-js/dist/HistogramBuilder.js';
 import {GATEWAY_COUNTERS} from './gatewayCounters.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import {GATEWAY_TIMERS} from './gatewayTimers.ts';
--- a/packages/hickorywharf-standins/src/startStandIns.ts
+++ b/packages/hickorywharf-standins/src/startStandIns.ts
@@ -1,7 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {createHistoryRecorder} from 'hickorywharf-telemetry/createHistoryRecorder';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
-import {z} from 'zod';
+import * as z from 'zod';
 import {listen} from './listen.ts';
 import {standInKinds} from './standInKinds.ts';
 
--- a/packages/hickorywharf-validation/src/commonSections.ts
+++ b/packages/hickorywharf-validation/src/commonSections.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAXIMUM_PORT = 65_535;
 
--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {commonSections} from './commonSections.ts';
 
 const {address, port} = commonSections;
--- a/packages/hickorywharf-validation/src/loadSettings.ts
+++ b/packages/hickorywharf-validation/src/loadSettings.ts
@@ -2,7 +2,7 @@
 import ini from 'ini';
 import {err, ok, type Result} from 'neverthrow';
 import {getNearestName} from 'hickorywharf-utils/getNearestName';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {SettingsError} from './settingsError.ts';
 
 const MAXIMUM_FILE_BYTES = 256 * 1024;
--- a/packages/hickorywharf-validation/src/normalizeRecord.ts
+++ b/packages/hickorywharf-validation/src/normalizeRecord.ts
@@ -1,7 +1,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {ConfigurationRecord} from 'hickorywharf-types/record';
 import {getNearestName} from 'hickorywharf-utils/getNearestName';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {RecordError} from './recordError.ts';
 
 const NEWEST_SCHEMA_VERSION = 2;
--- a/packages/hickorywharf-validation/src/splitAssignment.ts
+++ b/packages/hickorywharf-validation/src/splitAssignment.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const names = z.array(z.string()).default([]);
 
--- a/packages/hickorywharf/src/__tests__/referencePages.test.ts
+++ b/packages/hickorywharf/src/__tests__/referencePages.test.ts
@@ -5,7 +5,7 @@
 import {GATEWAY_TIMERS} from 'hickorywharf-gateway/gatewayTimers';
 import {metricDefinitions} from 'hickorywharf-telemetry/metricDefinitions';
 import {spanDefinitions} from 'hickorywharf-telemetry/spanDefinitions';
-import {z} from 'zod';
+import * as z from 'zod';
 import {commands} from '../commands/commands.ts';
 import {exitCodes} from '../exitCodes.ts';
 import {roleSettings} from '../roleSettings.ts';
--- a/packages/hickorywharf/src/createRoleCommand.ts
+++ b/packages/hickorywharf/src/createRoleCommand.ts
@@ -4,7 +4,7 @@
 import type {HistoryRecorder} from 'hickorywharf-telemetry/historyRecorder';
 import type {Clock} from 'hickorywharf-utils/clock';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {Command} from './command.ts';
 import {exitCodes} from './exitCodes.ts';
 import {loadRoleSettings} from './loadRoleSettings.ts';
--- a/packages/hickorywharf/src/loadRoleSettings.ts
+++ b/packages/hickorywharf/src/loadRoleSettings.ts
@@ -2,7 +2,7 @@
 import {getNearestName} from 'hickorywharf-utils/getNearestName';
 import {loadSettings} from 'hickorywharf-validation/loadSettings';
 import type {SettingsError} from 'hickorywharf-validation/settingsError';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {roleSettings} from './roleSettings.ts';
 
 type Roles = typeof roleSettings;
