--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -233,7 +233,7 @@
     seeds: seeds.length > 0 ? seeds : [listen.control],
     limits: LIMITS,
     platform: {address: store.address},
-    bounds: BOUNDS,
+    bounds: {...BOUNDS},
   };
   fs.writeFileSync(file, renderSettings(fields));
   const [program, ...rest] = readRunCommand();
@@ -256,6 +256,11 @@
       resolve(gateway.exit);
     });
   });
+  /** Changes a bound in the settings file, as the platform does. */
+  gateway.changeBound = (key, value) => {
+    fields.bounds[key] = value;
+    fs.writeFileSync(file, renderSettings(fields));
+  };
   gateway.readLog = () => fs.readFileSync(path.join(folder, 'log'), 'utf8');
   gateway.isReady = () => checkReadiness(listen.readiness);
   gateway.end = async () => {
