--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -11,6 +11,15 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 
+/** The processes that a script started and that have not ended yet. */
+const running = new Set();
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+  process.on(signal, () => process.exit(2));
+}
+
 /** The command of the role in `deploy/system.toml`. */
 function readRunCommand() {
   const text = fs.readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
@@ -248,8 +257,10 @@
     stdio: ['ignore', log, log],
   });
   const gateway = {name, listen, child, exit: null, folder};
+  running.add(child);
   gateway.exited = new Promise((resolve) => {
     child.on('exit', (code, signal) => {
+      running.delete(child);
       gateway.exit = {code, signal};
       record.write(`${name} ended, code ${code}, signal ${signal}`);
       if (code > 0) record.write(gateway.readLog().slice(-600));
