--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -263,7 +263,8 @@
       running.delete(child);
       gateway.exit = {code, signal};
       record.write(`${name} ended, code ${code}, signal ${signal}`);
-      if (code > 0) record.write(gateway.readLog().slice(-600));
+      if (code > 0)
+        record.write(gateway.readLog().slice(-600).replaceAll(ROOT, '.'));
       resolve(gateway.exit);
     });
   });
