--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -18,21 +18,28 @@
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 /** `reel-checkout` on the sheet of lusacine-wharf, for one of three machines. */
 const CALLS_PER_SECOND = 2.81;
-const SECONDS = 20;
+/** How long the callers go on after the spoiled answer, and at most. */
+const SECONDS_AFTER = 20;
+const MAXIMUM_SECONDS = 75;
 const TIMEOUT_MILLISECONDS = 4000;
 /** RULES.md, CONFIG: "half a second later". */
 const LATER_MILLISECONDS = 500;
 const WORK_MILLISECONDS = 86;
-/** The request, counted over all servers, whose answer is spoiled. */
-const SPOILED_REQUEST = 15;
+/**
+ * The answer of a server that is spoiled: one of its first 51, less than the
+ * share of 0.02 that `garble` spoils. It happens once, at one server.
+ */
+const SPOILED_ANSWER = 51;
 /** The head is far below the 65,536 bytes that the product reads. */
 const SPACES = 4000;
 const ZONES = ['lisboa-a', 'lisboa-b', 'lisboa-c'];
 
 const record = createRecord(import.meta.dirname);
-let requests = 0;
+/** When the answer was due that is spoiled; null before. */
+let spoiledAt = null;
 
 function startServer(id) {
+  let answers = 0;
   const server = net.createServer((socket) => {
     let text = '';
     socket.on('error', () => undefined);
@@ -43,8 +50,10 @@
       if (end < 0 || text.length < end + 4 + length) return;
       const requestId = /\nrequest-id: (\S+)/i.exec(text)[1];
       text = '';
-      requests += 1;
-      const isSpoiled = HAS_TROUBLE && requests === SPOILED_REQUEST;
+      answers += 1;
+      const isMoment = spoiledAt === null && answers === SPOILED_ANSWER;
+      if (isMoment) spoiledAt = performance.now();
+      const isSpoiled = isMoment && HAS_TROUBLE;
       record.write(`server ${id}: runs ${requestId}`);
       await sleep(WORK_MILLISECONDS);
       if (isSpoiled) {
@@ -154,9 +163,14 @@
 let exitCode = 2;
 if (await waitReady(gateway)) {
   const startedAt = performance.now();
-  const before = readProcessorSeconds();
   const calls = [];
-  for (let number = 0; number < SECONDS * CALLS_PER_SECOND; number += 1) {
+  const isOver = () => {
+    const now = performance.now();
+    return spoiledAt === null
+      ? now - startedAt > MAXIMUM_SECONDS * 1000
+      : now - spoiledAt > SECONDS_AFTER * 1000;
+  };
+  for (let number = 0; !isOver(); number += 1) {
     calls.push(call(`c${number}`));
     await sleep(1000 / CALLS_PER_SECOND);
   }
@@ -168,13 +182,16 @@
   const unanswered = overdue.filter((time) => time === null);
   const elapsed = (performance.now() - startedAt) / 1000;
   record.write(
-    `gateway: ready ${isReady}, ${(readProcessorSeconds() - before).toFixed(1)} s of processor time in ${elapsed.toFixed(1)} s`,
+    `gateway: ready ${isReady}, ${readProcessorSeconds().toFixed(1)} s of processor time in all, ${elapsed.toFixed(1)} s after the first request`,
   );
   record.write(
     `${times.length} requests, ${overdue.length} unanswered at timeoutMs, ${unanswered.length} of these half a second later`,
   );
-  exitCode = unanswered.length * 2 > overdue.length ? 1 : 0;
-  record.write(exitCode === 1 ? 'CONFIG: the rule is broken' : 'rule held');
+  // Without the moment of the disruption the case did not run.
+  if (spoiledAt !== null)
+    exitCode = unanswered.length * 2 > overdue.length ? 1 : 0;
+  const verdicts = ['rule held', 'CONFIG: the rule is broken', 'did not run'];
+  record.write(verdicts[exitCode]);
 }
 await gateway.end();
 for (const server of servers) server.close();
