Parse header lines of endpoints in linear time

Cause: the expression for a header line had three parts in a row that match blanks, so that a line that does not match took time with the third power of its blanks: 749 ms for 1,000, 5.9 s for 2,000.

All expressions over bytes of other processes were read; no other is above linear.

--- a/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseParser.test.ts
@@ -284,3 +284,40 @@
   for (let count = 0; count < 100; count += 1) parser.read(part);
   t.true(bodyBytes > 900_000, `${bodyBytes} bytes were passed on`);
 });
+
+const MAXIMUM_PARSE_MILLISECONDS = 250;
+
+// Guards against a header expression whose time grows with a power of the
+// length of a line: one such line kept the gateway from answering any caller.
+for (const [name, character] of Object.entries({
+  spaces: ' ',
+  tabs: '\t',
+  colons: ':',
+  digits: '1',
+  'no-break spaces': '\xa0',
+})) {
+  test(`an invalid line of ${name} is rejected without delay`, (t) => {
+    const line = `${character.repeat(2000)}\0`;
+    const responses = [
+      `HTTP/1.1 200 ${line}\r\n\r\n`,
+      `HTTP/1.1 200 OK\r\n${line}\r\n\r\n`,
+      `HTTP/1.1 200 OK\r\nX:${line}\r\n\r\n`,
+      `${chunkedHead}1${line}\r\n`,
+      `${chunkedHead}0\r\nX:${line}\r\n\r\n`,
+    ];
+    for (const response of responses) {
+      const start = process.threadCpuUsage();
+      t.false(parse(response).isComplete);
+      const {user, system} = process.threadCpuUsage(start);
+      const milliseconds = (user + system) / 1000;
+      t.true(milliseconds < MAXIMUM_PARSE_MILLISECONDS, `${milliseconds} ms`);
+    }
+  });
+}
+
+test('only spaces and tabs around a header value are removed', (t) => {
+  const {headers} = parse(
+    'HTTP/1.1 204 No Content\r\nA: \t\xa0 b \xa0\t \r\nB:\r\nC: \t \r\n\r\n',
+  );
+  t.deepEqual(headers, ['A', '\xa0 b \xa0', 'B', '', 'C', '']);
+});
--- a/packages/hickorywharf-gateway/src/createResponseParser.ts
+++ b/packages/hickorywharf-gateway/src/createResponseParser.ts
@@ -1,5 +1,6 @@
 import {createStatusLineFinder} from './createStatusLineFinder.ts';
 import type {ResponseHandlers} from './responseHandlers.ts';
+import {trimBlanks} from './trimBlanks.ts';
 
 interface ResponseParser {
   /** Parses the next bytes; false if they are not a valid response. */
@@ -24,8 +25,8 @@
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 /** The status line of another response, behind a line that broke off. */
 const JOINED_STATUS_LINE = /.HTTP\/1\.[01] [1-5]\d\d(?: |$)/;
-const HEADER =
-  /^([!#$%&'*+\-.^_`|~\dA-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
+/** The value includes the blanks around it, so that it matches in one pass. */
+const HEADER = /^([!#$%&'*+\-.^_`|~\dA-Za-z]+):([\t\x20-\x7e\x80-\xff]*)$/;
 const LENGTH = /^\d{1,15}$/;
 const CHUNK_SIZE = /^([\dA-Fa-f]{1,12})[ \t]*(?:;.*)?$/;
 /** A line, or the start of one, without a chunk extension. */
@@ -150,7 +151,8 @@
       if (text === '') return endHead();
       const match = HEADER.exec(text);
       if (match === null) return 'broken';
-      const [, name = '', value = ''] = match;
+      const [, name = '', paddedValue = ''] = match;
+      const value = trimBlanks(paddedValue);
       headers.push(name, value);
       const lower = name.toLowerCase();
       if (lower === 'content-length') contentLengths.push(value);
