--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {isSocketAddress} from 'hickorywharf-utils/isSocketAddress';
 import {createResponseParser} from './createResponseParser.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {EndpointRequest} from './endpointRequest.ts';
@@ -190,7 +191,27 @@
     return connection;
   }
 
+  /** Fails a request to an address at which no connection can be tried. */
+  function rejectAddress(
+    input: EndpointRequest,
+  ): ReturnType<EndpointClient['send']> {
+    let isAborted = false;
+    queueMicrotask(() => {
+      if (isAborted) return;
+      const message = `${input.host}:${input.port} is no address`;
+      input.onFailure({tag: 'unsent', message});
+    });
+    return {
+      abort() {
+        isAborted = true;
+      },
+      pause: () => undefined,
+      resume: () => undefined,
+    };
+  }
+
   function send(input: EndpointRequest): ReturnType<EndpointClient['send']> {
+    if (!isSocketAddress(input)) return rejectAddress(input);
     const connection = acquire(input);
     connection.requests += 1;
     if (input.requestId !== null) connection.requestIds.add(input.requestId);
--- a/packages/hickorywharf-gateway/src/probeAddress.ts
+++ b/packages/hickorywharf-gateway/src/probeAddress.ts
@@ -1,4 +1,5 @@
 import net from 'node:net';
+import {isSocketAddress} from 'hickorywharf-utils/isSocketAddress';
 
 interface Address {
   readonly host: string;
@@ -32,6 +33,7 @@
  *     await probeAddress({host: '10.1.64.41', port: 8569}); // 'refused'
  */
 export function probeAddress({host, port}: Address): Promise<ProbeResult> {
+  if (!isSocketAddress({host, port})) return Promise.resolve('failed');
   return new Promise((resolve) => {
     const socket = net.connect({host, port});
     const finish = (result: ProbeResult): void => {
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -1,6 +1,7 @@
+import {TRANSPORT_LIMITS} from './transportLimits.ts';
+
 type Check = (value: unknown) => boolean;
 
-const MAXIMUM_NAME_LENGTH = 1024;
 const ROLES: ReadonlySet<unknown> = new Set(['entry', 'endpoint', 'operator']);
 
 function isObject(value: unknown): value is Record<string, unknown> {
@@ -9,7 +10,8 @@
 
 const isString: Check = (value) => typeof value === 'string';
 const isName: Check = (value) =>
-  typeof value === 'string' && value.length <= MAXIMUM_NAME_LENGTH;
+  typeof value === 'string' &&
+  value.length <= TRANSPORT_LIMITS.maximumNameLength;
 const isNumber: Check = (value) => Number.isFinite(value);
 const isCount: Check = (value) =>
   Number.isSafeInteger(value) && (value as number) >= 0;
--- a/packages/hickorywharf-transport/src/transportLimits.ts
+++ b/packages/hickorywharf-transport/src/transportLimits.ts
@@ -3,6 +3,8 @@
   protocolMinimum: 1,
   protocolMaximum: 1,
   maximumFrameBytes: 8 * 1024 * 1024,
+  /** Characters of a name in a frame; a frame with a longer one is invalid. */
+  maximumNameLength: 1024,
   /** A connection with more unsent bytes is closed; the client reconnects. */
   maximumUnsentBytes: 16 * 1024 * 1024,
   heartbeatMilliseconds: 550,
