Read every figure of the settings as the figure that it is

Cause: the template made milliseconds by writing three zeros behind the figure, so that 8.5 s became 8.5 ms. The same was done to budgetWindowS.

--- a/packages/hickorywharf-validation/src/gatewaySettings.ts
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -20,7 +20,14 @@
   .transform((text) => text.split(',').filter((part) => part.trim() !== ''))
   .pipe(z.array(z.string().trim().pipe(socketAddress)));
 
-const milliseconds = z.coerce.number().min(0);
+/** Timers of Node can't be much longer. */
+const MAXIMUM_SECONDS = 86_400;
+
+const milliseconds = z.coerce
+  .number()
+  .min(0)
+  .max(MAXIMUM_SECONDS * 1000);
+const seconds = z.coerce.number().min(0).max(MAXIMUM_SECONDS);
 
 /** The settings of an entry that calls endpoints directly. */
 export const gatewaySettings = z.strictObject({
@@ -37,15 +44,15 @@
     linkMegabits: z.coerce.number().positive(),
   }),
   store: z.strictObject({address: z.string().min(1)}),
-  /** `GatewaySettings` in hickorywharf-types describes each of them. */
+  /** `GatewaySettings` in hickorywharf-types describes them, in milliseconds. */
   bounds: z.strictObject({
-    graceMilliseconds: milliseconds,
+    graceSeconds: seconds,
     revokeMilliseconds: milliseconds,
     applyMilliseconds: milliseconds,
     drainMilliseconds: milliseconds,
     lapseMilliseconds: milliseconds.default(2000),
     repeatRatio: z.coerce.number().min(0),
-    repeatWindowMilliseconds: milliseconds,
+    repeatWindowSeconds: seconds,
     repeatAllowance: z.coerce.number().min(0),
   }),
 });
--- a/packages/hickorywharf-validation/src/loadSettings.ts
+++ b/packages/hickorywharf-validation/src/loadSettings.ts
@@ -7,6 +7,7 @@
 
 const MAXIMUM_FILE_BYTES = 256 * 1024;
 const ENVIRONMENT_PREFIX = 'HICKORYWHARF_';
+const DECIMAL = /^[+-]?\d+(?:\.\d+)?(?:e[+-]?\d+)?$/i;
 
 type Sections = Record<string, Record<string, unknown>>;
 
@@ -77,16 +78,26 @@
     : {file, section, key: unknown, message};
 }
 
-/** Finds an empty value of a number: coercion would read it as 0. */
-function findEmptyNumber(
+/** Why a value is no decimal number; null if it is one. */
+function findNumberFault(value: unknown): string | null {
+  if (value === '') return 'is empty; leave the line out for the default';
+  const isDecimal = DECIMAL.test(String(value).trim());
+  return isDecimal ? null : 'must be a decimal number';
+}
+
+/**
+ * Finds a value that coercion would read as another number: an empty one or
+ * `false` as 0, `true` as 1.
+ */
+function findCoercedNumber(
   sections: Sections,
   parsed: Sections,
 ): Omit<SettingsError, 'file'> | null {
   for (const [section, values] of Object.entries(sections)) {
     for (const [key, value] of Object.entries(Object(values))) {
-      if (value !== '' || typeof parsed[section]?.[key] === 'string') continue;
-      const message = 'is empty; leave the line out for the default';
-      return {section, key, message};
+      if (typeof parsed[section]?.[key] !== 'number') continue;
+      const message = findNumberFault(value);
+      if (message !== null) return {section, key, message};
     }
   }
   return null;
@@ -136,9 +147,9 @@
   }
   const parsed = schema.safeParse(sections, {reportInput: true});
   if (parsed.success) {
-    const empty = findEmptyNumber(sections, parsed.data as Sections);
-    if (empty === null) return ok(parsed.data);
-    return err(locateOrigin({...empty, file}, origins));
+    const coerced = findCoercedNumber(sections, parsed.data as Sections);
+    if (coerced === null) return ok(parsed.data);
+    return err(locateOrigin({...coerced, file}, origins));
   }
   const error = toSettingsError(file, parsed.error.issues[0]!, schema);
   return err(locateOrigin(error, origins));
