Read the endpoint list again before a stream goes on by it

Cause: that one version serves alone was believed from a list of up to 2 s. The rule that made this sound, that streams begin at a new version only 2.5 s after it was listed, does not hold where all usable endpoints are new: another instance begins streams there at once, of which the list knows nothing.

The list is now read from the store after the question, here and at peers that answer by their lists. An instance that begins a stream has read its version in the store before, so that the later read has it.

--- /dev/null
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamSimulation.ts
@@ -0,0 +1,126 @@
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import {createGatewayMetrics} from '../createGatewayMetrics.ts';
+import {createGatewayState} from '../createGatewayState.ts';
+import {createStreamVersions} from '../createStreamVersions.ts';
+import {SIMULATED_SERVICE} from './simulatedService.ts';
+
+const STEP_MILLISECONDS = 50;
+/** Between two reads of the list, as for an instance that reads the store. */
+const READ_MILLISECONDS = 900;
+/** Difference of the wall clock to the monotonic one. */
+const WALL_OFFSET_MILLISECONDS = 1e9;
+
+type Server = Pick<GatewayEndpoint, 'id' | 'version' | 'isDraining'>;
+
+interface Instance {
+  readonly name: string;
+  readonly streams: ReturnType<typeof createStreamVersions>;
+  readonly state: ReturnType<typeof createGatewayState>;
+  nextReadAt: number;
+}
+
+/**
+ * Simulates instances that read a list of servers and tell each other of
+ * streams, some of them cut off from all others and from the store, or standing
+ * still. Only the wall clock counts the time that an instance stands still.
+ */
+export function createStreamSimulation(instanceCount: number) {
+  let time = 0;
+  let servers: readonly Server[] = [];
+  const cutOff = new Set<number>();
+  const still = new Set<number>();
+  const stoodStill = new Map<number, number>();
+  const instances: Instance[] = [];
+  const names = Array.from(
+    {length: instanceCount},
+    (_value, index) => `front-${index}`,
+  );
+
+  const getInstant = (index: number) => ({
+    monotonic: time - (stoodStill.get(index) ?? 0),
+    wall: time + WALL_OFFSET_MILLISECONDS,
+  });
+  const isReachable = (index: number): boolean =>
+    !cutOff.has(index) && !still.has(index);
+
+  function read(index: number): boolean {
+    if (!isReachable(index)) return false;
+    const {state, streams} = instances[index]!;
+    const listed = servers.map((server): GatewayEndpoint => ({
+      ...server,
+      service: SIMULATED_SERVICE,
+      host: '10.0.0.1',
+      port: 1,
+      failureDomain: 'a',
+      startedAt: 1,
+      slots: 1,
+    }));
+    state.directory.update(listed, getInstant(index));
+    state.endpointFreshness.recordRead(getInstant(index));
+    streams.recordList(getInstant(index));
+    return true;
+  }
+
+  function start(index: number): void {
+    const name = names[index]!;
+    const state = createGatewayState({
+      name,
+      failureDomain: 'a',
+      capacity: 1,
+      lapseMilliseconds: 2000,
+    });
+    state.instances = names.map((other) => ({
+      name: other,
+      capacity: 1,
+      failureDomain: 'a',
+    }));
+    const streams = createStreamVersions({
+      name,
+      state,
+      metrics: createGatewayMetrics(),
+      getInstant: () => getInstant(index),
+      confirmEndpoints: async () => read(index),
+      send(peer, exchange) {
+        const peerIndex = names.indexOf(peer);
+        if (!isReachable(index) || !isReachable(peerIndex)) return false;
+        void instances[peerIndex]!.streams.handle(exchange).then(
+          (reply) => reply && streams.handle(reply),
+        );
+        return true;
+      },
+    });
+    instances[index] = {name, streams, state, nextReadAt: time};
+  }
+  names.forEach((_name, index) => start(index));
+
+  return {
+    getTime: () => time,
+    get: (index: number) => instances[index]!,
+    isRunning: (index: number) => !still.has(index),
+    setServers(next: readonly Server[]) {
+      servers = next;
+    },
+    cutOff,
+    still,
+    /** Starts an instance anew, without what it knew. */
+    restart: start,
+    /** Lets time pass, in which the instances read the list. */
+    pass(milliseconds: number) {
+      for (const end = time + milliseconds; time < end;) {
+        time += STEP_MILLISECONDS;
+        instances.forEach((instance, index) => {
+          if (still.has(index)) {
+            const before = stoodStill.get(index) ?? 0;
+            stoodStill.set(index, before + STEP_MILLISECONDS);
+            instance.nextReadAt += STEP_MILLISECONDS;
+            return;
+          }
+          if (instance.nextReadAt > time) return;
+          read(index);
+          instance.streams.flush();
+          instance.nextReadAt = time + READ_MILLISECONDS;
+        });
+      }
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
@@ -48,11 +48,14 @@
       state,
       metrics: createGatewayMetrics(),
       getInstant,
+      confirmEndpoints: async () => true,
       send(peer, exchange) {
         sent.push([peer, exchange]);
         if (cutOff.has(peer) || cutOff.has(name)) return false;
-        const reply = byName.get(peer)!.streams.handle(exchange);
-        if (reply !== null) queueMicrotask(() => streams.handle(reply));
+        void byName
+          .get(peer)!
+          .streams.handle(exchange)
+          .then((reply) => reply && streams.handle(reply));
         return true;
       },
     });
--- a/packages/hickorywharf-gateway/src/createEndDetector.ts
+++ b/packages/hickorywharf-gateway/src/createEndDetector.ts
@@ -1,4 +1,5 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import {resolveWithin} from 'hickorywharf-utils/resolveWithin';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 import {probeAddress} from './probeAddress.ts';
@@ -83,12 +84,10 @@
     async waitForProbe(endpoint) {
       const probe = probes.get(getKey(endpoint));
       if (probe === undefined) return;
-      let timer: NodeJS.Timeout | undefined;
-      const timeout = new Promise<void>((resolve) => {
-        timer = setTimeout(resolve, PROBE_WAIT_MILLISECONDS);
+      await resolveWithin(probe, {
+        milliseconds: PROBE_WAIT_MILLISECONDS,
+        otherwise: undefined,
       });
-      await Promise.race([probe, timeout]);
-      clearTimeout(timer);
     },
   };
 }
--- a/packages/hickorywharf-gateway/src/createStreamVersions.ts
+++ b/packages/hickorywharf-gateway/src/createStreamVersions.ts
@@ -6,6 +6,7 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {StreamExchange} from 'hickorywharf-types/gateway/streamExchange';
 import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
+import {resolveWithin} from 'hickorywharf-utils/resolveWithin';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 
@@ -15,6 +16,11 @@
   readonly state: GatewayState;
   readonly metrics: GatewayMetrics;
   getInstant(): Instant;
+  /**
+   * Reads the endpoint list from the store, after the call, and applies it;
+   * false if that fails. Never rejects.
+   */
+  confirmEndpoints(): Promise<boolean>;
   /** Sends to a peer by name; false if it could not be sent. */
   send(peer: string, exchange: StreamExchange): boolean;
 }
@@ -46,16 +52,21 @@
    * any more. To be called regularly.
    */
   flush(): void;
-  /** Handles what another instance sent; returns what to reply, if anything. */
-  handle(exchange: StreamExchange): StreamExchange | null;
+  /**
+   * Handles what another instance sent; resolves with what to reply, if
+   * anything.
+   */
+  handle(exchange: StreamExchange): Promise<StreamExchange | null>;
 }
 
 /** Instances that are told of each stream, other than this one. */
 const TOLD_HOMES = 2;
 /** One more is asked, as the lists of two instances may differ. */
 const ASKED_HOMES = 3;
-/** A peer that is up replies within a few milliseconds. */
-const ANSWER_TIMEOUT_MILLISECONDS = 250;
+/** A read of the list normally takes a few milliseconds. */
+const CONFIRM_TIMEOUT_MILLISECONDS = 400;
+/** Allows a peer to confirm its list before it replies. */
+const ANSWER_TIMEOUT_MILLISECONDS = CONFIRM_TIMEOUT_MILLISECONDS + 100;
 /** Bounds the memory for records, to about 20 MB. */
 const MAXIMUM_RECORDS = 100_000;
 /** Of a stream before the first configuration. */
@@ -80,8 +91,10 @@
 /**
  * Finds the software version that began a stream, so that it continues at no
  * other one. While a single version serves, it is evident from the endpoint
- * lists. Otherwise each instance records the streams that it begins, and tells
- * a few peers that all instances compute from the stream's id.
+ * lists, of which the last is read after the question: an older one may lack a
+ * version at which another instance has begun the stream since. Otherwise each
+ * instance records the streams that it begins, and tells a few peers that all
+ * instances compute from the stream's id.
  *
  * @example
  *     const streams = createStreamVersions(options);
@@ -91,7 +104,7 @@
 export function createStreamVersions(
   options: StreamVersionsOptions,
 ): StreamVersions {
-  const {name, state, metrics, getInstant, send} = options;
+  const {name, state, metrics, getInstant, confirmEndpoints, send} = options;
   const history = createVersionHistory();
   const records = createStreamRecords(MAXIMUM_RECORDS, () =>
     metrics.count('streamRecords', 'dropped'),
@@ -115,17 +128,38 @@
   const findOnlyVersion = (service: string): string | null =>
     history.findOnlyVersion(service, getInstant(), updateLifetime());
 
-  function findLocally(streamId: string, service: string): FoundVersion | null {
-    const now = getInstant();
-    const found = records.find(streamId, now.monotonic);
-    if (found !== undefined) {
-      const {origin, ageMilliseconds} = found;
-      if (origin.service !== service) return null;
-      return {version: origin.version, source: 'record', ageMilliseconds};
+  /** Undefined without a record, null if it is of another service. */
+  function findRecord(
+    streamId: string,
+    service: string,
+  ): FoundVersion | null | undefined {
+    const found = records.find(streamId, getInstant().monotonic);
+    if (found === undefined) return undefined;
+    const {origin, ageMilliseconds} = found;
+    if (origin.service !== service) return null;
+    return {version: origin.version, source: 'record', ageMilliseconds};
+  }
+
+  async function findLocally(
+    streamId: string,
+    service: string,
+  ): Promise<FoundVersion | null> {
+    const recorded = findRecord(streamId, service);
+    if (recorded !== undefined) return recorded;
+    if (findOnlyVersion(service) === null) return null;
+    const isConfirmed = await resolveWithin(confirmEndpoints(), {
+      milliseconds: CONFIRM_TIMEOUT_MILLISECONDS,
+      otherwise: false,
+    });
+    metrics.count('streamConfirmations', isConfirmed ? 'read' : 'failed');
+    // A peer may have told of the stream meanwhile.
+    const recordedSince = findRecord(streamId, service);
+    if (recordedSince !== undefined || !isConfirmed) {
+      return recordedSince ?? null;
     }
     const version = findOnlyVersion(service);
     if (version === null) return null;
-    const ageMilliseconds = state.endpointFreshness.getAge(now);
+    const ageMilliseconds = state.endpointFreshness.getAge(getInstant());
     return {version, source: 'onlyVersion', ageMilliseconds};
   }
 
@@ -194,7 +228,7 @@
       tell([origin]);
     },
     async find(streamId, service) {
-      const local = findLocally(streamId, service);
+      const local = await findLocally(streamId, service);
       if (local !== null) return local;
       const origin = await ask(streamId, service);
       if (origin === null || origin.service !== service) return null;
@@ -220,7 +254,7 @@
       });
       if (origins.length > 0) tell(origins);
     },
-    handle({origins = [], questions: asked = [], answers = []}) {
+    async handle({origins = [], questions: asked = [], answers = []}) {
       const now = getInstant().monotonic;
       for (const origin of origins) {
         records.record(origin, now);
@@ -229,11 +263,13 @@
       for (const {askId, origin} of answers) questions.get(askId)?.(origin);
       if (asked.length === 0) return null;
       return {
-        answers: asked.map(({askId, streamId, service}) => {
-          const found = findLocally(streamId, service);
-          const origin = found && {streamId, service, version: found.version};
-          return {askId, origin};
-        }),
+        answers: await Promise.all(
+          asked.map(async ({askId, streamId, service}) => {
+            const found = await findLocally(streamId, service);
+            const origin = found && {streamId, service, version: found.version};
+            return {askId, origin};
+          }),
+        ),
       };
     },
   };
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -98,6 +98,7 @@
     state,
     metrics,
     getInstant,
+    confirmEndpoints: () => polling.confirmEndpoints(),
     send: (peer, exchange) => peers.sendHeartbeat(peer, {streams: exchange}),
   });
   const quarantine = createQuarantineSync({
@@ -160,8 +161,12 @@
       if (frame.tag === 'heartbeat') {
         quarantine.handle(connection.peer.name, frame.quarantineRecords ?? []);
         limiter.recordReports(frame.endpointLimits ?? []);
-        const reply = frame.streams && streams.handle(frame.streams);
-        if (reply) peers.replyHeartbeat(connection, {streams: reply});
+        if (frame.streams !== undefined) {
+          void streams.handle(frame.streams).then((reply) => {
+            if (reply === null) return;
+            peers.replyHeartbeat(connection, {streams: reply});
+          });
+        }
       }
       router.handleRequest(connection, frame);
       stateSync.handleRequest(connection, frame);
@@ -170,7 +175,7 @@
     onReply(name, frame) {
       if (frame.tag === 'heartbeat') {
         quarantine.handle(name, frame.quarantineRecords ?? []);
-        if (frame.streams !== undefined) streams.handle(frame.streams);
+        if (frame.streams !== undefined) void streams.handle(frame.streams);
       }
       if (frame.tag === 'stageWaits') {
         limiter.recordReports(frame.endpointLimits ?? []);
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -3,6 +3,7 @@
 import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
+import {createSharedTask} from 'hickorywharf-utils/createSharedTask';
 import type {Result} from 'neverthrow';
 import type {createPeerStateSync} from './createPeerStateSync.ts';
 import type {createStateUpdater} from './createStateUpdater.ts';
@@ -30,6 +31,12 @@
 }
 
 interface StateSync {
+  /**
+   * Reads the endpoint list from the store and applies it. False if the read
+   * failed, or if the store was just restored from a copy that may lack
+   * endpoints. Calls share a read that starts after all of them.
+   */
+  confirmEndpoints(): Promise<boolean>;
   /** Withdraws the registration of this instance; polling goes on. */
   withdraw(): Promise<void>;
   /** Stops the polling. */
@@ -219,6 +226,10 @@
     fetch: peerSync.fetchState,
   };
 
+  const confirmEndpoints = createSharedTask(
+    async () => !isStopped && (await endpoints.read()) && !isJustRestored(),
+  );
+
   /** Updates `readerName` and returns it. */
   function findReader(): string | null {
     const {instances} = state;
@@ -346,6 +357,7 @@
   }
   poll(readInstances, () => INSTANCES_INTERVAL_MILLISECONDS);
   return {
+    confirmEndpoints,
     async withdraw() {
       await announcing;
       await source.withdraw();
