Keep in the store where the streams of a release began

Cause: records of streams lived in instances only. An instance that starts reads them once. What is read was recorded by the instance that began the stream, so that no guess is added.

Before, streamVersionsOutOfStep.test.ts "after a kill of all instances, streams of a release go on at their versions" failed: none went on.

Streams of the last moment, and those of a loss without a release, are refused as before.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createStreamRecords.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createStreamRecords.test.ts
@@ -30,21 +30,27 @@
   t.is(dropped, 1, 'records that are too old are not missed');
 });
 
-test('each stream is told once', (t) => {
-  const records = createStreamRecords(10, () => undefined);
-  records.record(origin('a'), 0);
-  records.record(origin('b'), 0);
-  records.markTold('b');
-  t.deepEqual(
-    records.takeUntold(() => false),
-    [],
-  );
-  t.deepEqual(
-    records.takeUntold(() => true),
-    [origin('a')],
-  );
-  t.deepEqual(
-    records.takeUntold(() => true),
-    [],
-  );
-});
+for (const [mark, other] of [
+  ['told', 'kept'],
+  ['kept', 'told'],
+] as const) {
+  test(`each stream is ${mark} once`, (t) => {
+    const records = createStreamRecords(10, () => undefined);
+    records.record(origin('a'), 0);
+    records.record(origin('b'), 0);
+    records.mark('a', other);
+    records.mark('b', mark);
+    t.deepEqual(
+      records.takeUnmarked(mark, () => false),
+      [],
+    );
+    t.deepEqual(
+      records.takeUnmarked(mark, () => true),
+      [origin('a')],
+    );
+    t.deepEqual(
+      records.takeUnmarked(mark, () => true),
+      [],
+    );
+  });
+}
--- a/packages/hickorywharf-decisions/src/gateway/createStreamRecords.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createStreamRecords.ts
@@ -1,15 +1,21 @@
 import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
 
+/** What was done with a record: told to peers, or kept in the store. */
+type StreamMark = 'told' | 'kept';
+
 /** Every `now` is in monotonic milliseconds. */
 interface StreamRecords {
   /** Records the version that began a stream; a known stream keeps its own. */
   record(origin: StreamOrigin, now: number): void;
   /** Undefined if the stream is not known, or is too old. */
   find(streamId: string, now: number): FoundOrigin | undefined;
-  /** Streams that peers were not told of, and marks them as told. */
-  takeUntold(isNeeded: (service: string) => boolean): StreamOrigin[];
-  /** Marks a stream as told to peers. */
-  markTold(streamId: string): void;
+  /** Streams without the mark, which they get. */
+  takeUnmarked(
+    mark: StreamMark,
+    isNeeded: (service: string) => boolean,
+  ): StreamOrigin[];
+  /** Marks a stream. */
+  mark(streamId: string, ...marks: readonly StreamMark[]): void;
   /** Drops the records that are too old. */
   dropExpired(now: number, lifetimeMilliseconds: number): void;
 }
@@ -23,7 +29,8 @@
 interface StreamRecord {
   readonly origin: StreamOrigin;
   recordedAt: number;
-  isTold: boolean;
+  told: boolean;
+  kept: boolean;
 }
 
 /**
@@ -50,7 +57,7 @@
       records.set(
         streamId,
         known === undefined
-          ? {origin, recordedAt: now, isTold: false}
+          ? {origin, recordedAt: now, told: false, kept: false}
           : {...known, recordedAt: now},
       );
       if (records.size <= maximumRecords) return;
@@ -66,16 +73,17 @@
         }
       );
     },
-    takeUntold(isNeeded) {
+    takeUnmarked(mark, isNeeded) {
       return [...records.values()].flatMap((record) => {
-        if (record.isTold || !isNeeded(record.origin.service)) return [];
-        record.isTold = true;
+        if (record[mark] || !isNeeded(record.origin.service)) return [];
+        record[mark] = true;
         return [record.origin];
       });
     },
-    markTold(streamId) {
+    mark(streamId, ...marks) {
       const record = records.get(streamId);
-      if (record !== undefined) record.isTold = true;
+      if (record === undefined) return;
+      for (const mark of marks) record[mark] = true;
     },
     dropExpired(now, lifetimeMilliseconds) {
       for (const [streamId, {recordedAt}] of records) {
--- a/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
@@ -23,6 +23,15 @@
     now: Instant,
     lifetimeMilliseconds: number,
   ): string | null;
+  /**
+   * Whether several versions of a service were listed within the last
+   * `lifetimeMilliseconds`.
+   */
+  hasSeveralVersions(
+    service: string,
+    now: Instant,
+    lifetimeMilliseconds: number,
+  ): boolean;
   /** Whether streams may begin at the version while others serve as well. */
   isEstablished(service: string, version: string, now: Instant): boolean;
 }
@@ -85,6 +94,19 @@
     }
   }
 
+  function listRecent(
+    service: string,
+    now: Instant,
+    lifetimeMilliseconds: number,
+  ): string[] {
+    return [...(services.get(service) ?? [])].flatMap(
+      ([version, {lastSeenAt}]) =>
+        getLeastElapsed(lastSeenAt, now) <= lifetimeMilliseconds
+          ? [version]
+          : [],
+    );
+  }
+
   return {
     recordList(endpoints, readAt, now) {
       const isFirstList = lastReadAt === null;
@@ -115,15 +137,13 @@
       if (getLeastElapsed(completeSince, now) < lifetimeMilliseconds) {
         return null;
       }
-      const recent = [...(services.get(service) ?? [])].filter(
-        ([, {lastSeenAt}]) =>
-          getLeastElapsed(lastSeenAt, now) <= lifetimeMilliseconds,
-      );
-      const [only, other] = recent.map(([version]) => version);
+      const [only, other] = listRecent(service, now, lifetimeMilliseconds);
       return only === undefined || only === '' || other !== undefined
         ? null
         : only;
     },
+    hasSeveralVersions: (service, now, lifetimeMilliseconds) =>
+      listRecent(service, now, lifetimeMilliseconds).length > 1,
     isEstablished(service, version, now) {
       const seen = services.get(service)?.get(version);
       if (seen === undefined) return false;
--- a/packages/hickorywharf-gateway/src/__tests__/createStreamSimulation.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamSimulation.ts
@@ -1,4 +1,5 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
 import {createGatewayMetrics} from '../createGatewayMetrics.ts';
 import {createGatewayState} from '../createGatewayState.ts';
 import {createStreamVersions} from '../createStreamVersions.ts';
@@ -31,6 +32,8 @@
   const still = new Set<number>();
   const stoodStill = new Map<number, number>();
   const instances: Instance[] = [];
+  /** What the instances have written to the store. */
+  const kept: StreamOrigin[] = [];
   const names = Array.from(
     {length: instanceCount},
     (_value, index) => `front-${index}`,
@@ -80,6 +83,12 @@
       metrics: createGatewayMetrics(),
       getInstant: () => getInstant(index),
       confirmEndpoints: async () => read(index),
+      journal: {
+        add(origins) {
+          if (isReachable(index)) kept.push(...origins);
+        },
+        earlierOrigins: Promise.resolve(isReachable(index) ? [...kept] : []),
+      },
       send(peer, exchange) {
         const peerIndex = names.indexOf(peer);
         if (!isReachable(index) || !isReachable(peerIndex)) return false;
--- a/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
@@ -49,6 +49,10 @@
       metrics: createGatewayMetrics(),
       getInstant,
       confirmEndpoints: async () => true,
+      journal: {
+        add: () => undefined,
+        earlierOrigins: Promise.resolve([]),
+      },
       send(peer, exchange) {
         sent.push([peer, exchange]);
         if (cutOff.has(peer) || cutOff.has(name)) return false;
--- a/packages/hickorywharf-gateway/src/__tests__/streamVersionsOutOfStep.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/streamVersionsOutOfStep.test.ts
@@ -92,6 +92,23 @@
   }
 });
 
+// Guards against the refusal of all streams whose instances were lost together.
+test('after a kill of all instances, streams of a release go on at their versions', async (t) => {
+  const simulation = startCalm();
+  beginStream(simulation, 0, 'old');
+  simulation.setServers([...listServers('v1'), ...listServers('v2')]);
+  simulation.pass(5000);
+  const begun = beginStream(simulation, 0, 'new');
+  simulation.pass(1000);
+  for (const index of [0, 1, 2]) simulation.restart(index);
+  simulation.pass(1500);
+  for (const index of [0, 1, 2]) {
+    t.is(await findServedVersion(simulation, index, 'old'), 'v1');
+    t.is(await findServedVersion(simulation, index, 'new'), begun);
+    t.is(await findServedVersion(simulation, index, 'unknown'), null);
+  }
+});
+
 test('while one version serves, an instance that is in touch again lets streams go on', async (t) => {
   const simulation = startCalm();
   simulation.cutOff.add(1);
--- a/packages/hickorywharf-gateway/src/createStreamVersions.ts
+++ b/packages/hickorywharf-gateway/src/createStreamVersions.ts
@@ -7,6 +7,7 @@
 import type {StreamExchange} from 'hickorywharf-types/gateway/streamExchange';
 import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
 import {resolveWithin} from 'hickorywharf-utils/resolveWithin';
+import type {createStreamJournal} from './createStreamJournal.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 
@@ -21,6 +22,11 @@
    * false if that fails. Never rejects.
    */
   confirmEndpoints(): Promise<boolean>;
+  /** Keeps records in the store, for instances that start later. */
+  readonly journal: Pick<
+    ReturnType<typeof createStreamJournal>,
+    'add' | 'earlierOrigins'
+  >;
   /** Sends to a peer by name; false if it could not be sent. */
   send(peer: string, exchange: StreamExchange): boolean;
 }
@@ -48,10 +54,13 @@
   /** The endpoints at which streams of a service may begin. */
   listBeginnable(service: string): readonly GatewayEndpoint[];
   /**
-   * Drops old records, and tells peers of streams whose versions are not evident
-   * any more. To be called regularly.
+   * Drops old records, tells peers of streams whose versions are not evident any
+   * more, and keeps in the store those of services with several versions. To be
+   * called regularly.
    */
   flush(): void;
+  /** The longest time from the begin of a stream to its last resumption. */
+  getLifetime(): number;
   /**
    * Handles what another instance sent; resolves with what to reply, if
    * anything.
@@ -67,6 +76,8 @@
 const CONFIRM_TIMEOUT_MILLISECONDS = 400;
 /** Allows a peer to confirm its list before it replies. */
 const ANSWER_TIMEOUT_MILLISECONDS = CONFIRM_TIMEOUT_MILLISECONDS + 100;
+/** A longer wait for the records in the store would delay a refusal. */
+const JOURNAL_TIMEOUT_MILLISECONDS = ANSWER_TIMEOUT_MILLISECONDS;
 /** Bounds the memory for records, to about 20 MB. */
 const MAXIMUM_RECORDS = 100_000;
 /** Of a stream before the first configuration. */
@@ -94,7 +105,8 @@
  * lists, of which the last is read after the question: an older one may lack a
  * version at which another instance has begun the stream since. Otherwise each
  * instance records the streams that it begins, and tells a few peers that all
- * instances compute from the stream's id.
+ * instances compute from the stream's id. While several versions serve, it also
+ * keeps them in the store, as all instances may be lost together.
  *
  * @example
  *     const streams = createStreamVersions(options);
@@ -104,7 +116,8 @@
 export function createStreamVersions(
   options: StreamVersionsOptions,
 ): StreamVersions {
-  const {name, state, metrics, getInstant, confirmEndpoints, send} = options;
+  const {name, state, metrics, journal, getInstant} = options;
+  const {confirmEndpoints, send} = options;
   const history = createVersionHistory();
   const records = createStreamRecords(MAXIMUM_RECORDS, () =>
     metrics.count('streamRecords', 'dropped'),
@@ -125,6 +138,9 @@
     return lifetime;
   }
 
+  const hasSeveralVersions = (service: string): boolean =>
+    history.hasSeveralVersions(service, getInstant(), updateLifetime());
+
   const findOnlyVersion = (service: string): string | null =>
     history.findOnlyVersion(service, getInstant(), updateLifetime());
 
@@ -163,6 +179,28 @@
     return {version, source: 'onlyVersion', ageMilliseconds};
   }
 
+  /** Records what another instance, or an earlier run of this one, keeps. */
+  function recordKnown(origins: readonly StreamOrigin[]): void {
+    for (const origin of origins) {
+      records.record(origin, getInstant().monotonic);
+      records.mark(origin.streamId, 'told', 'kept');
+    }
+  }
+
+  const whenJournalRead = journal.earlierOrigins.then(recordKnown);
+
+  /** A function that computes the result for each service once. */
+  function rememberByService(
+    compute: (service: string) => boolean,
+  ): (service: string) => boolean {
+    const results = new Map<string, boolean>();
+    return (service) => {
+      const result = results.get(service) ?? compute(service);
+      results.set(service, result);
+      return result;
+    };
+  }
+
   function tell(origins: readonly StreamOrigin[]): void {
     const byHome = new Map<string, StreamOrigin[]>();
     for (const origin of origins) {
@@ -223,14 +261,26 @@
     },
     recordBegin(origin) {
       records.record(origin, getInstant().monotonic);
-      if (findOnlyVersion(origin.service) !== null) return;
-      records.markTold(origin.streamId);
+      const {streamId, service} = origin;
+      if (findOnlyVersion(service) !== null) return;
+      records.mark(streamId, 'told');
       tell([origin]);
+      if (!hasSeveralVersions(service)) return;
+      records.mark(streamId, 'kept');
+      journal.add([origin]);
     },
     async find(streamId, service) {
       const local = await findLocally(streamId, service);
       if (local !== null) return local;
-      const origin = await ask(streamId, service);
+      const [origin] = await Promise.all([
+        ask(streamId, service),
+        resolveWithin(whenJournalRead, {
+          milliseconds: JOURNAL_TIMEOUT_MILLISECONDS,
+          otherwise: undefined,
+        }),
+      ]);
+      const recorded = findRecord(streamId, service);
+      if (recorded !== undefined) return recorded;
       if (origin === null || origin.service !== service) return null;
       records.record(origin, getInstant().monotonic);
       const {version} = origin;
@@ -246,20 +296,20 @@
     },
     flush() {
       records.dropExpired(getInstant().monotonic, updateLifetime());
-      const isTold = new Map<string, boolean>();
-      const origins = records.takeUntold((service) => {
-        const known = isTold.get(service) ?? findOnlyVersion(service) === null;
-        isTold.set(service, known);
-        return known;
-      });
-      if (origins.length > 0) tell(origins);
+      const untold = records.takeUnmarked(
+        'told',
+        rememberByService((service) => findOnlyVersion(service) === null),
+      );
+      if (untold.length > 0) tell(untold);
+      const unkept = records.takeUnmarked(
+        'kept',
+        rememberByService(hasSeveralVersions),
+      );
+      if (unkept.length > 0) journal.add(unkept);
     },
+    getLifetime: updateLifetime,
     async handle({origins = [], questions: asked = [], answers = []}) {
-      const now = getInstant().monotonic;
-      for (const origin of origins) {
-        records.record(origin, now);
-        records.markTold(origin.streamId);
-      }
+      recordKnown(origins);
       for (const {askId, origin} of answers) questions.get(askId)?.(origin);
       if (asked.length === 0) return null;
       return {
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -21,6 +21,7 @@
 import {createResponseMemory} from './createResponseMemory.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
+import {createStreamJournal} from './createStreamJournal.ts';
 import {createStateUpdater} from './createStateUpdater.ts';
 import {createTextServer} from './createTextServer.ts';
 import {isConfigurationCurrent} from './isConfigurationCurrent.ts';
@@ -93,10 +94,19 @@
     onLeaving: (endpoint) => stateUpdater.recordLeaving(endpoint),
     now,
   });
+  const journal = createStreamJournal({
+    source,
+    log,
+    metrics,
+    getInstanceCount: () => state.instances.length,
+    getLifetime: () => streams.getLifetime(),
+    now,
+  });
   const streams = createStreamVersions({
     name: settings.name,
     state,
     metrics,
+    journal,
     getInstant,
     confirmEndpoints: () => polling.confirmEndpoints(),
     send: (peer, exchange) => peers.sendHeartbeat(peer, {streams: exchange}),
@@ -324,6 +334,7 @@
         await sleep(STOP_CHECK_MILLISECONDS);
       }
       polling.stop();
+      journal.close();
       server.close();
       readinessServer.close();
       metricsServer.close();
--- a/packages/hickorywharf-types/src/gateway/gatewaySource.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySource.ts
@@ -2,6 +2,7 @@
 import type {GatewayConfiguration} from './gatewayConfiguration.ts';
 import type {GatewayEndpoint} from './gatewayEndpoint.ts';
 import type {GatewayInstance} from './gatewayInstance.ts';
+import type {StreamOrigin} from './streamOrigin.ts';
 
 /** Why a read or write of the platform's store failed. */
 interface SourceError {
@@ -41,4 +42,11 @@
   getGeneration(): number;
   /** The registered instances, including this one if it is registered. */
   readInstances(): Promise<Result<GatewayInstance[], SourceError>>;
+  /** Keeps where streams began for at least so long. */
+  writeStreams(
+    origins: readonly StreamOrigin[],
+    keepMilliseconds: number,
+  ): Promise<Result<null, SourceError>>;
+  /** The streams that all instances have written and that are still kept. */
+  readStreams(): Promise<Result<StreamOrigin[], SourceError>>;
 }
