Apply a changed retry budget when the settings are reloaded

After a reload with a lower limit, retries were sent by the old one until the next start (BUDGET, by reading; no caller reported it).

Cause: the figures of the budget were copied when the instance started, and the reload left them out. The budget now reads them at each use, and the reload applies them.

Before the fix, createRetryBudget.test.ts "changed figures count for the next retry" failed: 0 for 7 retries after the allowance had doubled.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createRetryBudget.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createRetryBudget.test.ts
@@ -55,3 +55,20 @@
   t.true(budget.tryRetry('desk', 0, 1));
   t.true(budget.tryRetry('engine', 0, 1));
 });
+
+// Guards against figures that are read once: a reload of the settings left the
+// limit of retries as it was at the start.
+test('changed figures count for the next retry', (t) => {
+  const options = {...OPTIONS, ratio: 0, allowance: 10};
+  const budget = createRetryBudget(options);
+  const countRetries = (now: number): number => {
+    let count = 0;
+    while (budget.tryRetry('desk', now, 1)) count += 1;
+    return count;
+  };
+  t.is(countRetries(0), 7);
+  options.allowance = 20;
+  t.is(countRetries(100), 7);
+  options.windowMilliseconds = 50;
+  t.is(countRetries(200), 14);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
@@ -1,3 +1,4 @@
+/** Read at each use, as the settings may change. */
 interface RetryBudgetOptions {
   /** Retries allowed for each request to the service. */
   readonly ratio: number;
@@ -53,7 +54,6 @@
  *     budget.tryRetry('desk', now, 3); // true
  */
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
-  const {ratio, windowMilliseconds, allowance} = options;
   const windows = new Map<string, Window>();
 
   function getOrCreateWindow(service: string, now: number): Window {
@@ -62,8 +62,9 @@
       window = {requests: [], retries: []};
       windows.set(service, window);
     }
-    evictBefore(window.requests, now - windowMilliseconds);
-    evictBefore(window.retries, now - windowMilliseconds);
+    const since = now - options.windowMilliseconds;
+    evictBefore(window.requests, since);
+    evictBefore(window.retries, since);
     return window;
   }
 
@@ -71,6 +72,7 @@
     recordRequest: (service, now) =>
       void getOrCreateWindow(service, now).requests.push(now),
     tryRetry(service, now, instances) {
+      const {ratio, allowance} = options;
       const {requests, retries} = getOrCreateWindow(service, now);
       const share = allowance / Math.max(instances, 1);
       const limit = (1 - RESERVED_SHARE) * (ratio * requests.length + share);
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -38,7 +38,7 @@
 }
 
 interface Gateway {
-  /** Applies changed time limits; other settings need a restart. */
+  /** Applies changed bounds; other settings need a restart. */
   reload(changed: GatewaySettings): void;
   /** Port on which callers are served. */
   readonly port: number;
@@ -80,9 +80,15 @@
   const endpointClient = createEndpointClient(wire, log);
   const health = createEndpointHealth();
   const budget = createRetryBudget({
-    ratio: settings.repeatRatio,
-    windowMilliseconds: settings.repeatWindowMilliseconds,
-    allowance: settings.repeatAllowance,
+    get ratio() {
+      return settings.repeatRatio;
+    },
+    get windowMilliseconds() {
+      return settings.repeatWindowMilliseconds;
+    },
+    get allowance() {
+      return settings.repeatAllowance;
+    },
   });
   const incarnation = randomUUID();
   const limiter = createEndpointLimiter({
@@ -301,14 +307,14 @@
     port,
     readinessPort,
     reload(changed) {
-      const {revokeMilliseconds, applyMilliseconds, drainMilliseconds} =
-        changed;
-      const {graceMilliseconds} = changed;
       const limits = {
-        graceMilliseconds,
-        revokeMilliseconds,
-        applyMilliseconds,
-        drainMilliseconds,
+        graceMilliseconds: changed.graceMilliseconds,
+        revokeMilliseconds: changed.revokeMilliseconds,
+        applyMilliseconds: changed.applyMilliseconds,
+        drainMilliseconds: changed.drainMilliseconds,
+        repeatRatio: changed.repeatRatio,
+        repeatWindowMilliseconds: changed.repeatWindowMilliseconds,
+        repeatAllowance: changed.repeatAllowance,
       };
       Object.assign(settings, limits);
       log.infoAlways('settings reloaded', {step: 'reload', ...limits});
