Remember a version for as long as its streams can be resumed

Cause: a version was forgotten 300 s after it was last listed, whatever the longest time of a stream; the one that came after it was then the only one. It is now remembered for the longer of the two.

Before the fix, createVersionHistory.test.ts "a version is remembered for as long as its streams can be resumed" failed: v2 for unknown.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createVersionHistory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createVersionHistory.test.ts
@@ -107,3 +107,17 @@
   const jumped = {monotonic: 6100, wall: 9100};
   t.false(history.isEstablished('engines', 'v2', jumped));
 });
+
+// Guards against a version that is forgotten while its streams can be resumed:
+// the one that came after it was then taken for the only one.
+test('a version is remembered for as long as its streams can be resumed', (t) => {
+  const history = createVersionHistory();
+  const find = (now: number) =>
+    history.findOnlyVersion('engines', at(now), 605_000);
+  recordEach(history, [0, 100_000], 'v1');
+  t.is(find(100_500), null);
+  recordEach(history, [101_000, 650_000], 'v2');
+  t.is(find(650_500), null, 'streams of v1 may still be resumed');
+  recordEach(history, [651_000, 710_000], 'v2');
+  t.is(find(710_500), 'v2');
+});
--- a/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
@@ -49,7 +49,10 @@
  */
 const ESTABLISHED_MILLISECONDS = 2500;
 const LIST_AGE_MILLISECONDS = 2000;
-/** A version that was not listed for this time is new if it comes back. */
+/**
+ * A version that was not listed for this time, or for the longest time of a
+ * stream if that is longer, is new if it comes back.
+ */
 const FORGET_MILLISECONDS = 300_000;
 
 /** Lower bound of the time between two instants: the wall clock may jump. */
@@ -73,6 +76,7 @@
 export function createVersionHistory(): VersionHistory {
   const services = new Map<string, Map<string, SeenVersion>>();
   let lastReadAt: Instant | null = null;
+  let rememberedMilliseconds = FORGET_MILLISECONDS;
   /** Since when no two lists were too far apart. */
   let completeSince: Instant | null = null;
 
@@ -87,7 +91,7 @@
   function forgetOld(now: Instant): void {
     for (const versions of services.values()) {
       for (const [version, {lastSeenAt}] of versions) {
-        if (getLeastElapsed(lastSeenAt, now) > FORGET_MILLISECONDS) {
+        if (getLeastElapsed(lastSeenAt, now) > rememberedMilliseconds) {
           versions.delete(version);
         }
       }
@@ -99,6 +103,10 @@
     now: Instant,
     lifetimeMilliseconds: number,
   ): string[] {
+    rememberedMilliseconds = Math.max(
+      rememberedMilliseconds,
+      lifetimeMilliseconds,
+    );
     return [...(services.get(service) ?? [])].flatMap(
       ([version, {lastSeenAt}]) =>
         getLeastElapsed(lastSeenAt, now) <= lifetimeMilliseconds
@@ -132,12 +140,13 @@
       }
     },
     findOnlyVersion(service, now, lifetimeMilliseconds) {
+      const recent = listRecent(service, now, lifetimeMilliseconds);
       if (lastReadAt === null || completeSince === null) return null;
       if (getElapsed(lastReadAt, now) > LIST_AGE_MILLISECONDS) return null;
       if (getLeastElapsed(completeSince, now) < lifetimeMilliseconds) {
         return null;
       }
-      const [only, other] = listRecent(service, now, lifetimeMilliseconds);
+      const [only, other] = recent;
       return only === undefined || only === '' || other !== undefined
         ? null
         : only;
