--- a/packages/hickorywharf-gateway/src/createStreamVersions.ts
+++ b/packages/hickorywharf-gateway/src/createStreamVersions.ts
@@ -8,6 +8,7 @@
 import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
 import {resolveWithin} from 'hickorywharf-utils/resolveWithin';
 import type {createStreamJournal} from './createStreamJournal.ts';
+import {createStreamQuestions} from './createStreamQuestions.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 
@@ -122,9 +123,10 @@
   const records = createStreamRecords(MAXIMUM_RECORDS, () =>
     metrics.count('streamRecords', 'dropped'),
   );
-  /** Receive the answer to a question, by its id. */
-  const questions = new Map<number, (origin: StreamOrigin | null) => void>();
-  let lastAskId = 0;
+  const questions = createStreamQuestions({
+    timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+    send,
+  });
   let lifetime = getLifetime(null);
   let countedConfiguration: GatewayConfiguration | null = null;
 
@@ -201,13 +203,14 @@
     };
   }
 
+  /** The other instances that keep records of a stream, the first ones first. */
+  const listHomes = (streamId: string): string[] =>
+    rankStreamHomes(state.instances, streamId).filter((home) => home !== name);
+
   function tell(origins: readonly StreamOrigin[]): void {
     const byHome = new Map<string, StreamOrigin[]>();
     for (const origin of origins) {
-      const homes = rankStreamHomes(state.instances, origin.streamId)
-        .filter((home) => home !== name)
-        .slice(0, TOLD_HOMES);
-      for (const home of homes) {
+      for (const home of listHomes(origin.streamId).slice(0, TOLD_HOMES)) {
         const list = byHome.get(home) ?? [];
         byHome.set(home, list);
         list.push(origin);
@@ -219,42 +222,6 @@
     }
   }
 
-  /** Null if no home knows the stream, or none replies in time. */
-  function ask(
-    streamId: string,
-    service: string,
-  ): Promise<StreamOrigin | null> {
-    const homes = rankStreamHomes(state.instances, streamId)
-      .filter((home) => home !== name)
-      .slice(0, ASKED_HOMES);
-    return new Promise((resolve) => {
-      const open = new Set<number>();
-      const finish = (origin: StreamOrigin | null): void => {
-        clearTimeout(timer);
-        for (const askId of open) questions.delete(askId);
-        resolve(origin);
-      };
-      const timer = setTimeout(() => finish(null), ANSWER_TIMEOUT_MILLISECONDS);
-      const asked = homes.map((home) => {
-        lastAskId += 1;
-        const askId = lastAskId;
-        open.add(askId);
-        questions.set(askId, (origin) => {
-          open.delete(askId);
-          if (origin !== null || open.size === 0) finish(origin);
-        });
-        return {home, askId};
-      });
-      // All are open before the first is sent, as one may fail at once.
-      for (const {home, askId} of asked) {
-        const question = {askId, streamId, service};
-        if (send(home, {questions: [question]})) continue;
-        questions.get(askId)?.(null);
-      }
-      if (homes.length === 0) finish(null);
-    });
-  }
-
   return {
     recordList(readAt) {
       history.recordList(state.directory.list(), readAt, getInstant());
@@ -273,7 +240,10 @@
       const local = await findLocally(streamId, service);
       if (local !== null) return local;
       const [origin] = await Promise.all([
-        ask(streamId, service),
+        questions.ask(listHomes(streamId).slice(0, ASKED_HOMES), {
+          streamId,
+          service,
+        }),
         resolveWithin(whenJournalRead, {
           milliseconds: JOURNAL_TIMEOUT_MILLISECONDS,
           otherwise: undefined,
@@ -310,7 +280,7 @@
     getLifetime: updateLifetime,
     async handle({origins = [], questions: asked = [], answers = []}) {
       recordKnown(origins);
-      for (const {askId, origin} of answers) questions.get(askId)?.(origin);
+      questions.handleAnswers(answers);
       if (asked.length === 0) return null;
       return {
         answers: await Promise.all(
