Forget a question about a stream once it is answered

Memory grew with each question to a peer: the receiver of an answer was kept after it, unless the question ended first. A second answer to one question was taken, too. The receiver is now dropped with its answer.

Before the fix, createStreamQuestions.test.ts "a second answer to a question is ignored" failed. No caller reported it; found while the file was split.

--- a/packages/hickorywharf-gateway/src/createStreamQuestions.ts
+++ b/packages/hickorywharf-gateway/src/createStreamQuestions.ts
@@ -52,6 +52,7 @@
           open.add(askId);
           receivers.set(askId, (origin) => {
             open.delete(askId);
+            receivers.delete(askId);
             if (origin !== null || open.size === 0) finish(origin);
           });
           return {peer, askId};
