Connect to an instance at the address where it is listed now

Cause: a replaced list closed connections only to instances that were gone. It now also closes those to instances at another address, and the next use connects there.

Before the fix, createPeerConnections.test.ts "an instance that is listed at another address is connected to there" failed: not connected within 5 s.

--- a/packages/hickorywharf-gateway/src/__tests__/createPeerConnections.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerConnections.test.ts
@@ -92,3 +92,29 @@
   }
   t.is(disconnections, 0);
 });
+
+// Guards against attempts that go on at the old address of an instance that
+// came back at another one before it had left the list.
+test('an instance that is listed at another address is connected to there', async (t) => {
+  const [oldPort, newPort] = await findFreePorts(HOST, 2);
+  const server = createConnections('front-2', {
+    listen: {host: HOST, port: newPort!},
+  });
+  const client = createConnections('front-1', {});
+  await Promise.all([server.listen(), client.listen()]);
+  t.teardown(() => Promise.all([server.close(), client.close()]));
+  const instance = {
+    name: 'front-2',
+    host: HOST,
+    failureDomain: 'a',
+    capacity: 1,
+  };
+  client.setInstances([{...instance, port: oldPort!}]);
+  t.false(client.isConnected('front-2'));
+  client.setInstances([{...instance, port: newPort!}]);
+  const end = performance.now() + 5000;
+  while (!client.isConnected('front-2') && performance.now() < end) {
+    await sleep(10);
+  }
+  t.true(client.isConnected('front-2'));
+});
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -46,7 +46,10 @@
 
 interface PeerConnections {
   listen(): Promise<void>;
-  /** Replaces the known peers; disconnects from removed ones. */
+  /**
+   * Replaces the known peers; disconnects from those that were removed, or are
+   * at another address now.
+   */
   setInstances(instances: readonly GatewayInstance[]): void;
   /** Whether a peer accepts orders; connects to a known peer if needed. */
   isConnected(name: string): boolean;
@@ -207,10 +210,15 @@
       }, HEARTBEAT_INTERVAL_MILLISECONDS);
     },
     setInstances(instances) {
+      const previous = new Map(knownPeers);
       knownPeers.clear();
       for (const instance of instances) knownPeers.set(instance.name, instance);
       for (const name of [...clients.keys()]) {
-        if (!knownPeers.has(name)) disconnect(name);
+        const known = knownPeers.get(name);
+        const before = previous.get(name) ?? known;
+        if (known === undefined || !isSameAddress(known, before!)) {
+          disconnect(name);
+        }
       }
     },
     isConnected(name) {
