--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -297,3 +297,24 @@
   client.close();
   server.close();
 });
+
+// Guards against times that are too large for a timer of Node, which then fires
+// at once: each such connection was closed right after its response.
+test('a connection whose stated keep-alive time is very large is used again', async (t) => {
+  const connections = new Set<net.Socket>();
+  const server = await listen((socket) => {
+    connections.add(socket);
+    const seconds = '9'.repeat(400);
+    socket.write(
+      `HTTP/1.1 200 OK\r\nContent-Length: 1\r\nKeep-Alive: timeout=${seconds}\r\n\r\na`,
+    );
+  });
+  const client = createEndpointClient(wire, log);
+  for (let iteration = 0; iteration < 3; iteration += 1) {
+    t.is((await send(client, portOf(server))).result, 'complete');
+    await sleep(50);
+  }
+  t.is(connections.size, 1);
+  client.close();
+  server.close();
+});
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -41,6 +41,8 @@
  * connections within a second.
  */
 const UNSTATED_KEEP_ALIVE_MILLISECONDS = 300;
+/** Bounds the stated time, as timers of Node that are too long fire at once. */
+const MAXIMUM_KEEP_ALIVE_MILLISECONDS = 60_000;
 /** Most idle connections per endpoint; more are closed after the response. */
 const MAXIMUM_IDLE_CONNECTIONS = 8;
 /** Bounds the ids that are kept for a connection. */
@@ -60,7 +62,10 @@
         Number(seconds) * 1000 - KEEP_ALIVE_MARGIN_MILLISECONDS;
     }
   }
-  return Math.max(0, idleMilliseconds);
+  return Math.min(
+    Math.max(0, idleMilliseconds),
+    MAXIMUM_KEEP_ALIVE_MILLISECONDS,
+  );
 }
 
 function formatHead(request: EndpointRequest): string {
