Keep the interval between writes of streams where timers fire early

Cause: the interval was left to a timer alone. Node.js drops the fraction of a delay and counts from a time of its event loop that is up to 1 ms old, so that a write came up to 2 ms before its time, and the stated rate was exceeded.

Why it works: when the timer fires, the clock is asked, and what is left is waited for.

Other timers were read for the same cause: those of results, silences and stages ask the clock when they fire; a poll of the store that is 1 ms early breaks no stated rate.

--- a/packages/hickorywharf-gateway/src/__tests__/createStreamJournal.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamJournal.test.ts
@@ -18,17 +18,19 @@
   version: 'v1',
 });
 
-function startJournal(instanceCount: number) {
+function startJournal(instanceCount: number, now = () => performance.now()) {
   const store = {
     isDown: false,
     reads: 0,
     writes: [] as Array<readonly StreamOrigin[]>,
+    writtenAt: [] as number[],
   };
   const journal = createStreamJournal({
     source: {
       async writeStreams(origins) {
         if (store.isDown) return unavailable;
         store.writes.push(origins);
+        store.writtenAt.push(now());
         return ok(null);
       },
       async readStreams() {
@@ -40,7 +42,7 @@
     metrics: createGatewayMetrics(),
     getInstanceCount: () => instanceCount,
     getLifetime: () => 35_000,
-    now: () => performance.now(),
+    now,
   });
   return {store, journal};
 }
@@ -64,6 +66,19 @@
   }
 });
 
+// Guards against writes more often than the shared rate: the timer fired early.
+test('a write waits for its time where the timer fires before it', async (t) => {
+  const {store, journal} = startJournal(3, () => performance.now() * 0.98);
+  t.teardown(journal.close);
+  for (let count = 0; store.writes.length < 3; count += 1) {
+    journal.add([origin(`r${count}`)]);
+    await sleep(5);
+  }
+  const [first, second, third] = store.writtenAt;
+  t.true(second! - first! >= 200, `${second! - first!} ms after the first`);
+  t.true(third! - second! >= 200, `${third! - second!} ms after the second`);
+});
+
 test('streams that could not be written are written later, once', async (t) => {
   const {store, journal} = startJournal(3);
   t.teardown(journal.close);
--- a/packages/hickorywharf-gateway/src/createStreamJournal.ts
+++ b/packages/hickorywharf-gateway/src/createStreamJournal.ts
@@ -97,11 +97,16 @@
       isFailing ? RETRY_MILLISECONDS : WRITE_INTERVAL_MILLISECONDS,
       SHARED_INTERVAL_MILLISECONDS * getInstanceCount(),
     );
-    const due = Math.max(0, lastWriteAt + interval - now());
-    timer = setTimeout(() => {
-      timer = null;
-      void write();
-    }, due);
+    const dueAt = lastWriteAt + interval;
+    timer = setTimeout(
+      () => {
+        timer = null;
+        // Timers of Node.js may fire up to 2 ms before their time.
+        if (now() < dueAt) scheduleWrite();
+        else void write();
+      },
+      Math.max(0, Math.ceil(dueAt - now())),
+    );
   }
 
   async function readEarlier(): Promise<readonly StreamOrigin[]> {
