Publish the versions in use, so that streams go on after a kill of all

Cause: an instance believed in one version only after lists without a gap for the longest time of a stream, and records of streams are kept in the store only while several versions are listed, so nothing told an instance that had just started what had been in use before.

Mend: each instance keeps in the store the versions that its lists had within the longest time of a stream, under a lease of twice that time. What all have published when an instance starts takes the place of the lists from before its first one. Two versions there, one that differs from the lists, none for the service, an entry that can't be read or a gap before the first list: then the lists decide as before, and records in the store where there were several.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createVersionHistory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createVersionHistory.test.ts
@@ -121,3 +121,55 @@
   recordEach(history, [651_000, 710_000], 'v2');
   t.is(find(710_500), 'v2');
 });
+
+test('published versions take the place of the lists from before the start', (t) => {
+  const published = (...versions: readonly string[]) =>
+    versions.map((version) => ({service: 'engines', version}));
+  const find = (history: ReturnType<typeof createVersionHistory>) =>
+    history.findOnlyVersion('engines', at(3500), LIFETIME);
+  const cases = [
+    {name: 'one', versions: published('v1'), readAt: 500, only: 'v1'},
+    {name: 'two', versions: published('v1', 'v2'), readAt: 500, only: null},
+    {name: 'another', versions: published('v2'), readAt: 500, only: null},
+    {name: 'none', versions: [], readAt: 500, only: null},
+    {
+      name: 'of another service',
+      versions: [{service: 'others', version: 'v1'}],
+      readAt: 500,
+      only: null,
+    },
+    {
+      name: 'long before the first list',
+      versions: published('v1'),
+      readAt: -1500,
+      only: null,
+    },
+  ];
+  for (const {name, versions, readAt, only} of cases) {
+    const history = createVersionHistory();
+    history.recordPublished(versions, at(readAt));
+    recordEach(history, [1000, 3000], 'v1');
+    t.is(find(history), only, name);
+  }
+});
+
+test('after a time without lists, published versions from before it count no more', (t) => {
+  const history = createVersionHistory();
+  history.recordPublished([{service: 'engines', version: 'v1'}], at(0));
+  recordEach(history, [0, 5000], 'v1');
+  recordEach(history, [9000, 12_000], 'v1');
+  t.is(history.findOnlyVersion('engines', at(12_500), LIFETIME), null);
+});
+
+test('a version that an ended instance may still publish is one of several', (t) => {
+  const history = createVersionHistory();
+  history.recordPublished([{service: 'engines', version: 'v1'}], at(0));
+  recordEach(history, [0, 45_000], 'v2');
+  const hasSeveral = (now: number) =>
+    history.hasSeveralVersions('engines', at(now), LIFETIME);
+  t.true(hasSeveral(2 * LIFETIME));
+  t.false(hasSeveral(2 * LIFETIME + 1));
+  t.deepEqual(history.listListed(at(45_500), LIFETIME), [
+    {service: 'engines', version: 'v2'},
+  ]);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
@@ -1,6 +1,8 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {ServiceVersion} from 'hickorywharf-types/gateway/serviceVersion';
 import {getElapsed} from './getElapsed.ts';
 import type {Instant} from './instant.ts';
+import {VERSION_KEEP_FACTOR} from './versionKeepFactor.ts';
 
 type VersionedEndpoint = Pick<
   GatewayEndpoint,
@@ -14,6 +16,17 @@
     readAt: Instant,
     now: Instant,
   ): void;
+  /**
+   * Records the versions at which any instance may have begun streams before
+   * `readAt`, as the instances have published them. Of a service without any
+   * nothing is known. To be called once, right after the start.
+   */
+  recordPublished(versions: readonly ServiceVersion[], readAt: Instant): void;
+  /**
+   * The versions that this instance has to publish: those of the lists of the
+   * last `lifetimeMilliseconds`, sorted.
+   */
+  listListed(now: Instant, lifetimeMilliseconds: number): ServiceVersion[];
   /**
    * The version of all streams of a service that began within the last
    * `lifetimeMilliseconds` at any instance; null if there may be several.
@@ -25,7 +38,8 @@
   ): string | null;
   /**
    * Whether several versions of a service were listed within the last
-   * `lifetimeMilliseconds`.
+   * `lifetimeMilliseconds`, or may still be published by an instance that has
+   * ended.
    */
   hasSeveralVersions(
     service: string,
@@ -63,7 +77,8 @@
 /**
  * Tracks which software versions of each service the endpoint lists had. Where
  * one version alone has served for longer than a stream can last, the version
- * that began a stream is known without a record of it.
+ * that began a stream is known without a record of it. For the time before the
+ * first list, what other instances have published takes the place of the lists.
  *
  * Designed for rolling releases, in which instances learn of a new version at
  * different times.
@@ -79,6 +94,8 @@
   let rememberedMilliseconds = FORGET_MILLISECONDS;
   /** Since when no two lists were too far apart. */
   let completeSince: Instant | null = null;
+  let publishedAt: Instant | null = null;
+  const publishedVersions = new Map<string, Set<string>>();
 
   function isNew(
     {startedAt}: VersionedEndpoint,
@@ -115,6 +132,38 @@
     );
   }
 
+  /** Published versions, if `publishedAt` is at most so long ago. */
+  function listPublished(
+    service: string,
+    now: Instant,
+    milliseconds: number,
+  ): string[] {
+    return publishedAt !== null &&
+      getLeastElapsed(publishedAt, now) <= milliseconds
+      ? [...(publishedVersions.get(service) ?? [])]
+      : [];
+  }
+
+  /**
+   * Whether the lists have each version at which streams began within the last
+   * `lifetimeMilliseconds`, together with the published ones if need be.
+   */
+  function isComplete(
+    service: string,
+    now: Instant,
+    lifetimeMilliseconds: number,
+  ): boolean {
+    if (completeSince === null) return false;
+    if (getLeastElapsed(completeSince, now) >= lifetimeMilliseconds) {
+      return true;
+    }
+    return (
+      publishedAt !== null &&
+      publishedVersions.has(service) &&
+      getElapsed(publishedAt, completeSince) <= LIST_AGE_MILLISECONDS
+    );
+  }
+
   return {
     recordList(endpoints, readAt, now) {
       const isFirstList = lastReadAt === null;
@@ -139,20 +188,40 @@
         }
       }
     },
+    recordPublished(versions, readAt) {
+      publishedAt = readAt;
+      for (const {service, version} of versions) {
+        const published = publishedVersions.get(service) ?? new Set();
+        publishedVersions.set(service, published.add(version));
+      }
+    },
+    listListed: (now, lifetimeMilliseconds) =>
+      [...services.keys()].sort().flatMap((service) =>
+        listRecent(service, now, lifetimeMilliseconds)
+          .sort()
+          .map((version) => ({service, version})),
+      ),
     findOnlyVersion(service, now, lifetimeMilliseconds) {
-      const recent = listRecent(service, now, lifetimeMilliseconds);
-      if (lastReadAt === null || completeSince === null) return null;
+      const [only, other] = new Set([
+        ...listRecent(service, now, lifetimeMilliseconds),
+        ...listPublished(service, now, lifetimeMilliseconds),
+      ]);
+      if (lastReadAt === null) return null;
       if (getElapsed(lastReadAt, now) > LIST_AGE_MILLISECONDS) return null;
-      if (getLeastElapsed(completeSince, now) < lifetimeMilliseconds) {
-        return null;
-      }
-      const [only, other] = recent;
+      if (!isComplete(service, now, lifetimeMilliseconds)) return null;
       return only === undefined || only === '' || other !== undefined
         ? null
         : only;
     },
     hasSeveralVersions: (service, now, lifetimeMilliseconds) =>
-      listRecent(service, now, lifetimeMilliseconds).length > 1,
+      new Set([
+        ...listRecent(service, now, lifetimeMilliseconds),
+        ...listPublished(
+          service,
+          now,
+          VERSION_KEEP_FACTOR * lifetimeMilliseconds,
+        ),
+      ]).size > 1,
     isEstablished(service, version, now) {
       const seen = services.get(service)?.get(version);
       if (seen === undefined) return false;
--- a/packages/hickorywharf-gateway/src/__tests__/createStreamSimulation.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamSimulation.ts
@@ -1,4 +1,6 @@
+import {VERSION_KEEP_FACTOR} from 'hickorywharf-decisions/gateway/versionKeepFactor';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {ServiceVersion} from 'hickorywharf-types/gateway/serviceVersion';
 import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
 import {createGatewayMetrics} from '../createGatewayMetrics.ts';
 import {createGatewayState} from '../createGatewayState.ts';
@@ -34,6 +36,11 @@
   const instances: Instance[] = [];
   /** What the instances have written to the store. */
   const kept: StreamOrigin[] = [];
+  const published = new Map<
+    number,
+    {readonly versions: readonly ServiceVersion[]; readonly until: number}
+  >();
+  let lastStart = 0;
   const names = Array.from(
     {length: instanceCount},
     (_value, index) => `front-${index}`,
@@ -64,7 +71,15 @@
     return true;
   }
 
+  /** What the store still has of all instances that were ever started. */
+  const listPublished = (): ServiceVersion[] =>
+    [...published.values()].flatMap(({versions, until}) =>
+      until > time ? versions : [],
+    );
+
   function start(index: number): void {
+    lastStart += 1;
+    const startNumber = lastStart;
     const name = names[index]!;
     const state = createGatewayState({
       name,
@@ -89,6 +104,21 @@
         },
         earlierOrigins: Promise.resolve(isReachable(index) ? [...kept] : []),
       },
+      ledger: {
+        publish(versions) {
+          if (!isReachable(index)) return;
+          const keepMilliseconds = VERSION_KEEP_FACTOR * streams.getLifetime();
+          published.set(startNumber, {
+            versions,
+            until: time + keepMilliseconds,
+          });
+        },
+        earlierVersions: Promise.resolve(
+          isReachable(index)
+            ? {versions: listPublished(), readAt: getInstant(index)}
+            : null,
+        ),
+      },
       send(peer, exchange) {
         const peerIndex = names.indexOf(peer);
         if (!isReachable(index) || !isReachable(peerIndex)) return false;
@@ -104,7 +134,26 @@
 
   return {
     getTime: () => time,
-    get: (index: number) => instances[index]!,
+    /** Begins a stream where the instance may; returns its version. */
+    beginStream(index: number, streamId: string): string | null {
+      const {streams} = instances[index]!;
+      const version = streams.listBeginnable(SIMULATED_SERVICE)[0]?.version;
+      if (version === undefined) return null;
+      streams.recordBegin({streamId, service: SIMULATED_SERVICE, version});
+      return version;
+    },
+    /** The version at which an instance lets a stream go on; null if at none. */
+    async findServedVersion(
+      index: number,
+      streamId: string,
+    ): Promise<string | null> {
+      const {streams, state} = instances[index]!;
+      const found = await streams.find(streamId, SIMULATED_SERVICE);
+      const isServed = state.directory
+        .getUsable(SIMULATED_SERVICE)
+        .some(({version}) => version === found?.version);
+      return isServed ? found!.version : null;
+    },
     isRunning: (index: number) => !still.has(index),
     setServers(next: readonly Server[]) {
       servers = next;
--- a/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStreamVersions.test.ts
@@ -53,6 +53,10 @@
         add: () => undefined,
         earlierOrigins: Promise.resolve([]),
       },
+      ledger: {
+        publish: () => undefined,
+        earlierVersions: Promise.resolve(null),
+      },
       send(peer, exchange) {
         sent.push([peer, exchange]);
         if (cutOff.has(peer) || cutOff.has(name)) return false;
--- a/packages/hickorywharf-gateway/src/__tests__/streamVersionsOutOfStep.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/streamVersionsOutOfStep.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
 import {createRandom} from 'hickorywharf-utils/createRandom';
 import {createStreamSimulation} from './createStreamSimulation.ts';
-import {SIMULATED_SERVICE} from './simulatedService.ts';
 
 const INSTANCES = 3;
 /** Longer than a stream can last. */
@@ -13,33 +12,6 @@
 const listServers = (version: string, isDraining = false) =>
   [0, 1, 2].map((index) => ({id: `${version}-${index}`, version, isDraining}));
 
-/** Begins a stream where the instance may; returns its version. */
-function beginStream(
-  simulation: Simulation,
-  index: number,
-  streamId: string,
-): string | null {
-  const {streams} = simulation.get(index);
-  const version = streams.listBeginnable(SIMULATED_SERVICE)[0]?.version;
-  if (version === undefined) return null;
-  streams.recordBegin({streamId, service: SIMULATED_SERVICE, version});
-  return version;
-}
-
-/** The version at which an instance lets a stream go on; null if at none. */
-async function findServedVersion(
-  simulation: Simulation,
-  index: number,
-  streamId: string,
-): Promise<string | null> {
-  const {streams, state} = simulation.get(index);
-  const found = await streams.find(streamId, SIMULATED_SERVICE);
-  const isServed = state.directory
-    .getUsable(SIMULATED_SERVICE)
-    .some(({version}) => version === found?.version);
-  return isServed ? found!.version : null;
-}
-
 function startCalm(): Simulation {
   const simulation = createStreamSimulation(INSTANCES);
   simulation.setServers(listServers('v1'));
@@ -60,10 +32,10 @@
       simulation.setServers(servers);
       // One read by those in touch.
       simulation.pass(200);
-      t.is(beginStream(simulation, 0, 'stream'), 'v2');
+      t.is(simulation.beginStream(0, 'stream'), 'v2');
       simulation.pass(500);
       simulation[kind].delete(1);
-      t.not(await findServedVersion(simulation, 1, 'stream'), 'v1');
+      t.not(await simulation.findServedVersion(1, 'stream'), 'v1');
     });
   }
 }
@@ -75,18 +47,18 @@
     [...listServers('v1', true), ...listServers('v2')],
   ]) {
     const simulation = startCalm();
-    beginStream(simulation, 0, 'old');
+    simulation.beginStream(0, 'old');
     simulation.setServers(servers);
     simulation.pass(5000);
     const begun = [0, 1, 2].map((index) =>
-      beginStream(simulation, index, `new-${index}`),
+      simulation.beginStream(index, `new-${index}`),
     );
     for (const index of [0, 1, 2]) simulation.restart(index);
     for (const index of [0, 1, 2]) {
       simulation.pass(1500);
-      const found = await findServedVersion(simulation, index, `new-${index}`);
+      const found = await simulation.findServedVersion(index, `new-${index}`);
       t.true(found === null || found === begun[index], String(found));
-      const old = await findServedVersion(simulation, index, 'old');
+      const old = await simulation.findServedVersion(index, 'old');
       t.true(old === null || old === 'v1', String(old));
     }
   }
@@ -95,17 +67,17 @@
 // Guards against the refusal of all streams whose instances were lost together.
 test('after a kill of all instances, streams of a release go on at their versions', async (t) => {
   const simulation = startCalm();
-  beginStream(simulation, 0, 'old');
+  simulation.beginStream(0, 'old');
   simulation.setServers([...listServers('v1'), ...listServers('v2')]);
   simulation.pass(5000);
-  const begun = beginStream(simulation, 0, 'new');
+  const begun = simulation.beginStream(0, 'new');
   simulation.pass(1000);
   for (const index of [0, 1, 2]) simulation.restart(index);
   simulation.pass(1500);
   for (const index of [0, 1, 2]) {
-    t.is(await findServedVersion(simulation, index, 'old'), 'v1');
-    t.is(await findServedVersion(simulation, index, 'new'), begun);
-    t.is(await findServedVersion(simulation, index, 'unknown'), null);
+    t.is(await simulation.findServedVersion(index, 'old'), 'v1');
+    t.is(await simulation.findServedVersion(index, 'new'), begun);
+    t.is(await simulation.findServedVersion(index, 'unknown'), null);
   }
 });
 
@@ -113,9 +85,9 @@
   const simulation = startCalm();
   simulation.cutOff.add(1);
   simulation.pass(1000);
-  beginStream(simulation, 0, 'stream');
+  simulation.beginStream(0, 'stream');
   simulation.cutOff.delete(1);
-  t.is(await findServedVersion(simulation, 1, 'stream'), 'v1');
+  t.is(await simulation.findServedVersion(1, 'stream'), 'v1');
 });
 
 /** One release beside an instance out of step, and maybe a kill of all. */
@@ -160,13 +132,13 @@
     const running = [0, 1, 2].filter(simulation.isRunning);
     for (const index of running) {
       const streamId = `${index}-${elapsed}`;
-      const version = beginStream(simulation, index, streamId);
+      const version = simulation.beginStream(index, streamId);
       if (version === null) continue;
       begunVersions.set(streamId, {version, at: simulation.getTime()});
     }
     const [streamId, begun] = pick([...begunVersions].slice(-60));
     const index = pick(running);
-    const found = await findServedVersion(simulation, index, streamId);
+    const found = await simulation.findServedVersion(index, streamId);
     if (found === null) continue;
     resumed += 1;
     if (found === begun.version) continue;
--- a/packages/hickorywharf-gateway/src/createStreamJournal.ts
+++ b/packages/hickorywharf-gateway/src/createStreamJournal.ts
@@ -1,8 +1,8 @@
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {StreamOrigin} from 'hickorywharf-types/gateway/streamOrigin';
-import {sleep} from 'hickorywharf-utils/sleep';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
+import {readAtStart} from './readAtStart.ts';
 
 interface StreamJournalOptions {
   readonly source: Pick<GatewaySource, 'readStreams' | 'writeStreams'>;
@@ -109,24 +109,18 @@
     );
   }
 
-  async function readEarlier(): Promise<readonly StreamOrigin[]> {
-    const startedAt = now();
-    while (!isClosed) {
-      const read = await source.readStreams();
-      if (read.isOk()) return read.value;
-      // No stream from before the start can be resumed any more.
-      if (now() - startedAt > getLifetime()) break;
-      await sleep(RETRY_MILLISECONDS);
-    }
-    return [];
-  }
-
   return {
     add(origins) {
       wait(origins);
       scheduleWrite();
     },
-    earlierOrigins: readEarlier(),
+    earlierOrigins: readAtStart({
+      read: () => source.readStreams(),
+      log,
+      getLifetime,
+      now,
+      isClosed: () => isClosed,
+    }).then((origins) => origins ?? []),
     close() {
       isClosed = true;
       if (timer !== null) clearTimeout(timer);
--- a/packages/hickorywharf-gateway/src/createStreamVersions.ts
+++ b/packages/hickorywharf-gateway/src/createStreamVersions.ts
@@ -9,6 +9,7 @@
 import {resolveWithin} from 'hickorywharf-utils/resolveWithin';
 import type {createStreamJournal} from './createStreamJournal.ts';
 import {createStreamQuestions} from './createStreamQuestions.ts';
+import type {createVersionLedger} from './createVersionLedger.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 
@@ -28,6 +29,11 @@
     ReturnType<typeof createStreamJournal>,
     'add' | 'earlierOrigins'
   >;
+  /** Publishes versions to instances that start later. */
+  readonly ledger: Pick<
+    ReturnType<typeof createVersionLedger>,
+    'publish' | 'earlierVersions'
+  >;
   /** Sends to a peer by name; false if it could not be sent. */
   send(peer: string, exchange: StreamExchange): boolean;
 }
@@ -77,8 +83,8 @@
 const CONFIRM_TIMEOUT_MILLISECONDS = 400;
 /** Allows a peer to confirm its list before it replies. */
 const ANSWER_TIMEOUT_MILLISECONDS = CONFIRM_TIMEOUT_MILLISECONDS + 100;
-/** A longer wait for the records in the store would delay a refusal. */
-const JOURNAL_TIMEOUT_MILLISECONDS = ANSWER_TIMEOUT_MILLISECONDS;
+/** A longer wait for what the store had would delay a refusal. */
+const STORE_TIMEOUT_MILLISECONDS = ANSWER_TIMEOUT_MILLISECONDS;
 /** Bounds the memory for records, to about 20 MB. */
 const MAXIMUM_RECORDS = 100_000;
 /** Of a stream before the first configuration. */
@@ -104,7 +110,9 @@
  * Finds the software version that began a stream, so that it continues at no
  * other one. While a single version serves, it is evident from the endpoint
  * lists, of which the last is read after the question: an older one may lack a
- * version at which another instance has begun the stream since. Otherwise each
+ * version at which another instance has begun the stream since. What was listed
+ * before this instance started is known from the versions that all instances
+ * publish in the store. Otherwise each
  * instance records the streams that it begins, and tells a few peers that all
  * instances compute from the stream's id. While several versions serve, it also
  * keeps them in the store, as all instances may be lost together.
@@ -117,7 +125,7 @@
 export function createStreamVersions(
   options: StreamVersionsOptions,
 ): StreamVersions {
-  const {name, state, metrics, journal, getInstant} = options;
+  const {name, state, metrics, journal, ledger, getInstant} = options;
   const {confirmEndpoints, send} = options;
   const history = createVersionHistory();
   const records = createStreamRecords(MAXIMUM_RECORDS, () =>
@@ -189,7 +197,16 @@
     }
   }
 
-  const whenJournalRead = journal.earlierOrigins.then(recordKnown);
+  let isStoreRead = false;
+  const whenStoreRead = Promise.all([
+    journal.earlierOrigins.then(recordKnown),
+    ledger.earlierVersions.then((published) => {
+      if (published === null) return;
+      history.recordPublished(published.versions, published.readAt);
+    }),
+  ]).then(() => {
+    isStoreRead = true;
+  });
 
   /** A function that computes the result for each service once. */
   function rememberByService(
@@ -224,7 +241,9 @@
 
   return {
     recordList(readAt) {
-      history.recordList(state.directory.list(), readAt, getInstant());
+      const instant = getInstant();
+      history.recordList(state.directory.list(), readAt, instant);
+      ledger.publish(history.listListed(instant, updateLifetime()));
     },
     recordBegin(origin) {
       records.record(origin, getInstant().monotonic);
@@ -237,6 +256,7 @@
       journal.add([origin]);
     },
     async find(streamId, service) {
+      const wasStoreRead = isStoreRead;
       const local = await findLocally(streamId, service);
       if (local !== null) return local;
       const [origin] = await Promise.all([
@@ -244,13 +264,17 @@
           streamId,
           service,
         }),
-        resolveWithin(whenJournalRead, {
-          milliseconds: JOURNAL_TIMEOUT_MILLISECONDS,
+        resolveWithin(whenStoreRead, {
+          milliseconds: STORE_TIMEOUT_MILLISECONDS,
           otherwise: undefined,
         }),
       ]);
       const recorded = findRecord(streamId, service);
       if (recorded !== undefined) return recorded;
+      if (!wasStoreRead) {
+        const known = await findLocally(streamId, service);
+        if (known !== null) return known;
+      }
       if (origin === null || origin.service !== service) return null;
       records.record(origin, getInstant().monotonic);
       const {version} = origin;
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -41,6 +41,10 @@
     label: 'result',
     meaning: 'records of the versions that began streams',
   },
+  publishedVersions: {
+    label: 'result',
+    meaning: 'writes of the versions at which this instance may begin streams',
+  },
   streamConfirmations: {
     label: 'result',
     meaning: 'reads of the endpoint list before a stream was resumed',
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -27,6 +27,7 @@
 import {isConfigurationCurrent} from './isConfigurationCurrent.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
 import {createStreamVersions} from './createStreamVersions.ts';
+import {createVersionLedger} from './createVersionLedger.ts';
 import {startStateSync} from './startStateSync.ts';
 
 interface GatewayOptions {
@@ -108,11 +109,19 @@
     getLifetime: () => streams.getLifetime(),
     now,
   });
+  const ledger = createVersionLedger({
+    source,
+    log,
+    metrics,
+    getLifetime: () => streams.getLifetime(),
+    getInstant,
+  });
   const streams = createStreamVersions({
     name: settings.name,
     state,
     metrics,
     journal,
+    ledger,
     getInstant,
     confirmEndpoints: () => polling.confirmEndpoints(),
     send: (peer, exchange) => peers.sendHeartbeat(peer, {streams: exchange}),
@@ -341,6 +350,7 @@
       }
       polling.stop();
       journal.close();
+      ledger.close();
       server.close();
       readinessServer.close();
       metricsServer.close();
--- a/packages/hickorywharf-types/src/gateway/gatewaySource.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySource.ts
@@ -2,6 +2,7 @@
 import type {GatewayConfiguration} from './gatewayConfiguration.ts';
 import type {GatewayEndpoint} from './gatewayEndpoint.ts';
 import type {GatewayInstance} from './gatewayInstance.ts';
+import type {ServiceVersion} from './serviceVersion.ts';
 import type {StreamOrigin} from './streamOrigin.ts';
 
 /** Why a read or write of the platform's store failed. */
@@ -49,4 +50,17 @@
   ): Promise<Result<null, SourceError>>;
   /** The streams that all instances have written and that are still kept. */
   readStreams(): Promise<Result<StreamOrigin[], SourceError>>;
+  /**
+   * Keeps for so long the versions at which this instance may begin streams, in
+   * place of those that it wrote before.
+   */
+  writeVersions(
+    versions: readonly ServiceVersion[],
+    keepMilliseconds: number,
+  ): Promise<Result<null, SourceError>>;
+  /**
+   * The versions that all instances have written and that are still kept. One
+   * entry that can't be read is an error, as a version may be missing.
+   */
+  readVersions(): Promise<Result<ServiceVersion[], SourceError>>;
 }
