Drop answers that still arrive before those that callers read

With twelve callers that read answers of 4,000,000 bytes slowly, four of them got an answer that broke off under 200.

Cause: over 33,554,432 bytes of held answers the largest was dropped, also one that was whole and half read, to make room for one that had just arrived.

Why it works: an answer that still arrives can be given up with an honest failure.

The tests of the bound before hold unchanged.

--- a/packages/hickorywharf-gateway/src/__tests__/createResponseMemory.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResponseMemory.test.ts
@@ -32,3 +32,26 @@
   }
   t.is(evictions, 0);
 });
+
+test('large responses that still arrive are dropped before those that callers read', (t) => {
+  const memory = createResponseMemory(1_000_000);
+  const evicted: string[] = [];
+  const open = (name: string, bytes: number) => {
+    const slot = memory.open(() => void evicted.push(name));
+    slot.add(bytes);
+    return slot;
+  };
+  open('read', 500_000).startDelivery();
+  open('arriving', 400_000);
+  const small = open('small', 100);
+  open('large', 100_000);
+  t.deepEqual(evicted, ['arriving']);
+  open('read too', 390_000).startDelivery();
+  t.deepEqual(evicted, ['arriving']);
+  open('larger', 300_000);
+  t.deepEqual(evicted, ['arriving', 'larger']);
+  small.add(20_000);
+  t.deepEqual(evicted, ['arriving', 'larger', 'large']);
+  small.add(90_000);
+  t.deepEqual(evicted, ['arriving', 'larger', 'large', 'small']);
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -245,6 +245,7 @@
       if (!isSuccess) return settle({tag: 'failed', head, body});
       watch.recordAnswer();
       health.recordResponse(endpoint.id, now() - startedAt);
+      memory.startDelivery();
       writer.sendResponse(head, body);
       settle({tag: 'delivered'});
     }
