Count a version as listed until the next list comes

What callers would see: after an outage of the store that is longer than a stream can last, in which all servers were replaced, streams of the old version were neither kept nor was their version published, although they had begun just before the first list; after a kill of all instances they could go on at the new version.

Cause: the time at which a version was last listed was that of the last list that had it, but streams begin by a list until the next one comes.

Now the versions of a list count until the next one. "a version counts as listed until the next list" failed before; the drawn releases beside kills and beside instances out of step hold.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createVersionHistory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createVersionHistory.test.ts
@@ -173,3 +173,19 @@
     {service: 'engines', version: 'v2'},
   ]);
 });
+
+// Guards against a version that is no longer published while its streams, begun
+// by an old list, can be resumed.
+test('a version counts as listed until the next list', (t) => {
+  const history = createVersionHistory();
+  recordEach(history, [0, 5000], 'v1');
+  const nextAt = 5000 + LIFETIME + 1;
+  recordEach(history, [nextAt, nextAt], 'v2');
+  const getListed = (now: number) =>
+    history.listListed(at(now), LIFETIME).map(({version}) => version);
+  t.deepEqual(getListed(nextAt), ['v1', 'v2']);
+  t.true(history.hasSeveralVersions('engines', at(nextAt), LIFETIME));
+  recordEach(history, [nextAt + 1000, nextAt + 1000], 'v2');
+  t.deepEqual(getListed(nextAt + LIFETIME), ['v1', 'v2']);
+  t.deepEqual(getListed(nextAt + LIFETIME + 1), ['v2']);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createVersionHistory.ts
@@ -94,6 +94,8 @@
   let rememberedMilliseconds = FORGET_MILLISECONDS;
   /** Since when no two lists were too far apart. */
   let completeSince: Instant | null = null;
+  /** The versions of the last list. */
+  let listed = new Set<SeenVersion>();
   let publishedAt: Instant | null = null;
   const publishedVersions = new Map<string, Set<string>>();
 
@@ -172,20 +174,22 @@
         getElapsed(lastReadAt, readAt) > LIST_AGE_MILLISECONDS;
       if (isGap) completeSince = readAt;
       lastReadAt = readAt;
+      // Streams may have begun at the versions of the last list until now.
+      for (const seen of listed) seen.lastSeenAt = now;
+      listed = new Set();
       forgetOld(now);
       for (const endpoint of endpoints) {
         const {service, version} = endpoint;
         const versions =
           services.get(service) ?? new Map<string, SeenVersion>();
         services.set(service, versions);
-        const seen = versions.get(version);
-        if (seen !== undefined) seen.lastSeenAt = now;
-        else {
-          versions.set(version, {
-            firstSeenAt: isNew(endpoint, isFirstList, now) ? now : null,
-            lastSeenAt: now,
-          });
-        }
+        const seen = versions.get(version) ?? {
+          firstSeenAt: isNew(endpoint, isFirstList, now) ? now : null,
+          lastSeenAt: now,
+        };
+        seen.lastSeenAt = now;
+        versions.set(version, seen);
+        listed.add(seen);
       }
     },
     recordPublished(versions, readAt) {
