--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -3,6 +3,7 @@
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {createSilenceTimer} from 'hickorywharf-utils/createSilenceTimer';
+import type {AttemptFailure} from './attemptFailure.ts';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
 import {createBodyBuffer} from './createBodyBuffer.ts';
@@ -95,13 +96,16 @@
     const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
     let silenceMilliseconds = 0;
     const silenceTimer = createSilenceTimer(() =>
-      failAttempt(`silent for ${Math.round(silenceMilliseconds)} ms`),
+      failAttempt(
+        'silence',
+        `silent for ${Math.round(silenceMilliseconds)} ms`,
+      ),
     );
 
     // Kept until the call ends, as a slow caller may still read the response.
     const memory = options.responseMemory.open(() => {
       if (isSettled) writer.abort();
-      else failAttempt('too many bytes of responses are held');
+      else failAttempt('size', 'too many bytes of responses are held');
     });
     context.cleanups.add(memory.close);
 
@@ -119,13 +123,12 @@
       exchange.abort();
       settle({tag: 'callerGone'});
     }
-    function failAttempt(reason: string): void {
+    function failAttempt(failure: AttemptFailure, reason: string): void {
       if (isSettled) return;
       exchange.abort();
       health.recordFailure(endpoint.id, now());
-      settle(
-        writer.isStarted ? {tag: 'broken', reason} : {tag: 'unknown', reason},
-      );
+      const tag = writer.isStarted ? 'broken' : 'unknown';
+      settle({tag, failure, reason});
     }
     function restartTimer(milliseconds: number): void {
       if (options.responseTimeoutMilliseconds === null || isSettled) return;
@@ -135,7 +138,10 @@
 
     function handleHead(response: ResponseHead, isFirst: boolean): void {
       if (response.requestId !== null && response.requestId !== call.id) {
-        return failAttempt(`the answer is to request ${response.requestId}`);
+        return failAttempt(
+          'unproven',
+          `the answer is to request ${response.requestId}`,
+        );
       }
       head = response;
       if (response.isNotRun && (response.requestId !== null || isFirst)) {
@@ -152,6 +158,7 @@
           options.limiter.recordAvailability(endpoint, response);
         }
         return failAttempt(
+          'unproven',
           `an answer of status ${response.status} without proof`,
         );
       }
@@ -160,6 +167,7 @@
       isStreaming = isSuccess && response.isEventStream;
       if (writer.isStarted && !isStreaming) {
         failAttempt(
+          'unproven',
           `status ${response.status}, no stream, in place of its rest`,
         );
       }
@@ -169,12 +177,14 @@
       streamBytes += chunk.length;
       if (streamBytes > MAXIMUM_STREAM_BYTES) {
         return failAttempt(
+          'size',
           `the stream is longer than ${MAXIMUM_STREAM_BYTES} bytes`,
         );
       }
       const events = splitter.append(chunk);
       if (splitter.getRemainderLength() > MAXIMUM_EVENT_BYTES) {
         return failAttempt(
+          'size',
           `an event is longer than ${MAXIMUM_EVENT_BYTES} bytes`,
         );
       }
@@ -201,6 +211,7 @@
     function handleBody(chunk: Buffer): void {
       if (!responseBody.append(chunk)) {
         return failAttempt(
+          'size',
           `the response is longer than ${MAXIMUM_RESPONSE_BYTES} bytes`,
         );
       }
@@ -219,7 +230,7 @@
     }
 
     function handleEnd(isFramed: boolean): void {
-      if (head === null) return failAttempt('no answer');
+      if (head === null) return failAttempt('incomplete', 'no answer');
       if (head.isNotRun) {
         const isInputGone = head.status === 409;
         settle(
@@ -233,7 +244,7 @@
         const breakOff = describeBreakOff(isFramed);
         if (breakOff !== null) {
           watch.recordBroken(breakOff);
-          return failAttempt(breakOff);
+          return failAttempt('incomplete', breakOff);
         }
         if (isFramed) watch.recordAnswer();
         if (!writer.isStarted) writer.startStream(head);
@@ -292,7 +303,7 @@
           return;
         }
         watch.recordBroken(message);
-        failAttempt(message);
+        failAttempt('connection', message);
       },
     });
     context.cleanups.add(abandon);
--- a/packages/hickorywharf-gateway/src/attemptResult.ts
+++ b/packages/hickorywharf-gateway/src/attemptResult.ts
@@ -1,4 +1,5 @@
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
+import type {AttemptFailure} from './attemptFailure.ts';
 
 /** Outcome of one attempt to run a call at an endpoint. */
 export type AttemptResult =
@@ -11,8 +12,16 @@
   /** The endpoint returned a response with an error status. */
   | {readonly tag: 'failed'; readonly head: ResponseHead; readonly body: Buffer}
   /** No valid response arrived; the call may have run. */
-  | {readonly tag: 'unknown'; readonly reason: string}
+  | {
+      readonly tag: 'unknown';
+      readonly failure: AttemptFailure;
+      readonly reason: string;
+    }
   /** The stream broke after events had been sent to the caller. */
-  | {readonly tag: 'broken'; readonly reason: string}
+  | {
+      readonly tag: 'broken';
+      readonly failure: AttemptFailure;
+      readonly reason: string;
+    }
   /** The call ended meanwhile: the caller disconnected or it timed out. */
   | {readonly tag: 'callerGone'};
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -6,6 +6,14 @@
     label: 'result',
     meaning: 'sends to endpoints by what they came to',
   },
+  failedAttempts: {
+    label: 'cause',
+    meaning: 'sends to endpoints without a whole answer by what ended them',
+  },
+  failedCalls: {
+    label: 'cause',
+    meaning: 'calls that could not go on at an endpoint by what was missing',
+  },
   pieces: {
     label: 'outcome',
     meaning: 'pieces of stages by what became of them',
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -13,6 +13,7 @@
 import {attemptCall} from './attemptCall.ts';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
+import type {CallFailure} from './callFailure.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import {createEndpointSelector} from './createEndpointSelector.ts';
@@ -157,7 +158,8 @@
   }
 
   /** Ends the call with an error when no further attempt is possible. */
-  function fail(reason: string): void {
+  function fail(failure: CallFailure, reason: string): void {
+    metrics.count('failedCalls', failure);
     if (writer.isStarted) {
       recordOutcome('broken off', {reason});
       return writer.abort();
@@ -176,7 +178,7 @@
   /** Ends the call because no endpoint is left that may run it. */
   function failWithoutEndpoint(): void {
     const wait = limiter.estimateWait(service.name, selector.listUsable());
-    if (wait === 0) fail('no endpoint is left to try');
+    if (wait === 0) fail('noEndpoint', 'no endpoint is left to try');
     else failForLimits(Math.max(wait, NO_ENDPOINT_RETRY_MILLISECONDS));
   }
 
@@ -184,7 +186,7 @@
   function failForLimits(waitMilliseconds: number): void {
     metrics.count('limitedCalls', 'refused');
     const reason = 'the limits and pauses of the endpoints leave no room';
-    if (runs > 0 || writer.isStarted) fail(reason);
+    if (runs > 0 || writer.isStarted) fail('limits', reason);
     else refuseOverloaded(reason, waitMilliseconds);
   }
 
@@ -231,7 +233,7 @@
     reason: string,
     retryAfterMilliseconds: number,
   ): void {
-    if (runs > 0 || writer.isStarted) fail(reason);
+    if (runs > 0 || writer.isStarted) fail('quarantine', reason);
     else {
       refuse({tag: 'quarantined', message: reason, retryAfterMilliseconds});
     }
@@ -292,7 +294,7 @@
     const needsStages = call.pieces.some((count) => count > 0);
     if (!needsStages || route.stages.length === 0 || hasInputs) return true;
     if (stageRuns >= MAXIMUM_STAGE_RUNS) {
-      fail('the results of the stages were lost');
+      fail('stages', 'the results of the stages were lost');
       return false;
     }
     if (selector.select(inputs) === undefined) {
@@ -301,7 +303,7 @@
     }
     const unserved = findUnservedStage(state, context);
     if (unserved !== null) {
-      fail(`no endpoint is left for the stages at ${unserved}`);
+      fail('stages', `no endpoint is left for the stages at ${unserved}`);
       return false;
     }
     const {services} = state.configuration!;
@@ -353,8 +355,9 @@
       return false;
     }
     if (result.tag === 'failed') {
-      if (writer.isStarted || runs > 0) fail(`stages: ${result.reason}`);
-      else {
+      if (writer.isStarted || runs > 0) {
+        fail('stages', `stages: ${result.reason}`);
+      } else {
         refuse({
           tag: 'overloaded',
           message: `stages: ${result.reason}`,
@@ -434,7 +437,7 @@
       context.account !== null &&
       !isKeySetFresh(state, settings, getInstant())
     ) {
-      if (runs > 0 || writer.isStarted) fail('keys were not confirmed');
+      if (runs > 0 || writer.isStarted) fail('keys', 'keys were not confirmed');
       else {
         refuse({
           tag: 'unconfirmed',
@@ -470,7 +473,7 @@
         state.instances.length,
       )
     ) {
-      fail('the budget of repeats is used up');
+      fail('budget', 'the budget of repeats is used up');
       break;
     }
     if (refuseLastEndpoint() || refuseQuarantined(true)) break;
@@ -488,6 +491,7 @@
     }
     const result = await attempt(endpoint);
     metrics.count('attempts', result.tag);
+    if ('failure' in result) metrics.count('failedAttempts', result.failure);
     if (context.isEnded || result.tag === 'callerGone') break;
     if (result.tag === 'delivered') {
       recordOutcome('answered', {
@@ -523,7 +527,7 @@
       recordOutcome('failed', {peer: endpoint.id, status: result.head.status});
       writer.sendResponse(result.head, result.body);
     } else {
-      fail(result.reason);
+      fail('attempt', result.reason);
     }
     break;
   }
