Leave a silent endpoint only with all that the call needs elsewhere

Callers saw streams that broke off and 502s for requests whose sound servers were silent for a second and would have gone on.

Cause: a timer took silence for an end. The attempt was closed after 1.2 s without an event, or five times the usual time without an answer, and only then the call asked for room in the budget of retries, another endpoint of its version, confirmed keys and results of stages. What was refused there ended it. Whether another endpoint was left had been asked when the attempt began.

A silent endpoint is now left only once another one, room in the budget and the results of stages are reserved, all by what is known at that moment; a silent endpoint is none to go to. Until then the attempt goes on, and wins if its endpoint does. Silence costs an endpoint its penalty only until it goes on. serveCall.ts loses the results of stages to createCallInputs.ts.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
@@ -29,3 +29,16 @@
   health.recordTimeout('slow', 0);
   t.true(health.getPenalty('slow', 0) > 4 * health.getPenalty('failing', 0));
 });
+
+test('silence costs as much as a failure until the endpoint goes on', (t) => {
+  const health = createEndpointHealth();
+  health.recordSilence('silent', 0);
+  health.recordFailure('failing', 0);
+  t.is(health.getPenalty('silent', 0), health.getPenalty('failing', 0));
+  t.true(health.isSilent('silent'));
+  health.recordProgress('silent');
+  health.recordProgress('failing');
+  t.false(health.isSilent('silent'));
+  t.is(health.getPenalty('silent', 0), 0);
+  t.not(health.getPenalty('failing', 0), 0, 'progress is no valid response');
+});
--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createRetryBudget.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createRetryBudget.test.ts
@@ -72,3 +72,15 @@
   options.windowMilliseconds = 50;
   t.is(countRetries(200), 14);
 });
+
+test('asking whether a retry is allowed takes none', (t) => {
+  const budget = createRetryBudget(OPTIONS);
+  let retries = 0;
+  while (budget.mayRetry('desk', 0, 3)) {
+    t.true(budget.mayRetry('desk', 0, 3));
+    t.true(budget.tryRetry('desk', 0, 3));
+    retries += 1;
+  }
+  t.true(retries > 0);
+  t.false(budget.tryRetry('desk', 0, 3));
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
@@ -7,11 +7,17 @@
   recordResponse(id: string, milliseconds: number): void;
   /** Records a failure of the endpoint: no response, or an invalid one. */
   recordFailure(id: string, now: number): void;
+  /** Records that nothing arrives of a response that has been expected. */
+  recordSilence(id: string, now: number): void;
+  /** Records that the endpoint goes on with a response, which ends silence. */
+  recordProgress(id: string): void;
+  /** Whether nothing has arrived since silence was recorded. */
+  isSilent(id: string): boolean;
   /** Records that work at the endpoint took far longer than expected. */
   recordTimeout(id: string, now: number): void;
   /**
-   * Milliseconds that failures and timeouts add to the cost of choosing the
-   * endpoint.
+   * Milliseconds that failures, silence and timeouts add to the cost of choosing
+   * the endpoint.
    */
   getPenalty(id: string, now: number): number;
   /** Moving average of the response time, in milliseconds. */
@@ -24,9 +30,11 @@
   responseMilliseconds: number;
   /** Failures since the last valid response. */
   failures: number;
+  /** Silent responses since the endpoint last went on with one. */
+  silences: number;
   /** Timeouts since the last valid response. */
   timeouts: number;
-  /** Time of the last failure or timeout; -Infinity before the first. */
+  /** Time of the last failure, silence or timeout; -Infinity before them. */
   failedAt: number;
 }
 
@@ -34,7 +42,10 @@
 const INITIAL_RESPONSE_MILLISECONDS = 80;
 /** Weight of a new response time in the moving average. */
 const SMOOTHING_FACTOR = 0.2;
-/** Penalty of one failure; doubles with each further failure in a row. */
+/**
+ * Penalty of one failure or silent response; doubles with each further one in a
+ * row.
+ */
 const FIRST_PENALTY_MILLISECONDS = 200;
 /**
  * Penalty of one timeout; doubles with each further timeout in a row. It is
@@ -42,8 +53,8 @@
  */
 const TIMEOUT_PENALTY_MILLISECONDS = 1600;
 /**
- * Also the longest time from the last failure or timeout until the penalty is
- * 0, as it falls by one millisecond each millisecond.
+ * Also the longest time from the last failure, silence or timeout until the
+ * penalty is 0, as it falls by one millisecond each millisecond.
  */
 const MAXIMUM_PENALTY_MILLISECONDS = 6400;
 
@@ -52,7 +63,8 @@
  * further failure in a row doubles the endpoint's penalty, and so does each
  * further timeout; the larger of the two penalties counts, up to a maximum. It
  * falls by one millisecond each millisecond, so that the endpoint gets a call
- * again, which shows whether it still fails.
+ * again, which shows whether it still fails. Silence counts as failure until the
+ * endpoint goes on: a sound one may be silent for a second.
  *
  * @example
  *     const health = createEndpointHealth();
@@ -68,6 +80,7 @@
       row = {
         responseMilliseconds: INITIAL_RESPONSE_MILLISECONDS,
         failures: 0,
+        silences: 0,
         timeouts: 0,
         failedAt: -Infinity,
       };
@@ -82,6 +95,7 @@
       row.responseMilliseconds +=
         SMOOTHING_FACTOR * (milliseconds - row.responseMilliseconds);
       row.failures = 0;
+      row.silences = 0;
       row.timeouts = 0;
     },
     recordFailure(id, now) {
@@ -89,6 +103,16 @@
       row.failures += 1;
       row.failedAt = now;
     },
+    recordSilence(id, now) {
+      const row = getOrCreateRow(id);
+      row.silences += 1;
+      row.failedAt = now;
+    },
+    recordProgress(id) {
+      const row = rows.get(id);
+      if (row !== undefined) row.silences = 0;
+    },
+    isSilent: (id) => (rows.get(id)?.silences ?? 0) > 0,
     recordTimeout(id, now) {
       const row = getOrCreateRow(id);
       row.timeouts += 1;
@@ -97,9 +121,10 @@
     getPenalty(id, now) {
       const row = rows.get(id);
       if (row === undefined) return 0;
-      const {failures, timeouts} = row;
+      const {failures, silences, timeouts} = row;
+      const inARow = failures + silences;
       const forFailures =
-        failures === 0 ? 0 : FIRST_PENALTY_MILLISECONDS * 2 ** (failures - 1);
+        inARow === 0 ? 0 : FIRST_PENALTY_MILLISECONDS * 2 ** (inARow - 1);
       const forTimeouts =
         timeouts === 0 ? 0 : TIMEOUT_PENALTY_MILLISECONDS * 2 ** (timeouts - 1);
       const full = Math.min(
--- a/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
@@ -13,6 +13,8 @@
 interface RetryBudget {
   /** Counts a request, which raises the limit while it is in the window. */
   recordRequest(service: string, now: number): void;
+  /** Whether `tryRetry` would allow a retry now. */
+  mayRetry(service: string, now: number, instances: number): boolean;
   /**
    * Counts a retry if the budget allows it; returns false otherwise.
    *
@@ -68,16 +70,21 @@
     return window;
   }
 
+  function mayRetry(service: string, now: number, instances: number): boolean {
+    const {ratio, allowance} = options;
+    const {requests, retries} = getOrCreateWindow(service, now);
+    const share = allowance / Math.max(instances, 1);
+    const limit = (1 - RESERVED_SHARE) * (ratio * requests.length + share);
+    return retries.length + 1 <= limit;
+  }
+
   return {
     recordRequest: (service, now) =>
       void getOrCreateWindow(service, now).requests.push(now),
+    mayRetry,
     tryRetry(service, now, instances) {
-      const {ratio, allowance} = options;
-      const {requests, retries} = getOrCreateWindow(service, now);
-      const share = allowance / Math.max(instances, 1);
-      const limit = (1 - RESERVED_SHARE) * (ratio * requests.length + share);
-      if (retries.length + 1 > limit) return false;
-      retries.push(now);
+      if (!mayRetry(service, now, instances)) return false;
+      getOrCreateWindow(service, now).retries.push(now);
       return true;
     },
   };
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/decideFailover.ts
@@ -0,0 +1,64 @@
+/** What a call would have at another endpoint. */
+interface FailoverFacts {
+  /** Whether the call may run once more, and be sent once more. */
+  readonly mayRunAgain: boolean;
+  /** Whether an endpoint is left that may get the call now. */
+  readonly hasEndpoint: boolean;
+  /** Whether the budget of retries has room. */
+  readonly hasBudget: boolean;
+  /** Whether the key of the call was confirmed recently enough. */
+  readonly hasFreshKey: boolean;
+  /** Whether the call is kept from endpoints, as some ended under it. */
+  readonly isQuarantined: boolean;
+  /** Whether the call reads results of stages that have to be made anew. */
+  readonly needsStages: boolean;
+  /** Whether its stages may run once more. */
+  readonly mayRunStages: boolean;
+  /** Time left until the deadline of the call. */
+  readonly timeLeftMilliseconds: number;
+  /** Time that another endpoint takes for the call at least. */
+  readonly neededMilliseconds: number;
+}
+
+type FailoverDecision =
+  | {readonly tag: 'ready'}
+  /** The stages have to run first. */
+  | {readonly tag: 'runStages'}
+  | {
+      readonly tag: 'wait';
+      readonly missing:
+        | 'noRun'
+        | 'time'
+        | 'noEndpoint'
+        | 'budget'
+        | 'keys'
+        | 'quarantine'
+        | 'stages';
+    };
+
+/**
+ * Decides whether a call may leave an endpoint that is silent, and may go on,
+ * for another one. It leaves only with all that it needs there, as what is
+ * refused to it afterwards would end it.
+ *
+ * Designed for sound endpoints that are silent for a second, many or all of
+ * them at the same time.
+ *
+ * @example
+ *     decideFailover({...facts, hasBudget: false});
+ *     // {tag: 'wait', missing: 'budget'}
+ */
+export function decideFailover(facts: FailoverFacts): FailoverDecision {
+  if (!facts.mayRunAgain) return {tag: 'wait', missing: 'noRun'};
+  if (facts.timeLeftMilliseconds <= facts.neededMilliseconds) {
+    return {tag: 'wait', missing: 'time'};
+  }
+  if (!facts.hasEndpoint) return {tag: 'wait', missing: 'noEndpoint'};
+  if (!facts.hasBudget) return {tag: 'wait', missing: 'budget'};
+  if (!facts.hasFreshKey) return {tag: 'wait', missing: 'keys'};
+  if (facts.isQuarantined) return {tag: 'wait', missing: 'quarantine'};
+  if (!facts.needsStages) return {tag: 'ready'};
+  return facts.mayRunStages
+    ? {tag: 'runStages'}
+    : {tag: 'wait', missing: 'stages'};
+}
--- a/packages/hickorywharf-gateway/src/__tests__/attemptCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/attemptCall.test.ts
@@ -35,6 +35,7 @@
     responseMemory: createResponseMemory(),
     watch: {end: () => undefined},
     responseTimeoutMilliseconds: null,
+    failover: {cancel: () => undefined},
     now: () => 0,
     onFirstEvent: () => undefined,
   } as unknown as Parameters<typeof attemptCall>[0]);
--- /dev/null
+++ b/packages/hickorywharf-gateway/src/__tests__/createFailover.test.ts
@@ -0,0 +1,83 @@
+import test from 'ava';
+import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import {sleep} from 'hickorywharf-utils/sleep';
+import {createFailover} from '../createFailover.ts';
+
+type Options = Parameters<typeof createFailover>[0];
+
+/** Longer than the time between two checks of what a call lacks. */
+const CHECK_MILLISECONDS = 250;
+const SILENT = {id: 'engine-1'} as GatewayEndpoint;
+const OTHER = {id: 'engine-2'} as GatewayEndpoint;
+const RESULTS = {tag: 'made', inputs: ['h1'], handles: ['h1']} as const;
+
+/** A call that reads results of stages, which were freed. */
+function prepare() {
+  const facts = {
+    mayRunAgain: true,
+    hasBudget: true,
+    hasFreshKey: true,
+    isQuarantined: false,
+    timeLeftMilliseconds: 3000,
+    neededMilliseconds: 150,
+  };
+  const events: string[] = [];
+  const stages = Promise.withResolvers<typeof RESULTS>();
+  const failover = createFailover({
+    inputs: {
+      list: () => [],
+      areMissing: () => true,
+      mayRun: () => true,
+      adopt: () => void events.push('adopted'),
+      discard: () => void events.push('discarded'),
+    } as unknown as Options['inputs'],
+    requestId: 'r1',
+    log: {infoRateLimited: () => undefined},
+    metrics: {count: () => undefined},
+    getFacts: () => facts,
+    findEndpoint: () => OTHER,
+    runStages: (_endpoint, signal) => {
+      events.push('stages run');
+      signal.addEventListener('abort', () => events.push('stages aborted'));
+      return stages.promise as unknown as ReturnType<Options['runStages']>;
+    },
+    reserve: () => void events.push('reserved'),
+  });
+  failover.prepare(SILENT, () => events.push('left'));
+  return {facts, events, stages, failover};
+}
+
+test('a call leaves a silent endpoint only once its stages have run again', async (t) => {
+  const {events, stages, failover} = prepare();
+  await sleep(CHECK_MILLISECONDS);
+  t.deepEqual(events, ['stages run']);
+  t.is(failover.take(), null);
+  stages.resolve(RESULTS);
+  await sleep(CHECK_MILLISECONDS);
+  t.deepEqual(events, ['stages run', 'reserved', 'adopted', 'left']);
+  t.is(failover.take(), OTHER);
+  t.is(failover.take(), null);
+});
+
+test('a call whose endpoint goes on keeps no results and takes no retry', async (t) => {
+  const {facts, events, stages, failover} = prepare();
+  facts.hasBudget = false;
+  stages.resolve(RESULTS);
+  await sleep(CHECK_MILLISECONDS);
+  failover.cancel();
+  facts.hasBudget = true;
+  await sleep(CHECK_MILLISECONDS);
+  t.deepEqual(events, ['stages run', 'stages aborted', 'discarded']);
+  t.is(failover.take(), null);
+});
+
+test('a call leaves a silent endpoint once what it lacked is there', async (t) => {
+  const {facts, events, stages} = prepare();
+  facts.hasBudget = false;
+  stages.resolve(RESULTS);
+  await sleep(CHECK_MILLISECONDS);
+  t.deepEqual(events, ['stages run']);
+  facts.hasBudget = true;
+  await sleep(CHECK_MILLISECONDS);
+  t.deepEqual(events.slice(1), ['reserved', 'adopted', 'left']);
+});
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -11,6 +11,7 @@
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import type {CallWatch} from './callWatch.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
+import type {createFailover} from './createFailover.ts';
 import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {EndpointClient} from './endpointClient.ts';
@@ -34,10 +35,13 @@
   /** Is told what becomes of the call, and ended with it. */
   readonly watch: CallWatch;
   /**
-   * Time for a whole response, or for the first event of a stream. Null for no
-   * timeouts, as the call can't be retried elsewhere.
+   * Time for a whole response, or for the first event of a stream, after which
+   * the endpoint counts as silent. Null if the call may not run again, and waits
+   * for its endpoint in any case.
    */
   readonly responseTimeoutMilliseconds: number | null;
+  /** Looks for another endpoint while this one is silent. */
+  readonly failover: ReturnType<typeof createFailover>;
   /** Monotonic milliseconds. */
   now(): number;
   /** Called before the first event of a stream is passed to the caller. */
@@ -45,8 +49,8 @@
 }
 
 /**
- * Longest time without a complete event, after the first, of a stream that can
- * resume at another endpoint.
+ * Time without a complete event, after the first, after which the endpoint of a
+ * stream that can resume counts as silent.
  */
 const EVENT_TIMEOUT_MILLISECONDS = 1200;
 /**
@@ -82,6 +86,7 @@
     wire,
     health,
     watch,
+    failover,
     now,
   } = options;
   const {call} = context;
@@ -95,12 +100,11 @@
     let streamBytes = 0;
     const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
     let silenceMilliseconds = 0;
-    const silenceTimer = createSilenceTimer(() =>
-      failAttempt(
-        'silence',
-        `silent for ${Math.round(silenceMilliseconds)} ms`,
-      ),
-    );
+    const silenceTimer = createSilenceTimer(() => {
+      health.recordSilence(endpoint.id, now());
+      const reason = `silent for ${Math.round(silenceMilliseconds)} ms`;
+      failover.prepare(endpoint, () => failAttempt('silence', reason));
+    });
 
     // Kept until the call ends, as a slow caller may still read the response.
     const memory = options.responseMemory.open(() => {
@@ -113,6 +117,7 @@
       if (isSettled) return;
       isSettled = true;
       silenceTimer.stop();
+      failover.cancel();
       context.cleanups.delete(abandon);
       load.end();
       if (result.tag !== 'delivered' && result.tag !== 'failed') memory.close();
@@ -126,7 +131,7 @@
     function failAttempt(failure: AttemptFailure, reason: string): void {
       if (isSettled) return;
       exchange.abort();
-      health.recordFailure(endpoint.id, now());
+      if (failure !== 'silence') health.recordFailure(endpoint.id, now());
       const tag = writer.isStarted ? 'broken' : 'unknown';
       settle({tag, failure, reason});
     }
@@ -189,6 +194,8 @@
         );
       }
       if (events === null) return;
+      failover.cancel();
+      health.recordProgress(endpoint.id);
       restartTimer(EVENT_TIMEOUT_MILLISECONDS);
       watch.recordEvents();
       if (!writer.isStarted) {
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -43,22 +43,28 @@
    */
   select(inputs: readonly string[]): GatewayEndpoint | undefined;
   /**
-   * Milliseconds after which the endpoint times out; null if the call could not
-   * be retried at another one.
-   *
-   * @param runs attempts so far after which the call may have run
+   * Like `select`, for a call that leaves a silent endpoint: undefined also if
+   * all others are silent too, or have no room for the call now.
+   */
+  selectOther(
+    silentId: string,
+    inputs: readonly string[],
+  ): GatewayEndpoint | undefined;
+  /**
+   * Milliseconds without a response, or without the first event of a stream,
+   * after which the endpoint counts as silent.
    */
-  getResponseTimeout(endpoint: GatewayEndpoint, runs: number): number | null;
+  getResponseTimeout(endpoint: GatewayEndpoint): number;
 }
 
 /**
- * An endpoint other than a model engine times out after its usual response time
- * times the factor plus the margin.
+ * An endpoint other than a model engine counts as silent after its usual
+ * response time times the factor plus the margin.
  */
 const TIMEOUT_FACTOR = 5;
 const TIMEOUT_MARGIN_MILLISECONDS = 250;
 /**
- * A model engine times out after this time plus the time to read the pending
+ * A model engine counts as silent after this time plus the time to read the pending
  * prompt tokens at the given rate, the lowest that is expected of an engine.
  */
 const ENGINE_TIMEOUT_MILLISECONDS = 1500;
@@ -97,6 +103,33 @@
       : state.directory.getUsable(service.name);
   }
 
+  function choose(
+    endpoints: readonly GatewayEndpoint[],
+    inputs: readonly string[],
+  ): GatewayEndpoint | undefined {
+    const now = options.getInstant().monotonic;
+    const {failureDomain} = settings;
+    const candidates = endpoints
+      .filter(({id}) => !triedEndpoints.has(id))
+      .map((endpoint) => ({
+        ...endpoint,
+        endpoint,
+        ...loads.get(endpoint.id),
+        responseMilliseconds: health.getResponseTime(endpoint.id),
+        penaltyMilliseconds:
+          health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
+      }));
+    const selected = route.isSticky
+      ? chooseEngine(candidates, {
+          parts: call.promptParts,
+          failureDomain,
+          results: inputs.map(router.getFailureDomain),
+          resultBytes,
+        })
+      : chooseEndpoint(candidates, failureDomain);
+    return selected?.endpoint;
+  }
+
   return {
     setStreamVersion(version) {
       streamVersion = version;
@@ -118,34 +151,17 @@
           ({id, startedAt}) =>
             id === endpoint.id && startedAt === endpoint.startedAt,
         ),
-    select(inputs) {
-      const now = options.getInstant().monotonic;
-      const {failureDomain} = settings;
-      const candidates = listUsable()
-        .filter(({id}) => !triedEndpoints.has(id))
-        .map((endpoint) => ({
-          ...endpoint,
-          endpoint,
-          ...loads.get(endpoint.id),
-          responseMilliseconds: health.getResponseTime(endpoint.id),
-          penaltyMilliseconds:
-            health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
-        }));
-      const selected = route.isSticky
-        ? chooseEngine(candidates, {
-            parts: call.promptParts,
-            failureDomain,
-            results: inputs.map(router.getFailureDomain),
-            resultBytes,
-          })
-        : chooseEndpoint(candidates, failureDomain);
-      return selected?.endpoint;
+    select: (inputs) => choose(listUsable(), inputs),
+    selectOther(silentId, inputs) {
+      const others = listUsable().filter(
+        (endpoint) =>
+          endpoint.id !== silentId &&
+          !health.isSilent(endpoint.id) &&
+          limiter.getWait(endpoint) === 0,
+      );
+      return choose(others, inputs);
     },
-    getResponseTimeout({id}, runs) {
-      if (!context.isRetryable || runs + 1 >= route.maximumEndpoints) {
-        return null;
-      }
-      if (listUsable().length < 2) return null;
+    getResponseTimeout({id}) {
       if (!route.isSticky) {
         const usual = health.getResponseTime(id);
         return usual * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MILLISECONDS;
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -14,6 +14,10 @@
     label: 'cause',
     meaning: 'calls that could not go on at an endpoint by what was missing',
   },
+  silences: {
+    label: 'event',
+    meaning: 'silent endpoints by what became of the calls there',
+  },
   pieces: {
     label: 'outcome',
     meaning: 'pieces of stages by what became of them',
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -14,10 +14,12 @@
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
 import type {CallFailure} from './callFailure.ts';
+import {createCallInputs} from './createCallInputs.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
+import {createFailover} from './createFailover.ts';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {createQuarantineSync} from './createQuarantineSync.ts';
 import type {createResponseMemory} from './createResponseMemory.ts';
@@ -31,7 +33,6 @@
 import type {GatewayState} from './gatewayState.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
 import type {Refusal} from './refusal.ts';
-import {runStages} from './runStages.ts';
 import type {StageRouter} from './stageRouter.ts';
 
 interface ServeOptions {
@@ -59,15 +60,10 @@
   readonly relay: ReturnType<typeof createResponseWriter>;
 }
 
-/**
- * The most times that a call runs its stages. The stages are run again for a
- * further attempt if an endpoint dropped their results, or they were freed.
- */
-const MAXIMUM_STAGE_RUNS = 2;
 /**
  * The most sends of one call, including those that provably did not run it.
  * Each after the first takes a retry from the budget. Sends that found a stage
- * result dropped may exceed it; `MAXIMUM_STAGE_RUNS` limits these.
+ * result dropped may exceed it; the runs of the stages limit these.
  */
 const MAXIMUM_SENDS = 5;
 /**
@@ -115,12 +111,33 @@
   let sends = 0;
   /** Number of attempts after which the call may have run. */
   let runs = 0;
-  let stageRuns = 0;
-  let inputs: readonly string[] = [];
-  let handles: readonly string[] = [];
-  let hasInputs = false;
+  const inputs = createCallInputs({
+    context,
+    router: options.router,
+    metrics,
+    getNow: () => getInstant().monotonic,
+  });
+  const failover = createFailover({
+    inputs,
+    requestId: call.id,
+    log,
+    metrics,
+    getFacts: getFailoverFacts,
+    findEndpoint: ({id}, handles) => selector.selectOther(id, handles),
+    runStages,
+    reserve(endpoint) {
+      limiter.reserve(endpoint);
+      budget.tryRetry(
+        service.name,
+        getInstant().monotonic,
+        state.instances.length,
+      );
+    },
+  });
   /** The endpoint whose rate limit or pause the call waited for. */
   let reserved: GatewayEndpoint | null = null;
+  /** Whether the budget of retries has been asked for the next send. */
+  let hasRetry = false;
 
   function recordOutcome(
     outcome: string,
@@ -141,12 +158,6 @@
     });
   }
 
-  function freeInputs(): void {
-    if (handles.length > 0) options.router.free(handles);
-    handles = [];
-    hasInputs = false;
-  }
-
   function refuse(refusal: Refusal): void {
     metrics.count('refusals', refusal.tag);
     recordOutcome('refused', {
@@ -278,7 +289,7 @@
   }
 
   function recordFirstEvent({version}: GatewayEndpoint): void {
-    freeInputs();
+    inputs.free();
     if (route.kind !== 'stream') return;
     selector.setStreamVersion(version);
     if (!route.canResume || version === '') return;
@@ -286,18 +297,35 @@
     options.streams.recordBegin({streamId, service: service.name, version});
   }
 
+  /** Runs the stages while the endpoints of the call's version last. */
+  async function runStages(consumer: GatewayEndpoint, signal?: AbortSignal) {
+    const controller = new AbortController();
+    const stopWatching = selector.watchVersion(() =>
+      controller.abort('no endpoint of the version is left'),
+    );
+    const endPreparation = limiter.startPreparation(service.name);
+    const result = await inputs.run({
+      services: state.configuration!.services,
+      consumerDomain: consumer.failureDomain,
+      signal: AbortSignal.any([controller.signal, ...(signal ? [signal] : [])]),
+    });
+    stopWatching();
+    endPreparation();
+    return result;
+  }
+
   /**
    * Runs the stages if the call needs results that it does not have. False if
    * the call has ended, also by a refusal or failure that this function wrote.
    */
   async function prepareInputs(): Promise<boolean> {
-    const needsStages = call.pieces.some((count) => count > 0);
-    if (!needsStages || route.stages.length === 0 || hasInputs) return true;
-    if (stageRuns >= MAXIMUM_STAGE_RUNS) {
+    if (!inputs.areMissing()) return true;
+    if (!inputs.mayRun()) {
       fail('stages', 'the results of the stages were lost');
       return false;
     }
-    if (selector.select(inputs) === undefined) {
+    const consumer = selector.select(inputs.list());
+    if (consumer === undefined) {
       failWithoutEndpoint();
       return false;
     }
@@ -308,7 +336,7 @@
     }
     const {services} = state.configuration!;
     const now = getInstant().monotonic;
-    if (stageRuns === 0) {
+    if (inputs.countRuns() === 0) {
       const engineMilliseconds = estimateEngineTime(call.promptTokens);
       const stages = forecastCall(
         createStageForecasts(context, services, options.router.getWaitEstimate),
@@ -334,26 +362,8 @@
         return false;
       }
     }
-    stageRuns += 1;
-    const endPreparation = limiter.startPreparation(service.name);
-    const controller = new AbortController();
-    const stopWatching = selector.watchVersion(() =>
-      controller.abort('no endpoint of the version is left'),
-    );
-    const result = await runStages({
-      context,
-      services,
-      router: options.router,
-      consumerDomain: selector.select(inputs)?.failureDomain ?? null,
-      signal: controller.signal,
-      getNow: () => getInstant().monotonic,
-    });
-    stopWatching();
-    endPreparation();
-    if (context.isEnded) {
-      if (result.tag === 'made') options.router.free(result.handles);
-      return false;
-    }
+    const result = await runStages(consumer);
+    if (context.isEnded) return false;
     if (result.tag === 'failed') {
       if (writer.isStarted || runs > 0) {
         fail('stages', `stages: ${result.reason}`);
@@ -366,9 +376,7 @@
       }
       return false;
     }
-    metrics.time('stages', getInstant().monotonic - now);
-    ({inputs, handles} = result);
-    hasInputs = true;
+    inputs.adopt(result);
     return true;
   }
 
@@ -398,6 +406,31 @@
     return null;
   }
 
+  function getFailoverFacts(): ReturnType<
+    Parameters<typeof createFailover>[0]['getFacts']
+  > {
+    const now = getInstant();
+    return {
+      mayRunAgain:
+        sends < MAXIMUM_SENDS &&
+        context.isRetryable &&
+        runs + 1 < route.maximumEndpoints,
+      hasBudget: budget.mayRetry(
+        service.name,
+        now.monotonic,
+        state.instances.length,
+      ),
+      hasFreshKey:
+        context.account === null || isKeySetFresh(state, settings, now),
+      isQuarantined:
+        quarantine.check(quarantinedCall, false) !== null ||
+        quarantine.getLastEndpointWait(quarantinedCall, selector.listUsable()) >
+          0,
+      timeLeftMilliseconds: context.deadlineAt - now.monotonic,
+      neededMilliseconds: estimateEngineTime(call.promptTokens),
+    };
+  }
+
   async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
     sends += 1;
     context.isSent = true;
@@ -405,7 +438,7 @@
     return attemptCall({
       context,
       endpoint,
-      inputs,
+      inputs: inputs.list(),
       body,
       relay: writer,
       splitter,
@@ -416,7 +449,10 @@
       loads,
       responseMemory: options.responseMemory,
       watch: quarantine.watchCall(endpoint, quarantinedCall),
-      responseTimeoutMilliseconds: selector.getResponseTimeout(endpoint, runs),
+      responseTimeoutMilliseconds: context.isRetryable
+        ? selector.getResponseTimeout(endpoint)
+        : null,
+      failover,
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
     });
@@ -424,10 +460,10 @@
 
   if (refuseQuarantined(false)) return;
   budget.recordRequest(service.name, context.arrivedAt);
-  context.cleanups.add(freeInputs);
+  context.cleanups.add(inputs.free);
   const isResumed = call.resumedRequestId !== null || call.lastEventId !== null;
   if (route.kind === 'stream' && isResumed && !(await findStreamVersion())) {
-    context.cleanups.delete(freeInputs);
+    context.cleanups.delete(inputs.free);
     return;
   }
   while (!context.isEnded) {
@@ -449,7 +485,7 @@
     }
     if (reserved !== null && !selector.isUsable(reserved)) reserved = null;
     const endpoint: GatewayEndpoint | undefined =
-      reserved ?? selector.select(inputs);
+      reserved ?? selector.select(inputs.list());
     if (endpoint === undefined) {
       failWithoutEndpoint();
       break;
@@ -464,9 +500,10 @@
       }
     }
     reserved = null;
-    const isRetry = sends > 0;
+    const needsRetry = sends > 0 && !hasRetry;
+    hasRetry = false;
     if (
-      isRetry &&
+      needsRetry &&
       !budget.tryRetry(
         service.name,
         getInstant().monotonic,
@@ -508,12 +545,17 @@
       reason: 'reason' in result ? result.reason : null,
     });
     if (result.tag === 'inputGone') {
-      freeInputs();
+      inputs.free();
       continue;
     }
     selector.exclude(endpoint.id);
     if (result.tag !== 'notRun') runs += 1;
-    if (result.tag === 'broken') freeInputs();
+    reserved = failover.take();
+    if (reserved !== null) {
+      hasRetry = true;
+      continue;
+    }
+    if (result.tag === 'broken') inputs.free();
     const mayRetry =
       sends < MAXIMUM_SENDS &&
       (result.tag === 'notRun' ||
@@ -531,6 +573,6 @@
     }
     break;
   }
-  freeInputs();
-  context.cleanups.delete(freeInputs);
+  inputs.free();
+  context.cleanups.delete(inputs.free);
 }
