Bound the stages that run again while an endpoint is silent

A call takes its retry from the budget before its stages run, and gives it back if its endpoint goes on. Silence is a failure for the choice of endpoints as it was before, and is not forgiven because another call there goes on: that says nothing of new calls. createFailover.test.ts failed before (the retry was taken after the stages).

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointHealth.test.ts
@@ -30,15 +30,14 @@
   t.true(health.getPenalty('slow', 0) > 4 * health.getPenalty('failing', 0));
 });
 
-test('silence costs as much as a failure until the endpoint goes on', (t) => {
+test('an endpoint is silent until it goes on, and costs as one that failed', (t) => {
   const health = createEndpointHealth();
-  health.recordSilence('silent', 0);
   health.recordFailure('failing', 0);
-  t.is(health.getPenalty('silent', 0), health.getPenalty('failing', 0));
+  t.false(health.isSilent('failing'));
+  health.recordSilence('silent', 0);
   t.true(health.isSilent('silent'));
   health.recordProgress('silent');
-  health.recordProgress('failing');
   t.false(health.isSilent('silent'));
-  t.is(health.getPenalty('silent', 0), 0);
-  t.not(health.getPenalty('failing', 0), 0, 'progress is no valid response');
+  // Another call that goes on proves nothing for new ones.
+  t.is(health.getPenalty('silent', 0), health.getPenalty('failing', 0));
 });
--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createRetryBudget.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createRetryBudget.test.ts
@@ -84,3 +84,15 @@
   t.true(retries > 0);
   t.false(budget.tryRetry('desk', 0, 3));
 });
+
+test('a retry that was not sent is given back, and not after its window', (t) => {
+  const budget = createRetryBudget(OPTIONS);
+  while (budget.tryRetry('desk', 0, 3));
+  budget.returnRetry('desk', 0, 1);
+  t.true(budget.tryRetry('desk', 1, 3));
+  t.false(budget.tryRetry('desk', 1, 3));
+  const later = OPTIONS.windowMilliseconds + 2;
+  while (budget.tryRetry('desk', later, 3));
+  budget.returnRetry('desk', 1, later);
+  t.false(budget.tryRetry('desk', later, 3));
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
@@ -7,17 +7,17 @@
   recordResponse(id: string, milliseconds: number): void;
   /** Records a failure of the endpoint: no response, or an invalid one. */
   recordFailure(id: string, now: number): void;
-  /** Records that nothing arrives of a response that has been expected. */
+  /** Records a failure of the endpoint: it is silent, and may go on. */
   recordSilence(id: string, now: number): void;
   /** Records that the endpoint goes on with a response, which ends silence. */
   recordProgress(id: string): void;
-  /** Whether nothing has arrived since silence was recorded. */
+  /** Whether no response has gone on since silence was recorded. */
   isSilent(id: string): boolean;
   /** Records that work at the endpoint took far longer than expected. */
   recordTimeout(id: string, now: number): void;
   /**
-   * Milliseconds that failures, silence and timeouts add to the cost of choosing
-   * the endpoint.
+   * Milliseconds that failures and timeouts add to the cost of choosing the
+   * endpoint.
    */
   getPenalty(id: string, now: number): number;
   /** Moving average of the response time, in milliseconds. */
@@ -30,11 +30,10 @@
   responseMilliseconds: number;
   /** Failures since the last valid response. */
   failures: number;
-  /** Silent responses since the endpoint last went on with one. */
-  silences: number;
+  isSilent: boolean;
   /** Timeouts since the last valid response. */
   timeouts: number;
-  /** Time of the last failure, silence or timeout; -Infinity before them. */
+  /** Time of the last failure or timeout; -Infinity before the first. */
   failedAt: number;
 }
 
@@ -42,10 +41,7 @@
 const INITIAL_RESPONSE_MILLISECONDS = 80;
 /** Weight of a new response time in the moving average. */
 const SMOOTHING_FACTOR = 0.2;
-/**
- * Penalty of one failure or silent response; doubles with each further one in a
- * row.
- */
+/** Penalty of one failure; doubles with each further failure in a row. */
 const FIRST_PENALTY_MILLISECONDS = 200;
 /**
  * Penalty of one timeout; doubles with each further timeout in a row. It is
@@ -53,8 +49,8 @@
  */
 const TIMEOUT_PENALTY_MILLISECONDS = 1600;
 /**
- * Also the longest time from the last failure, silence or timeout until the
- * penalty is 0, as it falls by one millisecond each millisecond.
+ * Also the longest time from the last failure or timeout until the penalty is
+ * 0, as it falls by one millisecond each millisecond.
  */
 const MAXIMUM_PENALTY_MILLISECONDS = 6400;
 
@@ -63,8 +59,7 @@
  * further failure in a row doubles the endpoint's penalty, and so does each
  * further timeout; the larger of the two penalties counts, up to a maximum. It
  * falls by one millisecond each millisecond, so that the endpoint gets a call
- * again, which shows whether it still fails. Silence counts as failure until the
- * endpoint goes on: a sound one may be silent for a second.
+ * again, which shows whether it still fails.
  *
  * @example
  *     const health = createEndpointHealth();
@@ -80,7 +75,7 @@
       row = {
         responseMilliseconds: INITIAL_RESPONSE_MILLISECONDS,
         failures: 0,
-        silences: 0,
+        isSilent: false,
         timeouts: 0,
         failedAt: -Infinity,
       };
@@ -95,7 +90,7 @@
       row.responseMilliseconds +=
         SMOOTHING_FACTOR * (milliseconds - row.responseMilliseconds);
       row.failures = 0;
-      row.silences = 0;
+      row.isSilent = false;
       row.timeouts = 0;
     },
     recordFailure(id, now) {
@@ -105,14 +100,15 @@
     },
     recordSilence(id, now) {
       const row = getOrCreateRow(id);
-      row.silences += 1;
+      row.isSilent = true;
+      row.failures += 1;
       row.failedAt = now;
     },
     recordProgress(id) {
       const row = rows.get(id);
-      if (row !== undefined) row.silences = 0;
+      if (row !== undefined) row.isSilent = false;
     },
-    isSilent: (id) => (rows.get(id)?.silences ?? 0) > 0,
+    isSilent: (id) => rows.get(id)?.isSilent ?? false,
     recordTimeout(id, now) {
       const row = getOrCreateRow(id);
       row.timeouts += 1;
@@ -121,10 +117,9 @@
     getPenalty(id, now) {
       const row = rows.get(id);
       if (row === undefined) return 0;
-      const {failures, silences, timeouts} = row;
-      const inARow = failures + silences;
+      const {failures, timeouts} = row;
       const forFailures =
-        inARow === 0 ? 0 : FIRST_PENALTY_MILLISECONDS * 2 ** (inARow - 1);
+        failures === 0 ? 0 : FIRST_PENALTY_MILLISECONDS * 2 ** (failures - 1);
       const forTimeouts =
         timeouts === 0 ? 0 : TIMEOUT_PENALTY_MILLISECONDS * 2 ** (timeouts - 1);
       const full = Math.min(
--- a/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
@@ -21,6 +21,8 @@
    * @param instances number of instances that share the allowance
    */
   tryRetry(service: string, now: number, instances: number): boolean;
+  /** Gives back a retry that was counted at a time, and not sent since. */
+  returnRetry(service: string, countedAt: number, now: number): void;
 }
 
 /** Times of the requests and retries within the sliding window. */
@@ -87,5 +89,10 @@
       getOrCreateWindow(service, now).retries.push(now);
       return true;
     },
+    returnRetry(service, countedAt, now) {
+      if (countedAt < now - options.windowMilliseconds) return;
+      // Without the oldest, no window counts fewer retries than were sent in it.
+      getOrCreateWindow(service, now).retries.shift();
+    },
   };
 }
--- a/packages/hickorywharf-gateway/src/__tests__/createFailover.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createFailover.test.ts
@@ -41,6 +41,8 @@
       signal.addEventListener('abort', () => events.push('stages aborted'));
       return stages.promise as unknown as ReturnType<Options['runStages']>;
     },
+    takeRetry: () => void events.push('retry taken'),
+    returnRetry: () => void events.push('retry returned'),
     reserve: () => void events.push('reserved'),
   });
   failover.prepare(SILENT, () => events.push('left'));
@@ -50,34 +52,42 @@
 test('a call leaves a silent endpoint only once its stages have run again', async (t) => {
   const {events, stages, failover} = prepare();
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events, ['stages run']);
+  t.deepEqual(events, ['retry taken', 'stages run']);
   t.is(failover.take(), null);
   stages.resolve(RESULTS);
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events, ['stages run', 'reserved', 'adopted', 'left']);
+  t.deepEqual(events.slice(2), ['reserved', 'adopted', 'left']);
   t.is(failover.take(), OTHER);
   t.is(failover.take(), null);
 });
 
-test('a call whose endpoint goes on keeps no results and takes no retry', async (t) => {
+test('a call whose endpoint goes on keeps neither results nor its retry', async (t) => {
   const {facts, events, stages, failover} = prepare();
-  facts.hasBudget = false;
+  facts.hasFreshKey = false;
   stages.resolve(RESULTS);
   await sleep(CHECK_MILLISECONDS);
   failover.cancel();
-  facts.hasBudget = true;
+  facts.hasFreshKey = true;
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events, ['stages run', 'stages aborted', 'discarded']);
+  t.deepEqual(events, [
+    'retry taken',
+    'stages run',
+    'stages aborted',
+    'discarded',
+    'retry returned',
+  ]);
   t.is(failover.take(), null);
 });
 
 test('a call leaves a silent endpoint once what it lacked is there', async (t) => {
   const {facts, events, stages} = prepare();
-  facts.hasBudget = false;
+  facts.hasFreshKey = false;
   stages.resolve(RESULTS);
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events, ['stages run']);
-  facts.hasBudget = true;
+  t.deepEqual(events, ['retry taken', 'stages run']);
+  facts.hasFreshKey = true;
+  // The retry that the call holds is in the budget already.
+  facts.hasBudget = false;
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events.slice(1), ['reserved', 'adopted', 'left']);
+  t.deepEqual(events.slice(2), ['reserved', 'adopted', 'left']);
 });
--- a/packages/hickorywharf-gateway/src/createFailover.ts
+++ b/packages/hickorywharf-gateway/src/createFailover.ts
@@ -27,7 +27,11 @@
     endpoint: GatewayEndpoint,
     signal: AbortSignal,
   ): ReturnType<CallInputs['run']>;
-  /** Takes the room of one retry at an endpoint. */
+  /** Takes room for a retry in the budget. */
+  takeRetry(): void;
+  /** Gives that room back. */
+  returnRetry(): void;
+  /** Takes room for a call at an endpoint. */
   reserve(endpoint: GatewayEndpoint): void;
 }
 
@@ -67,6 +71,7 @@
     missing: string | null;
   } | null = null;
   let timer: NodeJS.Timeout | undefined;
+  let holdsRetry = false;
   let prepared: Parameters<CallInputs['adopt']>[0] | null = null;
   let reserved: GatewayEndpoint | null = null;
 
@@ -76,8 +81,15 @@
     search = null;
   }
 
+  function takeRetry(): void {
+    if (!holdsRetry) options.takeRetry();
+    holdsRetry = true;
+  }
+
   async function prepareStages(endpoint: GatewayEndpoint): Promise<void> {
     const started = search!;
+    // Bounds the stages that are run again, which are in vain if it goes on.
+    takeRetry();
     started.isRunningStages = true;
     const result = await options.runStages(endpoint, started.stages.signal);
     started.isRunningStages = false;
@@ -108,8 +120,10 @@
       silent,
       prepared?.inputs ?? inputs.list(),
     );
+    const facts = options.getFacts();
     const decision = decideFailover({
-      ...options.getFacts(),
+      ...facts,
+      hasBudget: holdsRetry || facts.hasBudget,
       hasEndpoint: endpoint !== undefined,
       needsStages: inputs.areMissing() && prepared === null,
       mayRunStages: inputs.mayRun(),
@@ -117,6 +131,8 @@
     if (decision.tag === 'wait') return recordMissing(silent, decision.missing);
     if (endpoint === undefined) return;
     if (decision.tag === 'runStages') return void prepareStages(endpoint);
+    takeRetry();
+    holdsRetry = false;
     options.reserve(endpoint);
     if (prepared !== null) inputs.adopt(prepared);
     prepared = null;
@@ -142,6 +158,8 @@
       search.stages.abort('the endpoint has gone on');
       if (prepared !== null) inputs.discard(prepared);
       prepared = null;
+      if (holdsRetry) options.returnRetry();
+      holdsRetry = false;
       end('ended');
     },
     take() {
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -117,6 +117,8 @@
     metrics,
     getNow: () => getInstant().monotonic,
   });
+  /** Monotonic milliseconds. */
+  let retryTakenAt = -Infinity;
   const failover = createFailover({
     inputs,
     requestId: call.id,
@@ -125,18 +127,19 @@
     getFacts: getFailoverFacts,
     findEndpoint: ({id}, handles) => selector.selectOther(id, handles),
     runStages,
-    reserve(endpoint) {
-      limiter.reserve(endpoint);
-      budget.tryRetry(
-        service.name,
-        getInstant().monotonic,
-        state.instances.length,
-      );
+    takeRetry() {
+      retryTakenAt = getInstant().monotonic;
+      budget.tryRetry(service.name, retryTakenAt, state.instances.length);
+    },
+    returnRetry() {
+      const now = getInstant().monotonic;
+      budget.returnRetry(service.name, retryTakenAt, now);
     },
+    reserve: (endpoint) => void limiter.reserve(endpoint),
   });
   /** The endpoint whose rate limit or pause the call waited for. */
   let reserved: GatewayEndpoint | null = null;
-  /** Whether the budget of retries has been asked for the next send. */
+  /** Whether the next send has its room in the budget of retries. */
   let hasRetry = false;
 
   function recordOutcome(
