Keep stage calls open while their endpoint is silent

Callers with seconds left got 503, "stages: failed", because sound endpoints of a stage were silent for a second.

Cause: a stage call was aborted after twice its expected time and 150 ms. Only then the budget of retries and the number of sends were asked, and what they refused failed the piece, and with it the request. Results that the endpoint made nevertheless were lost to the account of its memory.

Silence now gives nothing up. Room in the budget is taken when such a piece is sent. The first result of a piece is used, a later one is freed. A piece fails only with its last call, and expires at its own deadline. An overdue call ends when the deadlines of all its pieces have passed, or a successor of its process is listed: until then the endpoint works on it anyway, and its results can be freed. Its time is not taken for the speed of the endpoint. Estimates for callers count the silence; no queued piece is dropped for it. The calls in progress leave createStageDispatcher.ts for createStageCalls.ts, the queues for createStageQueues.ts.

Held before: a piece fails with its last call, a piece without room in the budget holds up no other, a result that is used is not freed, refusals for lack of memory make no call overdue.

Two tests changed. "a call that times out is retried elsewhere" waited for the abort of the silent call, which is the fault; it waits, within the same bound, for the call elsewhere, and asserts that the silent one is open. The one on refusals for lack of memory asserts besides that no call is overdue, as no abort would show it any more. sendStageCall.test.ts loses an option that is no more.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createStageCallTracker.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createStageCallTracker.test.ts
@@ -54,3 +54,15 @@
   tracker.remove('x');
   t.is(tracker.getSlowness('x'), 1);
 });
+
+test('a call that takes longer than expected is expected to take as long again as it is late', (t) => {
+  const tracker = createStageCallTracker();
+  tracker.startCall('x', 300, 1000);
+  t.is(tracker.estimateWait('x', 1, 1100), 200);
+  t.is(tracker.estimateWait('x', 1, 1300), 0);
+  t.is(tracker.estimateWait('x', 1, 2300), 1000);
+  t.is(tracker.getWait('x', 1, 2300), 0);
+  t.is(tracker.estimateWait('x', 2, 2300), 0, 'a slot is free');
+  tracker.startCall('x', 300, 2200);
+  t.is(tracker.estimateWait('x', 2, 2300), 200, 'the other slot is earlier');
+});
--- a/packages/hickorywharf-decisions/src/gateway/__tests__/estimateWaits.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/estimateWaits.test.ts
@@ -86,3 +86,14 @@
     t.is(decide(refused.retryAfterMilliseconds - 20).tag, 'refused');
   }
 });
+
+test('silent endpoints delay groups that arrive, but make no waiting group infeasible', (t) => {
+  const late = group({targetAt: 0, deadlineAt: 400});
+  const {waits, infeasible} = estimateWaits([late], 0, {
+    ...CAPACITY,
+    overdueMilliseconds: 1000,
+  });
+  t.deepEqual(waits.timelyMilliseconds, [1050, 1050, 1050, 1050]);
+  t.is(waits.totalMilliseconds, 1150);
+  t.deepEqual(infeasible, []);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createStageCallTracker.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createStageCallTracker.ts
@@ -30,6 +30,11 @@
    * marked full or not; 0 also while a call takes longer than expected.
    */
   getWait(id: string, slots: number, now: number): number;
+  /**
+   * As `getWait`, but a call that takes longer than expected is expected to
+   * take as long again as it is late by now.
+   */
+  estimateWait(id: string, slots: number, now: number): number;
   /**
    * Expected milliseconds until the first endpoint of each failure domain other
    * than the given one is free. An endpoint is not free while it is marked
@@ -92,6 +97,14 @@
     return Math.max(0, Math.min(...ends));
   }
 
+  function estimateWait(id: string, slots: number, now: number): number {
+    const {calls} = getOrCreate(id);
+    if (calls.size < slots) return 0;
+    return Math.min(
+      ...[...calls].map(({expectedEndAt}) => Math.abs(expectedEndAt - now)),
+    );
+  }
+
   return {
     startCall(id, milliseconds, now) {
       const {calls} = getOrCreate(id);
@@ -112,6 +125,7 @@
       return calls.size < slots && fullUntil <= now;
     },
     getWait,
+    estimateWait,
     getOtherDomainWaits(endpoints, failureDomain, slots, now) {
       const waits = new Map<string, number>();
       for (const endpoint of endpoints) {
@@ -119,7 +133,7 @@
         if (domain === failureDomain) continue;
         const {fullUntil} = getOrCreate(endpoint.id);
         const wait = Math.max(
-          getWait(endpoint.id, slots, now),
+          estimateWait(endpoint.id, slots, now),
           fullUntil - now,
         );
         waits.set(domain, Math.min(waits.get(domain) ?? Infinity, wait));
--- a/packages/hickorywharf-decisions/src/gateway/estimateWaits.ts
+++ b/packages/hickorywharf-decisions/src/gateway/estimateWaits.ts
@@ -11,6 +11,11 @@
   readonly callMilliseconds: number;
   /** Expected time until the first endpoint is free. */
   readonly untilFreeMilliseconds: number;
+  /**
+   * Time that is added to it as calls take longer than expected; 0 by default.
+   * It delays groups that arrive, but does not make a group infeasible.
+   */
+  readonly overdueMilliseconds?: number;
 }
 
 interface Estimate<Group> {
@@ -49,7 +54,10 @@
   capacity: ServiceCapacity,
 ): Estimate<Group> {
   const {endpoints, batch, callMilliseconds, untilFreeMilliseconds} = capacity;
-  const timely = new Array<number>(PRIORITY_COUNT).fill(untilFreeMilliseconds);
+  const {overdueMilliseconds = 0} = capacity;
+  const timely = new Array<number>(PRIORITY_COUNT).fill(
+    untilFreeMilliseconds + overdueMilliseconds,
+  );
   if (endpoints === 0) {
     return {
       waits: {
@@ -78,7 +86,10 @@
     }
   }
   return {
-    waits: {timelyMilliseconds: timely, totalMilliseconds: total},
+    waits: {
+      timelyMilliseconds: timely,
+      totalMilliseconds: total + overdueMilliseconds,
+    },
     infeasible,
   };
 }
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -47,6 +47,8 @@
   endpoints: number,
   roomBytes = 1000,
   callMilliseconds = CALL_MILLISECONDS,
+  retryAllowance = 50,
+  slots = 1,
 ) {
   const calls: SentCall[] = [];
   const outcomes: PieceOutcome[] = [];
@@ -73,7 +75,7 @@
     );
   listEndpoints(1);
   const stage = {
-    slots: 1,
+    slots,
     waiting: 2,
     batch: 4,
     callMilliseconds,
@@ -119,7 +121,7 @@
     budget: createRetryBudget({
       ratio: 1,
       windowMilliseconds: 10_000,
-      allowance: 50,
+      allowance: retryAllowance,
     }),
     limiter: createEndpointLimiter({
       name: 'x',
@@ -164,10 +166,21 @@
     listEndpoints(2);
     dispatcher.refresh();
   };
+  const removeStage = (): void => {
+    state.configuration = {
+      services: new Map(),
+    } as unknown as GatewayConfiguration;
+    dispatcher.refresh();
+  };
+  const isOverdue = (): boolean => lines.includes('stage call overdue');
+  const listPaths = (): string[] => calls.map(({path}) => path);
   return {
     dispatcher,
     calls,
     lines,
+    removeStage,
+    isOverdue,
+    listPaths,
     respond,
     turnAway,
     made,
@@ -231,9 +244,10 @@
   dispatcher.order(TEST_ORDER, (result) => results.push(result));
   await sleep(5);
   const slow = calls[0]!;
-  const waited = await measureWait(() => slow.isAborted);
+  const waited = await measureWait(() => calls.length > 1);
   t.true(waited <= CALL_MILLISECONDS * 2 + 200);
   t.not(calls[1]!.endpoint, slow.endpoint);
+  t.false(slow.isAborted, 'a silent endpoint may still answer');
   respond(calls[1]!, ...made('a', 'b'));
   t.deepEqual(
     results.map(({tag}) => tag),
@@ -284,7 +298,11 @@
 });
 
 test('rejections for lack of memory, which take no time, do not shorten the timeout of calls', async (t) => {
-  const {dispatcher, calls, respond} = createTestDispatcher(1, 1000, 200);
+  const {dispatcher, calls, respond, lines} = createTestDispatcher(
+    1,
+    1000,
+    200,
+  );
   dispatcher.order(TEST_ORDER, () => undefined);
   for (let rejections = 1; rejections <= 30; rejections += 1) {
     await measureWait(() => calls.length === rejections);
@@ -293,6 +311,7 @@
   await measureWait(() => calls.length > 30);
   await sleep(250);
   t.false(calls.at(-1)!.isAborted, 'a call may take the time of a whole one');
+  t.false(lines.includes('stage call overdue'));
 });
 
 test('results of a cancelled order are freed', async (t) => {
@@ -456,3 +475,279 @@
   respond(calls[2]!);
   t.is(calls[3]?.path, '/run');
 });
+
+test('of two calls for a piece the first result is used and the other one is freed, whichever call it is of', async (t) => {
+  for (const first of [0, 1]) {
+    const system = createTestDispatcher(2);
+    const {dispatcher, calls, respond, made} = system;
+    const results: StageResult[] = [];
+    dispatcher.order(TEST_ORDER, (result) => results.push(result));
+    await measureWait(() => calls.length === 2);
+    respond(calls[first]!, ...made('a', 'b'));
+    respond(calls[1 - first]!, ...made('c', 'd'));
+    t.deepEqual(
+      results.map((result) => result.tag === 'made' && result.handle),
+      ['a', 'b'],
+    );
+    t.deepEqual(
+      calls.map(({isAborted}) => isAborted),
+      [false, false],
+    );
+    await measureWait(() => calls.length === 3);
+    t.deepEqual(system.listPaths(), ['/run', '/run', '/free']);
+    t.is(calls[2]!.endpoint, calls[1 - first]!.endpoint);
+    t.deepEqual(JSON.parse(`${calls[2]!.request.body}`), ['c', 'd']);
+  }
+});
+
+test('a result that an endpoint reports again for a hedged piece is not freed while it is used', async (t) => {
+  const {dispatcher, calls, respond, made, listPaths} = createTestDispatcher(2);
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await measureWait(() => calls.length === 2);
+  respond(calls[0]!, ...made('a', 'b'));
+  respond(calls[1]!, ...made('a', 'b'));
+  await sleep(30);
+  t.deepEqual(listPaths(), ['/run', '/run']);
+});
+
+test('pieces wait for a silent endpoint if no other one is free and no retry is left', async (t) => {
+  const {dispatcher, calls, respond, made, isOverdue} = createTestDispatcher(
+    1,
+    1000,
+    CALL_MILLISECONDS,
+    0,
+  );
+  const results: StageResult[] = [];
+  dispatcher.order(TEST_ORDER, (result) => results.push(result));
+  await measureWait(isOverdue);
+  await sleep(300);
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  await sleep(30);
+  t.is(calls.length, 1, 'a silent endpoint gets no further call');
+  const waits = dispatcher.getWaitEstimate('scan')!;
+  t.true(waits.totalMilliseconds > 300, 'the estimate counts the silence');
+  t.is(results.length, 0);
+  respond(calls[0]!, ...made('a', 'b'));
+  t.deepEqual(
+    results.map(({tag}) => tag),
+    ['made', 'made'],
+  );
+  t.is(calls.length, 2);
+});
+
+test('the retry budget bounds the pieces that are sent to a second endpoint', async (t) => {
+  // Room for 0.7 x 4 retries.
+  const {dispatcher, calls, respond, made} = createTestDispatcher(
+    2,
+    1000,
+    CALL_MILLISECONDS,
+    0,
+  );
+  const results: StageResult[] = [];
+  dispatcher.order({...TEST_ORDER, pieces: [0, 1, 2, 3]}, (result) =>
+    results.push(result),
+  );
+  await measureWait(() => calls.length === 2);
+  t.is(JSON.parse(`${calls[1]!.request.body}`).length, 2);
+  respond(calls[1]!, ...made('a', 'b'));
+  await sleep(100);
+  t.is(calls.length, 2);
+  respond(calls[0]!, ...made('c', 'd', 'e', 'f'));
+  t.deepEqual(
+    results.map((result) => result.tag === 'made' && result.handle),
+    ['a', 'b', 'e', 'f'],
+  );
+});
+
+test('pieces for which the retry budget has no room hold no others up', async (t) => {
+  const {dispatcher, calls, isOverdue} = createTestDispatcher(
+    2,
+    1000,
+    CALL_MILLISECONDS,
+    -100,
+  );
+  dispatcher.order({...TEST_ORDER, pieces: [0, 1, 2, 3]}, () => undefined);
+  await measureWait(isOverdue);
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  await sleep(5);
+  const pieces = JSON.parse(`${calls[1]?.request.body}`);
+  t.deepEqual(
+    pieces.map(({requestId}: {requestId: string}) => requestId),
+    ['s', 's'],
+  );
+});
+
+test('a piece that waits for a second endpoint leaves the queue, and takes no retry, when the first one answers', async (t) => {
+  // Room for 0.7 x 4 retries.
+  const system = createTestDispatcher(2, 1000, CALL_MILLISECONDS, 0);
+  const {dispatcher, calls, respond, made, isOverdue} = system;
+  const results: StageResult[] = [];
+  dispatcher.order(TEST_ORDER, (result) => results.push(result));
+  await sleep(120);
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  await measureWait(isOverdue);
+  t.is(calls.length, 2, 'the other endpoint is busy');
+  respond(calls[0]!, ...made('a', 'b'));
+  t.is(results.length, 2);
+  await measureWait(() => calls.length === 3);
+  t.deepEqual(
+    JSON.parse(`${calls[2]?.request.body}`).map(
+      ({requestId}: {requestId: string}) => requestId,
+    ),
+    ['s', 's'],
+  );
+});
+
+test('a call that fails does not fail the pieces that another call may make', async (t) => {
+  for (const failing of [0, 1]) {
+    // Room for 0.7 x 3 retries, which the second call uses up.
+    const {dispatcher, calls, respond, made} = createTestDispatcher(
+      2,
+      1000,
+      CALL_MILLISECONDS,
+      1,
+    );
+    const results: StageResult[] = [];
+    dispatcher.order(TEST_ORDER, (result) => results.push(result));
+    await measureWait(() => calls.length === 2);
+    const failure = {tag: 'unknown', message: 'reset'} as const;
+    calls[failing]!.request.onFailure(failure);
+    t.deepEqual(results, []);
+    respond(calls[1 - failing]!, ...made('a', 'b'));
+    t.deepEqual(
+      results.map(({tag}) => tag),
+      ['made', 'made'],
+    );
+  }
+});
+
+test('pieces fail when the last of their calls fails and no retry is left', async (t) => {
+  const {dispatcher, calls} = createTestDispatcher(
+    2,
+    1000,
+    CALL_MILLISECONDS,
+    1,
+  );
+  const results: StageResult[] = [];
+  dispatcher.order(TEST_ORDER, (result) => results.push(result));
+  await measureWait(() => calls.length === 2);
+  for (const {request} of calls.slice(0, 2)) {
+    request.onFailure({tag: 'unknown', message: 'reset'});
+  }
+  t.deepEqual(
+    results.map(({tag}) => tag),
+    ['failed', 'failed'],
+  );
+});
+
+test('a cancelled order changes nothing for the other orders of an overdue call', async (t) => {
+  const {dispatcher, calls, respond, made, isOverdue, listPaths} =
+    createTestDispatcher(1);
+  const results: StageResult[] = [];
+  const cancel = dispatcher.order(TEST_ORDER, () => t.fail());
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, (result) =>
+    results.push(result),
+  );
+  await measureWait(isOverdue);
+  cancel();
+  t.false(calls[0]!.isAborted);
+  respond(calls[0]!, ...made('a', 'b', 'c', 'd'));
+  t.deepEqual(
+    results.map((result) => result.tag === 'made' && result.handle),
+    ['c', 'd'],
+  );
+  await measureWait(() => calls.length === 2);
+  t.deepEqual(listPaths(), ['/run', '/free']);
+  t.deepEqual(JSON.parse(`${calls[1]!.request.body}`), ['a', 'b']);
+});
+
+test('an overdue call ends when the deadlines of all its pieces have passed', async (t) => {
+  const {dispatcher, calls} = createTestDispatcher(1);
+  const results: string[] = [];
+  for (const [requestId, deadlineMilliseconds] of [
+    ['r', 400],
+    ['s', 700],
+  ] as const) {
+    dispatcher.order(
+      {...TEST_ORDER, requestId, deadlineMilliseconds},
+      ({tag, piece}) => results.push(`${requestId} ${piece} ${tag}`),
+    );
+  }
+  const startedAt = performance.now();
+  await measureWait(() => results.length === 2);
+  t.true(performance.now() - startedAt >= 390);
+  t.deepEqual(results, ['r 0 expired', 'r 1 expired']);
+  t.false(calls[0]!.isAborted);
+  await measureWait(() => results.length === 4);
+  t.true(performance.now() - startedAt >= 690);
+  t.deepEqual(results.slice(2), ['s 0 expired', 's 1 expired']);
+  t.true(calls[0]!.isAborted);
+  dispatcher.order({...TEST_ORDER, requestId: 'u'}, () => undefined);
+  await sleep(5);
+  t.is(calls.length, 2, 'the endpoint is free again');
+});
+
+test('an overdue call to a process that has a successor ends, and its pieces go there', async (t) => {
+  const {dispatcher, calls, respond, made, isOverdue, restartAll} =
+    createTestDispatcher(1);
+  const results: StageResult[] = [];
+  dispatcher.order(TEST_ORDER, (result) => results.push(result));
+  await measureWait(isOverdue);
+  restartAll();
+  t.true(calls[0]!.isAborted);
+  t.is(calls.length, 2);
+  respond(calls[1]!, ...made('a', 'b'));
+  t.is(results.length, 2);
+});
+
+test('a stage that leaves the configuration fails no piece that an overdue call may make', async (t) => {
+  const {dispatcher, calls, respond, made, isOverdue, removeStage} =
+    createTestDispatcher(1);
+  const results: string[] = [];
+  for (const requestId of ['r', 's', 'u']) {
+    dispatcher.order({...TEST_ORDER, requestId}, ({tag, piece}) =>
+      results.push(`${requestId} ${piece} ${tag}`),
+    );
+  }
+  await measureWait(isOverdue);
+  removeStage();
+  t.deepEqual(results, ['u 0 failed', 'u 1 failed']);
+  respond(calls[0]!, ...made('a', 'b', 'c', 'd'));
+  t.deepEqual(results.slice(2), [
+    'r 0 made',
+    'r 1 made',
+    's 0 made',
+    's 1 made',
+  ]);
+});
+
+test('a silence is not taken for the speed of an endpoint', async (t) => {
+  const callMilliseconds = 200;
+  const {dispatcher, calls, respond, made, isOverdue} = createTestDispatcher(
+    1,
+    1000,
+    callMilliseconds,
+  );
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await measureWait(isOverdue);
+  respond(calls[0]!, ...made('a', 'b'));
+  dispatcher.order({...TEST_ORDER, requestId: 's'}, () => undefined);
+  await measureWait(() => calls.length === 2);
+  const {totalMilliseconds} = dispatcher.getWaitEstimate('scan')!;
+  const work = 2;
+  t.true(totalMilliseconds <= callMilliseconds + work, `${totalMilliseconds}`);
+});
+
+test('the pieces of an overdue call go to no other slot of its endpoint', async (t) => {
+  const {dispatcher, calls, isOverdue} = createTestDispatcher(
+    1,
+    1000,
+    CALL_MILLISECONDS,
+    50,
+    2,
+  );
+  dispatcher.order(TEST_ORDER, () => undefined);
+  await measureWait(isOverdue);
+  await sleep(100);
+  t.is(calls.length, 1);
+});
--- a/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
@@ -46,7 +46,6 @@
         key: 'k',
         inputs: null,
       }),
-      timeoutMilliseconds: 2000,
       mayStillSend: () => true,
       onHead: () => undefined,
       onOutcomes: (outcomes) =>
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -1,24 +1,22 @@
-import {createPieceTimeEstimator} from 'hickorywharf-decisions/gateway/createPieceTimeEstimator';
 import {createStageCallTracker} from 'hickorywharf-decisions/gateway/createStageCallTracker';
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRetryBudget} from 'hickorywharf-decisions/gateway/createRetryBudget';
-import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
 import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
 import {planBatch} from 'hickorywharf-decisions/gateway/planBatch';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
-import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
 import type {StageCapacity} from 'hickorywharf-types/gateway/stageCapacity';
-import type {StageOrder} from 'hickorywharf-types/gateway/stageOrder';
-import type {StageResult} from 'hickorywharf-types/gateway/stageResult';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createResultTracker} from './createResultTracker.ts';
+import {createStageCalls} from './createStageCalls.ts';
+import {createStageQueues} from './createStageQueues.ts';
 import {createStageStatistics} from './createStageStatistics.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
-import {sendStageCall} from './sendStageCall.ts';
+import type {OrderedPiece} from './orderedPiece.ts';
+import type {QueuedGroup} from './queuedGroup.ts';
 import type {StageDispatcher} from './stageDispatcher.ts';
 
 interface DispatcherOptions {
@@ -34,40 +32,18 @@
   now(): number;
 }
 
-/** An order some of whose pieces are queued, in flight or finished. */
-interface QueuedGroup extends PieceGroup {
-  readonly order: StageOrder;
-  /** Positions of the queued pieces. */
-  readonly waiting: number[];
-  isStarted: boolean;
-  isCancelled: boolean;
-  onResult(result: StageResult): void;
+/** An endpoint that is free for a call. */
+interface BatchTarget {
+  readonly capacity: StageCapacity;
+  readonly endpoint: GatewayEndpoint;
+  /** The endpoints that the call may be sent to, this one included. */
+  readonly endpoints: readonly GatewayEndpoint[];
+  /** Whether the call may have pieces of overdue calls. */
+  readonly mayHedge: boolean;
 }
 
-/** A piece of a batch that was sent to an endpoint. */
-interface SentPiece {
-  readonly group: QueuedGroup;
-  readonly piece: number;
-}
-
-/**
- * A call times out after its expected duration times the factor plus the
- * margin. Its pieces are retried, and its endpoint gets a health penalty.
- */
-const TIMEOUT_FACTOR = 2;
-const TIMEOUT_MARGIN_MILLISECONDS = 150;
-/**
- * A piece whose call fails is not retried after this many sends. Rejections for
- * lack of memory count as sends, but the piece is always queued again.
- */
-const MAXIMUM_SENDS = 4;
 /** Interval at which queues are cleared of expired pieces and dispatched. */
 const EXPIRY_CHECK_MILLISECONDS = 25;
-/**
- * How long an endpoint that rejected a whole batch for lack of memory gets no
- * call, unless one of its results is freed earlier.
- */
-const FULL_BACKOFF_MILLISECONDS = 80;
 /** Share of an endpoint's memory to fill, as result sizes are estimates. */
 const MEMORY_SHARE = 0.98;
 /**
@@ -91,11 +67,8 @@
 ): StageDispatcher {
   const {state, wire, endpointClient, health, limiter, budget} = options;
   const {log, metrics, now} = options;
-  const queues = new Map<string, Set<QueuedGroup>>();
-  /** Number of sends of each piece, by its group and position. */
-  const sends = new WeakMap<QueuedGroup, Map<number, number>>();
+  const queues = createStageQueues();
   const callTracker = createStageCallTracker();
-  const pieceTimes = createPieceTimeEstimator();
   const statistics = createStageStatistics(now);
   const results = createResultTracker({
     wire,
@@ -110,6 +83,16 @@
       dispatch(service);
     },
   });
+  const calls = createStageCalls({
+    ...options,
+    callTracker,
+    queues,
+    results,
+    statistics,
+    getCapacity,
+    onQueued: startExpiryTimer,
+    onProgress: dispatch,
+  });
   let expiryTimer: NodeJS.Timeout | null = null;
 
   function logStatistics(service: string, counters: object): void {
@@ -118,39 +101,20 @@
       step: 'stage',
       service,
       ...counters,
-      waiting: countWaiting(service),
+      waiting: queues.countWaiting(service),
       endpoints: endpoints.length,
       held: endpoints.map(({id}) => results.getAllocatedBytes(id)),
     });
   }
 
-  /** Created on first use. */
-  function getQueue(service: string): Set<QueuedGroup> {
-    let queue = queues.get(service);
-    if (queue === undefined) queues.set(service, (queue = new Set()));
-    return queue;
-  }
-
-  function countWaiting(service: string): number {
-    let count = 0;
-    for (const group of getQueue(service)) count += group.count;
-    return count;
-  }
-
   /** Undefined if the active configuration has no such stage. */
   function getCapacity(service: string): StageCapacity | undefined {
     return state.configuration?.services.get(service)?.stage ?? undefined;
   }
 
-  function getPieceTime({service, kind}: StageOrder): number {
-    // 0 if the stage is not configured: its pieces fail when it is dispatched.
-    const configured = getCapacity(service)?.pieceMilliseconds ?? 0;
-    return pieceTimes.get(kind, configured);
-  }
-
   /**
    * The usable endpoints without a pause and, of these, without a health
-   * penalty. An attribute that all have excludes none.
+   * penalty and an overdue call. An attribute that all have excludes none.
    */
   function getEndpoints(service: string): readonly GatewayEndpoint[] {
     const usable = state.directory.getUsable(service);
@@ -158,7 +122,9 @@
     const candidates = open.length > 0 ? open : usable;
     const time = now();
     const healthy = candidates.filter(
-      ({id}) => health.getPenalty(id, time) === 0,
+      (endpoint) =>
+        health.getPenalty(endpoint.id, time) === 0 &&
+        !calls.isOverdue(endpoint),
     );
     return healthy.length > 0 ? healthy : candidates;
   }
@@ -170,13 +136,11 @@
   function dropExpired(): void {
     const time = now();
     results.dropExpired();
-    for (const queue of queues.values()) {
-      for (const group of queue) {
+    for (const service of queues.listServices()) {
+      for (const group of queues.get(service)) {
         if (time + group.workMilliseconds < group.deadlineAt) continue;
         dropQueued(group, 'expired');
       }
-    }
-    for (const service of queues.keys()) {
       const estimate = getEstimate(service);
       for (const group of estimate?.infeasible ?? []) {
         dropQueued(group, 'expired');
@@ -190,12 +154,16 @@
     if (capacity === undefined) return null;
     const time = now();
     const endpoints = getEndpoints(service);
-    const waits = endpoints.map((endpoint) =>
-      Math.max(
-        callTracker.getWait(endpoint.id, capacity.slots, time),
-        limiter.getWait(endpoint),
-      ),
-    );
+    const getFirstWait = (getWait: typeof callTracker.getWait): number => {
+      const waits = endpoints.map((endpoint) =>
+        Math.max(
+          getWait(endpoint.id, capacity.slots, time),
+          limiter.getWait(endpoint),
+        ),
+      );
+      return Math.min(...waits, MAXIMUM_WAIT_MILLISECONDS);
+    };
+    const untilFreeMilliseconds = getFirstWait(callTracker.getWait);
     // A rate limit below what an endpoint can do makes it part of one.
     const callSeconds =
       (capacity.callMilliseconds +
@@ -206,20 +174,30 @@
         sum + Math.min(1, limiter.getRate(endpoint) * callSeconds),
       0,
     );
-    return estimateWaits(getQueue(service), time, {
+    const firsts = [...queues.get(service)].filter(({isHedge}) => !isHedge);
+    return estimateWaits(firsts, time, {
       endpoints: effectiveEndpoints,
       batch: capacity.batch,
       callMilliseconds: capacity.callMilliseconds,
-      untilFreeMilliseconds: Math.min(...waits, MAXIMUM_WAIT_MILLISECONDS),
+      untilFreeMilliseconds,
+      overdueMilliseconds:
+        getFirstWait(callTracker.estimateWait) - untilFreeMilliseconds,
     });
   }
 
-  /** Removes the queued pieces of a group and reports them with a tag. */
+  /**
+   * Removes the queued pieces of a group, and reports them with a tag unless a
+   * call with them is open.
+   */
   function dropQueued(group: QueuedGroup, tag: 'expired' | 'failed'): void {
-    const {service} = group.order;
-    getQueue(service).delete(group);
-    if (tag === 'expired') statistics.get(service).expired += group.count;
-    for (const piece of group.waiting.splice(0)) group.onResult({tag, piece});
+    const pieces = queues.take(group);
+    if (group.isHedge) return;
+    if (tag === 'expired') {
+      statistics.get(group.service).expired += pieces.length;
+    }
+    for (const piece of pieces) {
+      calls.settle(piece, {tag, piece: piece.position});
+    }
   }
 
   function startExpiryTimer(): void {
@@ -227,17 +205,18 @@
       expiryTimer = null;
       dropExpired();
       statistics.summarize(logStatistics);
-      for (const service of queues.keys()) dispatch(service);
-      if ([...queues.values()].some(({size}) => size > 0)) startExpiryTimer();
+      for (const service of queues.listServices()) dispatch(service);
+      if (!queues.isEmpty()) startExpiryTimer();
     }, EXPIRY_CHECK_MILLISECONDS);
   }
 
   /**
    * Sends queued pieces to the free endpoints of a service, at most one batch
-   * to each. All queued pieces fail if the stage is no longer configured.
+   * to each. All queued pieces fail if the stage is no longer configured, unless
+   * a call with them is open.
    */
   function dispatch(service: string): void {
-    const queue = getQueue(service);
+    const queue = queues.get(service);
     if (queue.size === 0) return;
     const capacity = getCapacity(service);
     if (capacity === undefined) {
@@ -246,233 +225,136 @@
     }
     const endpoints = getEndpoints(service);
     const time = now();
+    let mayHedge = true;
     for (const endpoint of endpoints) {
       if (!callTracker.isFree(endpoint.id, capacity.slots, time)) continue;
       if (limiter.getWait(endpoint) > 0) continue;
-      const shares = planBatch(queue, time, {
-        batch: capacity.batch,
-        callMilliseconds: capacity.callMilliseconds,
-        roomBytes:
-          capacity.roomBytes * MEMORY_SHARE -
-          results.getAllocatedBytes(endpoint.id),
-        failureDomain: endpoint.failureDomain,
-        otherDomainWaits: callTracker.getOtherDomainWaits(
-          endpoints,
-          endpoint.failureDomain,
-          capacity.slots,
-          time,
-        ),
-      });
-      if (shares.length === 0) continue;
-      const batch = shares.flatMap(({group, count}) => {
-        group.isStarted = true;
-        const pieces = group.waiting.splice(0, count);
-        if (group.waiting.length === 0) queue.delete(group);
-        return pieces.map((piece) => ({group, piece}));
+      const {batch, isRefused} = takeBatch(service, {
+        capacity,
+        endpoint,
+        endpoints,
+        // The endpoint may itself be the one that is silent with the pieces.
+        mayHedge: mayHedge && !calls.isOverdue(endpoint),
       });
-      sendBatch(capacity, endpoint, batch);
+      mayHedge &&= !isRefused;
+      if (batch.length > 0) calls.send(capacity, endpoint, batch);
     }
   }
 
-  function retry({group, piece}: SentPiece, reason: string): void {
-    if (group.isCancelled) return;
-    const {service, requestId, stage} = group.order;
-    const count = sends.get(group)?.get(piece) ?? 0;
-    const mayRetry =
-      count < MAXIMUM_SENDS &&
-      budget.tryRetry(service, now(), state.instances.length);
-    if (mayRetry) {
-      enqueue(group, piece);
-      return;
+  /**
+   * Takes the pieces of an endpoint's next call out of their queue. `isRefused`
+   * tells whether the retry budget had no room for a hedge.
+   */
+  function takeBatch(service: string, target: BatchTarget) {
+    const {capacity, endpoint, endpoints, mayHedge} = target;
+    const time = now();
+    const batch: OrderedPiece[] = [];
+    const plan = (withHedges: boolean) =>
+      planBatch(
+        [...queues.get(service)].filter(({isHedge}) => withHedges || !isHedge),
+        time,
+        {
+          batch: capacity.batch - batch.length,
+          callMilliseconds: capacity.callMilliseconds,
+          roomBytes:
+            capacity.roomBytes * MEMORY_SHARE -
+            results.getAllocatedBytes(endpoint.id) -
+            batch.reduce((sum, {order}) => sum + order.resultBytes, 0),
+          failureDomain: endpoint.failureDomain,
+          otherDomainWaits: callTracker.getOtherDomainWaits(
+            endpoints,
+            endpoint.failureDomain,
+            capacity.slots,
+            time,
+          ),
+        },
+      );
+    let shares = plan(mayHedge);
+    let isRefused = false;
+    for (const {group, count} of shares) {
+      if (!group.isHedge) continue;
+      const granted = takeHedges(group, count);
+      batch.push(...granted);
+      isRefused ||= granted.length < count;
     }
-    log.infoRateLimited('piece failed', {
-      requestId,
-      step: 'stage',
-      stage,
-      piece,
-      sends: count,
-      reason,
-    });
-    group.onResult({tag: 'failed', piece});
-  }
-
-  function enqueue(group: QueuedGroup, ...pieces: readonly number[]): void {
-    const {service} = group.order;
-    group.waiting.push(...pieces);
-    getQueue(service).add(group);
-    const counters = statistics.get(service);
-    counters.longestQueue = Math.max(
-      counters.longestQueue,
-      countWaiting(service),
-    );
-    startExpiryTimer();
-  }
-
-  const outcomeHandlers: {
-    [Tag in PieceOutcome['tag']]: (
-      sent: SentPiece,
-      endpoint: GatewayEndpoint,
-      outcome: Extract<PieceOutcome, {tag: Tag}>,
-    ) => void;
-  } = {
-    made({group, piece}, endpoint, {handle}) {
-      const {service, resultBytes, requestId, stage} = group.order;
-      if (results.has(handle)) {
-        log.infoRateLimited('stage result reported twice', {
-          requestId,
-          step: 'stage',
-          peer: endpoint.id,
-          stage,
-          piece,
-          handle,
-        });
-      }
-      // 0 if the stage was removed from the configuration during the call.
-      const keep = getCapacity(service)?.keepMilliseconds ?? 0;
-      results.add(handle, endpoint, resultBytes, keep);
-      if (group.isCancelled) results.free([handle]);
-      else {
-        group.onResult({tag: 'made', piece, handle, endpointId: endpoint.id});
-      }
-    },
-    late({group, piece}) {
-      if (!group.isCancelled) group.onResult({tag: 'expired', piece});
-    },
-    inputGone({group, piece}) {
-      if (!group.isCancelled) group.onResult({tag: 'inputGone', piece});
-    },
-    noRoom({group, piece}) {
-      statistics.get(group.order.service).noRoom += 1;
-      if (!group.isCancelled) enqueue(group, piece);
-    },
-    failed: (sent) => retry(sent, 'failed'),
-  };
-
-  function sendBatch(
-    capacity: StageCapacity,
-    endpoint: GatewayEndpoint,
-    batch: readonly SentPiece[],
-  ): void {
-    limiter.reserve(endpoint);
-    const startedAt = now();
-    const work = batch.reduce(
-      (sum, {group}) => sum + group.workMilliseconds,
-      0,
-    );
-    // At an endpoint of slowness 1; `predicted` is the time at `endpoint`.
-    const expected = capacity.callMilliseconds + work;
-    const predicted = expected * callTracker.getSlowness(endpoint.id);
-    const endCall = callTracker.startCall(endpoint.id, predicted, startedAt);
-    const cancelReservation = results.reserve(
-      endpoint.id,
-      batch.reduce((sum, {group}) => sum + group.resultBytes, 0),
-    );
-    for (const {group, piece} of batch) {
-      const counts = sends.get(group) ?? new Map<number, number>();
-      sends.set(group, counts.set(piece, (counts.get(piece) ?? 0) + 1));
+    // Other pieces take the places of those that the budget has no room for.
+    if (isRefused) shares = plan(false);
+    for (const {group, count} of shares) {
+      if (group.isHedge) continue;
+      group.isStarted = true;
+      batch.push(...queues.take(group, count));
     }
-    const counters = statistics.get(endpoint.service);
-    counters.calls += 1;
-    counters.pieces += batch.length;
+    return {batch, isRefused};
+  }
 
-    function finish(): void {
-      endCall();
-      cancelReservation();
-    }
-    function recordTime(elapsed: number): void {
-      health.recordResponse(endpoint.id, elapsed);
-      callTracker.recordSlowness(endpoint.id, elapsed / expected);
-      pieceTimes.observe(
-        batch.map(({group}) => group.order.kind),
-        capacity.pieceMilliseconds,
-        elapsed / callTracker.getSlowness(endpoint.id) -
-          capacity.callMilliseconds,
-      );
+  /** Takes as many pieces as the retry budget has room for. */
+  function takeHedges(group: QueuedGroup, count: number): OrderedPiece[] {
+    const {service} = group;
+    let granted = 0;
+    while (
+      granted < count &&
+      budget.tryRetry(service, now(), state.instances.length)
+    ) {
+      granted += 1;
     }
-
-    sendStageCall({
-      wire,
-      endpointClient,
-      endpoint,
-      timeoutMilliseconds:
-        predicted * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MILLISECONDS,
-      pieces: batch.map(({group: {order, deadlineAt}, piece}) => ({
-        requestId: order.requestId,
-        stage: order.stage,
-        piece,
-        timeLeftMilliseconds: Math.max(1, Math.floor(deadlineAt - startedAt)),
-        key: order.key,
-        inputs: order.inputs,
-      })),
-      mayStillSend: () => !limiter.isWithdrawn(endpoint),
-      onHead: (head) => limiter.recordHead(endpoint, head),
-      onFailure(reason, isTimeout) {
-        finish();
-        if (isTimeout) health.recordTimeout(endpoint.id, now());
-        health.recordFailure(endpoint.id, now());
-        metrics.count('stageCalls', 'failed');
-        log.infoRateLimited('stage call failed', {
-          step: 'stage',
-          peer: endpoint.id,
-          service: endpoint.service,
-          pieces: batch.length,
-          reason,
-        });
-        for (const sent of batch) retry(sent, reason);
-        dispatch(endpoint.service);
-      },
-      onOutcomes(outcomes) {
-        finish();
-        const elapsed = now() - startedAt;
-        metrics.count('stageCalls', 'answered');
-        metrics.time('stageCall', elapsed);
-        // A rejected piece takes no time, so such a call says nothing about it.
-        if (outcomes.every(({tag}) => tag === 'made')) recordTime(elapsed);
-        // An endpoint that computed some pieces gets the next call at once: it
-        // rejects pieces that do not fit, and results of other dispatchers may
-        // be freed there without notice.
-        if (outcomes.every(({tag}) => tag === 'noRoom')) {
-          callTracker.markFull(endpoint.id, now() + FULL_BACKOFF_MILLISECONDS);
-        }
-        outcomes.forEach((outcome, index) => {
-          metrics.count('pieces', outcome.tag);
-          const handle = outcomeHandlers[outcome.tag];
-          handle(batch[index]!, endpoint, outcome as never);
-        });
-        dispatch(endpoint.service);
-      },
-    });
+    statistics.get(service).hedged += granted;
+    return queues.take(group, granted);
   }
 
   return {
     order(order, onResult) {
       const startedAt = now();
-      const waiting: number[] = [];
-      const group: QueuedGroup = {
-        get count() {
-          return waiting.length;
-        },
-        isStarted: false,
-        priority: order.priority,
-        targetAt: startedAt + order.targetMilliseconds,
-        deadlineAt: startedAt + order.deadlineMilliseconds,
-        resultBytes: order.resultBytes,
-        workMilliseconds: getPieceTime(order),
-        failureDomain: order.failureDomain,
-        order,
-        waiting,
-        isCancelled: false,
-        onResult,
+      const {service, kind, priority, resultBytes, failureDomain} = order;
+      const targetAt = startedAt + order.targetMilliseconds;
+      const deadlineAt = startedAt + order.deadlineMilliseconds;
+      const workMilliseconds = calls.getPieceTime(
+        kind,
+        // 0 if the stage is not configured: its pieces fail at the dispatch.
+        getCapacity(service)?.pieceMilliseconds ?? 0,
+      );
+      const createGroup = (isHedge: boolean): QueuedGroup => {
+        const waiting: OrderedPiece[] = [];
+        return {
+          get count() {
+            return waiting.length;
+          },
+          service,
+          waiting,
+          isHedge,
+          isStarted: isHedge,
+          priority,
+          targetAt,
+          deadlineAt,
+          resultBytes,
+          workMilliseconds,
+          failureDomain,
+        };
       };
-      for (const _piece of order.pieces) {
-        budget.recordRequest(order.service, startedAt);
-      }
-      enqueue(group, ...order.pieces);
-      queueMicrotask(() => dispatch(order.service));
+      const firsts = createGroup(false);
+      const hedges = createGroup(true);
+      const pieces = order.pieces.map((position): OrderedPiece => {
+        budget.recordRequest(service, startedAt);
+        return {
+          order,
+          position,
+          firsts,
+          hedges,
+          deadlineAt,
+          workMilliseconds,
+          calls: new Set(),
+          isQueued: false,
+          sends: 0,
+          isSettled: false,
+          onResult,
+        };
+      });
+      calls.enqueue(...pieces);
+      queueMicrotask(() => dispatch(service));
       return () => {
-        group.isCancelled = true;
-        group.waiting.length = 0;
-        getQueue(order.service).delete(group);
+        for (const piece of pieces) {
+          piece.isSettled = true;
+          queues.remove(piece);
+        }
       };
     },
     getWaitEstimate(service) {
@@ -486,7 +368,8 @@
     },
     removeEndpoint: callTracker.remove,
     refresh() {
-      for (const service of queues.keys()) dispatch(service);
+      calls.refresh();
+      for (const service of queues.listServices()) dispatch(service);
     },
   };
 }
--- a/packages/hickorywharf-gateway/src/createStageStatistics.ts
+++ b/packages/hickorywharf-gateway/src/createStageStatistics.ts
@@ -2,6 +2,8 @@
 interface ServiceStatistics {
   calls: number;
   pieces: number;
+  /** Pieces that were sent while an overdue call with them was open. */
+  hedged: number;
   /** Pieces that endpoints rejected for lack of memory. */
   noRoom: number;
   expired: number;
@@ -37,6 +39,7 @@
         tally = {
           calls: 0,
           pieces: 0,
+          hedged: 0,
           noRoom: 0,
           expired: 0,
           longestQueue: 0,
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -3,7 +3,6 @@
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
 import type {StagePiece} from 'hickorywharf-types/gateway/stagePiece';
-import {startTimeout} from 'hickorywharf-utils/startTimeout';
 import {buildStageRequest} from './buildStageRequest.ts';
 import {createBodyBuffer} from './createBodyBuffer.ts';
 import type {EndpointClient} from './endpointClient.ts';
@@ -13,16 +12,13 @@
   readonly endpointClient: EndpointClient;
   readonly endpoint: GatewayEndpoint;
   readonly pieces: readonly StagePiece[];
-  /** Time after which the call fails and is aborted. */
-  readonly timeoutMilliseconds: number;
   /** Asked before the call is written to a new connection. */
   mayStillSend(): boolean;
   /** Receives the head of the response, before the outcomes or a failure. */
   onHead(head: ResponseHead): void;
   /** Receives one outcome for each piece, in the order of `pieces`. */
   onOutcomes(outcomes: readonly PieceOutcome[]): void;
-  /** `isTimeout` is true only for a call that timed out. */
-  onFailure(reason: string, isTimeout: boolean): void;
+  onFailure(reason: string): void;
 }
 
 /** A handle is an address and an id of some ten bytes each. */
@@ -31,13 +27,16 @@
 const MAXIMUM_ENVELOPE_BYTES = 16_384;
 
 /**
- * Sends a batch of pieces to an endpoint in one call. Exactly one of the two
- * handlers is called, once.
+ * Sends a batch of pieces to an endpoint in one call. Unless the call is
+ * aborted, exactly one of `onOutcomes` and `onFailure` is called, once. The call
+ * has no timeout: an endpoint that is silent for a while may still answer.
  *
+ * @returns a function that aborts the call; no handler is called after it
  * @example
- *     sendStageCall({wire, endpointClient, endpoint, pieces, timeoutMilliseconds: 650, ...handlers});
+ *     const abort = sendStageCall({wire, endpointClient, endpoint, pieces, ...handlers});
+ *     abort();
  */
-export function sendStageCall(options: StageCallOptions): void {
+export function sendStageCall(options: StageCallOptions): () => void {
   const {wire, endpointClient, endpoint, pieces} = options;
   const maximumBytes =
     MAXIMUM_ENVELOPE_BYTES + pieces.length * MAXIMUM_OUTCOME_BYTES;
@@ -48,19 +47,14 @@
   function finish(): boolean {
     if (isSettled) return false;
     isSettled = true;
-    stopTimeout();
     return true;
   }
-  function fail(reason: string, isTimeout = false): void {
+  function fail(reason: string): void {
     if (!finish()) return;
     exchange.abort();
-    options.onFailure(reason, isTimeout);
+    options.onFailure(reason);
   }
 
-  const stopTimeout = startTimeout({
-    milliseconds: options.timeoutMilliseconds,
-    onTimeout: () => fail('no response in time', true),
-  });
   const body = wire.formatPieces(pieces);
   const exchange = endpointClient.send({
     ...buildStageRequest(wire, endpoint, wire.stageRun, body),
@@ -84,4 +78,7 @@
     },
     onFailure: ({message}) => fail(message),
   });
+  return () => {
+    if (finish()) exchange.abort();
+  };
 }
