Keep the attempt at a silent endpoint until another can take its stage

Callers of our own interface with seconds left had their generation broken off when its endpoint process sent nothing for 1.5 s, lost its connection for 200 ms or began later than usual, and no other endpoint could take it: as where the endpoint was leaving and was alone.

The attempt was superseded, and a generation cancelled, before it was asked whether another endpoint could take the stage. After six attempts the request was then ended with the error of an earlier one. A hedge was sent with the same question open.

An entry now supersedes or hedges an attempt only if another endpoint is a candidate and the stage has attempts left; else it waits up to the deadline. One that refused or failed the stage is a candidate only once the connection is lost. The timers are as they were.

--- a/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
@@ -7,6 +7,7 @@
 import {getCandidates} from '../getCandidates.ts';
 import {getCurrentStage} from '../getCurrentStage.ts';
 import {getFailureOutcome} from '../getFailureOutcome.ts';
+import {hasUsedUpAttempts} from '../hasUsedUpAttempts.ts';
 import {routingPolicies} from '../policies/routingPolicies.ts';
 
 type Endpoint = EntryRows['endpoint'];
@@ -138,11 +139,7 @@
       failLate(state, request);
       continue;
     }
-    const {idempotent} = getCurrentStage(request);
-    const hasNoAttemptsLeft =
-      idempotent &&
-      request.attemptsMade >= ENTRY_LIMITS.maximumAttemptsPerStage;
-    if (hasNoAttemptsLeft && request.lastError !== null) {
+    if (hasUsedUpAttempts(request) && request.lastError !== null) {
       const outcome = getFailureOutcome(request);
       finishRequest(state, request, {...request.lastError, outcome});
       continue;
--- a/packages/hickorywharf-decisions/src/entry/systems/hedgeSlowAttempts.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/hedgeSlowAttempts.ts
@@ -1,3 +1,4 @@
+import {canGoElsewhere} from '../canGoElsewhere.ts';
 import {cancelAttempt} from '../cancelAttempt.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
@@ -59,7 +60,8 @@
 
 /**
  * Hedges an idempotent stage that takes much longer than usual: sends it to a
- * second endpoint, within the hedge budget and while the pool has capacity. The
+ * second endpoint, if there is one, within the hedge budget and while the pool
+ * has capacity. The
  * first complete result is used, and the other attempt is cancelled. The first
  * attempt of a generation is cancelled at once, and the second endpoint
  * continues from its tokens. An endpoint on probation whose ejection has ended is
@@ -85,6 +87,7 @@
       request.tokens.length === 0 || isOnProbation(state, attempt.endpoint);
     if (!mayHedge || !isLate(state, request, attempt, now)) continue;
     if (isBusy(state, pool)) continue;
+    if (!canGoElsewhere(state, request, attempt.endpoint, now)) continue;
     sendHedge(state, request, attempt, now);
   }
 }
--- a/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
@@ -1,3 +1,4 @@
+import {canGoElsewhere} from '../canGoElsewhere.ts';
 import {cancelAttempt} from '../cancelAttempt.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
@@ -15,7 +16,8 @@
 
 /**
  * Retries idempotent stages whose endpoint was removed, has not reconnected in
- * time or has sent no frame for the silence timeout, within the retry budget.
+ * time or has sent no frame for the silence timeout, within the retry budget and
+ * only while another endpoint can take the stage: a silent endpoint may go on.
  * The old attempt is kept, so that its result is used if it arrives first. Two
  * generations are never mixed, so the old attempt of a generation is cancelled
  * instead.
@@ -33,6 +35,7 @@
     const endpoint = state.endpoints.get(attempt.endpoint);
     if (endpoint !== undefined && !isLost(endpoint, now)) continue;
     if (state.retryBudget < 1) continue;
+    if (!canGoElsewhere(state, request, attempt.endpoint, now)) continue;
     state.retryBudget -= 1;
     attempt.state = 'superseded';
     request.excluded.add(attempt.endpoint);
