Let a request wait for the first attempt when the second one fails

A stage that is not a generation goes on at a silent endpoint while it is sent to a second one. If the second failed with the budget of retries used up, or refused the stage as one that it can't finish in time, the caller was told so with seconds left, and the first attempt, whose result would have come, was cancelled.

The end of the current attempt ended the request, though the superseded one was kept so that its result could be used. The request now waits for that one again. The second endpoint is excluded first, so that the stage does not go back and forth.

Two tests with a silence of 2 s, of 10 s left: without the change both requests fail when the second endpoint answers, with it both are answered by the first.

--- a/packages/hickorywharf-decisions/src/entry/__tests__/silentEndpoints.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/__tests__/silentEndpoints.test.ts
@@ -163,6 +163,41 @@
   t.is(entry.getAttempts().length, 1);
 });
 
+/** How the endpoint answers that a stage of a silent one is sent to. */
+const SECOND_ANSWERS: Readonly<
+  Record<string, (frame: AttemptFrame) => Extract<Frame, {tag: string}>>
+> = {
+  'fails with no retry left': (frame) => ({
+    tag: 'failed',
+    ...getKey(frame),
+    outcome: 'unknown',
+    conflict: false,
+    message: 'status 500',
+  }),
+  'cannot finish in time': (frame) => ({
+    tag: 'refused',
+    ...getKey(frame),
+    reason: 'cannotFinish',
+    message: 'too late',
+  }),
+};
+
+for (const [answer, createFrame] of Object.entries(SECOND_ANSWERS)) {
+  test(`a stage whose endpoint was silent for 2 s is answered by it if the next one ${answer}`, (t) => {
+    const entry = createEntry(['engine-1', 'engine-2']);
+    const first = entry.send('encode');
+    const other = first.endpoint === 'engine-1' ? 'engine-2' : 'engine-1';
+    entry.state.retryBudget = 1;
+    entry.wait(SILENCE_MILLISECONDS, [other]);
+    const second = entry.getAttempts()[1]!;
+    t.is(second.endpoint, other);
+    entry.receive(other, createFrame(second.frame));
+    t.deepEqual(entry.getEndings(), []);
+    entry.receive(first.endpoint, createResult(first.frame));
+    t.deepEqual(entry.getEndings(), ['answer']);
+  });
+}
+
 test('a stage whose attempts are used up waits for a silent endpoint', (t) => {
   const entry = createEntry(['engine-1', 'engine-2']);
   entry.send('encode');
--- a/packages/hickorywharf-decisions/src/entry/applyRefusal.ts
+++ b/packages/hickorywharf-decisions/src/entry/applyRefusal.ts
@@ -9,6 +9,7 @@
 import {getFailureOutcome} from './getFailureOutcome.ts';
 import {getRequestHalf} from './getRequestHalf.ts';
 import {recordHome} from './recordHome.ts';
+import {resumeSupersededAttempt} from './resumeSupersededAttempt.ts';
 import {scheduleRetry} from './scheduleRetry.ts';
 
 type RefusedFrame = Extract<Frame, {tag: 'refused'}>;
@@ -101,6 +102,8 @@
   request.lastError = toError(endpoint, request, frame);
   const isInfeasible = reason === 'cannotFinish' && request.attemptsMade > 1;
   if (FINAL_REASONS.has(reason) || isInfeasible) {
+    request.excluded.add(endpoint);
+    if (resumeSupersededAttempt(state, request)) return;
     finishRequest(state, request, request.lastError);
     return;
   }
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -13,6 +13,7 @@
 import {getFailureOutcome} from '../getFailureOutcome.ts';
 import {recordHome} from '../recordHome.ts';
 import {removeAttempt} from '../removeAttempt.ts';
+import {resumeSupersededAttempt} from '../resumeSupersededAttempt.ts';
 import {scheduleRetry} from '../scheduleRetry.ts';
 
 type FrameOf<Tag> = Extract<Frame, {tag: Tag}>;
@@ -161,13 +162,14 @@
   const canRetry =
     !frame.conflict &&
     (frame.outcome === 'notRun' || (idempotent && state.retryBudget >= 1));
+  request.lastError = error;
+  request.excluded.add(endpoint);
   if (!canRetry) {
+    if (resumeSupersededAttempt(state, request)) return;
     finishRequest(state, request, error);
     return;
   }
   if (frame.outcome !== 'notRun') state.retryBudget -= 1;
-  request.lastError = error;
-  request.excluded.add(endpoint);
   scheduleRetry(request, now + ENTRY_LIMITS.retryPauseMilliseconds);
 }
 
--- a/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
@@ -9,6 +9,7 @@
 import {getFailureOutcome} from '../getFailureOutcome.ts';
 import {hasUsedUpAttempts} from '../hasUsedUpAttempts.ts';
 import {routingPolicies} from '../policies/routingPolicies.ts';
+import {resumeSupersededAttempt} from '../resumeSupersededAttempt.ts';
 
 type Endpoint = EntryRows['endpoint'];
 type RequestRow = EntryRows['request'];
@@ -140,6 +141,7 @@
       continue;
     }
     if (hasUsedUpAttempts(request) && request.lastError !== null) {
+      if (resumeSupersededAttempt(state, request)) continue;
       const outcome = getFailureOutcome(request);
       finishRequest(state, request, {...request.lastError, outcome});
       continue;
