--- a/packages/hickorywharf-endpoints/src/__tests__/lateAnswers.test.ts
+++ b/packages/hickorywharf-endpoints/src/__tests__/lateAnswers.test.ts
@@ -1,32 +1,13 @@
 import {createServer} from 'node:http';
 import test from 'ava';
-import type {Frame} from 'hickorywharf-types/frame';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {createEngineBackend} from '../createEngineBackend.ts';
 import {createPoolBackend} from '../createPoolBackend.ts';
 import {createServiceBackend} from '../createServiceBackend.ts';
+import {createAttempt} from './createAttempt.ts';
 
-type Attempt = Extract<Frame, {tag: 'attempt'}>;
-
-const createAttempt = (text: string, kind: Attempt['kind']): Attempt => ({
-  tag: 'attempt',
-  requestId: text,
-  stageIndex: 0,
-  attemptId: text,
-  kind,
-  pool: 'pool',
-  idempotent: true,
-  half: null,
-  account: 'desk',
-  accountWeight: 1,
-  remainingMilliseconds: 1000,
-  laterMilliseconds: 0,
-  input: {text, action: {name: 'check', parameters: {}}},
-  idempotencyKey: null,
-  bodyDigest: null,
-  traceparent: null,
-});
+type Attempt = ReturnType<typeof createAttempt>;
 
 /**
  * Starts a server that sends each response a second time at the next request on
