Fail the attempt whose backend answers with another shape of value

A backend that answered 200 with JSON of another shape, such as null, {} or tokens that are numbers, cost all callers of its endpoint process the connection from their entry. The adapters took the value for an output, the endpoint process sent it, and the entry rejected the frame and closed the connection. An array passed as a result without documents.

The adapters now check what a backend answers, and the attempt alone fails, with the outcome unknown, as after an answer that breaks off.

A test for each kind of backend, 14 bodies in all.

--- a/packages/hickorywharf-endpoints/src/__tests__/brokenAnswers.test.ts
+++ b/packages/hickorywharf-endpoints/src/__tests__/brokenAnswers.test.ts
@@ -107,3 +107,28 @@
     });
   }
 }
+
+/** Bodies of answers with status 200 that are no output. */
+const FOREIGN_BODIES = {
+  pool: ['null', '[]', '{}', '{"documents":[1]}', '{"error":"none"}'],
+  service: ['null', '[]', '"text"', '1'],
+  engine: [
+    'data: {"tokens":"ab"}\n\n',
+    'data: {"tokens":[1]}\n\n',
+    'data: null\n\n',
+    'data: {"finished":{}}\n\n',
+    'data: {"finished":{"count":"1","cachedTokens":0}}\n\n',
+  ],
+} as const;
+
+for (const kind of KINDS) {
+  test(`a body of a backend of kind ${kind} that is no output fails its attempt alone`, async (t) => {
+    for (const body of FOREIGN_BODIES[kind]) {
+      const run = await runAttempt(t, kind, (response) =>
+        response.end(body + (kind === 'engine' ? CASES.engine.body : '')),
+      );
+      if (run.isOk()) t.fail(`${body} became ${JSON.stringify(run.value)}`);
+      else t.is(run.error.outcome, 'unknown', body);
+    }
+  });
+}
--- a/packages/hickorywharf-endpoints/src/createEngineBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createEngineBackend.ts
@@ -2,8 +2,10 @@
 import {ResultAsync} from 'neverthrow';
 import {request} from 'undici';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
+import * as z from 'zod';
 import type {Backend} from './backend.ts';
 import {createBackendAgent} from './createBackendAgent.ts';
+import {parseResponse} from './parseResponse.ts';
 import {toBackendError} from './toBackendError.ts';
 
 type RunOptions = Parameters<Backend['run']>[0];
@@ -12,10 +14,12 @@
 const STATUS_LINE = /HTTP\/1\.[01] [1-5]\d\d/;
 
 /** One event of the engine's response stream. */
-interface EngineEvent {
-  readonly tokens?: readonly string[];
-  readonly finished?: {readonly count: number; readonly cachedTokens: number};
-}
+const eventSchema = z.object({
+  tokens: z.array(z.string()).optional(),
+  finished: z
+    .object({count: z.int().min(0), cachedTokens: z.number()})
+    .optional(),
+});
 
 /**
  * Creates the adapter of a model engine that streams completions as
@@ -63,7 +67,10 @@
         if (!STATUS_LINE.test(line)) continue;
         throw new Error("another response within the engine's stream");
       }
-      const event = JSON.parse(line.slice(DATA_PREFIX.length)) as EngineEvent;
+      const event = parseResponse(
+        eventSchema,
+        JSON.parse(line.slice(DATA_PREFIX.length)),
+      );
       if (event.tokens !== undefined) onTokens(event.tokens);
       if (event.finished !== undefined) {
         const {count, cachedTokens} = event.finished;
--- a/packages/hickorywharf-endpoints/src/createPoolBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createPoolBackend.ts
@@ -1,21 +1,32 @@
 import {ResultAsync} from 'neverthrow';
 import type {StageKind} from 'hickorywharf-types/stageKind';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
+import * as z from 'zod';
 import type {Backend} from './backend.ts';
 import {BACKEND_LIMITS} from './backendLimits.ts';
 import {createBackendAgent} from './createBackendAgent.ts';
+import {parseResponse} from './parseResponse.ts';
 import {postJson} from './postJson.ts';
 import {toBackendError} from './toBackendError.ts';
 
-type ResponseParser = (response: Record<string, unknown>) => StageOutput;
+type ResponseParser = (response: unknown) => StageOutput;
+
+const vectorSchema = z.object({vector: z.array(z.number())});
+const documentsSchema = z.object({documents: z.array(z.string())});
 
 const RESPONSE_PARSERS: Partial<Record<StageKind, ResponseParser>> = {
-  encode: ({vector}) => ({kind: 'encode', vector: vector as number[]}),
-  retrieve: ({documents}) => ({
+  encode: (response) => ({
+    kind: 'encode',
+    vector: parseResponse(vectorSchema, response).vector,
+  }),
+  retrieve: (response) => ({
     kind: 'retrieve',
-    documents: documents as string[],
+    documents: parseResponse(documentsSchema, response).documents,
+  }),
+  rerank: (response) => ({
+    kind: 'rerank',
+    documents: parseResponse(documentsSchema, response).documents,
   }),
-  rerank: ({documents}) => ({kind: 'rerank', documents: documents as string[]}),
 };
 
 /**
--- a/packages/hickorywharf-endpoints/src/createServiceBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createServiceBackend.ts
@@ -1,12 +1,16 @@
 import {ResultAsync} from 'neverthrow';
 import type {Frame} from 'hickorywharf-types/frame';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
+import * as z from 'zod';
 import type {Backend} from './backend.ts';
 import {BACKEND_LIMITS} from './backendLimits.ts';
 import {createBackendAgent} from './createBackendAgent.ts';
+import {parseResponse} from './parseResponse.ts';
 import {postJson} from './postJson.ts';
 import {toBackendError} from './toBackendError.ts';
 
+const objectSchema = z.record(z.string(), z.unknown());
+
 /**
  * Creates the adapter of a service. Its calls may have side effects, so undici
  * must not retry one after its connection closed: it never retries a POST, and
@@ -39,7 +43,7 @@
       dispatcher,
       signal,
     });
-    return {kind: 'call', response};
+    return {kind: 'call', response: parseResponse(objectSchema, response)};
   }
 
   return {
--- a/packages/hickorywharf-endpoints/src/postJson.ts
+++ b/packages/hickorywharf-endpoints/src/postJson.ts
@@ -10,15 +10,13 @@
 }
 
 /**
- * Posts JSON and returns the JSON object of the response. Rejects on any status
- * other than 200, a network error or an aborted signal.
+ * Posts JSON and returns the JSON of the response, of any type. Rejects on any
+ * status other than 200, a network error or an aborted signal.
  *
  * @example
  *     await postJson({url, body, traceparent: null, dispatcher, signal});
  */
-export async function postJson(
-  options: PostJsonOptions,
-): Promise<Record<string, unknown>> {
+export async function postJson(options: PostJsonOptions): Promise<unknown> {
   const {url, body, traceparent, dispatcher, signal} = options;
   const response = await request(url, {
     method: 'POST',
@@ -34,5 +32,5 @@
     await response.body.dump();
     throw new Error(`the backend responded with status ${response.statusCode}`);
   }
-  return (await response.body.json()) as Record<string, unknown>;
+  return response.body.json();
 }
