Keep a superseded generation until the next one has a token

A generation whose endpoint process sent nothing for 1.5 s, or that began late, was cancelled there before the next endpoint had taken it. If that one then failed with the budget of retries used up or could not finish in time, the caller was told so with seconds left; if it had no room, the prompt was read again at the endpoint that had gone on in the meantime.

That another endpoint is a candidate does not prove that it takes the stage: only its first token does. The first attempt is now kept as superseded until then, and its tokens are not used. If the second ends without a token, the first is resumed, and what it made in the meantime is requested again from the last token used, as after a reconnection. It is resumed only if no later token was used, so two generations are not mixed. Both run for the time of a prefill, which is what the hedge of any other stage costs.

--- a/packages/hickorywharf-decisions/src/entry/__tests__/silentEndpoints.test.ts
+++ b/packages/hickorywharf-decisions/src/entry/__tests__/silentEndpoints.test.ts
@@ -89,6 +89,17 @@
       commands.flatMap((command) =>
         command.tag === 'deliverTokens' ? command.tokens : [],
       ),
+    getRecoveries: () =>
+      commands.flatMap((command) =>
+        command.tag === 'send' && command.frame.tag === 'recover'
+          ? [
+              {
+                endpoint: command.endpoint,
+                fromPosition: command.frame.fromPosition,
+              },
+            ]
+          : [],
+      ),
     getEndings: () =>
       commands.flatMap((command) =>
         command.tag === 'answer' || command.tag === 'fail' ? [command.tag] : [],
@@ -164,23 +175,28 @@
 });
 
 /** How the endpoint answers that a stage of a silent one is sent to. */
-const SECOND_ANSWERS: Readonly<
-  Record<string, (frame: AttemptFrame) => Extract<Frame, {tag: string}>>
-> = {
-  'fails with no retry left': (frame) => ({
-    tag: 'failed',
-    ...getKey(frame),
-    outcome: 'unknown',
-    conflict: false,
-    message: 'status 500',
-  }),
-  'cannot finish in time': (frame) => ({
-    tag: 'refused',
-    ...getKey(frame),
-    reason: 'cannotFinish',
-    message: 'too late',
-  }),
-};
+const SECOND_ANSWERS: Readonly<Record<string, (frame: AttemptFrame) => Frame>> =
+  {
+    'fails with no retry left': (frame) => ({
+      tag: 'failed',
+      ...getKey(frame),
+      outcome: 'unknown',
+      conflict: false,
+      message: 'status 500',
+    }),
+    'cannot finish in time': (frame) => ({
+      tag: 'refused',
+      ...getKey(frame),
+      reason: 'cannotFinish',
+      message: 'too late',
+    }),
+    'has no room': (frame) => ({
+      tag: 'refused',
+      ...getKey(frame),
+      reason: 'queueFull',
+      message: 'full',
+    }),
+  };
 
 for (const [answer, createFrame] of Object.entries(SECOND_ANSWERS)) {
   test(`a stage whose endpoint was silent for 2 s is answered by it if the next one ${answer}`, (t) => {
@@ -198,6 +214,30 @@
   });
 }
 
+for (const [answer, createFrame] of Object.entries(SECOND_ANSWERS)) {
+  test(`a generation whose endpoint was silent for 2 s goes on there if the next one ${answer}`, (t) => {
+    const entry = createEntry(['engine-1', 'engine-2']);
+    const first = entry.send('generate');
+    const other = first.endpoint === 'engine-1' ? 'engine-2' : 'engine-1';
+    entry.receive(first.endpoint, createTokens(first.frame, 0, 'a'));
+    entry.state.retryBudget = 1;
+    entry.wait(SILENCE_MILLISECONDS, [other]);
+    const second = entry.getAttempts()[1]!;
+    t.is(second.endpoint, other);
+    // It goes on before the second endpoint has answered.
+    entry.receive(first.endpoint, createTokens(first.frame, 1, 'b'));
+    entry.receive(other, createFrame(second.frame));
+    t.deepEqual(entry.getRecoveries(), [
+      {endpoint: first.endpoint, fromPosition: 1},
+    ]);
+    entry.receive(first.endpoint, createTokens(first.frame, 1, 'b'));
+    entry.receive(first.endpoint, createResult(first.frame, 2));
+    t.deepEqual(entry.getTokens(), ['a', 'b']);
+    t.deepEqual(entry.getEndings(), ['answer']);
+    t.is(entry.getAttempts().length, 2);
+  });
+}
+
 test('a stage whose attempts are used up waits for a silent endpoint', (t) => {
   const entry = createEntry(['engine-1', 'engine-2']);
   entry.send('encode');
--- a/packages/hickorywharf-decisions/src/entry/entryRows.ts
+++ b/packages/hickorywharf-decisions/src/entry/entryRows.ts
@@ -64,6 +64,8 @@
     nextPosition: number;
     /** Whether missing tokens were requested; reset by the next new tokens. */
     recoverSent: boolean;
+    /** Whether tokens of it were used since it became the current attempt. */
+    hasTokens: boolean;
   };
   endpoint: {
     readonly name: string;
--- a/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
+++ b/packages/hickorywharf-decisions/src/entry/handlers/handleFrame.ts
@@ -2,6 +2,7 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {ServeError} from 'hickorywharf-types/serveError';
 import {applyRefusal} from '../applyRefusal.ts';
+import {cancelSupersededAttempts} from '../cancelSupersededAttempts.ts';
 import {completeStage} from '../completeStage.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
@@ -13,6 +14,7 @@
 import {getFailureOutcome} from '../getFailureOutcome.ts';
 import {recordHome} from '../recordHome.ts';
 import {removeAttempt} from '../removeAttempt.ts';
+import {requestRecovery} from '../requestRecovery.ts';
 import {resumeSupersededAttempt} from '../resumeSupersededAttempt.ts';
 import {scheduleRetry} from '../scheduleRetry.ts';
 
@@ -46,23 +48,6 @@
   return {state, attempt, request: isCurrent ? found : undefined, now};
 }
 
-function requestRecovery(state: EntryState, attempt: AttemptRow): void {
-  if (attempt.recoverSent) return;
-  attempt.recoverSent = true;
-  const {requestId, stageIndex, attemptId, nextPosition} = attempt;
-  state.commands.push({
-    tag: 'send',
-    endpoint: attempt.endpoint,
-    frame: {
-      tag: 'recover',
-      requestId,
-      stageIndex,
-      attemptId,
-      fromPosition: nextPosition,
-    },
-  });
-}
-
 /** Whether no later stage generates, so that the tokens are the answer. */
 function isAnswering({pipeline, stageIndex}: RequestRow): boolean {
   const later = pipeline.stages.slice(stageIndex + 1);
@@ -83,6 +68,11 @@
   const position = attempt.nextPosition;
   attempt.nextPosition += newTokens.length;
   attempt.recoverSent = false;
+  if (!attempt.hasTokens && request.attemptsMade > 1) {
+    // Two generations are never mixed: the others can no longer be used.
+    cancelSupersededAttempts(state, request);
+  }
+  attempt.hasTokens = true;
   request.tokens.push(...newTokens);
   if (!isAnswering(request)) return;
   const {requestId} = request;
@@ -106,7 +96,8 @@
     request.stageIndex === attempt.stageIndex &&
     !isGeneration;
   if (request === undefined || !(isCurrent || isUsable)) {
-    removeAttempt(state, attempt);
+    // A superseded generation may be resumed, with all of its tokens.
+    if (attempt.state !== 'superseded') removeAttempt(state, attempt);
     return;
   }
   if (
--- a/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/dispatchRequests.ts
@@ -3,6 +3,7 @@
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
+import {findSupersededAttempt} from '../findSupersededAttempt.ts';
 import {finishRequest} from '../finishRequest.ts';
 import {getCandidates} from '../getCandidates.ts';
 import {getCurrentStage} from '../getCurrentStage.ts';
@@ -57,6 +58,7 @@
     state: 'sent',
     nextPosition: request.tokens.length,
     recoverSent: false,
+    hasTokens: false,
   });
   endpoint.inFlight += 1;
   endpoint.sentSinceReport += 1;
@@ -107,6 +109,17 @@
   };
 }
 
+/** Goes on with a generation at the endpoint that others were asked to replace. */
+function resumeGeneration(state: EntryState, request: RequestRow): boolean {
+  if (getCurrentStage(request).kind !== 'generate') return false;
+  const superseded = findSupersededAttempt(state, request);
+  if (superseded === undefined) return false;
+  const endpoint = state.endpoints.get(superseded.endpoint);
+  return (
+    endpoint?.connected === true && resumeSupersededAttempt(state, request)
+  );
+}
+
 /** Whether too little time is left to tombstone a retry of an action. */
 function isTooLate(request: RequestRow, now: number): boolean {
   const latest = request.deadlineAt - ENTRY_LIMITS.tombstoneMarginMilliseconds;
@@ -148,6 +161,7 @@
     }
     const endpoint = chooseEndpoint(state, request, now);
     if (endpoint === null) {
+      if (resumeGeneration(state, request)) continue;
       waitForEndpoint(request, now);
       continue;
     }
--- a/packages/hickorywharf-decisions/src/entry/systems/hedgeSlowAttempts.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/hedgeSlowAttempts.ts
@@ -1,5 +1,4 @@
 import {canGoElsewhere} from '../canGoElsewhere.ts';
-import {cancelAttempt} from '../cancelAttempt.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
@@ -44,12 +43,7 @@
   if (hasFailedProbation) ejectEndpoint(state, endpoint, now);
   state.load.hedgeBudget -= 1;
   request.excluded.add(endpoint);
-  // Two generations are never mixed: the first can no longer be used.
-  if (getCurrentStage(request).kind === 'generate') {
-    cancelAttempt(state, attempt);
-  } else {
-    attempt.state = 'superseded';
-  }
+  attempt.state = 'superseded';
   scheduleRetry(request, now);
 }
 
@@ -62,9 +56,9 @@
  * Hedges an idempotent stage that takes much longer than usual: sends it to a
  * second endpoint, if there is one, within the hedge budget and while the pool
  * has capacity. The
- * first complete result is used, and the other attempt is cancelled. The first
- * attempt of a generation is cancelled at once, and the second endpoint
- * continues from its tokens. An endpoint on probation whose ejection has ended is
+ * first complete result is used, and the other attempt is cancelled. The second
+ * attempt of a generation continues from the tokens of the first, which is
+ * cancelled at the first new token. An endpoint on probation whose ejection has ended is
  * ejected again if its attempt is hedged.
  *
  * @example
--- a/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
@@ -1,5 +1,4 @@
 import {canGoElsewhere} from '../canGoElsewhere.ts';
-import {cancelAttempt} from '../cancelAttempt.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
@@ -19,8 +18,8 @@
  * time or has sent no frame for the silence timeout, within the retry budget and
  * only while another endpoint can take the stage: a silent endpoint may go on.
  * The old attempt is kept, so that its result is used if it arrives first. Two
- * generations are never mixed, so the old attempt of a generation is cancelled
- * instead.
+ * generations are never mixed: the old attempt of one is resumed if the new one
+ * ends without a token, and cancelled at its first token.
  *
  * @example
  *     supersedeLostAttempts(state, now);
@@ -40,8 +39,5 @@
     attempt.state = 'superseded';
     request.excluded.add(attempt.endpoint);
     scheduleRetry(request, now);
-    if (getCurrentStage(request).kind === 'generate') {
-      cancelAttempt(state, attempt);
-    }
   }
 }
