--- a/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
+++ b/packages/hickorywharf-decisions/src/entry/systems/supersedeLostAttempts.ts
@@ -1,4 +1,4 @@
-import {cancelAttempt} from '../cancelAttempt.ts';
+import {canGoElsewhere} from '../canGoElsewhere.ts';
 import {ENTRY_LIMITS} from '../entryLimits.ts';
 import type {EntryRows} from '../entryRows.ts';
 import type {EntryState} from '../entryState.ts';
@@ -15,10 +15,11 @@
 
 /**
  * Retries idempotent stages whose endpoint was removed, has not reconnected in
- * time or has sent no frame for the silence timeout, within the retry budget.
+ * time or has sent no frame for the silence timeout, within the retry budget and
+ * only while another endpoint can take the stage: a silent endpoint may go on.
  * The old attempt is kept, so that its result is used if it arrives first. Two
- * generations are never mixed, so the old attempt of a generation is cancelled
- * instead.
+ * generations are never mixed: the old attempt of one is resumed if the new one
+ * ends without a token, and cancelled at its first token.
  *
  * @example
  *     supersedeLostAttempts(state, now);
@@ -33,12 +34,10 @@
     const endpoint = state.endpoints.get(attempt.endpoint);
     if (endpoint !== undefined && !isLost(endpoint, now)) continue;
     if (state.retryBudget < 1) continue;
+    if (!canGoElsewhere(state, request, attempt.endpoint, now)) continue;
     state.retryBudget -= 1;
     attempt.state = 'superseded';
     request.excluded.add(attempt.endpoint);
     scheduleRetry(request, now);
-    if (getCurrentStage(request).kind === 'generate') {
-      cancelAttempt(state, attempt);
-    }
   }
 }
