Close only connections without an unsent response at a stop

closeIdle used Node's closeIdleConnections, which takes a connection as idle once end() was called on its response, though bytes are not sent. The response tracker knows which responses are still to be sent; it now closes the connections on which none is, unless a further request has begun to arrive.

Test: four callers that read again 3 s after the start of the stop; before, the first had 3,919,872 bytes, head included, of a body of 4,000,000; after, all bodies are whole. Two tests show that idle connections are still closed, and that a request that has begun to arrive is not cut off; they passed before.

--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -17,7 +17,7 @@
   getActiveCalls(): number;
   /** Applies the limits of the active configuration. */
   refresh(): void;
-  /** Closes connections without a request in flight. */
+  /** Closes connections on which no response is to be sent. */
   closeIdle(): void;
   /** Closes all connections, also those with a request in flight. */
   close(): void;
@@ -233,7 +233,7 @@
       server.headersTimeout = headerMilliseconds;
       server.keepAliveTimeout = idleMilliseconds;
     },
-    closeIdle: () => server.closeIdleConnections(),
+    closeIdle: responses.closeIdle,
     close() {
       server.close();
       server.closeAllConnections();
--- a/packages/hickorywharf-utils/src/createResponseTracker.ts
+++ b/packages/hickorywharf-utils/src/createResponseTracker.ts
@@ -1,10 +1,15 @@
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
 interface TrackedConnection {
   readonly responses: Set<ServerResponse>;
   /** Whether bytes arrived that are no request; none is read after them. */
   isMalformed: boolean;
+  /** Whether the last request has arrived whole. */
+  isRequestWhole: boolean;
+  /** Bytes that had arrived when the last response was sent. */
+  bytesRead: number;
 }
 
 interface ResponseTracker {
@@ -17,6 +22,12 @@
    * closed after the last such response.
    */
   finishMalformed(error: NodeJS.ErrnoException, socket: Duplex): boolean;
+  /**
+   * Closes the connections whose responses are all sent, unless a further
+   * request has begun to arrive. Node's `closeIdleConnections` also closes those
+   * of responses that have been ended but not sent.
+   */
+  closeIdle(): void;
 }
 
 /** Node's code for the end of a connection within a request. */
@@ -33,23 +44,33 @@
  *     });
  */
 export function createResponseTracker(): ResponseTracker {
-  const connections = new WeakMap<Duplex, TrackedConnection>();
+  const connections = new Map<Duplex, TrackedConnection>();
 
   function isOwed({responses}: TrackedConnection): boolean {
     return [...responses].some(({req}) => req.complete);
   }
 
+  function track(socket: Socket): TrackedConnection {
+    const connection: TrackedConnection = {
+      responses: new Set(),
+      isMalformed: false,
+      isRequestWhole: false,
+      bytesRead: 0,
+    };
+    connections.set(socket, connection);
+    socket.once('close', () => connections.delete(socket));
+    return connection;
+  }
+
   return {
     add(response) {
       const {socket} = response.req;
-      const connection = connections.get(socket) ?? {
-        responses: new Set(),
-        isMalformed: false,
-      };
-      connections.set(socket, connection);
+      const connection = connections.get(socket) ?? track(socket);
       connection.responses.add(response);
       response.once('close', () => {
         connection.responses.delete(response);
+        connection.isRequestWhole = response.req.complete;
+        connection.bytesRead = socket.bytesRead;
         if (connection.isMalformed && !isOwed(connection)) socket.end();
       });
     },
@@ -64,5 +85,15 @@
       if (code === CALLER_ENDED) socket.destroy();
       return true;
     },
+    closeIdle() {
+      for (const [socket, connection] of connections) {
+        const {responses, isRequestWhole, bytesRead} = connection;
+        const isIdle =
+          responses.size === 0 &&
+          isRequestWhole &&
+          (socket as Socket).bytesRead === bytesRead;
+        if (isIdle) socket.destroy();
+      }
+    },
   };
 }
