Answer requests whose serving throws

An unexpected error while a request was served closed the connection of its caller: a request that had been read whole got neither an answer nor a refusal, and results of its stages were held until they expired. No such error is known to have happened.

handle().catch destroyed the response. It now ends the call, which releases what it holds, and answers 502, which promises nothing; a response that has begun breaks off as before, and one that was given whole is still sent. A response counts as started only after Node has accepted its headers.

Test: status 0 before, for the first of four kinds of requests; 502 for all four, and the results released, after.

--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -6,10 +6,16 @@
 import type {CallContext} from './callContext.ts';
 import {createResponseWriter} from './createResponseWriter.ts';
 import {readBody} from './readBody.ts';
+import type {Refusal} from './refusal.ts';
 import {serveCall} from './serveCall.ts';
 
 type ServeOptions = Parameters<typeof serveCall>[0];
 
+interface OpenCall {
+  readonly context: CallContext;
+  readonly writer: ReturnType<typeof createResponseWriter>;
+}
+
 interface CallServer {
   /** Resolves with the port, which the system chooses for port 0. */
   listen(host: string, port: number): Promise<number>;
@@ -41,6 +47,11 @@
 const UNSENT_RETRY_MILLISECONDS = 300;
 /** Retry delay for callers that are refused because the instance stops. */
 const STOPPING_RETRY_MILLISECONDS = 100;
+const STOPPING: Refusal = {
+  tag: 'stopping',
+  message: 'this instance stops',
+  retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
+};
 
 /**
  * Serves callers over HTTP/1.1. Each request gets one response; if the caller
@@ -54,6 +65,8 @@
   const {settings, state, wire, log, metrics, getInstant} = options;
   let active = 0;
   const responses = createResponseTracker();
+  /** The admitted calls, by their responses, until these are closed. */
+  const openCalls = new Map<http.ServerResponse, OpenCall>();
 
   function getLimits(): GatewayConfiguration['limits'] {
     return state.configuration?.limits ?? DEFAULT_LIMITS;
@@ -98,11 +111,30 @@
     );
   }
 
+  /** Responds to a request that could not be served for an unexpected error. */
+  function handleError(
+    error: Error,
+    response: http.ServerResponse,
+    writer: ReturnType<typeof createResponseWriter>,
+  ): void {
+    const context = openCalls.get(response)?.context;
+    const requestId = context?.call.id ?? null;
+    log.infoAlways('unexpected error while serving a request', {
+      requestId,
+      step: 'answer',
+      error: error.stack,
+    });
+    if (context !== undefined) endCall(context);
+    if (response.writableEnded) return;
+    metrics.count('refusals', 'interrupted');
+    writer.refuse({tag: 'interrupted', message: 'unexpected error'}, requestId);
+  }
+
   async function handle(
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    writer: ReturnType<typeof createResponseWriter>,
   ): Promise<void> {
-    const writer = createResponseWriter(response, state);
     const decoded = wire.parseCall(request.rawHeaders);
     if (decoded.isErr()) {
       writer.refuse({tag: 'invalidRequest', message: decoded.error}, null);
@@ -110,14 +142,7 @@
     }
     const call = decoded.value;
     if (state.isClosed) {
-      writer.refuse(
-        {
-          tag: 'stopping',
-          message: 'this instance stops',
-          retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
-        },
-        call.id,
-      );
+      writer.refuse(STOPPING, call.id);
       return;
     }
     const receivedAt = getInstant();
@@ -153,8 +178,10 @@
     const context = admitted.value;
     // Kept until the response is sent, as a caller may not read it.
     const timer = startDeadlineTimer(context, writer);
+    openCalls.set(response, {context, writer});
     response.on('close', () => {
       clearTimeout(timer);
+      openCalls.delete(response);
       if (!response.writableFinished && !context.isEnded) {
         metrics.count('calls', 'callerLeft');
         log.infoRateLimited('caller disconnected', {
@@ -196,13 +223,10 @@
         active -= 1;
       });
       response.once('finish', () => limitUnreadRequest(request));
-      void handle(request, response).catch((error: Error) => {
-        log.infoAlways('unexpected error while serving a request', {
-          step: 'answer',
-          error: error.stack,
-        });
-        response.destroy();
-      });
+      const writer = createResponseWriter(response, state);
+      void handle(request, response, writer).catch((error: Error) =>
+        handleError(error, response, writer),
+      );
     },
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
--- a/packages/hickorywharf-gateway/src/createResponseWriter.ts
+++ b/packages/hickorywharf-gateway/src/createResponseWriter.ts
@@ -44,9 +44,10 @@
   let isStarted = false;
 
   function writeHead(status: number, headers: readonly string[]): void {
-    isStarted = true;
     const closing = state.isStopping ? ['Connection', 'close'] : [];
     response.writeHead(status, [...headers, ...closing] as never);
+    // Nothing is written if Node rejects a header.
+    isStarted = true;
   }
 
   function abort(): void {
--- a/packages/hickorywharf-gateway/src/refusal.ts
+++ b/packages/hickorywharf-gateway/src/refusal.ts
@@ -14,7 +14,8 @@
     | 'stopping'
     | 'deadlineExceeded'
     | 'endpointFailed'
-    | 'timedOut';
+    | 'timedOut'
+    | 'interrupted';
   /** Title of the problem document. */
   readonly message: string;
   /** Delay before a retry; only for requests that did not run. */
--- a/packages/hickorywharf-gateway/src/refusalStatuses.ts
+++ b/packages/hickorywharf-gateway/src/refusalStatuses.ts
@@ -19,4 +19,5 @@
   deadlineExceeded: 503,
   endpointFailed: 502,
   timedOut: 504,
+  interrupted: 502,
 };
