Refuse what is unfinished at the end of a stop

Requests that were still served 0.25 s before the end of the grace period got neither an answer nor a refusal: their connections were closed, also of those that waited for stages or a rate limit and had not been sent.

stop() closed all connections. It now refuses calls whose response has not started first: 503, with a time to return, if they were not sent, else 502. A response that has started breaks off as before.

Test: servers that never answer; before, status 0 for a read, an action, a stream and a call that waits for a stage; after, 502 for the first three, and 503 with a time to return for the last.

--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -25,6 +25,11 @@
   refresh(): void;
   /** Closes connections on which no response is to be sent. */
   closeIdle(): void;
+  /**
+   * Ends all requests in flight: refuses those whose response has not started,
+   * and breaks off those whose response is not whole.
+   */
+  endCalls(): void;
   /** Closes all connections, also those with a request in flight. */
   close(): void;
 }
@@ -111,6 +116,23 @@
     );
   }
 
+  /** Ends a call of an instance that has no more time to wait for it. */
+  function endUnfinished({context, writer}: OpenCall): void {
+    endCall(context);
+    const refusal: Refusal = context.isSent
+      ? {tag: 'interrupted', message: 'this instance stops without an answer'}
+      : STOPPING;
+    metrics.count('refusals', refusal.tag);
+    log.infoRateLimited('request ended by the stop', {
+      requestId: context.call.id,
+      step: 'stop',
+      route: context.route.name,
+      isSent: context.isSent,
+      isStarted: writer.isStarted,
+    });
+    writer.refuse(refusal, context.call.id);
+  }
+
   /** Responds to a request that could not be served for an unexpected error. */
   function handleError(
     error: Error,
@@ -258,6 +280,11 @@
       server.keepAliveTimeout = idleMilliseconds;
     },
     closeIdle: responses.closeIdle,
+    endCalls() {
+      for (const [response, call] of [...openCalls]) {
+        if (!response.writableEnded) endUnfinished(call);
+      }
+    },
     close() {
       server.close();
       server.closeAllConnections();
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -54,7 +54,7 @@
  */
 const STOP_NOTICE_MILLISECONDS = 2600;
 const STOP_CHECK_MILLISECONDS = 50;
-/** Requests are closed this long before the grace period ends. */
+/** Requests are ended this long before the grace period ends. */
 const STOP_MARGIN_MILLISECONDS = 250;
 
 /**
@@ -348,6 +348,11 @@
         }
         await sleep(STOP_CHECK_MILLISECONDS);
       }
+      if (server.getActiveCalls() > 0) {
+        server.endCalls();
+        // Until the refusals are sent.
+        await sleep(STOP_CHECK_MILLISECONDS);
+      }
       polling.stop();
       journal.close();
       ledger.close();
