--- a/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
+++ b/packages/hickorywharf-standins/src/__tests__/createTcpRelay.test.ts
@@ -58,6 +58,18 @@
   t.is(await next, 'held');
 });
 
+test('mode `hold` lets a number of bytes through in each direction', async (t) => {
+  const {relay, socket} = await connectToEcho(t);
+  relay.setMode('hold', 5);
+  socket.write('one');
+  t.is(await readNext(socket), 'one');
+  socket.write('more');
+  t.is(await readNext(socket), 'mo');
+  const next = readNext(socket);
+  relay.setMode('pass');
+  t.is(await next, 're');
+});
+
 test('a reset ends the connection with an error', async (t) => {
   const {relay, socket} = await connectToEcho(t);
   socket.write('one');
--- a/packages/hickorywharf-standins/src/createTcpRelay.ts
+++ b/packages/hickorywharf-standins/src/createTcpRelay.ts
@@ -11,8 +11,13 @@
   readonly port: number;
   /** Sets the port that new connections are forwarded to. */
   setTarget(port: number): void;
-  /** Sets the mode; any mode except `hold` delivers the held bytes. */
-  setMode(mode: RelayMode): void;
+  /**
+   * Sets the mode; any mode except `hold` delivers the held bytes.
+   *
+   * @param passedBytes how many bytes `hold` lets through first, in each
+   *   direction of each connection
+   */
+  setMode(mode: RelayMode, passedBytes?: number): void;
   /** Resets every open connection. */
   reset(): void;
   /** Resets every open connection and refuses new ones until `start`. */
@@ -78,13 +83,19 @@
   const held = new Set<() => void>();
   let targetPort = 0;
   let mode: RelayMode = 'pass';
+  /** The limit of bytes that pass, of the mode that was set last. */
+  let lastLimit = {bytes: 0};
 
   /** Forwards one direction; a queue keeps its bytes, end and reset in order. */
   function createForwarder(to: Socket, link?: Link) {
     let queue = Promise.resolve();
     let queuedBytes = 0;
-    const enqueue = (task: () => Promise<void> | void) => {
-      const modeDelay = waitForMode();
+    let limit = lastLimit;
+    let passedBytes = 0;
+    const enqueue = (
+      task: () => Promise<void> | void,
+      modeDelay = waitForMode(),
+    ) => {
       queue = queue.then(() => modeDelay).then(task);
     };
     /** All packets are put on the link at once, before those of others. */
@@ -96,20 +107,45 @@
           sent: to.destroyed ? undefined : link?.send(packet.length),
         }),
       );
+    /** Counts the bytes that pass although the mode holds others. */
+    const takePassed = (length: number): number => {
+      if (limit !== lastLimit) {
+        limit = lastLimit;
+        passedBytes = 0;
+      }
+      const count = Math.min(length, limit.bytes - passedBytes);
+      passedBytes += count;
+      return count;
+    };
+    const forward = (
+      bytes: Buffer,
+      onReady: () => void,
+      modeDelay?: Promise<void>,
+    ): void => {
+      queuedBytes += bytes.length;
+      const isFull = link !== undefined || queuedBytes > QUEUE_BYTES;
+      enqueue(async () => {
+        for (const {packet, sent} of sendPackets(bytes)) {
+          await sent;
+          if (to.writable && !to.write(packet)) await waitForDrain(to);
+        }
+        queuedBytes -= bytes.length;
+        if (isFull) onReady();
+      }, modeDelay);
+      if (!isFull) setImmediate(onReady);
+    };
     return {
       /** Calls `onReady` when the sender may be read again. */
       send(bytes: Buffer, onReady: () => void): void {
-        queuedBytes += bytes.length;
-        const isFull = link !== undefined || queuedBytes > QUEUE_BYTES;
-        enqueue(async () => {
-          for (const {packet, sent} of sendPackets(bytes)) {
-            await sent;
-            if (to.writable && !to.write(packet)) await waitForDrain(to);
-          }
-          queuedBytes -= bytes.length;
-          if (isFull) onReady();
-        });
-        if (!isFull) setImmediate(onReady);
+        const passed = mode === 'hold' ? takePassed(bytes.length) : 0;
+        if (passed === 0) return forward(bytes, onReady);
+        const isWhole = passed === bytes.length;
+        forward(
+          bytes.subarray(0, passed),
+          isWhole ? onReady : () => undefined,
+          Promise.resolve(),
+        );
+        if (!isWhole) forward(bytes.subarray(passed), onReady);
       },
       end: () => enqueue(() => void to.end()),
       reset: () => enqueue(() => resetSocket(to)),
@@ -190,8 +226,9 @@
     setTarget(port) {
       targetPort = port;
     },
-    setMode(next) {
+    setMode(next, passedBytes = 0) {
       mode = next;
+      lastLimit = {bytes: passedBytes};
       if (mode === 'hold') return;
       for (const release of held) release();
       held.clear();
