Keep connections to seeds while no other instance is listed

An instance that starts on a restored store, and whose peers don't reach that store, gets the newer configuration of a peer later, and serves by the older one until then or until that counts as outdated.

Cause: each list of instances closes the connections to all that are not on it. Seeds never are, so that an instance whose list names no other one closed them every 2 s, although they are all that it can ask then. A question under way was lost, the next one only opened the connection again, and a configuration that takes longer than that can't arrive whole (by the code; not run).

Evidence: a new test in createPeerConnections.test.ts failed before (no seed connected after the first empty list).

Why it works: as long as no other instance is listed, findSeed uses the seeds, and their connections last as long. With the first other instance they are closed as before, which the test checks too.

--- a/packages/hickorywharf-gateway/src/__tests__/createPeerConnections.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerConnections.test.ts
@@ -118,3 +118,33 @@
   }
   t.true(client.isConnected('front-2'));
 });
+
+// Guards against requests to a seed that are lost since each list without other
+// instances closes its connection.
+test('a connection to a seed lasts until another instance is listed', async (t) => {
+  const [port] = await findFreePorts(HOST, 1);
+  const seed = `${HOST}:${port}`;
+  let disconnections = 0;
+  const server = createConnections('front-2', {
+    listen: {host: HOST, port: port!},
+  });
+  const client = createConnections('front-1', {
+    seeds: [{host: HOST, port: port!}],
+    onDisconnected: () => void (disconnections += 1),
+  });
+  await Promise.all([server.listen(), client.listen()]);
+  t.teardown(() => Promise.all([server.close(), client.close()]));
+  while (client.findSeed() === undefined) await sleep(10);
+  for (let count = 0; count < 3; count += 1) {
+    client.setInstances([]);
+    await sleep(100);
+    t.is(client.findSeed(), seed);
+  }
+  t.is(disconnections, 0);
+  client.setInstances([
+    {name: 'front-2', host: HOST, port: port!, failureDomain: 'a', capacity: 1},
+  ]);
+  t.is(client.findSeed(), undefined);
+  while (disconnections === 0) await sleep(10);
+  t.pass();
+});
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -48,7 +48,7 @@
   listen(): Promise<void>;
   /**
    * Replaces the known peers; disconnects from those that were removed, or are
-   * at another address now.
+   * at another address now, and from seeds once there are known peers.
    */
   setInstances(instances: readonly GatewayInstance[]): void;
   /** Whether a peer accepts orders; connects to a known peer if needed. */
@@ -214,6 +214,8 @@
       knownPeers.clear();
       for (const instance of instances) knownPeers.set(instance.name, instance);
       for (const name of [...clients.keys()]) {
+        // Without known peers, the seeds are all that can be asked.
+        if (knownPeers.size === 0 && seeds.has(name)) continue;
         const known = knownPeers.get(name);
         const before = previous.get(name) ?? known;
         if (known === undefined || !isSameAddress(known, before!)) {
