Connect to another endpoint before a silent one is left

Callers saw 502s and streams that broke off for requests at a silent server that would have gone on: the call had reserved another endpoint from the list, closed the silent attempt, and only then connected. Where the other one had ended or took no connection in 400 ms, the next try needed room in the budget again, or an endpoint, or keys that had been confirmed meanwhile.

The new connection is now opened while the silent attempt goes on, everything is asked again when it is open, and only then the silent attempt is closed and the call sent. An endpoint without a connection is not tried again during that silence. Two attempts never run at the same time.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointClient.test.ts
@@ -56,6 +56,7 @@
     requestId?: string;
     needsNewConnection?: boolean;
     isExclusive?: boolean;
+    connection?: ReturnType<ReturnType<typeof createEndpointClient>['reserve']>;
   } = {},
 ): Promise<SendResult> {
   return new Promise((resolve) => {
@@ -318,3 +319,45 @@
   client.close();
   server.close();
 });
+
+test('a request is sent on the connection that was reserved for it', async (t) => {
+  let connections = 0;
+  const server = await listen((socket) =>
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole'),
+  );
+  server.on('connection', () => void (connections += 1));
+  const client = createEndpointClient(wire, log);
+  const port = portOf(server);
+  const connection = await new Promise<ReturnType<typeof client.reserve>>(
+    (resolve, reject) => {
+      const reserved = client.reserve(
+        {host: '127.0.0.1', port},
+        {onOpen: () => resolve(reserved), onFailure: reject},
+      );
+    },
+  );
+  t.deepEqual(await send(client, port, {connection}), {
+    result: 'complete',
+    body: 'whole',
+  });
+  t.is(connections, 1);
+  client.close();
+  server.close();
+});
+
+test('a reservation fails where no connection is taken, or the endpoint closes it', async (t) => {
+  const server = net.createServer((socket) => socket.end());
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const port = portOf(server);
+  const client = createEndpointClient(wire, log);
+  const reserve = (host: string): Promise<string> =>
+    new Promise((resolve) => {
+      const onOpen = (): void => undefined;
+      client.reserve({host, port}, {onOpen, onFailure: resolve});
+    });
+  t.is(await reserve('127.0.0.1'), 'the connection was closed');
+  await new Promise((resolve) => server.close(resolve));
+  t.regex(await reserve('127.0.0.1'), /ECONNREFUSED/);
+  t.regex(await reserve('no address'), /is no address/);
+  client.close();
+});
--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
@@ -28,7 +28,7 @@
       service: {name: 'desk'},
     } as unknown as Options[1],
   );
-  const select = () => selector.selectOther('a', [])?.id;
+  const select = () => selector.selectOther(new Set(['a']), [])?.id;
   health.recordSilence('a', 0);
   t.is(select(), 'b');
   health.recordSilence('b', 0);
--- a/packages/hickorywharf-gateway/src/__tests__/createFailover.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createFailover.test.ts
@@ -9,10 +9,15 @@
 const CHECK_MILLISECONDS = 250;
 const SILENT = {id: 'engine-1'} as GatewayEndpoint;
 const OTHER = {id: 'engine-2'} as GatewayEndpoint;
+const LAST = {id: 'engine-3'} as GatewayEndpoint;
 const RESULTS = {tag: 'made', inputs: ['h1'], handles: ['h1']} as const;
 
-/** A call that reads results of stages, which were freed. */
-function prepare() {
+/**
+ * A call that reads results of stages, which were freed.
+ *
+ * @param refusing endpoints that take no connection
+ */
+function prepare(refusing: ReadonlySet<string> = new Set()) {
   const facts = {
     mayRunAgain: true,
     hasBudget: true,
@@ -35,7 +40,14 @@
     log: {infoRateLimited: () => undefined},
     metrics: {count: () => undefined},
     getFacts: () => facts,
-    findEndpoint: () => OTHER,
+    findEndpoint: (excluded) => [OTHER, LAST].find(({id}) => !excluded.has(id)),
+    isUsable: () => true,
+    connect(endpoint, {onOpen, onFailure}) {
+      events.push(`connecting ${endpoint.id}`);
+      if (refusing.has(endpoint.id)) queueMicrotask(() => onFailure('refused'));
+      else queueMicrotask(onOpen);
+      return {release: () => void events.push('connection released')};
+    },
     runStages: (_endpoint, signal) => {
       events.push('stages run');
       signal.addEventListener('abort', () => events.push('stages aborted'));
@@ -56,8 +68,13 @@
   t.is(failover.take(), null);
   stages.resolve(RESULTS);
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events.slice(2), ['reserved', 'adopted', 'left']);
-  t.is(failover.take(), OTHER);
+  t.deepEqual(events.slice(2), [
+    'connecting engine-2',
+    'reserved',
+    'adopted',
+    'left',
+  ]);
+  t.is(failover.take()?.endpoint, OTHER);
   t.is(failover.take(), null);
 });
 
@@ -89,5 +106,30 @@
   // The retry that the call holds is in the budget already.
   facts.hasBudget = false;
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events.slice(2), ['reserved', 'adopted', 'left']);
+  t.deepEqual(events.slice(3), ['reserved', 'adopted', 'left']);
+});
+
+test('a call leaves a silent endpoint only for one that has taken a connection', async (t) => {
+  const {events, stages, failover} = prepare(new Set(['engine-2']));
+  stages.resolve(RESULTS);
+  await sleep(CHECK_MILLISECONDS);
+  t.deepEqual(events.slice(2, 5), [
+    'connecting engine-2',
+    'connecting engine-3',
+    'reserved',
+  ]);
+  t.is(failover.take()?.endpoint, LAST);
+});
+
+test('a call stays at a silent endpoint while no other one takes a connection', async (t) => {
+  const {events, stages, failover} = prepare(new Set(['engine-2', 'engine-3']));
+  stages.resolve(RESULTS);
+  await sleep(CHECK_MILLISECONDS);
+  t.false(events.includes('left'));
+  failover.cancel();
+  t.deepEqual(events.slice(-3), [
+    'stages aborted',
+    'discarded',
+    'retry returned',
+  ]);
 });
--- a/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
@@ -46,6 +46,7 @@
           resume: () => undefined,
         };
       },
+      reserve: () => ({release: () => undefined}),
       close: () => undefined,
     },
     log: {
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -115,6 +115,7 @@
           resume: () => undefined,
         };
       },
+      reserve: () => ({release: () => undefined}),
       close: () => undefined,
     },
     health: createEndpointHealth(),
--- a/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/sendStageCall.test.ts
@@ -35,6 +35,7 @@
             resume: () => undefined,
           };
         },
+        reserve: () => ({release: () => undefined}),
         close: () => undefined,
       },
       endpoint: {id: 'scan-0', host: '127.0.0.1', port: 1} as GatewayEndpoint,
--- a/packages/hickorywharf-gateway/src/__tests__/stageRecovery.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/stageRecovery.test.ts
@@ -105,7 +105,11 @@
       formatFree: (handles: readonly string[]) => JSON.stringify(handles),
       formatStageHeaders: () => [],
     } as unknown as GatewayWireFormat,
-    endpointClient: {send, close: () => undefined},
+    endpointClient: {
+      send,
+      reserve: () => ({release: () => undefined}),
+      close: () => undefined,
+    },
     health: createEndpointHealth(),
     budget: createRetryBudget({
       ratio: 1,
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -15,6 +15,7 @@
 import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {EndpointClient} from './endpointClient.ts';
+import type {ReservedConnection} from './reservedConnection.ts';
 
 interface AttemptOptions {
   readonly context: CallContext;
@@ -42,6 +43,8 @@
   readonly responseTimeoutMilliseconds: number | null;
   /** Looks for another endpoint while this one is silent. */
   readonly failover: ReturnType<typeof createFailover>;
+  /** An open connection to the endpoint to use; null for any other one. */
+  readonly connection: ReservedConnection | null;
   /** Monotonic milliseconds. */
   now(): number;
   /** Called before the first event of a stream is passed to the caller. */
@@ -293,6 +296,7 @@
       body: options.body.length > 0 ? options.body : null,
       needsNewConnection: !context.isRetryable,
       isExclusive: false,
+      connection: options.connection,
       mayStillSend: () => !options.limiter.isWithdrawn(endpoint),
       onHead: handleHead,
       onData(chunk) {
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -1,10 +1,12 @@
 import net from 'node:net';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {isSocketAddress} from 'hickorywharf-utils/isSocketAddress';
+import {startTimeout} from 'hickorywharf-utils/startTimeout';
 import {createResponseParser} from './createResponseParser.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {EndpointRequest} from './endpointRequest.ts';
 import type {GatewayLog} from './gatewayLog.ts';
+import type {ReservedConnection} from './reservedConnection.ts';
 
 /** A pooled connection to an endpoint. */
 interface PooledConnection {
@@ -95,6 +97,7 @@
 ): EndpointClient {
   const idle = new Map<string, PooledConnection[]>();
   const connections = new Set<PooledConnection>();
+  const reservations = new Map<ReservedConnection, PooledConnection>();
 
   function connect(host: string, port: number): PooledConnection {
     const socket = net.connect({
@@ -181,8 +184,65 @@
     );
   }
 
+  function reserve(
+    address: {readonly host: string; readonly port: number},
+    handlers: {onOpen(): void; onFailure(message: string): void},
+  ): ReservedConnection {
+    const {host, port} = address;
+    if (!isSocketAddress(address)) {
+      queueMicrotask(() => handlers.onFailure(`${host}:${port} is no address`));
+      return {release: () => undefined};
+    }
+    const connection = connect(host, port);
+    const reserved: ReservedConnection = {
+      release() {
+        if (!reservations.delete(reserved)) return;
+        stopTimeout();
+        connection.consumer = null;
+        connection.socket.destroy();
+      },
+    };
+    reservations.set(reserved, connection);
+    function fail(message: string): void {
+      if (!reservations.has(reserved)) return;
+      reserved.release();
+      handlers.onFailure(message);
+    }
+    const stopTimeout = startTimeout({
+      milliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+      onTimeout: () =>
+        fail(`no connection within ${CONNECT_TIMEOUT_MILLISECONDS} ms`),
+    });
+    connection.consumer = {
+      onBytes(bytes) {
+        logUnexpectedBytes(connection, bytes.length);
+        fail('bytes before the first request');
+        return true;
+      },
+      onEnd: () => fail('the connection was closed'),
+      onClose: fail,
+    };
+    connection.socket.once('connect', () => {
+      stopTimeout();
+      if (reservations.has(reserved)) handlers.onOpen();
+    });
+    return reserved;
+  }
+
+  /** Undefined if the connection was closed meanwhile. */
+  function takeReserved(
+    reserved: ReservedConnection | null | undefined,
+  ): PooledConnection | undefined {
+    if (reserved === null || reserved === undefined) return undefined;
+    const connection = reservations.get(reserved);
+    reservations.delete(reserved);
+    return connection;
+  }
+
   function acquire(input: EndpointRequest): PooledConnection {
     const {host, port, requestId} = input;
+    const reserved = takeReserved(input.connection);
+    if (reserved !== undefined) return reserved;
     const isPooled = !input.needsNewConnection && !input.isExclusive;
     const connection = isPooled
       ? idle
@@ -329,6 +389,7 @@
 
   return {
     send,
+    reserve,
     close() {
       for (const {socket} of connections) socket.destroy();
     },
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -44,10 +44,10 @@
   select(inputs: readonly string[]): GatewayEndpoint | undefined;
   /**
    * Like `select`, for a call that leaves a silent endpoint: undefined also if
-   * all others are silent too, or have no room for the call now.
+   * all others are excluded, silent too, or have no room for the call now.
    */
   selectOther(
-    silentId: string,
+    excluded: ReadonlySet<string>,
     inputs: readonly string[],
   ): GatewayEndpoint | undefined;
   /**
@@ -152,10 +152,10 @@
             id === endpoint.id && startedAt === endpoint.startedAt,
         ),
     select: (inputs) => choose(listUsable(), inputs),
-    selectOther(silentId, inputs) {
+    selectOther(excluded, inputs) {
       const others = listUsable().filter(
         (endpoint) =>
-          endpoint.id !== silentId &&
+          !excluded.has(endpoint.id) &&
           !health.isSilent(endpoint.id) &&
           limiter.getWait(endpoint) === 0,
       );
--- a/packages/hickorywharf-gateway/src/endpointRequest.ts
+++ b/packages/hickorywharf-gateway/src/endpointRequest.ts
@@ -1,4 +1,5 @@
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
+import type {ReservedConnection} from './reservedConnection.ts';
 import type {SendFailure} from './sendFailure.ts';
 
 /** A request to an endpoint, with the handlers of its response. */
@@ -29,6 +30,8 @@
    * so responses that name no request need a connection of their own.
    */
   readonly isExclusive: boolean;
+  /** A connection of `reserve` to use, in place of another one. */
+  readonly connection?: ReservedConnection | null;
   /**
    * Asked once a new connection is open; if false, nothing is sent. Without it
    * the request is always sent.
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -33,6 +33,7 @@
 import type {GatewayState} from './gatewayState.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
 import type {Refusal} from './refusal.ts';
+import type {ReservedConnection} from './reservedConnection.ts';
 import type {StageRouter} from './stageRouter.ts';
 
 interface ServeOptions {
@@ -125,7 +126,18 @@
     log,
     metrics,
     getFacts: getFailoverFacts,
-    findEndpoint: ({id}, handles) => selector.selectOther(id, handles),
+    findEndpoint: selector.selectOther,
+    isUsable: (endpoint) =>
+      selector.isUsable(endpoint) && limiter.getWait(endpoint) === 0,
+    connect(endpoint, {onOpen, onFailure}) {
+      return options.endpointClient.reserve(endpoint, {
+        onOpen,
+        onFailure(message) {
+          health.recordFailure(endpoint.id, getInstant().monotonic);
+          onFailure(message);
+        },
+      });
+    },
     runStages,
     takeRetry() {
       retryTakenAt = getInstant().monotonic;
@@ -139,6 +151,8 @@
   });
   /** The endpoint whose rate limit or pause the call waited for. */
   let reserved: GatewayEndpoint | null = null;
+  /** A connection to it, if the call left a silent endpoint for it. */
+  let connection: ReservedConnection | null = null;
   /** Whether the next send has its room in the budget of retries. */
   let hasRetry = false;
 
@@ -434,10 +448,17 @@
     };
   }
 
+  function releaseConnection(): void {
+    connection?.release();
+    connection = null;
+  }
+
   async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
     sends += 1;
     context.isSent = true;
     splitter.reset();
+    const reservedConnection = connection;
+    connection = null;
     return attemptCall({
       context,
       endpoint,
@@ -456,6 +477,7 @@
         ? selector.getResponseTimeout(endpoint)
         : null,
       failover,
+      connection: reservedConnection,
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
     });
@@ -486,7 +508,10 @@
       }
       break;
     }
-    if (reserved !== null && !selector.isUsable(reserved)) reserved = null;
+    if (reserved !== null && !selector.isUsable(reserved)) {
+      reserved = null;
+      releaseConnection();
+    }
     const endpoint: GatewayEndpoint | undefined =
       reserved ?? selector.select(inputs.list());
     if (endpoint === undefined) {
@@ -553,8 +578,9 @@
     }
     selector.exclude(endpoint.id);
     if (result.tag !== 'notRun') runs += 1;
-    reserved = failover.take();
-    if (reserved !== null) {
+    const taken = failover.take();
+    if (taken !== null) {
+      ({endpoint: reserved, connection} = taken);
       hasRetry = true;
       continue;
     }
@@ -576,6 +602,7 @@
     }
     break;
   }
+  releaseConnection();
   inputs.free();
   context.cleanups.delete(inputs.free);
 }
