Use an endpoint again that has lost the response of a stage call

An overdue call kept the slot of its endpoint until the deadlines of all its pieces, though a response that is lost never comes. The slot is now kept for the health penalty of the endpoint, as it was before, while the call stays open. With one slot an endpoint answers in order: its response to a later call shows that an earlier one was lost, which ends that call and lets its pieces be made elsewhere.

--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -752,3 +752,24 @@
   await sleep(100);
   t.is(calls.length, 1);
 });
+
+test('an endpoint that has lost a response is used again, and its next response shows the loss', async (t) => {
+  const {dispatcher, calls, respond, made, isOverdue} = createTestDispatcher(1);
+  const results: StageResult[] = [];
+  const order = {...TEST_ORDER, deadlineMilliseconds: 20_000};
+  dispatcher.order(order, (result) => results.push(result));
+  await measureWait(isOverdue);
+  dispatcher.order({...order, requestId: 's'}, () => undefined);
+  await sleep(5);
+  t.is(calls.length, 1, 'not while it is penalised');
+  await measureWait(() => calls.length === 2);
+  t.false(calls[0]!.isAborted, 'it may still answer');
+  respond(calls[1]!, ...made('c', 'd'));
+  t.true(calls[0]!.isAborted);
+  await measureWait(() => calls.length === 3);
+  respond(calls[2]!, ...made('a', 'b'));
+  t.deepEqual(
+    results.map((result) => result.tag === 'made' && result.handle),
+    ['a', 'b'],
+  );
+});
--- a/packages/hickorywharf-gateway/src/createStageCalls.ts
+++ b/packages/hickorywharf-gateway/src/createStageCalls.ts
@@ -66,8 +66,12 @@
 
 /** A call that was sent, with what ends it before its response. */
 interface SentCall extends OpenStageCall {
+  /** Monotonic milliseconds. */
+  readonly startedAt: number;
   /** Ends the call as a failure. */
   fail(reason: string): void;
+  /** Ends the call, whose response was lost. */
+  lose(): void;
 }
 
 /**
@@ -82,13 +86,19 @@
  */
 const FULL_BACKOFF_MILLISECONDS = 80;
 
+const isSameProcess = (
+  left: GatewayEndpoint,
+  right: GatewayEndpoint,
+): boolean => left.id === right.id && left.startedAt === right.startedAt;
+
 /**
  * Creates the calls that dispatched pieces are made by, and decides what
  * becomes of each piece. A call that is overdue stays open, since a silent
  * endpoint may still answer: its pieces are queued once more for other
  * endpoints, and the first result of a piece is used. It ends when the deadlines
- * of all its pieces have passed; until then, results that are not needed any
- * more can be freed, and the endpoint, which works on, gets no other call.
+ * of all its pieces have passed, or the endpoint has answered a later call, and
+ * so has lost this response; until then, results that are not needed any more
+ * can be freed. The endpoint gets no other call during its health penalty.
  *
  * @example
  *     const calls = createStageCalls(options);
@@ -235,7 +245,7 @@
       endpoint.id,
       batch.reduce((sum, {order}) => sum + order.resultBytes, 0),
     );
-    const call: SentCall = {endpoint, isOverdue: false, fail};
+    const call: SentCall = {endpoint, startedAt, isOverdue: false, fail, lose};
     for (const piece of batch) {
       piece.sends += 1;
       piece.calls.add(call);
@@ -246,6 +256,7 @@
 
     function finish(): void {
       stopTimeout();
+      clearTimeout(penaltyTimer);
       overdueCalls.delete(call);
       endCall();
       cancelReservation();
@@ -284,6 +295,22 @@
       abort();
       handleFailure(reason);
     }
+    /** With one slot, an endpoint answers in the order of its calls. */
+    function loseEarlier(): void {
+      for (const earlier of [...overdueCalls]) {
+        const isSame = isSameProcess(earlier.endpoint, endpoint);
+        if (isSame && earlier.startedAt < startedAt) earlier.lose();
+      }
+    }
+    function lose(): void {
+      abort();
+      finish();
+      metrics.count('stageCalls', 'lost');
+      logCall('stage call lost', 'a later call was answered');
+      for (const piece of batch) {
+        endWithoutResult(piece, () => retry(piece, 'lost'));
+      }
+    }
     function handleOverdue(): void {
       call.isOverdue = true;
       overdueCalls.add(call);
@@ -291,6 +318,13 @@
       logCall('stage call overdue', 'no response in time');
       if (hasSuccessor(endpoint)) return fail('the endpoint restarted');
       hedge(batch);
+      penaltyTimer = setTimeout(
+        () => {
+          endCall();
+          options.onProgress(endpoint.service);
+        },
+        health.getPenalty(endpoint.id, now()),
+      );
       handleDeadlines();
       options.onProgress(endpoint.service);
     }
@@ -319,6 +353,7 @@
       if (left.length === 0) options.onProgress(endpoint.service);
     }
 
+    let penaltyTimer: NodeJS.Timeout | undefined;
     let stopTimeout = startTimeout({
       milliseconds: predicted * OVERDUE_FACTOR + OVERDUE_MARGIN_MILLISECONDS,
       onTimeout: handleOverdue,
@@ -340,6 +375,7 @@
       onFailure: handleFailure,
       onOutcomes(outcomes) {
         finish();
+        if (capacity.slots === 1) loseEarlier();
         const elapsed = now() - startedAt;
         metrics.count('stageCalls', call.isOverdue ? 'late' : 'answered');
         metrics.time('stageCall', elapsed);
@@ -366,10 +402,8 @@
 
   return {
     send,
-    isOverdue: ({id, startedAt}) =>
-      [...overdueCalls].some(
-        ({endpoint}) => endpoint.id === id && endpoint.startedAt === startedAt,
-      ),
+    isOverdue: (endpoint) =>
+      [...overdueCalls].some((call) => isSameProcess(call.endpoint, endpoint)),
     getPieceTime: pieceTimes.get,
     enqueue,
     settle,
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -114,7 +114,7 @@
 
   /**
    * The usable endpoints without a pause and, of these, without a health
-   * penalty and an overdue call. An attribute that all have excludes none.
+   * penalty. An attribute that all have excludes none.
    */
   function getEndpoints(service: string): readonly GatewayEndpoint[] {
     const usable = state.directory.getUsable(service);
@@ -122,9 +122,7 @@
     const candidates = open.length > 0 ? open : usable;
     const time = now();
     const healthy = candidates.filter(
-      (endpoint) =>
-        health.getPenalty(endpoint.id, time) === 0 &&
-        !calls.isOverdue(endpoint),
+      ({id}) => health.getPenalty(id, time) === 0,
     );
     return healthy.length > 0 ? healthy : candidates;
   }
