List calls that the next servers turn away, and say what a reservation proves

Stages that throw while they are prepared are logged in place of ending the process; no such throw is known. Two comments said more than the code does.

--- a/packages/hickorywharf-gateway/src/createFailover.ts
+++ b/packages/hickorywharf-gateway/src/createFailover.ts
@@ -65,8 +65,9 @@
 
 interface Failover {
   /**
-   * Looks for another endpoint, until `cancel` is called. Calls back once all
-   * that the call needs there is reserved.
+   * Looks for another endpoint, until `cancel` is called. Calls back once one
+   * has taken a connection, and all else that the call needs is there. It may
+   * still turn the call away.
    */
   prepare(silent: GatewayEndpoint, onReady: () => void): void;
   /** The endpoint has gone on, or the attempt has ended. */
@@ -123,6 +124,14 @@
     check();
   }
 
+  function recordError(error: Error): void {
+    options.log.infoRateLimited('stages not prepared', {
+      requestId: options.requestId,
+      step: 'stage',
+      error: error.stack,
+    });
+  }
+
   function recordMissing(silent: GatewayEndpoint, missing: string): void {
     if (search === null || search.missing === missing) return;
     search.missing = missing;
@@ -161,7 +170,10 @@
       return recordMissing(search.silent, decision.missing);
     }
     if (endpoint === undefined) return;
-    if (decision.tag === 'runStages') return void prepareStages(endpoint);
+    if (decision.tag === 'runStages') {
+      prepareStages(endpoint).catch(recordError);
+      return;
+    }
     takeRetry();
     connect(search, endpoint);
   }
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -149,7 +149,10 @@
     },
     reserve: (endpoint) => void limiter.reserve(endpoint),
   });
-  /** The endpoint whose rate limit or pause the call waited for. */
+  /**
+   * The endpoint whose rate limit or pause the call waited for, or for which it
+   * left a silent one.
+   */
   let reserved: GatewayEndpoint | null = null;
   /** A connection to it, if the call left a silent endpoint for it. */
   let connection: ReservedConnection | null = null;
