Return to a silent endpoint if others turn the call away

Callers saw 502s and streams that broke off for requests that had left a silent server for others which then refused them. An open connection does not prove that an endpoint takes a call, and the call could neither go back nor be sure of a further retry.

A call that leaves now takes two retries from the budget, one to go and one to return, and sets the silent endpoint aside in place of excluding it. Where the others turn it away and no other retry, send or endpoint is left, it returns. The second retry is given back once events arrive from the next endpoint, or when the call ends. The call runs at one endpoint at a time, as before.

--- a/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
@@ -13,8 +13,13 @@
 interface RetryBudget {
   /** Counts a request, which raises the limit while it is in the window. */
   recordRequest(service: string, now: number): void;
-  /** Whether `tryRetry` would allow a retry now. */
-  mayRetry(service: string, now: number, instances: number): boolean;
+  /** Whether `tryRetry` would allow so many retries now; one by default. */
+  mayRetry(
+    service: string,
+    now: number,
+    instances: number,
+    count?: number,
+  ): boolean;
   /**
    * Counts a retry if the budget allows it; returns false otherwise.
    *
@@ -72,12 +77,17 @@
     return window;
   }
 
-  function mayRetry(service: string, now: number, instances: number): boolean {
+  function mayRetry(
+    service: string,
+    now: number,
+    instances: number,
+    count = 1,
+  ): boolean {
     const {ratio, allowance} = options;
     const {requests, retries} = getOrCreateWindow(service, now);
     const share = allowance / Math.max(instances, 1);
     const limit = (1 - RESERVED_SHARE) * (ratio * requests.length + share);
-    return retries.length + 1 <= limit;
+    return retries.length + count <= limit;
   }
 
   return {
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -49,6 +49,8 @@
   now(): number;
   /** Called before the first event of a stream is passed to the caller. */
   onFirstEvent(): void;
+  /** Called for complete events that arrived, before they are passed on. */
+  onProgress(): void;
 }
 
 /**
@@ -199,6 +201,7 @@
       if (events === null) return;
       failover.cancel();
       health.recordProgress(endpoint.id);
+      options.onProgress();
       restartTimer(EVENT_TIMEOUT_MILLISECONDS);
       watch.recordEvents();
       if (!writer.isStarted) {
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -27,6 +27,8 @@
   setStreamVersion(version: string): void;
   /** Excludes an endpoint that was tried. */
   exclude(endpointId: string): void;
+  /** Sets an endpoint aside that the call left as it was silent. */
+  setAside(endpointId: string): void;
   /** The endpoints that may run the call, with those that were tried. */
   listUsable(): readonly GatewayEndpoint[];
   /**
@@ -42,6 +44,8 @@
    * @param inputs handles of the stage results that the call reads
    */
   select(inputs: readonly string[]): GatewayEndpoint | undefined;
+  /** An endpoint that was set aside; undefined if none of them is usable. */
+  selectAside(inputs: readonly string[]): GatewayEndpoint | undefined;
   /**
    * Like `select`, for a call that leaves a silent endpoint: undefined also if
    * all others are excluded, silent too, or have no room for the call now.
@@ -84,6 +88,7 @@
   const {settings, state, health, limiter, streams, loads, router} = options;
   const {call, route, service} = context;
   const triedEndpoints = new Set<string>();
+  const asideEndpoints = new Set<string>();
   /** Version that began the stream; null before its first event. */
   let streamVersion: string | null = null;
   /** Approximate size of the largest stage result. */
@@ -103,6 +108,9 @@
       : state.directory.getUsable(service.name);
   }
 
+  const listNew = (): GatewayEndpoint[] =>
+    listUsable().filter(({id}) => !asideEndpoints.has(id));
+
   function choose(
     endpoints: readonly GatewayEndpoint[],
     inputs: readonly string[],
@@ -151,9 +159,14 @@
           ({id, startedAt}) =>
             id === endpoint.id && startedAt === endpoint.startedAt,
         ),
-    select: (inputs) => choose(listUsable(), inputs),
+    setAside: (endpointId) => void asideEndpoints.add(endpointId),
+    select: (inputs) => choose(listNew(), inputs),
+    selectAside(inputs) {
+      const aside = listUsable().filter(({id}) => asideEndpoints.has(id));
+      return choose(aside, inputs);
+    },
     selectOther(excluded, inputs) {
-      const others = listUsable().filter(
+      const others = listNew().filter(
         (endpoint) =>
           !excluded.has(endpoint.id) &&
           !health.isSilent(endpoint.id) &&
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -67,6 +67,8 @@
  * result dropped may exceed it; the runs of the stages limit these.
  */
 const MAXIMUM_SENDS = 5;
+/** A call leaves a silent endpoint with a retry to go, and one to return. */
+const FAILOVER_RETRIES = 2;
 /**
  * Retry delay for callers when no endpoint is available, when the stages have
  * failed, or when keys were not confirmed.
@@ -120,6 +122,11 @@
   });
   /** Monotonic milliseconds. */
   let retryTakenAt = -Infinity;
+  /**
+   * Whether the call holds one more retry, to return to the silent endpoint that
+   * it left if others turn it away.
+   */
+  let holdsReturn = false;
   const failover = createFailover({
     inputs,
     requestId: call.id,
@@ -142,10 +149,13 @@
     takeRetry() {
       retryTakenAt = getInstant().monotonic;
       budget.tryRetry(service.name, retryTakenAt, state.instances.length);
+      budget.tryRetry(service.name, retryTakenAt, state.instances.length);
+      holdsReturn = true;
     },
     returnRetry() {
       const now = getInstant().monotonic;
       budget.returnRetry(service.name, retryTakenAt, now);
+      giveReturnBack();
     },
     reserve: (endpoint) => void limiter.reserve(endpoint),
   });
@@ -439,6 +449,7 @@
         service.name,
         now.monotonic,
         state.instances.length,
+        FAILOVER_RETRIES,
       ),
       hasFreshKey:
         context.account === null || isKeySetFresh(state, settings, now),
@@ -451,6 +462,37 @@
     };
   }
 
+  function giveReturnBack(): void {
+    if (!holdsReturn) return;
+    holdsReturn = false;
+    budget.returnRetry(service.name, retryTakenAt, getInstant().monotonic);
+  }
+
+  /** Whether the next send has to be the return to an endpoint set aside. */
+  function mustReturn(): boolean {
+    if (!holdsReturn || hasRetry || sends === 0) return false;
+    return (
+      sends >= MAXIMUM_SENDS - 1 ||
+      selector.select(inputs.list()) === undefined ||
+      !budget.mayRetry(
+        service.name,
+        getInstant().monotonic,
+        state.instances.length,
+      )
+    );
+  }
+
+  function selectEndpoint(): GatewayEndpoint | undefined {
+    if (!mustReturn()) return selector.select(inputs.list());
+    const endpoint = selector.selectAside(inputs.list());
+    // The retry that is held is the one for this send.
+    if (endpoint !== undefined) {
+      holdsReturn = false;
+      hasRetry = true;
+    }
+    return endpoint;
+  }
+
   function releaseConnection(): void {
     connection?.release();
     connection = null;
@@ -483,6 +525,7 @@
       connection: reservedConnection,
       now: () => getInstant().monotonic,
       onFirstEvent: () => recordFirstEvent(endpoint),
+      onProgress: giveReturnBack,
     });
   }
 
@@ -515,8 +558,7 @@
       reserved = null;
       releaseConnection();
     }
-    const endpoint: GatewayEndpoint | undefined =
-      reserved ?? selector.select(inputs.list());
+    const endpoint: GatewayEndpoint | undefined = reserved ?? selectEndpoint();
     if (endpoint === undefined) {
       failWithoutEndpoint();
       break;
@@ -579,9 +621,10 @@
       inputs.free();
       continue;
     }
-    selector.exclude(endpoint.id);
     if (result.tag !== 'notRun') runs += 1;
     const taken = failover.take();
+    if (taken === null) selector.exclude(endpoint.id);
+    else selector.setAside(endpoint.id);
     if (taken !== null) {
       ({endpoint: reserved, connection} = taken);
       hasRetry = true;
@@ -605,6 +648,7 @@
     }
     break;
   }
+  giveReturnBack();
   releaseConnection();
   inputs.free();
   context.cleanups.delete(inputs.free);
