Read what has arrived before a stop closes connections

Callers on kept connections got no answer from an instance that stopped: their requests had arrived while its event loop was blocked, and 20 of 20 connections were closed with the request unread.

Node runs timers before it reads sockets. The timer of the stop closed all connections on which no request had been read. It now lets the sockets be read first, as well as at the end, where connections are accepted and read once more after the last response.

The end of a stop has a file of its own.

--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -6,7 +6,6 @@
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
-import {sleep} from 'hickorywharf-utils/sleep';
 import {createCallServer} from './createCallServer.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
 import {createEndpointLimiter} from './createEndpointLimiter.ts';
@@ -29,6 +28,7 @@
 import {createStreamVersions} from './createStreamVersions.ts';
 import {createVersionLedger} from './createVersionLedger.ts';
 import {startStateSync} from './startStateSync.ts';
+import {stopGateway} from './stopGateway.ts';
 
 interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -48,15 +48,6 @@
   stop(): Promise<void>;
 }
 
-/**
- * Time for the load balancer to notice a stop: it needs two readiness checks,
- * one a second.
- */
-const STOP_NOTICE_MILLISECONDS = 2600;
-const STOP_CHECK_MILLISECONDS = 50;
-/** Requests are ended this long before the grace period ends. */
-const STOP_MARGIN_MILLISECONDS = 250;
-
 /**
  * Runs a gateway, an entry that calls endpoints directly. It serves callers and
  * keeps its configuration and endpoints up to date from the platform's store.
@@ -331,28 +322,17 @@
     async stop() {
       if (state.isStopping) return;
       const stoppedAt = now();
-      state.isStopping = true;
-      log.infoAlways('stopping', {
-        step: 'stop',
-        active: server.getActiveCalls(),
+      await stopGateway({
+        settings,
+        state,
+        server,
+        log,
+        now,
+        announce() {
+          peers.announceLeaving();
+          void polling.withdraw();
+        },
       });
-      const end = settings.graceMilliseconds - STOP_MARGIN_MILLISECONDS;
-      peers.announceLeaving();
-      void polling.withdraw();
-      for (;;) {
-        const elapsed = now() - stoppedAt;
-        if (elapsed >= STOP_NOTICE_MILLISECONDS) {
-          state.isClosed = true;
-          server.closeIdle();
-          if (server.getActiveCalls() === 0 || elapsed >= end) break;
-        }
-        await sleep(STOP_CHECK_MILLISECONDS);
-      }
-      if (server.getActiveCalls() > 0) {
-        server.endCalls();
-        // Until the refusals are sent.
-        await sleep(STOP_CHECK_MILLISECONDS);
-      }
       polling.stop();
       journal.close();
       ledger.close();
