End calls before the process can be killed

An instance that stopped could be killed before it had refused its calls, which then got no answer: with a grace period below 2.6 s always, and with any other if its event loop was late, as it ended the calls 250 ms before the period's end.

The notice to the load balancer no longer holds the end back, and the margin grows with how late the event loop was in the last ten seconds, counted twice: the signal is handled late, and so is the end. It is at most 0.3 of the period. 'stopping' and 'stopped' log the lateness.

Test: calls to silent servers; with 1 s of grace refused after 2.61 s before, 0.8 s after; with 4 s and an event loop blocked for 600 ms at the end, 4.19 s before, in time after.

--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -5,6 +5,7 @@
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {createCallServer} from './createCallServer.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
@@ -69,6 +70,7 @@
     metrics.count('logLinesLeftOut', 'bound'),
   );
   const state = createGatewayState(settings);
+  const lateness = createLatenessMonitor();
   const endpointClient = createEndpointClient(wire, log);
   const health = createEndpointHealth();
   const budget = createRetryBudget({
@@ -326,6 +328,7 @@
         settings,
         state,
         server,
+        lateness,
         log,
         now,
         announce() {
@@ -344,7 +347,9 @@
       log.infoAlways('stopped', {
         step: 'stop',
         milliseconds: now() - stoppedAt,
+        lateness: Math.round(lateness.get()),
       });
+      lateness.stop();
     },
   };
 }
--- a/packages/hickorywharf-gateway/src/stopGateway.ts
+++ b/packages/hickorywharf-gateway/src/stopGateway.ts
@@ -1,5 +1,6 @@
 import {setImmediate as waitForSockets} from 'node:timers/promises';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
+import type {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {createCallServer} from './createCallServer.ts';
 import type {GatewayLog} from './gatewayLog.ts';
@@ -12,6 +13,7 @@
     ReturnType<typeof createCallServer>,
     'getActiveCalls' | 'closeIdle' | 'endCalls' | 'stopListening'
   >;
+  readonly lateness: Pick<ReturnType<typeof createLatenessMonitor>, 'get'>;
   readonly log: Pick<GatewayLog, 'infoAlways'>;
   /** Monotonic milliseconds. */
   now(): number;
@@ -25,8 +27,14 @@
  */
 const NOTICE_MILLISECONDS = 2600;
 const CHECK_MILLISECONDS = 50;
-/** Calls are ended this long before the grace period ends. */
+/** Calls are ended this long before the grace period ends, or more. */
 const MARGIN_MILLISECONDS = 250;
+/**
+ * The process may be this many times as late as it was: when it handles the
+ * signal, from which the grace period is counted, and when it ends the calls.
+ */
+const LATE_TIMES = 2;
+const MAXIMUM_MARGIN_SHARE = 0.3;
 /** Share of the margin in which the last responses are sent. */
 const DELIVERY_SHARE = 0.5;
 
@@ -40,23 +48,38 @@
  *     server.close();
  */
 export async function stopGateway(options: StopOptions): Promise<void> {
-  const {settings, state, server, log, now} = options;
+  const {settings, state, server, lateness, log, now} = options;
   const stoppedAt = now();
+  let endsAt = Infinity;
 
-  const endsAt = stoppedAt + settings.graceMilliseconds - MARGIN_MILLISECONDS;
+  function getMargin(): number {
+    return Math.min(
+      MARGIN_MILLISECONDS + LATE_TIMES * lateness.get(),
+      Math.max(
+        MARGIN_MILLISECONDS,
+        settings.graceMilliseconds * MAXIMUM_MARGIN_SHARE,
+      ),
+    );
+  }
+  function updateEnd(): void {
+    endsAt = stoppedAt + settings.graceMilliseconds - getMargin();
+  }
   async function waitForResponses(until: number): Promise<void> {
     while (server.getActiveCalls() > 0 && now() < until) await sleep(10);
   }
 
   state.isStopping = true;
+  updateEnd();
   log.infoAlways('stopping', {
     step: 'stop',
     active: server.getActiveCalls(),
+    lateness: Math.round(lateness.get()),
   });
   options.announce();
   for (;;) {
+    updateEnd();
     const hasEnded = now() >= endsAt;
-    if (now() - stoppedAt >= NOTICE_MILLISECONDS) {
+    if (hasEnded || now() - stoppedAt >= NOTICE_MILLISECONDS) {
       state.isClosed = true;
       // Requests that have arrived are read before connections are closed.
       await waitForSockets();
@@ -65,7 +88,7 @@
     }
     await sleep(CHECK_MILLISECONDS);
   }
-  const deliveredAt = endsAt + MARGIN_MILLISECONDS * DELIVERY_SHARE;
+  const deliveredAt = endsAt + getMargin() * DELIVERY_SHARE;
   server.endCalls();
   await waitForResponses(deliveredAt);
   server.stopListening();
