Refuse calls that can't finish before an instance that stops ends

Callers of an instance that stopped waited until its end for stages, limits and retries, and were then cut or told that they had not run, when they had little time left for another instance. Late requests were passed on to servers that could not answer them before the end, actions among them, also if a body in chunks ended after the load balancer had left.

Cause: what a call waits for was bounded by its caller's deadline alone. The state now has the end of the instance. A call is refused as not run unless its forecast wait and the usual response time of its route, the longest recent one for calls that may not be repeated, fit in; calls of the stop wait only while forecasts hold. A call that all endpoints turned away counts as not sent. 'request ended by the stop' logs what the call waited for.

'answered' is counted for whole responses again whose call had ended by then.

--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -121,6 +121,11 @@
     deadlineAt: receivedAt.monotonic + timeLeft,
     isEnded: false,
     isSent: false,
+    wait: {
+      reason: 'body',
+      startedAt: receivedAt.monotonic,
+      expectedMilliseconds: 0,
+    },
     cleanups: new Set(),
   });
 }
--- a/packages/hickorywharf-gateway/src/callContext.ts
+++ b/packages/hickorywharf-gateway/src/callContext.ts
@@ -2,6 +2,15 @@
 import type {GatewayRoute} from 'hickorywharf-types/gateway/gatewayRoute';
 import type {GatewayService} from 'hickorywharf-types/gateway/gatewayService';
 
+/** What a call waits for before it can be sent. */
+interface CallWait {
+  readonly reason: 'body' | 'stages' | 'limit';
+  /** Monotonic milliseconds. */
+  readonly startedAt: number;
+  /** Forecast of the wait when it began. */
+  readonly expectedMilliseconds: number;
+}
+
 /** An admitted request of a caller. Times are monotonic milliseconds. */
 export interface CallContext {
   readonly call: GatewayCall;
@@ -27,8 +36,10 @@
   readonly deadlineAt: number;
   /** Set when the response is closed, or the call timed out. */
   isEnded: boolean;
-  /** Set once the call was sent to an endpoint, which may then have run it. */
+  /** Whether an endpoint may have run the call, or may be running it. */
   isSent: boolean;
+  /** What the call waits for; null if it was sent, or can be. */
+  wait: CallWait | null;
   /** Functions that run when the call ends and release its resources. */
   readonly cleanups: Set<() => void>;
 }
--- a/packages/hickorywharf-gateway/src/callFailure.ts
+++ b/packages/hickorywharf-gateway/src/callFailure.ts
@@ -9,4 +9,6 @@
   | 'budget'
   | 'stages'
   | 'keys'
+  /** This instance stops before the call could end. */
+  | 'stop'
   | 'quarantine';
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -6,6 +6,7 @@
 import type {CallContext} from './callContext.ts';
 import {createResponseWriter} from './createResponseWriter.ts';
 import {readBody} from './readBody.ts';
+import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
 import type {Refusal} from './refusal.ts';
 import {serveCall} from './serveCall.ts';
 
@@ -25,6 +26,8 @@
   refresh(): void;
   /** Closes connections on which no response is to be sent. */
   closeIdle(): void;
+  /** Refuses the calls that can't finish before this instance ends. */
+  refuseUnfinishable(): void;
   /**
    * Ends all requests in flight: refuses those whose response has not started,
    * and breaks off those whose response is not whole.
@@ -52,13 +55,6 @@
 const DEADLINE_SLACK_MILLISECONDS = 60;
 /** Retry delay for callers whose request was not sent before its deadline. */
 const UNSENT_RETRY_MILLISECONDS = 300;
-/** Retry delay for callers that are refused because the instance stops. */
-const STOPPING_RETRY_MILLISECONDS = 100;
-const STOPPING: Refusal = {
-  tag: 'stopping',
-  message: 'this instance stops',
-  retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
-};
 
 /**
  * Serves callers over HTTP/1.1. Each request gets one response; if the caller
@@ -69,7 +65,8 @@
  *     await server.listen('10.1.0.41', 8625); // 8625
  */
 export function createCallServer(options: ServeOptions): CallServer {
-  const {settings, state, wire, log, metrics, getInstant} = options;
+  const {settings, state, wire, log, metrics, stopForecast, getInstant} =
+    options;
   let active = 0;
   const responses = createResponseTracker();
   /** The admitted calls, by their responses, until these are closed. */
@@ -123,7 +120,7 @@
     endCall(context);
     const refusal: Refusal = context.isSent
       ? {tag: 'interrupted', message: 'this instance stops without an answer'}
-      : STOPPING;
+      : STOPPING_REFUSAL;
     metrics.count('refusals', refusal.tag);
     log.infoRateLimited('request ended by the stop', {
       requestId: context.call.id,
@@ -131,6 +128,11 @@
       route: context.route.name,
       isSent: context.isSent,
       isStarted: writer.isStarted,
+      waitsFor: context.wait?.reason ?? null,
+      waitedMilliseconds:
+        context.wait === null
+          ? null
+          : Math.round(getInstant().monotonic - context.wait.startedAt),
     });
     writer.refuse(refusal, context.call.id);
   }
@@ -166,7 +168,7 @@
     }
     const call = decoded.value;
     if (state.isClosed) {
-      writer.refuse(STOPPING, call.id);
+      writer.refuse(STOPPING_REFUSAL, call.id);
       return;
     }
     const receivedAt = getInstant();
@@ -221,6 +223,11 @@
       writer.refuse(body.error, call.id);
       return;
     }
+    context.wait = null;
+    if (state.isClosed) {
+      endUnfinished({context, writer});
+      return;
+    }
     await serveCall(options, {context, body: body.value, relay: writer});
   }
 
@@ -282,6 +289,16 @@
       server.keepAliveTimeout = idleMilliseconds;
     },
     closeIdle: responses.closeIdle,
+    refuseUnfinishable() {
+      const unsent = [...openCalls.values()].filter(
+        ({context, writer}) =>
+          !context.isEnded && !context.isSent && !writer.isStarted,
+      );
+      stopForecast.recordWaits(unsent.map(({context}) => context));
+      for (const call of unsent) {
+        if (!stopForecast.canFinish(call.context)) endUnfinished(call);
+      }
+    },
     endCalls() {
       for (const [response, call] of [...openCalls]) {
         if (!response.writableEnded) endUnfinished(call);
--- a/packages/hickorywharf-gateway/src/createGatewayState.ts
+++ b/packages/hickorywharf-gateway/src/createGatewayState.ts
@@ -29,5 +29,7 @@
     instances: [{name, failureDomain, capacity}],
     isStopping: false,
     isClosed: false,
+    stoppedAt: Infinity,
+    endsAt: Infinity,
   };
 }
--- a/packages/hickorywharf-gateway/src/gatewayState.ts
+++ b/packages/hickorywharf-gateway/src/gatewayState.ts
@@ -27,4 +27,8 @@
   isStopping: boolean;
   /** Set later in a planned stop, when new requests are refused. */
   isClosed: boolean;
+  /** When a planned stop began, monotonic; Infinity without a stop. */
+  stoppedAt: number;
+  /** When a planned stop ends the calls, monotonic; Infinity without a stop. */
+  endsAt: number;
 }
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -21,6 +21,7 @@
 import {createResponseMemory} from './createResponseMemory.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
+import {createStopForecast} from './createStopForecast.ts';
 import {createStreamJournal} from './createStreamJournal.ts';
 import {createStateUpdater} from './createStateUpdater.ts';
 import {createTextServer} from './createTextServer.ts';
@@ -243,6 +244,7 @@
     responseMemory: createResponseMemory(),
     budget,
     router,
+    stopForecast: createStopForecast({state, now}),
     log,
     metrics,
     getInstant,
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -25,6 +25,7 @@
 import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
+import type {createStopForecast} from './createStopForecast.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import {findUnservedStage} from './findUnservedStage.ts';
@@ -35,6 +36,7 @@
 import type {Refusal} from './refusal.ts';
 import type {ReservedConnection} from './reservedConnection.ts';
 import type {StageRouter} from './stageRouter.ts';
+import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
 
 interface ServeOptions {
   readonly settings: GatewaySettings;
@@ -49,6 +51,7 @@
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
+  readonly stopForecast: ReturnType<typeof createStopForecast>;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly getInstant: ReturnType<typeof createInstantClock>;
@@ -94,7 +97,7 @@
   input: ServedCall,
 ): Promise<void> {
   const {settings, state, health, limiter, loads, budget} = options;
-  const {quarantine} = options;
+  const {quarantine, stopForecast} = options;
   const {log, metrics, getInstant} = options;
   const {context, body, relay: writer} = input;
   const {call, route, service} = context;
@@ -280,6 +283,17 @@
     }
   }
 
+  /**
+   * Ends a call that can't finish before this instance does, unless its response
+   * has started. False if the call may go on.
+   */
+  function refuseForStop(): boolean {
+    if (writer.isStarted || stopForecast.canFinish(context)) return false;
+    if (runs > 0) fail('stop', 'this instance stops before the call can end');
+    else refuse(STOPPING_REFUSAL);
+    return true;
+  }
+
   /**
    * Finds the version at which the caller's stream continues. False if it is
    * not known or does not serve any more; the response is written.
@@ -391,8 +405,19 @@
         );
         return false;
       }
+      const expected =
+        admission.tag === 'timely'
+          ? stages.timelyMilliseconds
+          : stages.totalMilliseconds;
+      context.wait = {
+        reason: 'stages',
+        startedAt: now,
+        expectedMilliseconds: expected - engineMilliseconds,
+      };
+      if (refuseForStop()) return false;
     }
     const result = await runStages(consumer);
+    context.wait = null;
     if (context.isEnded) return false;
     if (result.tag === 'failed') {
       if (writer.isStarted || runs > 0) {
@@ -568,7 +593,14 @@
       if (wait === null) break;
       if (wait > 0) {
         reserved = endpoint;
+        context.wait = {
+          reason: 'limit',
+          startedAt: getInstant().monotonic,
+          expectedMilliseconds: wait,
+        };
+        if (refuseForStop()) break;
         await sleep(wait);
+        context.wait = null;
         continue;
       }
     }
@@ -587,6 +619,7 @@
       break;
     }
     if (refuseLastEndpoint() || refuseQuarantined(true)) break;
+    if (refuseForStop()) break;
     const lastEventId = splitter.getLastId() ?? call.lastEventId;
     if (lastEventId !== null) {
       log.infoRateLimited('stream resumes', {
@@ -599,17 +632,20 @@
         isWithinResponse: writer.isStarted,
       });
     }
+    const sentAt = getInstant().monotonic;
     const result = await attempt(endpoint);
     metrics.count('attempts', result.tag);
     if ('failure' in result) metrics.count('failedAttempts', result.failure);
-    if (context.isEnded || result.tag === 'callerGone') break;
+    // The call of a whole response may have ended by now.
     if (result.tag === 'delivered') {
+      stopForecast.recordResponse(context, getInstant().monotonic - sentAt);
       recordOutcome('answered', {
         peer: endpoint.id,
         endpointVersion: endpoint.version,
       });
       break;
     }
+    if (context.isEnded || result.tag === 'callerGone') break;
     log.infoRateLimited('attempt failed', {
       requestId: call.id,
       step: 'call',
@@ -617,11 +653,12 @@
       result: result.tag,
       reason: 'reason' in result ? result.reason : null,
     });
+    if (result.tag !== 'notRun' && result.tag !== 'inputGone') runs += 1;
+    context.isSent = runs > 0;
     if (result.tag === 'inputGone') {
       inputs.free();
       continue;
     }
-    if (result.tag !== 'notRun') runs += 1;
     const taken = failover.take();
     if (taken === null) selector.exclude(endpoint.id);
     else selector.setAside(endpoint.id);
--- a/packages/hickorywharf-gateway/src/stopGateway.ts
+++ b/packages/hickorywharf-gateway/src/stopGateway.ts
@@ -11,7 +11,11 @@
   readonly state: GatewayState;
   readonly server: Pick<
     ReturnType<typeof createCallServer>,
-    'getActiveCalls' | 'closeIdle' | 'endCalls' | 'stopListening'
+    | 'getActiveCalls'
+    | 'closeIdle'
+    | 'refuseUnfinishable'
+    | 'endCalls'
+    | 'stopListening'
   >;
   readonly lateness: Pick<ReturnType<typeof createLatenessMonitor>, 'get'>;
   readonly log: Pick<GatewayLog, 'infoAlways'>;
@@ -39,9 +43,9 @@
 const DELIVERY_SHARE = 0.5;
 
 /**
- * Ends the calls of an instance in a planned stop, at the end of the grace
- * period at the latest. Resolves once all calls have ended; connections may be
- * closed then.
+ * Ends the calls of an instance in a planned stop. Calls go on while they can
+ * finish within the grace period, others are refused at once. Resolves once all
+ * calls have ended; connections may be closed then.
  *
  * @example
  *     await stopGateway(options);
@@ -50,7 +54,6 @@
 export async function stopGateway(options: StopOptions): Promise<void> {
   const {settings, state, server, lateness, log, now} = options;
   const stoppedAt = now();
-  let endsAt = Infinity;
 
   function getMargin(): number {
     return Math.min(
@@ -62,13 +65,14 @@
     );
   }
   function updateEnd(): void {
-    endsAt = stoppedAt + settings.graceMilliseconds - getMargin();
+    state.endsAt = stoppedAt + settings.graceMilliseconds - getMargin();
   }
   async function waitForResponses(until: number): Promise<void> {
     while (server.getActiveCalls() > 0 && now() < until) await sleep(10);
   }
 
   state.isStopping = true;
+  state.stoppedAt = stoppedAt;
   updateEnd();
   log.infoAlways('stopping', {
     step: 'stop',
@@ -78,7 +82,8 @@
   options.announce();
   for (;;) {
     updateEnd();
-    const hasEnded = now() >= endsAt;
+    server.refuseUnfinishable();
+    const hasEnded = now() >= state.endsAt;
     if (hasEnded || now() - stoppedAt >= NOTICE_MILLISECONDS) {
       state.isClosed = true;
       // Requests that have arrived are read before connections are closed.
@@ -88,7 +93,7 @@
     }
     await sleep(CHECK_MILLISECONDS);
   }
-  const deliveredAt = endsAt + getMargin() * DELIVERY_SHARE;
+  const deliveredAt = state.endsAt + getMargin() * DELIVERY_SHARE;
   server.endCalls();
   await waitForResponses(deliveredAt);
   server.stopListening();
