Stay until the pieces that others ordered are made

An instance without calls of its own ended 2.6 s after the signal, also while it dispatched pieces of calls of other instances. Their stage calls were lost and made once more elsewhere, late for the calls of instances that stop as well.

It now stays, within its grace period, until all orders of peers are done; they place no new ones after its announcement.

--- a/packages/hickorywharf-gateway/src/createStageRouter.ts
+++ b/packages/hickorywharf-gateway/src/createStageRouter.ts
@@ -25,6 +25,8 @@
 interface Router extends StageRouter {
   /** Handles a frame of a peer that orders from this instance. */
   handleRequest(connection: Connection, frame: Frame): void;
+  /** Whether orders of peers have unfinished pieces. */
+  hasPeerOrders(): boolean;
   /** Cancels the orders of a peer that disconnected. */
   cancelRequests(connection: Connection): void;
   /** Wait estimates of the services that this instance dispatches for. */
@@ -255,6 +257,8 @@
         dispatcher.free(frame.handles);
       }
     },
+    hasPeerOrders: () =>
+      [...peerOrders.values()].some((orders) => orders.size > 0),
     cancelRequests(connection) {
       for (const cancel of peerOrders.get(connection)?.values() ?? []) cancel();
       peerOrders.delete(connection);
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -333,6 +333,7 @@
         lateness,
         log,
         now,
+        hasPeerOrders: router.hasPeerOrders,
         announce() {
           peers.announceLeaving();
           void polling.withdraw();
--- a/packages/hickorywharf-gateway/src/stopGateway.ts
+++ b/packages/hickorywharf-gateway/src/stopGateway.ts
@@ -21,6 +21,8 @@
   readonly log: Pick<GatewayLog, 'infoAlways'>;
   /** Monotonic milliseconds. */
   now(): number;
+  /** Whether this instance dispatches pieces of calls of other instances. */
+  hasPeerOrders(): boolean;
   /** Tells the others that this instance leaves. */
   announce(): void;
 }
@@ -89,7 +91,8 @@
       // Requests that have arrived are read before connections are closed.
       await waitForSockets();
       server.closeIdle();
-      if (hasEnded || server.getActiveCalls() === 0) break;
+      const isIdle = server.getActiveCalls() === 0 && !options.hasPeerOrders();
+      if (hasEnded || isIdle) break;
     }
     await sleep(CHECK_MILLISECONDS);
   }
