Return to a sound endpoint if the next one fails

Streams of a sound server that fell silent for 1.8 s and went on were cut if the server that they had left it for answered with an error, broke off, or had lost the results of their stages. Only a server that turned the stream away led back.

A call that leaves a silent endpoint holds a retry to return with until the next one has made progress. It now returns for any failure, to the endpoint that it has run at already, and its stages may run once more for that.

The metric 'silences' counts returns.

--- a/packages/hickorywharf-gateway/src/createCallInputs.ts
+++ b/packages/hickorywharf-gateway/src/createCallInputs.ts
@@ -20,7 +20,12 @@
   areMissing(): boolean;
   /** How many times the stages were run. */
   countRuns(): number;
-  mayRun(): boolean;
+  /**
+   * Whether the stages may run once more.
+   *
+   * @param moreRuns runs that the call may make beyond the usual ones
+   */
+  mayRun(moreRuns?: number): boolean;
   /**
    * Runs the stages. Results are the caller's, to `adopt` or to `discard`, and
    * are discarded here if the call ends or the signal is aborted meanwhile.
@@ -74,7 +79,7 @@
     list: () => results?.inputs ?? [],
     areMissing: () => hasStages && results === null,
     countRuns: () => runs,
-    mayRun: () => runs < MAXIMUM_STAGE_RUNS,
+    mayRun: (moreRuns = 0) => runs < MAXIMUM_STAGE_RUNS + moreRuns,
     async run({services, consumerDomain, signal}) {
       runs += 1;
       const startedAt = getNow();
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -127,7 +127,7 @@
   let retryTakenAt = -Infinity;
   /**
    * Whether the call holds one more retry, to return to the silent endpoint that
-   * it left if others turn it away.
+   * it left if others turn it away or fail.
    */
   let holdsReturn = false;
   const failover = createFailover({
@@ -364,11 +364,14 @@
    */
   async function prepareInputs(): Promise<boolean> {
     if (!inputs.areMissing()) return true;
-    if (!inputs.mayRun()) {
+    // A call can return to the endpoint that it left only with inputs.
+    if (!inputs.mayRun(holdsReturn ? 1 : 0)) {
       fail('stages', 'the results of the stages were lost');
       return false;
     }
-    const consumer = selector.select(inputs.list());
+    const consumer = mustReturn()
+      ? selector.selectAside(inputs.list())
+      : selector.select(inputs.list());
     if (consumer === undefined) {
       failWithoutEndpoint();
       return false;
@@ -498,6 +501,8 @@
     if (!holdsReturn || hasRetry || sends === 0) return false;
     return (
       sends >= MAXIMUM_SENDS - 1 ||
+      runs >= route.maximumEndpoints ||
+      !inputs.mayRun() ||
       selector.select(inputs.list()) === undefined ||
       !budget.mayRetry(
         service.name,
@@ -514,6 +519,7 @@
     if (endpoint !== undefined) {
       holdsReturn = false;
       hasRetry = true;
+      metrics.count('silences', 'returned');
     }
     return endpoint;
   }
@@ -671,7 +677,8 @@
     const mayRetry =
       sends < MAXIMUM_SENDS &&
       (result.tag === 'notRun' ||
-        (context.isRetryable && runs < route.maximumEndpoints));
+        (context.isRetryable &&
+          (runs < route.maximumEndpoints || holdsReturn)));
     if (mayRetry) {
       // The end of a process may quarantine this call.
       await quarantine.waitForProbe(endpoint);
