Bound what an endpoint process reads of an engine's stream

An engine that sent an event without end filled the memory of its endpoint process on our own interface: its stream was read in lines of any length, of a body of any length. It was also not closed when a line was rejected.

Lines are read from the body with a limit of 64 KiB for a line and 16 MiB for a stream; the connection is closed when no more lines are taken.

--- a/packages/hickorywharf-endpoints/src/createEngineBackend.ts
+++ b/packages/hickorywharf-endpoints/src/createEngineBackend.ts
@@ -1,11 +1,12 @@
-import {createInterface} from 'node:readline';
 import {ResultAsync} from 'neverthrow';
 import {request} from 'undici';
 import type {StageOutput} from 'hickorywharf-types/stageOutput';
 import * as z from 'zod';
 import type {Backend} from './backend.ts';
+import {BACKEND_LIMITS} from './backendLimits.ts';
 import {createBackendAgent} from './createBackendAgent.ts';
 import {parseResponse} from './parseResponse.ts';
+import {readLines} from './readLines.ts';
 import {toBackendError} from './toBackendError.ts';
 
 type RunOptions = Parameters<Backend['run']>[0];
@@ -60,7 +61,10 @@
         `the engine responded with status ${response.statusCode}`,
       );
     }
-    const lines = createInterface({input: response.body});
+    const lines = readLines(response.body, {
+      maximumLineBytes: BACKEND_LIMITS.maximumEventBytes,
+      maximumBytes: BACKEND_LIMITS.maximumStreamBytes,
+    });
     for await (const line of lines) {
       if (!line.startsWith(DATA_PREFIX)) {
         // Without a length, what follows on the connection is read as well.
