Close connections of a stop in one step, and send what needs no wait

Node's server closes idle connections with the listener, whether requests on them were read or not; the listener now closes with all connections, after the last turn in which sockets are read. A call of the stop that has its stage results is sent though other calls of its route wait for longer than was forecast; it was refused after its stages had run.

--- a/packages/hickorywharf-gateway/src/__tests__/stopGateway.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/stopGateway.test.ts
@@ -23,7 +23,6 @@
       closeIdle: () => undefined,
       refuseUnfinishable: () => undefined,
       endCalls: () => undefined,
-      stopListening: () => undefined,
     },
     lateness: {get: () => 0},
     log: {infoAlways: () => undefined},
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -33,8 +33,6 @@
    * and breaks off those whose response is not whole.
    */
   endCalls(): void;
-  /** Accepts no more connections. */
-  stopListening(): void;
   /** Closes all connections, also those with a request in flight. */
   close(): void;
 }
@@ -304,8 +302,8 @@
         if (!response.writableEnded) endUnfinished(call);
       }
     },
-    stopListening: () => void server.close(),
     close() {
+      server.close();
       server.closeAllConnections();
     },
   };
--- a/packages/hickorywharf-gateway/src/createStopForecast.ts
+++ b/packages/hickorywharf-gateway/src/createStopForecast.ts
@@ -66,7 +66,8 @@
         graceLeftMilliseconds: state.endsAt - time,
         timeLeftMilliseconds: deadlineAt - time,
         isNew: arrivedAt >= state.stoppedAt,
-        isRouteOverdue: overdueRoutes.has(route.name),
+        // A call that waits for nothing is not held up by what others wait for.
+        isRouteOverdue: wait !== null && overdueRoutes.has(route.name),
         waitedMilliseconds: wait === null ? 0 : time - wait.startedAt,
         expectedWaitMilliseconds: wait?.expectedMilliseconds ?? 0,
         responseMilliseconds: known ?? route.targetMilliseconds,
--- a/packages/hickorywharf-gateway/src/stopGateway.ts
+++ b/packages/hickorywharf-gateway/src/stopGateway.ts
@@ -11,11 +11,7 @@
   readonly state: GatewayState;
   readonly server: Pick<
     ReturnType<typeof createCallServer>,
-    | 'getActiveCalls'
-    | 'closeIdle'
-    | 'refuseUnfinishable'
-    | 'endCalls'
-    | 'stopListening'
+    'getActiveCalls' | 'closeIdle' | 'refuseUnfinishable' | 'endCalls'
   >;
   readonly lateness: Pick<ReturnType<typeof createLatenessMonitor>, 'get'>;
   readonly log: Pick<GatewayLog, 'infoAlways'>;
@@ -99,7 +95,6 @@
   const deliveredAt = state.endsAt + getMargin() * DELIVERY_SHARE;
   server.endCalls();
   await waitForResponses(deliveredAt);
-  server.stopListening();
   // Connections are accepted in one turn of the event loop, and read in the next.
   await waitForSockets();
   await waitForSockets();
