Return to a silent endpoint rather than wait for others

The call selected an endpoint that it had to wait for, longer than a stream may pause, and ended, with its return still in hand.

It returns now unless another endpoint takes calls at once.

--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -513,15 +513,16 @@
   }
 
   function selectEndpoint(): GatewayEndpoint | undefined {
-    if (!mustReturn()) return selector.select(inputs.list());
-    const endpoint = selector.selectAside(inputs.list());
+    const other = mustReturn() ? undefined : selector.select(inputs.list());
+    const isFree = other !== undefined && limiter.getWait(other) === 0;
+    if (isFree || !holdsReturn) return other;
+    const aside = selector.selectAside(inputs.list());
+    if (aside === undefined) return other;
     // The retry that is held is the one for this send.
-    if (endpoint !== undefined) {
-      holdsReturn = false;
-      hasRetry = true;
-      metrics.count('silences', 'returned');
-    }
-    return endpoint;
+    holdsReturn = false;
+    hasRetry = true;
+    metrics.count('silences', 'returned');
+    return aside;
   }
 
   function releaseConnection(): void {
