--- a/packages/hickorywharf-decisions/src/gateway/decideFailover.ts
+++ b/packages/hickorywharf-decisions/src/gateway/decideFailover.ts
@@ -14,7 +14,7 @@
   readonly needsStages: boolean;
   /** Whether its stages may run once more. */
   readonly mayRunStages: boolean;
-  /** Time left until the deadline of the call. */
+  /** Time left until the deadline of the call, or the end of the instance. */
   readonly timeLeftMilliseconds: number;
   /** Time that another endpoint takes for the call at least. */
   readonly neededMilliseconds: number;
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -485,7 +485,8 @@
         quarantine.check(quarantinedCall, false) !== null ||
         quarantine.getLastEndpointWait(quarantinedCall, selector.listUsable()) >
           0,
-      timeLeftMilliseconds: context.deadlineAt - now.monotonic,
+      timeLeftMilliseconds:
+        Math.min(context.deadlineAt, state.endsAt) - now.monotonic,
       neededMilliseconds: estimateEngineTime(call.promptTokens),
     };
   }
@@ -626,7 +627,8 @@
       break;
     }
     if (refuseLastEndpoint() || refuseQuarantined(true)) break;
-    if (refuseForStop()) break;
+    // A call that left a silent endpoint had the time when it did.
+    if (connection === null && refuseForStop()) break;
     const lastEventId = splitter.getLastId() ?? call.lastEventId;
     if (lastEventId !== null) {
       log.infoRateLimited('stream resumes', {
