Run a call that returned on no further endpoint

The return to the first server had opened the way past the check of runs, which a refusal never needed to pass before.

Every further send now asks whether the call may run at one more endpoint, or holds its return. Test: a stream whose servers do the same ran on 3 servers before, on 2 after.

--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -664,9 +664,13 @@
     });
     if (result.tag !== 'notRun' && result.tag !== 'inputGone') runs += 1;
     context.isSent = runs > 0;
+    // A return adds no endpoint to those that the call ran at.
+    const mayRunAgain = runs < route.maximumEndpoints || holdsReturn;
     if (result.tag === 'inputGone') {
       inputs.free();
-      continue;
+      if (mayRunAgain) continue;
+      fail('stages', 'the results of the stages were lost');
+      break;
     }
     const taken = failover.take();
     if (taken === null) selector.exclude(endpoint.id);
@@ -679,9 +683,8 @@
     if (result.tag === 'broken') inputs.free();
     const mayRetry =
       sends < MAXIMUM_SENDS &&
-      (result.tag === 'notRun' ||
-        (context.isRetryable &&
-          (runs < route.maximumEndpoints || holdsReturn)));
+      mayRunAgain &&
+      (result.tag === 'notRun' || context.isRetryable);
     if (mayRetry) {
       // The end of a process may quarantine this call.
       await quarantine.waitForProbe(endpoint);
