--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -6,9 +6,9 @@
 import type {CallContext} from './callContext.ts';
 import {createResponseWriter} from './createResponseWriter.ts';
 import {readBody} from './readBody.ts';
-import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
 import type {Refusal} from './refusal.ts';
 import {serveCall} from './serveCall.ts';
+import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
 
 type ServeOptions = Parameters<typeof serveCall>[0];
 
