Tell calls that wait once more of the end of their instance

Stages that run again, as an endpoint had lost a result, were no wait to the stop: their call was told after 6.8 s of a grace period of 8 s. A call that had run and waited to be sent again was told at the end.

Each run of the stages now has its forecast, and calls at no endpoint are asked each 50 ms, whether they have run or not. The margin of the end is a decision of its own, getStopMargin.

--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -288,12 +288,15 @@
     },
     closeIdle: responses.closeIdle,
     refuseUnfinishable() {
-      const unsent = [...openCalls.values()].filter(
+      // Those at no endpoint: not sent, or waiting to be sent once more.
+      const waiting = [...openCalls.values()].filter(
         ({context, writer}) =>
-          !context.isEnded && !context.isSent && !writer.isStarted,
+          !context.isEnded &&
+          !writer.isStarted &&
+          (!context.isSent || context.wait !== null),
       );
-      stopForecast.recordWaits(unsent.map(({context}) => context));
-      for (const call of unsent) {
+      stopForecast.recordWaits(waiting.map(({context}) => context));
+      for (const call of waiting) {
         if (!stopForecast.canFinish(call.context)) endUnfinished(call);
       }
     },
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -383,12 +383,13 @@
     }
     const {services} = state.configuration!;
     const now = getInstant().monotonic;
+    const engineMilliseconds = estimateEngineTime(call.promptTokens);
+    const stages = forecastCall(
+      createStageForecasts(context, services, options.router.getWaitEstimate),
+      engineMilliseconds,
+    );
+    let expected = stages.totalMilliseconds;
     if (inputs.countRuns() === 0) {
-      const engineMilliseconds = estimateEngineTime(call.promptTokens);
-      const stages = forecastCall(
-        createStageForecasts(context, services, options.router.getWaitEstimate),
-        engineMilliseconds,
-      );
       const limited =
         limiter.estimateWait(service.name, selector.listUsable()) +
         engineMilliseconds;
@@ -408,17 +409,14 @@
         );
         return false;
       }
-      const expected =
-        admission.tag === 'timely'
-          ? stages.timelyMilliseconds
-          : stages.totalMilliseconds;
-      context.wait = {
-        reason: 'stages',
-        startedAt: now,
-        expectedMilliseconds: expected - engineMilliseconds,
-      };
-      if (refuseForStop()) return false;
+      if (admission.tag === 'timely') expected = stages.timelyMilliseconds;
     }
+    context.wait = {
+      reason: 'stages',
+      startedAt: now,
+      expectedMilliseconds: expected - engineMilliseconds,
+    };
+    if (refuseForStop()) return false;
     const result = await runStages(consumer);
     context.wait = null;
     if (context.isEnded) return false;
--- a/packages/hickorywharf-gateway/src/stopGateway.ts
+++ b/packages/hickorywharf-gateway/src/stopGateway.ts
@@ -1,4 +1,5 @@
 import {setImmediate as waitForSockets} from 'node:timers/promises';
+import {getStopMargin} from 'hickorywharf-decisions/gateway/getStopMargin';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {sleep} from 'hickorywharf-utils/sleep';
@@ -29,14 +30,6 @@
  */
 const NOTICE_MILLISECONDS = 2600;
 const CHECK_MILLISECONDS = 50;
-/** Calls are ended this long before the grace period ends, or more. */
-const MARGIN_MILLISECONDS = 250;
-/**
- * The process may be this many times as late as it was: when it handles the
- * signal, from which the grace period is counted, and when it ends the calls.
- */
-const LATE_TIMES = 2;
-const MAXIMUM_MARGIN_SHARE = 0.3;
 /** Share of the margin in which the last responses are sent. */
 const DELIVERY_SHARE = 0.5;
 
@@ -53,15 +46,8 @@
   const {settings, state, server, lateness, log, now} = options;
   const stoppedAt = now();
 
-  function getMargin(): number {
-    return Math.min(
-      MARGIN_MILLISECONDS + LATE_TIMES * lateness.get(),
-      Math.max(
-        MARGIN_MILLISECONDS,
-        settings.graceMilliseconds * MAXIMUM_MARGIN_SHARE,
-      ),
-    );
-  }
+  const getMargin = (): number =>
+    getStopMargin(settings.graceMilliseconds, lateness.get());
   function updateEnd(): void {
     state.endsAt = stoppedAt + settings.graceMilliseconds - getMargin();
   }
