--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -19,6 +19,7 @@
 import {createPeerStateSync} from './createPeerStateSync.ts';
 import {createQuarantineSync} from './createQuarantineSync.ts';
 import {createResponseMemory} from './createResponseMemory.ts';
+import {createStageAdmission} from './createStageAdmission.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
 import {createStopForecast} from './createStopForecast.ts';
@@ -244,6 +245,7 @@
     responseMemory: createResponseMemory(),
     budget,
     router,
+    admitToStages: createStageAdmission({state, limiter, router, now}),
     stopForecast: createStopForecast({state, now}),
     log,
     metrics,
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -1,6 +1,5 @@
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRetryBudget} from 'hickorywharf-decisions/gateway/createRetryBudget';
-import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import {estimateEngineTime} from 'hickorywharf-decisions/gateway/estimateEngineTime';
 import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
 import {identifyRequest} from 'hickorywharf-decisions/gateway/identifyRequest';
@@ -15,6 +14,7 @@
 import type {CallContext} from './callContext.ts';
 import type {CallFailure} from './callFailure.ts';
 import {createCallInputs} from './createCallInputs.ts';
+import type {createStageAdmission} from './createStageAdmission.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import {createEndpointSelector} from './createEndpointSelector.ts';
@@ -24,7 +24,6 @@
 import type {createQuarantineSync} from './createQuarantineSync.ts';
 import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
-import {createStageForecasts} from './createStageForecasts.ts';
 import type {createStopForecast} from './createStopForecast.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
 import type {EndpointClient} from './endpointClient.ts';
@@ -51,6 +50,7 @@
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
+  readonly admitToStages: ReturnType<typeof createStageAdmission>;
   readonly stopForecast: ReturnType<typeof createStopForecast>;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -97,7 +97,7 @@
   input: ServedCall,
 ): Promise<void> {
   const {settings, state, health, limiter, loads, budget} = options;
-  const {quarantine, stopForecast} = options;
+  const {quarantine, stopForecast, admitToStages} = options;
   const {log, metrics, getInstant} = options;
   const {context, body, relay: writer} = input;
   const {call, route, service} = context;
@@ -381,40 +381,18 @@
       fail('stages', `no endpoint is left for the stages at ${unserved}`);
       return false;
     }
-    const {services} = state.configuration!;
-    const now = getInstant().monotonic;
-    const engineMilliseconds = estimateEngineTime(call.promptTokens);
-    const stages = forecastCall(
-      createStageForecasts(context, services, options.router.getWaitEstimate),
-      engineMilliseconds,
-    );
-    let expected = stages.totalMilliseconds;
-    if (inputs.countRuns() === 0) {
-      const limited =
-        limiter.estimateWait(service.name, selector.listUsable()) +
-        engineMilliseconds;
-      const forecast = {
-        timelyMilliseconds: Math.max(stages.timelyMilliseconds, limited),
-        totalMilliseconds: Math.max(stages.totalMilliseconds, limited),
-      };
-      const admission = decideAdmission({
-        forecast,
-        targetLeftMilliseconds: context.targetAt - now,
-        timeLeftMilliseconds: context.deadlineAt - now,
-      });
-      if (admission.tag === 'refused') {
-        refuseOverloaded(
-          `about ${Math.round(forecast.totalMilliseconds)} ms of work ahead`,
-          admission.retryAfterMilliseconds,
-        );
-        return false;
-      }
-      if (admission.tag === 'timely') expected = stages.timelyMilliseconds;
+    const admission = admitToStages(context, {
+      endpoints: selector.listUsable(),
+      isFirstRun: inputs.countRuns() === 0,
+    });
+    if (admission.tag === 'refused') {
+      refuseOverloaded(admission.message, admission.retryAfterMilliseconds);
+      return false;
     }
     context.wait = {
       reason: 'stages',
-      startedAt: now,
-      expectedMilliseconds: expected - engineMilliseconds,
+      startedAt: getInstant().monotonic,
+      expectedMilliseconds: admission.stageMilliseconds,
     };
     if (refuseForStop()) return false;
     const result = await runStages(consumer);
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -238,6 +238,7 @@
     // Instances before this field was added do not send it.
     version: isOptional(isName),
     slots: isCount,
+    coldMilliseconds: isOptional(isNumber),
   }),
   isHomeInterval: hasFields({
     pool: isName,
--- a/packages/hickorywharf-types/src/gateway/gatewayEndpoint.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewayEndpoint.ts
@@ -16,4 +16,9 @@
   readonly version: string;
   /** Calls that the endpoint runs in parallel. */
   readonly slots: number;
+  /**
+   * How much longer the endpoint is cold, as its entry states; left out if it
+   * is not.
+   */
+  readonly coldMilliseconds?: number;
 }
--- a/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
@@ -4,6 +4,10 @@
   readonly failureDomain: string;
   /** Cores for work on behalf of other instances; fewer on a slow link. */
   readonly capacity: number;
+  /** Memory that the process may use; left out if it is not bounded. */
+  readonly memoryBytes?: number;
+  /** Descriptors that the process may open; left out if not bounded. */
+  readonly maximumDescriptors?: number;
   /** Where the instance accepts calls. */
   readonly listen: {readonly host: string; readonly port: number};
   /** Where the instance reports whether it is ready. */
@@ -25,6 +29,18 @@
   readonly applyMilliseconds: number;
   /** Time in which an endpoint's draining or departure has to take effect. */
   readonly drainMilliseconds: number;
+  /**
+   * Time in which the evacuation of a failure domain has to take effect; left
+   * out where operators evacuate none.
+   */
+  readonly evacuateMilliseconds?: number;
+  /**
+   * Factor on the rate of a cold endpoint that it may get in any second, with
+   * `coldSlackCalls` added; left out where endpoints have no such bound.
+   */
+  readonly coldOverageRatio?: number;
+  /** Calls that a cold endpoint may get in any second beyond the factor. */
+  readonly coldSlackCalls?: number;
   /**
    * How long after an outage of the store an endpoint without registration is
    * still used.
--- a/packages/hickorywharf-validation/src/gatewaySettings.ts
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -42,6 +42,8 @@
   limits: z.strictObject({
     coreShare: z.coerce.number().positive(),
     linkMegabits: z.coerce.number().positive(),
+    memoryMegabytes: z.coerce.number().positive().optional(),
+    maximumDescriptors: z.coerce.number().int().positive().optional(),
   }),
   store: z.strictObject({address: z.string().min(1)}),
   /** `GatewaySettings` in hickorywharf-types describes them, in milliseconds. */
@@ -51,6 +53,9 @@
     applyMilliseconds: milliseconds,
     drainMilliseconds: milliseconds,
     lapseMilliseconds: milliseconds.default(2000),
+    evacuateMilliseconds: milliseconds.optional(),
+    coldOverageRatio: z.coerce.number().min(1).optional(),
+    coldSlackCalls: z.coerce.number().min(0).optional(),
     repeatRatio: z.coerce.number().min(0),
     repeatWindowSeconds: seconds,
     repeatAllowance: z.coerce.number().min(0),
