Take no answer for whole that ends within its upload and is then reset

Cause: an answer without a length ended with its connection, also while the request was still being written; a reset that followed came too late. Change: such an end counts once the request is written.

--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -284,6 +284,11 @@
     let isSettled = false;
     let isSent = !socket.connecting;
     let isWritten = false;
+    /**
+     * The end of the connection ended the answer. While the request is written,
+     * a reset may still follow, and shows that the answer was cut off.
+     */
+    let isEnded = false;
     let keepAliveMilliseconds = 0;
     const timer = isSent
       ? null
@@ -350,8 +355,9 @@
       },
       onEnd() {
         keepAliveMilliseconds = 0;
-        if (parser.finish()) complete(false);
-        else fail('the answer was cut off');
+        if (!parser.finish()) return fail('the answer was cut off');
+        isEnded = true;
+        if (isWritten) complete(false);
       },
       onClose: fail,
     };
@@ -362,8 +368,9 @@
       isSent = true;
       if (timer !== null) clearTimeout(timer);
       const bytes = body === null ? head : Buffer.concat([head, body]);
-      socket.write(bytes, () => {
+      socket.write(bytes, (error) => {
         isWritten = true;
+        if (isEnded && !error) complete(false);
       });
     };
     if (socket.connecting) {
