Keep the calls to cold endpoints within what they bear, over all instances

Cause: an endpoint that has just started, or has turned cold, ends at a rate well above the one that its service states. Nothing read that rate or that an endpoint was cold. The limiter combines it with the rate limits, so that calls, resumed streams, second attempts, stage pieces and releases count, and a session whose engine has no room goes to another at once. Off unless the service has coldStart and the settings the margin.

--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
@@ -18,7 +18,10 @@
       settings: {failureDomain: 'x'},
       state: {directory: {getUsable: () => endpoints}},
       health,
-      limiter: {getWait: ({id}: {id: string}) => waits.get(id) ?? 0},
+      limiter: {
+        getWait: ({id}: {id: string}) => waits.get(id) ?? 0,
+        getPenalty: ({id}: {id: string}) => waits.get(id) ?? 0,
+      },
       loads: createEndpointLoads(),
       getInstant: () => ({monotonic: 0}),
     } as unknown as Options[0],
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -4,6 +4,7 @@
 import type {EndpointLimitReport} from 'hickorywharf-types/gateway/endpointLimitReport';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
+import type {createColdLimiter} from './createColdLimiter.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
@@ -15,6 +16,12 @@
 const UNAVAILABLE = 503;
 /** Extensions of a pause by less than this are not logged. */
 const LOGGED_EXTENSION_MILLISECONDS = 500;
+/**
+ * Added to the wait for a cold endpoint, so that calls go to another one rather
+ * than wait: more than it takes to read the prompt of a long session again, and
+ * less than the penalty of a silent endpoint.
+ */
+const COLD_PENALTY_MILLISECONDS = 1500;
 
 interface LimiterOptions {
   /** Name of this instance. */
@@ -22,6 +29,8 @@
   /** Distinguishes the starts of this instance. */
   readonly incarnation: string;
   readonly state: GatewayState;
+  /** The bound on calls to cold endpoints; left out if there is none. */
+  readonly cold?: ReturnType<typeof createColdLimiter>;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   /** Called for each response by which an endpoint says that it leaves. */
@@ -58,6 +67,11 @@
    * pause of the endpoint; Infinity for never.
    */
   getWait(endpoint: GatewayEndpoint): number;
+  /**
+   * The wait for an endpoint as a cost in the selection. It is larger than the
+   * wait if the endpoint is cold and has no room now.
+   */
+  getPenalty(endpoint: GatewayEndpoint): number;
   /** Milliseconds until the endpoint takes calls of this instance again. */
   getPause(endpoint: GatewayEndpoint): number;
   /** Whether the endpoint said that it wants no calls now, or none any more. */
@@ -89,7 +103,7 @@
 export function createEndpointLimiter(
   options: LimiterOptions,
 ): EndpointLimiter {
-  const {name, incarnation, state, log, metrics, now} = options;
+  const {name, incarnation, state, cold, log, metrics, now} = options;
   const limits = createEndpointLimits(name, incarnation);
   const pauses = createEndpointPauses();
   /** Number of calls that are prepared, by service. */
@@ -152,7 +166,16 @@
   }
 
   function getWait(endpoint: GatewayEndpoint): number {
-    return Math.max(limits.getWait(endpoint, now()), getPause(endpoint));
+    return Math.max(
+      limits.getWait(endpoint, now()),
+      getPause(endpoint),
+      cold?.getWait(endpoint) ?? 0,
+    );
+  }
+
+  function getRate(endpoint: GatewayEndpoint): number {
+    const coldRate = cold?.getRate(endpoint) ?? Infinity;
+    return Math.min(limits.getRate(endpoint, now()), coldRate);
   }
 
   return {
@@ -180,18 +203,27 @@
       }
     },
     listReports: () => limits.listReports(now()),
-    recordInstances: (instances) => limits.recordInstances(instances, now()),
-    refresh: () => limits.setStageServices(listStageServices(state)),
-    getRate: (endpoint) => limits.getRate(endpoint, now()),
+    recordInstances(instances) {
+      limits.recordInstances(instances, now());
+      cold?.recordInstances(instances);
+    },
+    refresh() {
+      limits.setStageServices(listStageServices(state));
+      cold?.refresh();
+    },
+    getRate,
     getWait,
+    getPenalty(endpoint) {
+      const isFull = cold !== undefined && cold.getWait(endpoint) > 0;
+      return getWait(endpoint) + (isFull ? COLD_PENALTY_MILLISECONDS : 0);
+    },
     getPause,
     isWithdrawn: (endpoint) =>
       getPause(endpoint) > 0 || state.directory.isLeaving(endpoint),
     estimateWait: (service, endpoints) =>
       estimateLimitWait(
         endpoints.map((endpoint) => ({
-          callsPerSecond:
-            getPause(endpoint) > 0 ? 0 : limits.getRate(endpoint, now()),
+          callsPerSecond: getPause(endpoint) > 0 ? 0 : getRate(endpoint),
           waitMilliseconds: getWait(endpoint),
         })),
         preparations.get(service) ?? 0,
@@ -208,7 +240,9 @@
       const wait = Math.max(
         limits.reserve(endpoint, now()),
         getPause(endpoint),
+        cold?.getWait(endpoint) ?? 0,
       );
+      cold?.recordCall(endpoint, wait);
       if (wait > 0) metrics.count('limitedCalls', 'delayed');
       return wait;
     },
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -125,7 +125,7 @@
         ...loads.get(endpoint.id),
         responseMilliseconds: health.getResponseTime(endpoint.id),
         penaltyMilliseconds:
-          health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
+          health.getPenalty(endpoint.id, now) + limiter.getPenalty(endpoint),
       }));
     const selected = route.isSticky
       ? chooseEngine(candidates, {
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -49,6 +49,14 @@
     meaning:
       'calls for which the rate limits and pauses of endpoints left no room',
   },
+  coldEndpoints: {
+    label: 'event',
+    meaning: 'endpoints that began to count as cold by why, or as warm again',
+  },
+  coldCalls: {
+    label: 'result',
+    meaning: 'calls to cold endpoints by when they were sent',
+  },
   streamRecords: {
     label: 'result',
     meaning: 'records of the versions that began streams',
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -8,6 +8,7 @@
 import {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {createCallServer} from './createCallServer.ts';
+import {createColdLimiter} from './createColdLimiter.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
 import {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
@@ -87,10 +88,12 @@
     },
   });
   const incarnation = randomUUID();
+  const cold = createColdLimiter({settings, state, log, metrics, getInstant});
   const limiter = createEndpointLimiter({
     name: settings.name,
     incarnation,
     state,
+    cold,
     log,
     metrics,
     onLeaving: (endpoint) => stateUpdater.recordLeaving(endpoint),
@@ -218,7 +221,10 @@
       server.refresh();
     },
     onEndpointRestarted: health.remove,
-    onEndpointsConfirmed: streams.recordList,
+    onEndpointsConfirmed(readAt) {
+      streams.recordList(readAt);
+      cold.recordList();
+    },
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
       dispatcher.removeEndpoint(endpointId);
