Send a slow call to a second endpoint beside the first, within operators' limits

Change: after the 95th percentile of a usual endpoint, a call that may be repeated and has neither stages nor a prompt gets a second attempt; the first answer that begins goes to the caller, the other attempt is closed.

--- a/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointHealth.ts
@@ -5,6 +5,11 @@
    * and resets the penalty.
    */
   recordResponse(id: string, milliseconds: number): void;
+  /**
+   * Records that the endpoint had not answered after a time, when the answer was
+   * no longer needed. It counts if it is longer than the average.
+   */
+  recordSlow(id: string, milliseconds: number): void;
   /** Records a failure of the endpoint: no response, or an invalid one. */
   recordFailure(id: string, now: number): void;
   /** Records a failure of the endpoint: it is silent, and may go on. */
@@ -93,6 +98,11 @@
       row.isSilent = false;
       row.timeouts = 0;
     },
+    recordSlow(id, milliseconds) {
+      const row = getOrCreateRow(id);
+      row.responseMilliseconds +=
+        SMOOTHING_FACTOR * Math.max(0, milliseconds - row.responseMilliseconds);
+    },
     recordFailure(id, now) {
       const row = getOrCreateRow(id);
       row.failures += 1;
--- a/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createRetryBudget.ts
@@ -26,6 +26,16 @@
    * @param instances number of instances that share the allowance
    */
   tryRetry(service: string, now: number, instances: number): boolean;
+  /** The requests and retries in the window, and the retries' limit now. */
+  getUse(
+    service: string,
+    now: number,
+    instances: number,
+  ): {
+    readonly requests: number;
+    readonly used: number;
+    readonly limit: number;
+  };
   /** Gives back a retry that was counted at a time, and not sent since. */
   returnRetry(service: string, countedAt: number, now: number): void;
 }
@@ -77,23 +87,29 @@
     return window;
   }
 
+  function getUse(service: string, now: number, instances: number) {
+    const {ratio, allowance} = options;
+    const {requests, retries} = getOrCreateWindow(service, now);
+    const share = allowance / Math.max(instances, 1);
+    const limit = (1 - RESERVED_SHARE) * (ratio * requests.length + share);
+    return {requests: requests.length, used: retries.length, limit};
+  }
+
   function mayRetry(
     service: string,
     now: number,
     instances: number,
     count = 1,
   ): boolean {
-    const {ratio, allowance} = options;
-    const {requests, retries} = getOrCreateWindow(service, now);
-    const share = allowance / Math.max(instances, 1);
-    const limit = (1 - RESERVED_SHARE) * (ratio * requests.length + share);
-    return retries.length + count <= limit;
+    const {used, limit} = getUse(service, now, instances);
+    return used + count <= limit;
   }
 
   return {
     recordRequest: (service, now) =>
       void getOrCreateWindow(service, now).requests.push(now),
     mayRetry,
+    getUse,
     tryRetry(service, now, instances) {
       if (!mayRetry(service, now, instances)) return false;
       getOrCreateWindow(service, now).retries.push(now);
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -18,6 +18,10 @@
     label: 'event',
     meaning: 'silent endpoints by what became of the calls there',
   },
+  hedges: {
+    label: 'event',
+    meaning: 'slow calls by what became of a second attempt',
+  },
   pieces: {
     label: 'outcome',
     meaning: 'pieces of stages by what became of them',
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -14,6 +14,7 @@
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
 import {createGatewayState} from './createGatewayState.ts';
+import {createHedger} from './createHedger.ts';
 import {createInstantClock} from './createInstantClock.ts';
 import {createPeerConnections} from './createPeerConnections.ts';
 import {createPeerStateSync} from './createPeerStateSync.ts';
@@ -217,10 +218,14 @@
       dispatcher.refresh();
       server.refresh();
     },
-    onEndpointRestarted: health.remove,
+    onEndpointRestarted(endpointId) {
+      health.remove(endpointId);
+      hedger.remove(endpointId);
+    },
     onEndpointsConfirmed: streams.recordList,
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
+      hedger.remove(endpointId);
       dispatcher.removeEndpoint(endpointId);
     },
   });
@@ -232,6 +237,18 @@
     getInstant,
     send: peers.send,
   });
+  const loads = createEndpointLoads();
+  const hedger = createHedger({
+    settings,
+    state,
+    health,
+    limiter,
+    loads,
+    budget,
+    log,
+    metrics,
+    now,
+  });
   const server = createCallServer({
     settings,
     state,
@@ -241,7 +258,8 @@
     limiter,
     streams,
     quarantine,
-    loads: createEndpointLoads(),
+    loads,
+    hedger,
     responseMemory: createResponseMemory(),
     budget,
     router,
@@ -321,6 +339,7 @@
         repeatRatio: changed.repeatRatio,
         repeatWindowMilliseconds: changed.repeatWindowMilliseconds,
         repeatAllowance: changed.repeatAllowance,
+        hedging: changed.hedging,
       };
       Object.assign(settings, limits);
       log.infoAlways('settings reloaded', {step: 'reload', ...limits});
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -9,8 +9,7 @@
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {sleep} from 'hickorywharf-utils/sleep';
-import {attemptCall} from './attemptCall.ts';
-import type {AttemptResult} from './attemptResult.ts';
+import {attemptWithHedge} from './attemptWithHedge.ts';
 import type {CallContext} from './callContext.ts';
 import type {CallFailure} from './callFailure.ts';
 import {createCallInputs} from './createCallInputs.ts';
@@ -31,6 +30,7 @@
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
+import type {Hedger} from './hedger.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
 import type {Refusal} from './refusal.ts';
 import type {ReservedConnection} from './reservedConnection.ts';
@@ -47,6 +47,7 @@
   readonly streams: ReturnType<typeof createStreamVersions>;
   readonly quarantine: ReturnType<typeof createQuarantineSync>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly hedger: Hedger;
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
@@ -101,7 +102,7 @@
   const {log, metrics, getInstant} = options;
   const {context, body, relay: writer} = input;
   const {call, route, service} = context;
-  const splitter = createEventSplitter();
+  let splitter = createEventSplitter();
   const selector = createEndpointSelector(options, context);
   let requestName: string | undefined;
   const quarantinedCall = {
@@ -507,15 +508,23 @@
     connection = null;
   }
 
-  async function attempt(endpoint: GatewayEndpoint): Promise<AttemptResult> {
+  async function attempt(endpoint: GatewayEndpoint) {
     sends += 1;
     context.isSent = true;
     splitter.reset();
     const reservedConnection = connection;
     connection = null;
-    return attemptCall({
+    const getOwn = (at: GatewayEndpoint) => ({
+      endpoint: at,
+      watch: quarantine.watchCall(at, quarantinedCall),
+      responseTimeoutMilliseconds: context.isRetryable
+        ? selector.getResponseTimeout(at)
+        : null,
+      onFirstEvent: () => recordFirstEvent(at),
+    });
+    const first = {
+      ...getOwn(endpoint),
       context,
-      endpoint,
       inputs: inputs.list(),
       body,
       relay: writer,
@@ -526,16 +535,26 @@
       limiter,
       loads,
       responseMemory: options.responseMemory,
-      watch: quarantine.watchCall(endpoint, quarantinedCall),
-      responseTimeoutMilliseconds: context.isRetryable
-        ? selector.getResponseTimeout(endpoint)
-        : null,
       failover,
       connection: reservedConnection,
       now: () => getInstant().monotonic,
-      onFirstEvent: () => recordFirstEvent(endpoint),
       onProgress: giveReturnBack,
+    };
+    const hedged = await attemptWithHedge({
+      first,
+      hedger: options.hedger,
+      getFacts: getFailoverFacts,
+      findOther: () =>
+        selector.selectOther(new Set([endpoint.id]), first.inputs),
+      getSecond: getOwn,
     });
+    splitter = hedged.splitter;
+    if (hedged.other !== null) {
+      sends += 1;
+      if (hedged.other.mayHaveRun) runs += 1;
+      selector.exclude(hedged.other.endpoint.id);
+    }
+    return hedged;
   }
 
   if (refuseQuarantined(false)) return;
@@ -567,7 +586,7 @@
       reserved = null;
       releaseConnection();
     }
-    const endpoint: GatewayEndpoint | undefined = reserved ?? selectEndpoint();
+    let endpoint: GatewayEndpoint | undefined = reserved ?? selectEndpoint();
     if (endpoint === undefined) {
       failWithoutEndpoint();
       break;
@@ -618,7 +637,8 @@
       });
     }
     const sentAt = getInstant().monotonic;
-    const result = await attempt(endpoint);
+    const {result, ...attempted} = await attempt(endpoint);
+    endpoint = attempted.endpoint;
     metrics.count('attempts', result.tag);
     if ('failure' in result) metrics.count('failedAttempts', result.failure);
     // The call of a whole response may have ended by now.
--- a/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySettings.ts
@@ -52,4 +52,11 @@
   readonly repeatWindowMilliseconds: number;
   /** Retries in a window that all instances may send beyond the ratio. */
   readonly repeatAllowance: number;
+  /** Limits of second attempts beside slow ones; left out for none. */
+  readonly hedging?: {
+    /** Second attempts allowed for each call to a service, of 0 to 1. */
+    readonly callShare: number;
+    /** Share of the endpoints' slots that they may occupy, of 0 to 1. */
+    readonly roomShare: number;
+  };
 }
--- a/packages/hickorywharf-validation/src/gatewaySettings.ts
+++ b/packages/hickorywharf-validation/src/gatewaySettings.ts
@@ -45,6 +45,13 @@
     memoryMegabytes: z.coerce.number().positive().optional(),
     maximumDescriptors: z.coerce.number().int().positive().optional(),
   }),
+  /** Off without a share of calls. */
+  hedging: z
+    .strictObject({
+      callShare: z.coerce.number().min(0).max(1).default(0),
+      roomShare: z.coerce.number().min(0).max(1).default(0.1),
+    })
+    .prefault({}),
   store: z.strictObject({address: z.string().min(1)}),
   /** `GatewaySettings` in hickorywharf-types describes them, in milliseconds. */
   bounds: z.strictObject({
