--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -215,6 +215,7 @@
   const stateUpdater = createStateUpdater({
     state,
     log,
+    metrics,
     getInstant,
     onChange() {
       limiter.refresh();
@@ -277,9 +278,10 @@
   });
 
   /**
-   * Whether the load balancer may send requests: configuration and endpoints
-   * were read, the configuration is current, the keys are fresh if calls need
-   * any, and no stop has started.
+   * Whether the load balancer may send requests: configuration, endpoints and
+   * evacuations were read, the configuration is current, the keys are fresh if
+   * calls need any, and no stop has started. An evacuation of this instance's
+   * own failure domain changes nothing: only endpoints are emptied.
    */
   function isReady(): boolean {
     return (
@@ -287,6 +289,8 @@
       state.configuration !== null &&
       isConfigurationCurrent(state, settings, getInstant()) &&
       state.endpointFreshness.getAge(getInstant()) < Infinity &&
+      (state.evacuations === null ||
+        state.evacuationFreshness.getAge(getInstant()) < Infinity) &&
       (state.configuration.accountsByKey === null ||
         isKeySetFresh(state, settings, getInstant()))
     );
@@ -342,6 +346,9 @@
         revokeMilliseconds: changed.revokeMilliseconds,
         applyMilliseconds: changed.applyMilliseconds,
         drainMilliseconds: changed.drainMilliseconds,
+        ...(changed.evacuateMilliseconds !== undefined && {
+          evacuateMilliseconds: changed.evacuateMilliseconds,
+        }),
         repeatRatio: changed.repeatRatio,
         repeatWindowMilliseconds: changed.repeatWindowMilliseconds,
         repeatAllowance: changed.repeatAllowance,
