Let calls that wait for a cold endpoint ask again, the most urgent first

Cause: a call that waited for a cold endpoint took room there ahead, first come first served, and could not move to another endpoint that had room before. Change: at cold endpoints nothing is taken ahead: after its wait a call asks again, at whichever endpoint has room, 10 ms later for each step of priority. Only a call that may go nowhere else takes room ahead. Releases of stage results wait for room too, or leave the results to expire. Instances compute their position at most every 100 ms. A start is guessed from its time only while the instances are known, as all start without calls at first.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createColdEndpoints.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createColdEndpoints.test.ts
@@ -195,7 +195,10 @@
   core.recordInstances([{name: 'a', capacity: 1}], 5000);
   const list = (now: number, changes: object = {}) =>
     core
-      .recordEndpoints([{...ENDPOINT, ...changes}], {monotonic: now, wall: now})
+      .recordEndpoints([{...ENDPOINT, ...changes}], {
+        monotonic: now,
+        wall: now + 60_000,
+      })
       .map(({tag}) => tag);
   list(5000);
   return {core, list};
@@ -210,7 +213,7 @@
   t.deepEqual(list(9000, {coldMilliseconds: 3000}), ['warm']);
   t.deepEqual(list(9500, {coldMilliseconds: 2500}), ['listed']);
   t.deepEqual(list(9600), ['warm']);
-  const restarted = {...ENDPOINT, startedAt: 9000};
+  const restarted = {...ENDPOINT, startedAt: 69_000};
   t.deepEqual(list(10_000, restarted), ['started']);
   t.is(core.getRemaining(ENDPOINT, 10_000), 0);
   t.is(core.getRemaining(restarted, 10_000), COLD_MILLISECONDS);
--- a/packages/hickorywharf-decisions/src/gateway/createColdEndpoints.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createColdEndpoints.ts
@@ -87,8 +87,9 @@
  *
  * An endpoint is cold for as long as its entry states, from the moment at which
  * this instance first sees that statement, which is not before it was made. An
- * incarnation that appears after the first list, and states nothing, is cold for
- * the time of a start if its start time is recent. An entry that states nothing
+ * incarnation that states nothing is cold for the time of a start if it started
+ * a moment ago, while this instance had known the others for some seconds: when
+ * all start together there are no calls yet. An entry that states nothing
  * more ends what it stated before.
  *
  * The calls are divided by `getColdShare` in the order of `createInstanceRanks`.
@@ -114,7 +115,6 @@
   const known = new Map<string, KnownEndpoint>();
   /** Times of this instance's last calls to each incarnation, ascending. */
   const calls = new Map<string, number[]>();
-  let hasList = false;
 
   /** Undefined if the service has no bound. */
   function getColdStart({service}: Endpoint): ColdStart | undefined {
@@ -149,7 +149,8 @@
     const age = at.wall - endpoint.startedAt;
     const isRecent =
       age < coldStart.milliseconds + CLOCK_TOLERANCE_MILLISECONDS;
-    return hasList && isRecent ? coldStart.milliseconds : 0;
+    const {instances} = ranks.get(endpoint, at.monotonic);
+    return isRecent && instances > 0 ? coldStart.milliseconds : 0;
   }
 
   function setCold(
@@ -181,8 +182,15 @@
     if (before.stated === stated) return [];
     before.stated = stated;
     if (stated > 0) return setCold(before, stated, now);
-    before.coldUntil = Math.min(before.coldUntil, now);
-    return [];
+    return end(before, now);
+  }
+
+  function end(entry: KnownEndpoint, endedAt: number): ColdChange[] {
+    const {endpoint, coldSince, coldUntil} = entry;
+    if (coldUntil === -Infinity) return [];
+    entry.coldUntil = -Infinity;
+    const milliseconds = Math.min(coldUntil, endedAt) - coldSince;
+    return [{tag: 'warm', endpoint, milliseconds}];
   }
 
   /** Ends what has become warm, and forgets what is listed no more. */
@@ -190,12 +198,8 @@
     const changes: ColdChange[] = [];
     const present = new Set(listed.map(getKey));
     for (const [id, entry] of known) {
-      const {endpoint, coldSince, coldUntil} = entry;
-      if (coldUntil <= now && coldUntil > -Infinity) {
-        const milliseconds = coldUntil - coldSince;
-        changes.push({tag: 'warm', endpoint, milliseconds});
-        entry.coldUntil = -Infinity;
-      }
+      const {endpoint} = entry;
+      if (entry.coldUntil <= now) changes.push(...end(entry, now));
       const isBound = getColdStart(endpoint) !== undefined;
       if (!isBound || !present.has(getKey(endpoint))) known.delete(id);
     }
@@ -220,11 +224,11 @@
       );
     },
     recordEndpoints(listed, at) {
+      const ended = endCold(listed, at.monotonic);
       const changes = listed.flatMap((endpoint) =>
         recordEndpoint(endpoint, at),
       );
-      hasList = true;
-      return [...endCold(listed, at.monotonic), ...changes];
+      return [...ended, ...changes];
     },
     getRemaining,
     getRate(endpoint, now) {
--- a/packages/hickorywharf-decisions/src/gateway/createInstanceRanks.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createInstanceRanks.ts
@@ -42,6 +42,8 @@
  * registration has expired, which takes longer.
  */
 const LIST_VALID_MILLISECONDS = 8000;
+/** How long the instances that count are kept without being computed again. */
+const REFRESH_MILLISECONDS = 100;
 
 /**
  * Ranks this instance among all for each endpoint, in an order that all
@@ -64,16 +66,18 @@
   let stageServices: readonly string[] = [];
   /** Cached positions, by incarnation of the endpoint, and for which list. */
   let ranks = new Map<string, number>();
-  let rankedInstances: ReturnType<typeof recent.list> = [];
+  let instances: ReturnType<typeof recent.list> = [];
+  let refreshedAt = -Infinity;
 
-  function getRank(
-    {id, service, startedAt}: Endpoint,
-    instances: ReturnType<typeof recent.list>,
-  ): number {
-    if (instances !== rankedInstances) {
-      rankedInstances = instances;
-      ranks = new Map();
-    }
+  function refresh(now: number): void {
+    if (now - refreshedAt < REFRESH_MILLISECONDS) return;
+    refreshedAt = now;
+    const next = recent.list(now);
+    if (next !== instances) ranks = new Map();
+    instances = next;
+  }
+
+  function getRank({id, service, startedAt}: Endpoint): number {
     const key = `${id}/${startedAt}`;
     let rank = ranks.get(key);
     if (rank === undefined) {
@@ -90,19 +94,20 @@
   }
 
   return {
-    recordInstances(instances, now) {
+    recordInstances(listed, now) {
       listedAt = now;
-      recent.record(instances, now);
+      refreshedAt = -Infinity;
+      recent.record(listed, now);
     },
     setStageServices(services) {
       stageServices = services;
       ranks = new Map();
     },
     get(endpoint, now) {
-      const instances = recent.list(now);
+      refresh(now);
       const isValid = now - listedAt < LIST_VALID_MILLISECONDS;
       return {
-        rank: isValid ? getRank(endpoint, instances) : -1,
+        rank: isValid ? getRank(endpoint) : -1,
         instances: instances.length,
         isDispatched: stageServices.includes(endpoint.service),
       };
--- a/packages/hickorywharf-gateway/src/__tests__/createColdLimiter.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createColdLimiter.test.ts
@@ -129,6 +129,25 @@
   t.regex(metrics.format(), /cold_calls_total\{result="sent"\} 1\n/);
 });
 
+test('calls that wait take no room ahead, and the most urgent asks first', (t) => {
+  const {limiter, setTime, list} = createTestLimiter(1.5);
+  const [, engine] = engines;
+  setTime(5000);
+  list(3000);
+  t.is(limiter.ask(engine!, 5, false), 0);
+  t.is(limiter.ask(engine!, 5, false), 1100);
+  t.is(limiter.ask(engine!, 0, false), 1050);
+  t.false(limiter.takesAhead(engine!));
+  setTime(6050);
+  t.is(limiter.ask(engine!, 0, false), 0);
+  // A call that may go nowhere else has room after it.
+  t.is(limiter.ask(engine!, 5, true), 1050);
+  t.is(limiter.getHold(engine!), 1950);
+  setTime(8000);
+  t.true(limiter.takesAhead(engine!));
+  t.is(limiter.ask(engine!, 9, false), 0);
+});
+
 test('without a margin in the settings, cold endpoints are called as others', (t) => {
   const {limiter, lines, setTime, list, choose} = createTestLimiter();
   setTime(5000);
--- a/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createResultTracker.test.ts
@@ -56,7 +56,7 @@
     now: () => performance.now(),
     limiter: {
       getWait: () => 0,
-      getPause: () => 0,
+      getHold: () => 0,
       isWithdrawn: () => false,
       recordAvailability: () => undefined,
       reserve: () => 0,
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -22,6 +22,9 @@
  * less than the penalty of a silent endpoint.
  */
 const COLD_PENALTY_MILLISECONDS = 1500;
+/** A call asks later than the next more urgent one by longer than a timer errs. */
+const PRIORITY_STEP_MILLISECONDS = 10;
+const MAXIMUM_PRIORITY = 9;
 
 interface LimiterOptions {
   /** Name of this instance. */
@@ -87,8 +90,25 @@
    * the function returned is called.
    */
   startPreparation(service: string): () => void;
+  /**
+   * Milliseconds for which the endpoint is sent nothing that can wait, by its
+   * pause or as it is cold and this instance has no room.
+   */
+  getHold(endpoint: GatewayEndpoint): number;
   /** Counts a call to be sent after the wait that is returned. */
   reserve(endpoint: GatewayEndpoint): number;
+  /**
+   * Like `reserve`, but takes no room ahead at a cold endpoint, so that the most
+   * urgent of the calls that wait gets the next: the call asks again after the
+   * wait.
+   *
+   * @param priority 0 for the most urgent
+   * @param isBound whether the call may go to no other endpoint, and takes room
+   *     ahead there
+   */
+  ask(endpoint: GatewayEndpoint, priority: number, isBound: boolean): number;
+  /** Whether room is taken ahead at the endpoint, for calls that wait. */
+  takesAhead(endpoint: GatewayEndpoint): boolean;
 }
 
 /**
@@ -178,6 +198,21 @@
     return Math.min(limits.getRate(endpoint, now()), coldRate);
   }
 
+  function getHold(endpoint: GatewayEndpoint): number {
+    return Math.max(getPause(endpoint), cold?.getWait(endpoint) ?? 0);
+  }
+
+  function takesAhead(endpoint: GatewayEndpoint): boolean {
+    return (cold?.getRate(endpoint) ?? Infinity) === Infinity;
+  }
+
+  function reserve(endpoint: GatewayEndpoint): number {
+    const wait = Math.max(limits.reserve(endpoint, now()), getHold(endpoint));
+    cold?.recordCall(endpoint, wait);
+    if (wait > 0) metrics.count('limitedCalls', 'delayed');
+    return wait;
+  }
+
   return {
     recordAvailability,
     recordHead(endpoint, head) {
@@ -236,15 +271,16 @@
         else preparations.delete(service);
       };
     },
-    reserve(endpoint) {
-      const wait = Math.max(
-        limits.reserve(endpoint, now()),
-        getPause(endpoint),
-        cold?.getWait(endpoint) ?? 0,
-      );
-      cold?.recordCall(endpoint, wait);
-      if (wait > 0) metrics.count('limitedCalls', 'delayed');
-      return wait;
+    getHold,
+    reserve,
+    ask(endpoint, priority, isBound) {
+      const wait = getWait(endpoint);
+      const isTaken = wait === 0 || isBound || takesAhead(endpoint);
+      if (isTaken) return reserve(endpoint);
+      metrics.count('limitedCalls', 'delayed');
+      const steps = Math.min(Math.max(priority, 0), MAXIMUM_PRIORITY);
+      return wait + steps * PRIORITY_STEP_MILLISECONDS;
     },
+    takesAhead,
   };
 }
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -15,7 +15,7 @@
   now(): number;
   readonly limiter: Pick<
     ReturnType<typeof createEndpointLimiter>,
-    'getWait' | 'getPause' | 'isWithdrawn' | 'reserve' | 'recordAvailability'
+    'getWait' | 'getHold' | 'isWithdrawn' | 'reserve' | 'recordAvailability'
   >;
   /** Whether the incarnation of the endpoint said that it leaves. */
   isLeaving(endpoint: GatewayEndpoint): boolean;
@@ -142,7 +142,7 @@
     );
     const sendLater = (milliseconds: number): void =>
       void setTimeout(() => {
-        const pause = limiter.getPause(endpoint);
+        const pause = limiter.getHold(endpoint);
         if (pause > 0 && now() + pause < entry.expiresAt) {
           sendLater(pause);
           return;
@@ -180,7 +180,7 @@
       const timeLeft = Math.max(0, expiresAt - now());
       setTimeout(() => release(endpoint, bytes), timeLeft).unref();
     };
-    if (limiter.getPause(endpoint) > 0) return dropUntilExpiry('paused');
+    if (limiter.getHold(endpoint) > 0) return dropUntilExpiry('paused');
     let isTurnedAway = false;
     limiter.reserve(endpoint);
     const body = wire.formatFree(handles);
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -435,7 +435,7 @@
     const isTooLong = writer.isStarted
       ? wait > MAXIMUM_STREAM_PAUSE_MILLISECONDS
       : admission.tag === 'refused';
-    if (!isTooLong) return limiter.reserve(endpoint);
+    if (!isTooLong) return limiter.ask(endpoint, context.priority, hasRetry);
     failForLimits(wait);
     return null;
   }
@@ -576,7 +576,7 @@
       const wait = reserveRoom(endpoint);
       if (wait === null) break;
       if (wait > 0) {
-        reserved = endpoint;
+        reserved = hasRetry || limiter.takesAhead(endpoint) ? endpoint : null;
         context.wait = {
           reason: 'limit',
           startedAt: getInstant().monotonic,
