Test a process of its own under crowds, one at a time

Cause: clients that nobody controls ended a process of this system; each connection is bounded, all together are not.

--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -17,6 +17,13 @@
 
 const COMMANDS = {
   test: (rest) => [node, bin('ava'), ...rest],
+  'test-crowds': (rest) => [
+    node,
+    bin('ava'),
+    '--config',
+    'crowds.config.js',
+    ...rest,
+  ],
   build: () => [node, path.join(root, 'scripts/build.mjs')],
   demo: (rest) => [node, source('hickorywharf-bench/bin/demo.ts'), ...rest],
   slopes: (rest) => [
@@ -72,4 +79,9 @@
   process.exit(2);
 }
 const installed = packagesFit() ? 0 : installPackages();
-process.exit(installed === 0 ? execute(build(rest)) : installed);
+if (installed !== 0) process.exit(installed);
+const status = execute(build(rest));
+// All tests: those that allow no other load follow when the others have ended.
+const isWhole = name === 'test' && rest.every((word) => word.startsWith('--'));
+const crowdStatus = isWhole ? execute(COMMANDS['test-crowds'](rest)) : 0;
+process.exit(status === 0 ? crowdStatus : status);
