Bound what a gateway holds for all callers, endpoints and peers together

Cause: each body, answer, stream and frame was bounded by itself. Sixty bodies of legal size took an instance to 331 to 863 MB, chunks of one byte ended it, and nothing bounded connections.

Change: one budget (createMemoryBudget) that follows from the memory in the settings (getResourceBounds; 35 MB at 210 MB, 33.5 MB where none is stated) for requests that arrive or are held, answers that arrive or are not read, events for slow readers and frames of peers. findHoldingToDrop decides what gives way: what has brought least for longest, of what moves the largest, small ones and whole requests last. A request that is dropped before it was sent gets 503, not run. Bodies over the limit that are announced are refused unread. Parts of a body share blocks, and what is dropped is freed at once (freeBuffer). The body of a call is no longer copied twice on its way to an endpoint.

Connections are bounded by descriptors and memory (createConnectionGuard): the one whose caller has brought nothing forward for longest is closed for a new one, never one whose call is worked on. Heads are checked every second, late ones get 408. Peers: a first frame of at most 32 KB, and a bound on connections.

The transport's test "sends bytes but never a hello" announced 8 MB, which is now refused at once; it announces 30,000 bytes, and a new test checks that 8 MB are refused as frameTooLarge.

--- a/packages/hickorywharf-gateway/src/__tests__/attemptCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/attemptCall.test.ts
@@ -3,7 +3,7 @@
 import {attemptCall} from '../attemptCall.ts';
 import {createEndpointLoads} from '../createEndpointLoads.ts';
 import {createEventSplitter} from '../createEventSplitter.ts';
-import {createResponseMemory} from '../createResponseMemory.ts';
+import {createMemoryBudget} from '../createMemoryBudget.ts';
 import type {EndpointRequest} from '../endpointRequest.ts';
 
 test('a call is not sent on a new connection if its endpoint withdrew meanwhile, and is not run', async (t) => {
@@ -32,7 +32,7 @@
     health,
     limiter: {isWithdrawn: () => isWithdrawn},
     loads: createEndpointLoads(),
-    responseMemory: createResponseMemory(),
+    memory: createMemoryBudget({maximumBytes: 33_554_432, now: () => 0}),
     watch: {end: () => undefined},
     responseTimeoutMilliseconds: null,
     failover: {cancel: () => undefined},
--- a/packages/hickorywharf-gateway/src/__tests__/createResponseMemory.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createMemoryBudget.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
-import {createResponseMemory} from '../createResponseMemory.ts';
+import {createMemoryBudget} from '../createMemoryBudget.ts';
 
 test('many large responses do not end small ones', (t) => {
-  const memory = createResponseMemory(1000);
+  const memory = createMemoryBudget({maximumBytes: 1000, now: () => 0});
   const evicted: string[] = [];
   const open = (name: string, bytes: number) => {
-    const slot = memory.open(() => void evicted.push(name));
+    const slot = memory.open('arrivingResponse', () => void evicted.push(name));
     slot.add(bytes);
     return slot;
   };
@@ -21,10 +21,10 @@
 });
 
 test('the bytes of a closed response count for nothing', (t) => {
-  const memory = createResponseMemory(1000);
+  const memory = createMemoryBudget({maximumBytes: 1000, now: () => 0});
   let evictions = 0;
   for (let count = 0; count < 100; count += 1) {
-    const slot = memory.open(() => void (evictions += 1));
+    const slot = memory.open('arrivingResponse', () => void (evictions += 1));
     slot.add(900);
     slot.close();
     slot.close();
@@ -34,19 +34,19 @@
 });
 
 test('large responses that still arrive are dropped before those that callers read', (t) => {
-  const memory = createResponseMemory(1_000_000);
+  const memory = createMemoryBudget({maximumBytes: 1_000_000, now: () => 0});
   const evicted: string[] = [];
   const open = (name: string, bytes: number) => {
-    const slot = memory.open(() => void evicted.push(name));
+    const slot = memory.open('arrivingResponse', () => void evicted.push(name));
     slot.add(bytes);
     return slot;
   };
-  open('read', 500_000).startDelivery();
+  open('read', 500_000).setKind('unreadResponse');
   open('arriving', 400_000);
   const small = open('small', 100);
   open('large', 100_000);
   t.deepEqual(evicted, ['arriving']);
-  open('read too', 390_000).startDelivery();
+  open('read too', 390_000).setKind('unreadResponse');
   t.deepEqual(evicted, ['arriving']);
   open('larger', 300_000);
   t.deepEqual(evicted, ['arriving', 'larger']);
--- a/packages/hickorywharf-gateway/src/__tests__/createPeerConnections.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerConnections.test.ts
@@ -3,6 +3,7 @@
 import {findFreePorts} from 'hickorywharf-bench/deployment/findFreePorts';
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {sleep} from 'hickorywharf-utils/sleep';
+import {createMemoryBudget} from '../createMemoryBudget.ts';
 import {createPeerConnections} from '../createPeerConnections.ts';
 
 const HOST = '127.0.0.1';
@@ -23,6 +24,8 @@
     listen: {host: HOST, port: 0},
     seeds: [],
     log: {infoAlways() {}, infoRateLimited() {}},
+    memory: createMemoryBudget({maximumBytes: 33_554_432, now: () => 0}),
+    maximumConnections: 64,
     random: () => 0,
     getStatusFrame: () => ({
       tag: 'heartbeat',
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -6,13 +6,13 @@
 import type {AttemptFailure} from './attemptFailure.ts';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
-import {createBodyBuffer} from './createBodyBuffer.ts';
+import {createBodyBuffer} from 'hickorywharf-utils/createBodyBuffer';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import type {CallWatch} from './callWatch.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
 import type {createFailover} from './createFailover.ts';
-import type {createResponseMemory} from './createResponseMemory.ts';
+import type {createMemoryBudget} from './createMemoryBudget.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {EndpointClient} from './endpointClient.ts';
 import type {ReservedConnection} from './reservedConnection.ts';
@@ -32,7 +32,7 @@
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
   /** Shared by all calls of the instance. */
-  readonly responseMemory: ReturnType<typeof createResponseMemory>;
+  readonly memory: ReturnType<typeof createMemoryBudget>;
   /** Is told what becomes of the call, and ended with it. */
   readonly watch: CallWatch;
   /**
@@ -103,6 +103,8 @@
     let head: ResponseHead | null = null;
     let isStreaming = false;
     let streamBytes = 0;
+    /** Bytes of events that a slow caller has not taken. */
+    let unreadBytes = 0;
     const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
     let silenceMilliseconds = 0;
     const silenceTimer = createSilenceTimer(() => {
@@ -112,8 +114,8 @@
     });
 
     // Kept until the call ends, as a slow caller may still read the response.
-    const memory = options.responseMemory.open(() => {
-      if (isSettled) writer.abort();
+    const memory = options.memory.open('arrivingResponse', () => {
+      if (isSettled || unreadBytes > 0) writer.abort();
       else failAttempt('size', 'too many bytes of responses are held');
     });
     context.cleanups.add(memory.close);
@@ -125,7 +127,10 @@
       failover.cancel();
       context.cleanups.delete(abandon);
       load.end();
-      if (result.tag !== 'delivered' && result.tag !== 'failed') memory.close();
+      if (result.tag !== 'delivered' && result.tag !== 'failed') {
+        memory.close();
+        responseBody.free();
+      }
       watch.end();
       resolve(result);
     }
@@ -214,7 +219,12 @@
         // The caller is slow, not the endpoint.
         silenceTimer.stop();
         exchange.pause();
+        unreadBytes += events.length;
+        memory.setKind('unreadResponse');
+        memory.add(events.length);
         writer.onDrain(() => {
+          memory.subtract(unreadBytes);
+          unreadBytes = 0;
           restartTimer(EVENT_TIMEOUT_MILLISECONDS);
           exchange.resume();
         });
@@ -222,13 +232,14 @@
     }
 
     function handleBody(chunk: Buffer): void {
+      const {length} = chunk;
       if (!responseBody.append(chunk)) {
         return failAttempt(
           'size',
           `the response is longer than ${MAXIMUM_RESPONSE_BYTES} bytes`,
         );
       }
-      memory.add(chunk.length);
+      memory.add(length);
     }
 
     /** Null if the stream may be whole. */
@@ -269,7 +280,7 @@
       if (!isSuccess) return settle({tag: 'failed', head, body});
       watch.recordAnswer();
       health.recordResponse(endpoint.id, now() - startedAt);
-      memory.startDelivery();
+      memory.setKind('unreadResponse');
       writer.sendResponse(head, body);
       settle({tag: 'delivered'});
     }
--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -1,16 +1,21 @@
 import http from 'node:http';
+import type {Duplex} from 'node:stream';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import {createResponseTracker} from 'hickorywharf-utils/createResponseTracker';
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {admitCall} from './admitCall.ts';
 import type {CallContext} from './callContext.ts';
+import {createConnectionGuard} from './createConnectionGuard.ts';
 import {createResponseWriter} from './createResponseWriter.ts';
 import {readBody} from './readBody.ts';
 import type {Refusal} from './refusal.ts';
 import {serveCall} from './serveCall.ts';
 import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
 
-type ServeOptions = Parameters<typeof serveCall>[0];
+type CallServerOptions = Parameters<typeof serveCall>[0] & {
+  /** Connections of callers that may be open together. */
+  readonly maximumConnections: number;
+};
 
 interface OpenCall {
   readonly context: CallContext;
@@ -54,6 +59,22 @@
 /** Retry delay for callers whose request was not sent before its deadline. */
 const UNSENT_RETRY_MILLISECONDS = 300;
 
+/** The statuses of bytes that are no request by Node's code; others are 400. */
+const malformedStatuses: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/** Answers what is no whole request, and ends the connection. */
+function refuseMalformed(socket: Duplex, status: number): void {
+  const reason = http.STATUS_CODES[status];
+  socket.end(
+    `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+    // A caller that sends nothing more may never close its side.
+    () => status === 408 && socket.destroy(),
+  );
+}
+
 /**
  * Serves callers over HTTP/1.1. Each request gets one response; if the caller
  * disconnects, its stages and attempts are cancelled.
@@ -62,7 +83,7 @@
  *     const server = createCallServer(options);
  *     await server.listen('10.1.0.41', 8625); // 8625
  */
-export function createCallServer(options: ServeOptions): CallServer {
+export function createCallServer(options: CallServerOptions): CallServer {
   const {settings, state, wire, log, metrics, stopForecast, getInstant} =
     options;
   let active = 0;
@@ -135,6 +156,17 @@
     writer.refuse(refusal, context.call.id);
   }
 
+  /** Ends a call whose body there is no memory for any more. */
+  function dropCall({context, writer}: OpenCall, refusal: Refusal): void {
+    if (context.isEnded) return;
+    endCall(context);
+    const ending: Refusal = context.isSent
+      ? {tag: 'interrupted', message: refusal.message}
+      : refusal;
+    metrics.count('refusals', ending.tag);
+    writer.refuse(ending, context.call.id);
+  }
+
   /** Responds to a request that could not be served for an unexpected error. */
   function handleError(
     error: Error,
@@ -215,18 +247,33 @@
       }
       endCall(context);
     });
-    const body = await readBody(request, getLimits().bodyBytes);
-    if (body === null || context.isEnded) return;
+    const body = await readBody(request, {
+      limitBytes: getLimits().bodyBytes,
+      budget: options.memory,
+      onDropped: (refusal) => dropCall({context, writer}, refusal),
+    });
+    if (body === null) return;
+    if (context.isEnded) {
+      if (body.isOk()) body.value.release();
+      return;
+    }
     if (body.isErr()) {
+      metrics.count('refusals', body.error.tag);
       writer.refuse(body.error, call.id);
       return;
     }
     context.wait = null;
+    const {bytes, release} = body.value;
     if (state.isClosed) {
+      release();
       endUnfinished({context, writer});
       return;
     }
-    await serveCall(options, {context, body: body.value, relay: writer});
+    try {
+      await serveCall(options, {context, body: bytes, relay: writer});
+    } finally {
+      release();
+    }
   }
 
   /** Closes the connection if the rest of a request arrives too slowly. */
@@ -237,6 +284,16 @@
     }, getLimits().headerMilliseconds).unref();
   }
 
+  const guard = createConnectionGuard({
+    maximumConnections: options.maximumConnections,
+    getHeadMilliseconds: () => getLimits().headerMilliseconds,
+    now: () => getInstant().monotonic,
+    onLateHead(socket) {
+      log.infoRateLimited('head not in time', {step: 'admit'});
+      refuseMalformed(socket, 408);
+    },
+    onClose: (kind) => metrics.count('closedConnections', kind),
+  });
   const server = http.createServer(
     {
       maxHeaderSize: DEFAULT_LIMITS.headerBytes,
@@ -248,6 +305,7 @@
     (request, response) => {
       active += 1;
       responses.add(response);
+      guard.recordRequest(response);
       response.once('close', () => {
         active -= 1;
       });
@@ -258,6 +316,7 @@
       );
     },
   );
+  server.on('connection', guard.add);
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     log.infoRateLimited('malformed request', {
       step: 'admit',
@@ -268,11 +327,7 @@
       return;
     }
     if (responses.finishMalformed(error, socket)) return;
-    const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400;
-    const reason = http.STATUS_CODES[status];
-    socket.end(
-      `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    );
+    refuseMalformed(socket, malformedStatuses[error.code ?? ''] ?? 400);
   });
 
   return {
@@ -306,6 +361,7 @@
       }
     },
     close() {
+      guard.close();
       server.close();
       server.closeAllConnections();
     },
--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -357,14 +357,16 @@
     };
 
     const head = Buffer.from(formatHead(input), 'latin1');
-    const body = input.body === null ? null : Buffer.from(input.body);
     const write = (): void => {
       isSent = true;
       if (timer !== null) clearTimeout(timer);
-      const bytes = body === null ? head : Buffer.concat([head, body]);
-      socket.write(bytes, () => {
+      // In one piece, and without a copy of the body.
+      socket.cork();
+      if (input.body !== null) socket.write(head);
+      socket.write(input.body ?? head, () => {
         isWritten = true;
       });
+      socket.uncork();
     };
     if (socket.connecting) {
       socket.once('connect', () => {
--- a/packages/hickorywharf-gateway/src/createEventSplitter.ts
+++ b/packages/hickorywharf-gateway/src/createEventSplitter.ts
@@ -1,4 +1,4 @@
-import {createBodyBuffer} from './createBodyBuffer.ts';
+import {createBodyBuffer} from 'hickorywharf-utils/createBodyBuffer';
 
 interface EventSplitter {
   /**
@@ -65,6 +65,7 @@
         remainder.length === 0
           ? last
           : Buffer.concat([remainder.toBuffer(), last]);
+      if (events !== last) remainder.free();
       const ids = events.toString('latin1').matchAll(ID_FIELD);
       for (const [, id] of ids) lastId = id ?? lastId;
       setRemainder(chunk.subarray(endInChunk));
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -5,6 +5,7 @@
 import type {Frame} from 'hickorywharf-types/frame';
 import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
+import type {createMemoryBudget} from './createMemoryBudget.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 
 interface Address {
@@ -24,6 +25,10 @@
   /** Addresses where peers probably listen, used until the list is known. */
   readonly seeds: readonly Address[];
   readonly log: GatewayLog;
+  /** Bounds the frames of all connections together. */
+  readonly memory: ReturnType<typeof createMemoryBudget>;
+  /** Connections of peers that may be open together. */
+  readonly maximumConnections: number;
   random(): number;
   /**
    * The frame that peers that connected to this instance get at each heartbeat
@@ -187,6 +192,8 @@
         port: options.listen.port,
         identity,
         silenceTimeoutMilliseconds: SILENCE_TIMEOUT_MILLISECONDS,
+        memory: options.memory,
+        maximumConnections: options.maximumConnections,
         handlers: {
           onConnected(connection) {
             inbound.add(connection);
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -74,5 +74,13 @@
     label: 'event',
     meaning: 'parts of prompts by what was decided about them',
   },
+  droppedHoldings: {
+    label: 'kind',
+    meaning: 'requests, responses and frames dropped for memory',
+  },
+  closedConnections: {
+    label: 'kind',
+    meaning: 'connections of callers that were closed to bound their number',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -5,6 +5,7 @@
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewaySource} from 'hickorywharf-types/gateway/gatewaySource';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
+import {getResourceBounds} from 'hickorywharf-decisions/gateway/getResourceBounds';
 import {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {createCallServer} from './createCallServer.ts';
@@ -15,10 +16,10 @@
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
 import {createGatewayState} from './createGatewayState.ts';
 import {createInstantClock} from './createInstantClock.ts';
+import {createMemoryBudget} from './createMemoryBudget.ts';
 import {createPeerConnections} from './createPeerConnections.ts';
 import {createPeerStateSync} from './createPeerStateSync.ts';
 import {createQuarantineSync} from './createQuarantineSync.ts';
-import {createResponseMemory} from './createResponseMemory.ts';
 import {createStageAdmission} from './createStageAdmission.ts';
 import {createStageDispatcher} from './createStageDispatcher.ts';
 import {createStageRouter} from './createStageRouter.ts';
@@ -71,6 +72,15 @@
   const log = createGatewayLog(settings.name, now, options.output, () =>
     metrics.count('logLinesLeftOut', 'bound'),
   );
+  const bounds = getResourceBounds(settings);
+  const memory = createMemoryBudget({
+    maximumBytes: bounds.heldBytes,
+    now,
+    onDrop(kind, bytes) {
+      metrics.count('droppedHoldings', kind);
+      log.infoRateLimited('dropped for memory', {step: 'hold', kind, bytes});
+    },
+  });
   const state = createGatewayState(settings);
   const lateness = createLatenessMonitor();
   const endpointClient = createEndpointClient(wire, log);
@@ -163,6 +173,8 @@
       failureDomain: settings.failureDomain,
       role: 'entry',
     },
+    memory,
+    maximumConnections: bounds.peerConnections,
     listen: settings.peers,
     seeds: settings.seeds,
     log,
@@ -242,7 +254,8 @@
     streams,
     quarantine,
     loads: createEndpointLoads(),
-    responseMemory: createResponseMemory(),
+    memory,
+    maximumConnections: bounds.callerConnections,
     budget,
     router,
     admitToStages: createStageAdmission({state, limiter, router, now}),
@@ -307,6 +320,7 @@
   log.infoAlways('started', {
     step: 'start',
     failureDomain: settings.failureDomain,
+    ...bounds,
   });
 
   return {
--- a/packages/hickorywharf-gateway/src/sendStageCall.ts
+++ b/packages/hickorywharf-gateway/src/sendStageCall.ts
@@ -4,7 +4,7 @@
 import type {PieceOutcome} from 'hickorywharf-types/gateway/pieceOutcome';
 import type {StagePiece} from 'hickorywharf-types/gateway/stagePiece';
 import {buildStageRequest} from './buildStageRequest.ts';
-import {createBodyBuffer} from './createBodyBuffer.ts';
+import {createBodyBuffer} from 'hickorywharf-utils/createBodyBuffer';
 import type {EndpointClient} from './endpointClient.ts';
 
 interface StageCallOptions {
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -17,12 +17,12 @@
 import type {createStageAdmission} from './createStageAdmission.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {createMemoryBudget} from './createMemoryBudget.ts';
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import {createFailover} from './createFailover.ts';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {createQuarantineSync} from './createQuarantineSync.ts';
-import type {createResponseMemory} from './createResponseMemory.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {createStopForecast} from './createStopForecast.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
@@ -47,7 +47,7 @@
   readonly streams: ReturnType<typeof createStreamVersions>;
   readonly quarantine: ReturnType<typeof createQuarantineSync>;
   readonly loads: ReturnType<typeof createEndpointLoads>;
-  readonly responseMemory: ReturnType<typeof createResponseMemory>;
+  readonly memory: ReturnType<typeof createMemoryBudget>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
   readonly admitToStages: ReturnType<typeof createStageAdmission>;
@@ -525,7 +525,7 @@
       health,
       limiter,
       loads,
-      responseMemory: options.responseMemory,
+      memory: options.memory,
       watch: quarantine.watchCall(endpoint, quarantinedCall),
       responseTimeoutMilliseconds: context.isRetryable
         ? selector.getResponseTimeout(endpoint)
--- a/packages/hickorywharf-transport/src/__tests__/createPeerClient.test.ts
+++ b/packages/hickorywharf-transport/src/__tests__/createPeerClient.test.ts
@@ -183,7 +183,8 @@
   socket.on('error', () => undefined);
   socket.on('close', () => void (isClosed = true));
   const length = Buffer.alloc(4);
-  length.writeUInt32BE(8_000_000, 0);
+  // A length that a hello may have.
+  length.writeUInt32BE(30_000, 0);
   socket.write(length);
   const timer = setInterval(() => {
     if (!isClosed) socket.write('x');
@@ -198,6 +199,21 @@
   t.is(errors[0]?.tag, 'peerSilent');
 });
 
+test('a frame that is longer than any hello is not read before one', async (t) => {
+  const {port, errors, connected} = await openServer(t);
+  const socket = connect(port, ADDRESS);
+  let isClosed = false;
+  socket.on('error', () => undefined);
+  socket.on('close', () => void (isClosed = true));
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(8_000_000, 0);
+  socket.write(length);
+  socket.resume();
+  await waitFor(() => isClosed);
+  t.is(connected.length, 0);
+  t.is(errors[0]?.tag, 'frameTooLarge');
+});
+
 test('a lost connection is replaced by a new connection object', async (t) => {
   let accepted: Socket | null = null;
   const port = await listenPlain(t, (socket) => {
--- a/packages/hickorywharf-transport/src/createPeerServer.ts
+++ b/packages/hickorywharf-transport/src/createPeerServer.ts
@@ -4,6 +4,7 @@
 import {listenOn} from 'hickorywharf-utils/listenOn';
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {ConnectionHandlers} from './connectionHandlers.ts';
+import type {FrameMemory} from './frameMemory.ts';
 import {runConnection} from './runConnection.ts';
 import type {TlsCredentials} from './tlsCredentials.ts';
 import {TRANSPORT_LIMITS} from './transportLimits.ts';
@@ -15,6 +16,10 @@
   readonly handlers: ConnectionHandlers;
   readonly credentials?: TlsCredentials | null;
   readonly silenceTimeoutMilliseconds?: number;
+  /** Bounds the frames of all connections together; left out for no bound. */
+  readonly memory?: FrameMemory;
+  /** Connections that may be open together; left out for no bound. */
+  readonly maximumConnections?: number;
 }
 
 interface PeerServer {
@@ -85,11 +90,15 @@
       identity,
       handlers,
       expectedPeer: null,
+      memory: options.memory,
       silenceTimeoutMilliseconds:
         options.silenceTimeoutMilliseconds ??
         TRANSPORT_LIMITS.silenceTimeoutMilliseconds,
     });
   });
+  if (options.maximumConnections !== undefined) {
+    server.maxConnections = options.maximumConnections;
+  }
   const bound = await listenOn(server, {host: address, port});
   return {
     port: bound,
--- a/packages/hickorywharf-transport/src/runConnection.ts
+++ b/packages/hickorywharf-transport/src/runConnection.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import type {Frame} from 'hickorywharf-types/frame';
+import type {FrameMemory} from './frameMemory.ts';
 import type {ProcessIdentity} from 'hickorywharf-types/processIdentity';
 import {createSilenceTimer} from 'hickorywharf-utils/createSilenceTimer';
 import type {Connection} from './connection.ts';
@@ -17,6 +18,8 @@
   /** Name that the peer must have, or null where any peer may connect. */
   readonly expectedPeer: string | null;
   readonly silenceTimeoutMilliseconds?: number;
+  /** Bounds the frames of all connections together; left out for no bound. */
+  readonly memory?: FrameMemory | undefined;
 }
 
 const {protocolMinimum, protocolMaximum} = TRANSPORT_LIMITS;
@@ -32,8 +35,16 @@
 export function runConnection(options: RunConnectionOptions): void {
   const {socket, identity, handlers, expectedPeer} = options;
   const remote = `${socket.remoteAddress}:${socket.remotePort}`;
-  const reader = createFrameReader(expectedPeer ?? remote);
+  const reader = createFrameReader(
+    expectedPeer ?? remote,
+    TRANSPORT_LIMITS.maximumHelloBytes,
+  );
   let connection: Connection | null = null;
+  const slot = options.memory?.open('arrivingFrame', () => {
+    report('peerSentTooMuch', 'receive', 'too many bytes of frames are held');
+    socket.destroy();
+  });
+  let countedBytes = 0;
   // Only received bytes restart this timer. The timeout of a Node socket is
   // unsuitable: each write restarts it, including this process's heartbeats.
   let silenceMilliseconds: number = TRANSPORT_LIMITS.helloTimeoutMilliseconds;
@@ -102,6 +113,13 @@
     else handlers.onFrame(connection, frame);
   }
 
+  function countPendingBytes(): void {
+    const change = reader.pendingBytes - countedBytes;
+    countedBytes += change;
+    if (change > 0) slot?.add(change);
+    else slot?.subtract(-change);
+  }
+
   socket.setNoDelay(true);
   socket.on('error', () => socket.destroy());
   socket.on('data', (bytes) => {
@@ -113,9 +131,12 @@
         socket.destroy();
       },
     );
+    countPendingBytes();
   });
   socket.on('close', () => {
     silenceTimer.stop();
+    slot?.close();
+    reader.free();
     const ended = connection;
     connection = null;
     if (ended !== null) handlers.onDisconnected(ended);
--- a/packages/hickorywharf-transport/src/transportError.ts
+++ b/packages/hickorywharf-transport/src/transportError.ts
@@ -7,6 +7,7 @@
     | 'wrongPeer'
     | 'peerSilent'
     | 'peerReadsTooSlowly'
+    | 'peerSentTooMuch'
     | 'secureConnection';
   readonly step: 'connect' | 'receive' | 'send';
   /** Name of the peer, or its address while the name is not known. */
--- a/packages/hickorywharf-transport/src/transportLimits.ts
+++ b/packages/hickorywharf-transport/src/transportLimits.ts
@@ -3,6 +3,8 @@
   protocolMinimum: 1,
   protocolMaximum: 1,
   maximumFrameBytes: 8 * 1024 * 1024,
+  /** The longest hello, which has four names. */
+  maximumHelloBytes: 32_768,
   /** Characters of a name in a frame; a frame with a longer one is invalid. */
   maximumNameLength: 1024,
   /** A connection with more unsent bytes is closed; the client reconnects. */
