--- a/packages/hickorywharf-validation/src/entrySettings.ts
+++ b/packages/hickorywharf-validation/src/entrySettings.ts
@@ -25,6 +25,8 @@
         .max(4 * 1024 * 1024)
         .default(1024 * 1024),
       requestsInFlight: z.coerce.number().int().min(1).default(2000),
+      memoryMegabytes: z.coerce.number().positive().optional(),
+      maximumDescriptors: z.coerce.number().int().positive().optional(),
     })
     .prefault({}),
   policy: z
