Share the room for stages fairly among client accounts while it is short

Cause: nothing counted what a client account uses, so one account's burst was paid for by all: admission and the queues were first come, first served.

Change: each instance counts the work of each account's calls, stages and engine, and of those refused lately. It tells the largest accounts in the heartbeats that exist while calls are refused, and dispatchers pass on the sum. An account over its max-min share is admitted only behind all timely work; the others don't wait for what exceeds a share. Dispatchers rank waiting pieces the same way once a queue can't be served whole.

Loads without accounts are unchanged, by test.

--- a/packages/hickorywharf-bench/src/stages/__tests__/simulateStages.test.ts
+++ b/packages/hickorywharf-bench/src/stages/__tests__/simulateStages.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {burstLoad} from '../burstLoad.ts';
 import {chainLoad} from '../chainLoad.ts';
+import {competingLoad} from '../competingLoad.ts';
 import {simulateStages} from '../simulateStages.ts';
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -53,6 +54,32 @@
   );
 });
 
+test('no account pays for the burst of another', (t) => {
+  const getLeast = (policy: Policy): number =>
+    Math.min(
+      ...simulateSeeds(competingLoad, policy).flatMap(({servedByKind}) =>
+        Object.entries(servedByKind).flatMap(([account, share]) =>
+          account === 'large' ? [] : [share],
+        ),
+      ),
+    );
+  t.true(getLeast('groupsAtTheDoor') < 0.7, 'first come, first served');
+  t.true(getLeast('fairGroups') > 0.75);
+  t.true(
+    getMean('fairGroups', 'worth', competingLoad) >
+      getMean('groupsAtTheDoor', 'worth', competingLoad),
+  );
+});
+
+test('without competing accounts, shares change nothing', (t) => {
+  for (const load of [burstLoad, chainLoad]) {
+    t.deepEqual(
+      simulateStages(load, 'fairGroups', 3),
+      simulateStages(load, 'groupsAtTheDoor', 3),
+    );
+  }
+});
+
 test('the same seed gives the same result', (t) => {
   t.deepEqual(
     simulateStages(burstLoad, 'groups', 7),
--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -1,7 +1,9 @@
 import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
 import {forecastStage} from 'hickorywharf-decisions/gateway/forecastStage';
+import {forecastByShare} from 'hickorywharf-decisions/gateway/forecastByShare';
 import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import {getStartDelay} from 'hickorywharf-decisions/gateway/getStartDelay';
+import {getCallWork} from 'hickorywharf-decisions/gateway/getCallWork';
 import {getRemainingTimes} from 'hickorywharf-decisions/gateway/getRemainingTimes';
 import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
@@ -9,6 +11,7 @@
 import type {StageWaits} from 'hickorywharf-types/gateway/stageWaits';
 import {createArrivals} from './createArrivals.ts';
 import {createEventQueue} from './createEventQueue.ts';
+import {createSimulatedShares} from './createSimulatedShares.ts';
 import type {StageLoad} from './stageLoad.ts';
 import type {SimulatedEndpoint} from './simulatedEndpoint.ts';
 import type {SimulatedRequest} from './simulatedRequest.ts';
@@ -46,11 +49,14 @@
   policy: keyof typeof stagePolicies,
   seed: number,
 ): ReturnType<typeof summarizeRequests> {
-  const {plan, hasAdmission, hasStartDelay}: StagePolicy =
+  const {plan, hasAdmission, hasStartDelay, hasShares}: StagePolicy =
     stagePolicies[policy];
+  const {instances = 1} = load;
   const waiting = new Map<string, Set<Group>>();
   const endpoints = new Map<string, SimulatedEndpoint[]>();
   const {getNow, schedule, runAll} = createEventQueue();
+  const isOver = (): boolean => getNow() >= load.seconds * 1000 + 20_000;
+  const shares = createSimulatedShares(instances, getNow, schedule, isOver);
 
   for (const [service, {endpoints: count}] of Object.entries(load.services)) {
     waiting.set(service, new Set());
@@ -86,6 +92,7 @@
   function forecastStages(
     request: SimulatedRequest,
     getWaits: (service: string) => Omit<StageWaits, 'service'> | null,
+    isOverShare: boolean | null = null,
   ): StageForecast[] {
     const {stages, priority} = getKind(request);
     return stages.map(({service}, stage) => {
@@ -95,6 +102,7 @@
         capacity: isUsed ? load.services[service]! : null,
         waits: getWaits(service),
         priority,
+        isOverShare,
       });
     });
   }
@@ -105,6 +113,7 @@
   ): void {
     if (request.outcome !== null) return;
     request.outcome = outcome;
+    request.endShare?.();
     request.endedAt = getNow();
     request.held.forEach((held, stage) => release(held, request, stage));
   }
@@ -193,6 +202,7 @@
       resultBytes,
       workMilliseconds: load.services[service]!.pieceMilliseconds * workShare,
       failureDomain: null,
+      account: (hasShares ? getKind(request).account : null) ?? null,
     });
     dispatch(service);
   }
@@ -206,6 +216,7 @@
       const shares = plan(groups, getNow(), {
         batch: service.batch,
         callMilliseconds: service.callMilliseconds,
+        endpoints: service.endpoints,
         roomBytes: service.roomBytes - endpoint.heldBytes,
         failureDomain: '',
         otherDomainWaits: new Map(),
@@ -266,18 +277,63 @@
 
   const getWaits = (name: string) => estimateService(name).waits;
 
-  function isAdmitted(request: SimulatedRequest): boolean {
-    const {targetMilliseconds, deadlineMilliseconds} = getKind(request);
-    const forecast = forecastCall(
-      forecastStages(request, getWaits),
-      ENGINE_MILLISECONDS,
-    );
-    const admission = decideAdmission({
+  function getWork(request: SimulatedRequest): number {
+    const stages = getKind(request).stages.map(({service}, stage) => ({
+      pieces: request.pieces[stage]!,
+      capacity: load.services[service]!,
+    }));
+    return getCallWork(stages, ENGINE_MILLISECONDS);
+  }
+
+  /** The outcome of `decideAdmission`, by the share of the account if any. */
+  function decide(request: SimulatedRequest) {
+    const {targetMilliseconds, deadlineMilliseconds, account} =
+      getKind(request);
+    const age = getNow() - request.at;
+    const targetLeftMilliseconds = targetMilliseconds - age;
+    const getForecast = (isOverShare: boolean | null) =>
+      forecastCall(
+        forecastStages(request, getWaits, isOverShare),
+        ENGINE_MILLISECONDS,
+      );
+    const own = shares.get(request.instance);
+    const forecast =
+      hasShares && account !== undefined
+        ? forecastByShare({
+            targetLeftMilliseconds,
+            getForecast,
+            isOverShare: () => own.getStanding(account, getNow()).isOver,
+          })
+        : getForecast(null);
+    return decideAdmission({
       forecast,
-      targetLeftMilliseconds: targetMilliseconds,
-      timeLeftMilliseconds: deadlineMilliseconds,
+      targetLeftMilliseconds,
+      timeLeftMilliseconds: deadlineMilliseconds - age,
     });
-    return admission.tag !== 'refused';
+  }
+
+  /** Admits a request, or refuses it until it returns. */
+  function arrive(request: SimulatedRequest): void {
+    const {account, retries, deadlineMilliseconds} = getKind(request);
+    const own = shares.get(request.instance);
+    const admission = hasAdmission ? decide(request) : null;
+    if (admission?.tag !== 'refused') {
+      if (account !== undefined) {
+        request.endShare = own.startCall(account, getWork(request));
+      }
+      return advance(request);
+    }
+    if (account !== undefined) {
+      own.recordRefusal(account, getWork(request), getNow());
+    }
+    const {most = 0, afterMilliseconds} = retries ?? {};
+    const wait = afterMilliseconds ?? admission.retryAfterMilliseconds;
+    const isLast =
+      request.refusals >= most ||
+      getNow() + wait > request.at + deadlineMilliseconds;
+    request.refusals += 1;
+    if (isLast) endRequest(request, 'refused');
+    else schedule(getNow() + wait, () => arrive(request));
   }
 
   /** Refuses requests whose waiting pieces miss the deadline. */
@@ -295,14 +351,15 @@
       }
       dispatch(name);
     }
-    if (getNow() < load.seconds * 1000 + 20_000) {
-      schedule(getNow() + SWEEP_MILLISECONDS, sweep);
-    }
+    if (!isOver()) schedule(getNow() + SWEEP_MILLISECONDS, sweep);
   }
 
   const requests = createArrivals(load, seed).map(
-    (arrival): SimulatedRequest => ({
+    (arrival, index): SimulatedRequest => ({
       ...arrival,
+      instance: index % instances,
+      refusals: 0,
+      endShare: null,
       startedAt: arrival.pieces.map((count) => (count > 0 ? null : -Infinity)),
       recheckCount: 0,
       isComputed: arrival.pieces.map((count) => count === 0),
@@ -312,12 +369,10 @@
     }),
   );
   for (const request of requests) {
-    schedule(request.at, () => {
-      if (hasAdmission && !isAdmitted(request)) endRequest(request, 'refused');
-      else advance(request);
-    });
+    schedule(request.at, () => arrive(request));
   }
   schedule(0, sweep);
+  if (hasShares) shares.exchange();
   runAll();
   return summarizeRequests(load, requests);
 }
--- a/packages/hickorywharf-bench/src/stages/stageLoad.ts
+++ b/packages/hickorywharf-bench/src/stages/stageLoad.ts
@@ -21,6 +21,14 @@
   readonly priority: number;
   readonly targetMilliseconds: number;
   readonly deadlineMilliseconds: number;
+  /** The client account of the requests; none by default. */
+  readonly account?: string;
+  /** How a refused request returns; not at all by default. */
+  readonly retries?: {
+    readonly most: number;
+    /** Time until the return; as long as the refusal says by default. */
+    readonly afterMilliseconds?: number;
+  };
   readonly stages: ReadonlyArray<{
     readonly service: string;
     /** Positions of the stages that it reads; the previous one by default. */
@@ -38,6 +46,8 @@
 /** A simulated load: services, kinds of requests and bursts of them. */
 export interface StageLoad {
   readonly seconds: number;
+  /** Number of instances that admit requests, by turns; 1 by default. */
+  readonly instances?: number;
   readonly services: Readonly<Record<string, SimulatedService>>;
   readonly kinds: Readonly<Record<string, RequestKind>>;
   readonly bursts: ReadonlyArray<{
--- a/packages/hickorywharf-bench/src/stages/stagePolicies.ts
+++ b/packages/hickorywharf-bench/src/stages/stagePolicies.ts
@@ -35,7 +35,8 @@
 /**
  * Policies for the calls of stages, by name; `oneRequest` and `inOrder` are
  * baselines. `groupsAtTheDoor` adds admission control to `groups`, and
- * `groupsInTime` adds delayed stage starts to that.
+ * `groupsInTime` adds delayed stage starts to that, `fairGroups` fair shares of
+ * the accounts.
  */
 export const stagePolicies = {
   oneRequest: {plan: planOneRequest, hasAdmission: false},
@@ -43,4 +44,5 @@
   groups: {plan: planBatch, hasAdmission: false},
   groupsAtTheDoor: {plan: planBatch, hasAdmission: true},
   groupsInTime: {plan: planBatch, hasAdmission: true, hasStartDelay: true},
+  fairGroups: {plan: planBatch, hasAdmission: true, hasShares: true},
 } satisfies Record<string, StagePolicy>;
--- a/packages/hickorywharf-bench/src/stages/stagePolicy.ts
+++ b/packages/hickorywharf-bench/src/stages/stagePolicy.ts
@@ -9,6 +9,8 @@
   ): ReturnType<typeof planBatch<PieceGroup>>;
   /** Whether requests that the queues make infeasible are refused on arrival. */
   readonly hasAdmission: boolean;
+  /** Whether room is shared among client accounts while it is short. */
+  readonly hasShares?: boolean;
   /** Whether a stage start is delayed while parallel stages take longer. */
   readonly hasStartDelay?: boolean;
 }
--- a/packages/hickorywharf-bench/src/stages/summarizeRequests.ts
+++ b/packages/hickorywharf-bench/src/stages/summarizeRequests.ts
@@ -11,6 +11,8 @@
   readonly worth: number;
   /** Mean time from the arrival of a refused request to its refusal. */
   readonly refusalMilliseconds: number;
+  /** Shares of the requests that were served, late ones included, by kind. */
+  readonly servedByKind: Readonly<Record<string, number>>;
 }
 
 /**
@@ -45,5 +47,12 @@
     refused: refused.length / requests.length,
     worth: servedWorth / offeredWorth,
     refusalMilliseconds: refusalTime / Math.max(refused.length, 1),
+    servedByKind: Object.fromEntries(
+      Object.keys(load.kinds).map((name) => {
+        const ofKind = requests.filter(({kind}) => kind === name);
+        const served = ofKind.filter(({outcome}) => outcome !== 'refused');
+        return [name, served.length / Math.max(ofKind.length, 1)];
+      }),
+    ),
   };
 }
--- a/packages/hickorywharf-decisions/src/gateway/estimateWaits.ts
+++ b/packages/hickorywharf-decisions/src/gateway/estimateWaits.ts
@@ -53,7 +53,7 @@
   now: number,
   capacity: ServiceCapacity,
 ): Estimate<Group> {
-  const {endpoints, batch, callMilliseconds, untilFreeMilliseconds} = capacity;
+  const {endpoints, callMilliseconds, untilFreeMilliseconds} = capacity;
   const {overdueMilliseconds = 0} = capacity;
   const timely = new Array<number>(PRIORITY_COUNT).fill(
     untilFreeMilliseconds + overdueMilliseconds,
@@ -69,16 +69,22 @@
   }
   const infeasible: Group[] = [];
   let total = untilFreeMilliseconds;
-  for (const {group, rank} of rankGroups(waiting, now, capacity)) {
-    const work =
-      (group.count * (callMilliseconds / batch + group.workMilliseconds)) /
-      endpoints;
-    if (rank === 'late' && now + total + callMilliseconds > group.deadlineAt) {
+  let withinShare = total;
+  let overShare = total;
+  let isShared = false;
+  const ranked = rankGroups(waiting, now, capacity);
+  for (const {group, rank, costMilliseconds: work} of ranked) {
+    const isLate = rank === 'late' || rank === 'lateOver';
+    if (isLate && now + total + callMilliseconds > group.deadlineAt) {
       infeasible.push(group);
       continue;
     }
     total += work;
-    if (rank === 'late') continue;
+    isShared ||= rank === 'over' || rank === 'lateOver';
+    if (rank !== 'lateOver') withinShare = total;
+    if (isLate) continue;
+    overShare = total;
+    if (rank === 'over') continue;
     const first =
       rank === 'begun' ? 0 : Math.min(group.priority, PRIORITY_COUNT - 1);
     for (let priority = first; priority < PRIORITY_COUNT; priority += 1) {
@@ -89,6 +95,12 @@
     waits: {
       timelyMilliseconds: timely,
       totalMilliseconds: total + overdueMilliseconds,
+      ...(isShared
+        ? {
+            overShareMilliseconds: overShare + overdueMilliseconds,
+            withinShareMilliseconds: withinShare + overdueMilliseconds,
+          }
+        : {}),
     },
     infeasible,
   };
--- a/packages/hickorywharf-decisions/src/gateway/forecastStage.ts
+++ b/packages/hickorywharf-decisions/src/gateway/forecastStage.ts
@@ -14,6 +14,11 @@
   readonly waits: Omit<StageWaits, 'service'> | null;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /**
+   * Whether the client account has more than its share of the room; null or
+   * left out if the room is not shared.
+   */
+  readonly isOverShare?: boolean | null;
 }
 
 /**
@@ -33,7 +38,7 @@
  *     forecastStage(input).workMilliseconds; // 175
  */
 export function forecastStage(input: StageInput): StageForecast {
-  const {after, capacity, waits, priority} = input;
+  const {after, capacity, waits, priority, isOverShare = null} = input;
   if (capacity === null) {
     return {
       after,
@@ -44,13 +49,19 @@
   }
   const {batch, callMilliseconds, pieceMilliseconds} = capacity;
   const timely = waits?.timelyMilliseconds ?? [];
+  // The last wait applies to all priorities beyond the list, which is empty if
+  // the waits are unknown.
+  const last = timely.at(-1) ?? 0;
+  const total = waits?.totalMilliseconds ?? 0;
   return {
     after,
     workMilliseconds:
       callMilliseconds * CALL_WITH_WAIT_FACTOR + batch * pieceMilliseconds,
-    // The last wait applies to all priorities beyond the list, which is empty
-    // if the waits are unknown.
-    timelyWaitMilliseconds: timely[Math.min(priority, timely.length - 1)] ?? 0,
-    totalWaitMilliseconds: waits?.totalMilliseconds ?? 0,
+    timelyWaitMilliseconds:
+      isOverShare === true
+        ? (waits?.overShareMilliseconds ?? last)
+        : (timely[priority] ?? last),
+    totalWaitMilliseconds:
+      isOverShare === false ? (waits?.withinShareMilliseconds ?? total) : total,
   };
 }
--- a/packages/hickorywharf-decisions/src/gateway/pieceGroup.ts
+++ b/packages/hickorywharf-decisions/src/gateway/pieceGroup.ts
@@ -22,4 +22,6 @@
    * results will be read. Null if it does not matter.
    */
   readonly failureDomain: string | null;
+  /** Name of the client account; null or left out if it is not known. */
+  readonly account?: string | null;
 }
--- a/packages/hickorywharf-decisions/src/gateway/planBatch.ts
+++ b/packages/hickorywharf-decisions/src/gateway/planBatch.ts
@@ -6,6 +6,11 @@
   readonly batch: number;
   /** Fixed time of a call, to which each piece adds its time. */
   readonly callMilliseconds: number;
+  /**
+   * Number of endpoints of the service; without it the calls are not shared
+   * among client accounts.
+   */
+  readonly endpoints?: number;
   /** Free memory for results; negative if results exceed the memory. */
   readonly roomBytes: number;
   readonly failureDomain: string;
@@ -39,6 +44,8 @@
  *
  * Designed for bursts above the capacity of the endpoints:
  *
+ * - If not all groups can be served in time, those beyond the share of their
+ *   client account only use the part of the call that the others do not fill.
  * - Late groups only use the part of the call that started and timely groups do
  *   not fill.
  * - The results of a group occupy memory until its last piece is computed, so
--- a/packages/hickorywharf-decisions/src/gateway/rankGroups.ts
+++ b/packages/hickorywharf-decisions/src/gateway/rankGroups.ts
@@ -1,3 +1,4 @@
+import {findOverShare} from './findOverShare.ts';
 import type {PieceGroup} from './pieceGroup.ts';
 
 interface RankedGroup<Group> {
@@ -13,6 +14,19 @@
    * started or timely groups of the same priority.
    */
   readonly dueAt: number;
+  /** Expected time that the endpoints of the service take for the group. */
+  readonly costMilliseconds: number;
+}
+
+interface CallLimits {
+  /** The most pieces in one call. */
+  readonly batch: number;
+  /** Fixed time of a call, to which each piece adds its time. */
+  readonly callMilliseconds: number;
+  /**
+   * Number of endpoints; without it the groups are not shared among accounts.
+   */
+  readonly endpoints?: number;
 }
 
 /**
@@ -26,7 +40,7 @@
  * Started groups go first, as their results occupy memory until the last piece
  * is computed.
  */
-const RANKS = {begun: 0, timely: 1, late: 2} as const;
+const RANKS = {begun: 0, timely: 1, over: 2, late: 3, lateOver: 4} as const;
 
 /**
  * Sorts waiting groups into the order in which they are to be computed: started
@@ -34,8 +48,13 @@
  * Started groups and timely groups are sorted by priority and then by target,
  * late groups by deadline.
  *
+ * Where not all timely groups can be computed by their targets, or not all late
+ * ones by their deadlines, those that exceed the max-min share of their client
+ * account rank after the others. Designed for a burst of one account, whose
+ * calls alone would fill the queue.
+ *
  * @param now monotonic milliseconds
- * @param call the most pieces and the fixed time of a call
+ * @param call limits of a call and of the service
  * @param isRemote whether a group's data is in another failure domain than the
  *     endpoint; by default no group counts as remote
  * @example
@@ -45,7 +64,7 @@
 export function rankGroups<Group extends PieceGroup>(
   waiting: Iterable<Group>,
   now: number,
-  call: {readonly batch: number; readonly callMilliseconds: number},
+  call: CallLimits,
   isRemote: (group: Group) => boolean = () => false,
 ): Array<RankedGroup<Group>> {
   const ranked = Array.from(waiting, (group): RankedGroup<Group> => {
@@ -59,9 +78,13 @@
         : 'late';
     const delay = isRemote(group) ? REMOTE_DELAY_MILLISECONDS : 0;
     const dueAt = group.targetAt + delay;
-    return {group, rank, slackMilliseconds, dueAt};
+    const costMilliseconds =
+      (group.count *
+        (call.callMilliseconds / call.batch + group.workMilliseconds)) /
+      (call.endpoints ?? 1);
+    return {group, rank, slackMilliseconds, dueAt, costMilliseconds};
   });
-  return ranked.sort(
+  ranked.sort(
     (left, right) =>
       RANKS[left.rank] - RANKS[right.rank] ||
       (left.rank === 'late'
@@ -69,4 +92,60 @@
         : left.group.priority - right.group.priority ||
           left.dueAt - right.dueAt),
   );
+  if (!call.endpoints) return ranked;
+  return shareAmongAccounts(
+    ranked,
+    ({group, rank, slackMilliseconds}, startMilliseconds) =>
+      rank === 'late'
+        ? now + startMilliseconds + call.callMilliseconds <= group.deadlineAt
+        : startMilliseconds <= slackMilliseconds,
+  );
+}
+
+/**
+ * Moves what exceeds the share of its account behind the other groups of its
+ * rank, if not all of these can be served.
+ *
+ * @param isServed whether a group would be, if it started after this time
+ */
+function shareAmongAccounts<Group extends PieceGroup>(
+  ranked: Array<RankedGroup<Group>>,
+  isServed: (each: RankedGroup<Group>, startMilliseconds: number) => boolean,
+): Array<RankedGroup<Group>> {
+  const room = {timely: 0, late: 0};
+  const missing = {timely: 0, late: 0};
+  let startMilliseconds = 0;
+  for (const each of ranked) {
+    const {rank, costMilliseconds} = each;
+    if (rank === 'timely' || rank === 'late') {
+      const sums = isServed(each, startMilliseconds) ? room : missing;
+      sums[rank] += costMilliseconds;
+    }
+    startMilliseconds += costMilliseconds;
+  }
+  if (missing.timely === 0 && missing.late === 0) return ranked;
+  const findOver = (rank: 'timely' | 'late'): Set<Group> =>
+    missing[rank] === 0
+      ? new Set()
+      : findOverShare(
+          ranked
+            .filter((each) => each.rank === rank)
+            .map(({group, costMilliseconds}) => ({
+              item: group,
+              account: group.account ?? null,
+              milliseconds: costMilliseconds,
+            })),
+          room[rank],
+        );
+  const over = findOver('timely');
+  const lateOver = findOver('late');
+  return ranked
+    .map((each) => {
+      if (over.has(each.group)) return {...each, rank: 'over' as const};
+      if (lateOver.has(each.group)) {
+        return {...each, rank: 'lateOver' as const};
+      }
+      return each;
+    })
+    .sort((left, right) => RANKS[left.rank] - RANKS[right.rank]);
 }
--- a/packages/hickorywharf-gateway/src/createStageAdmission.ts
+++ b/packages/hickorywharf-gateway/src/createStageAdmission.ts
@@ -2,6 +2,7 @@
 import {estimateEngineTime} from 'hickorywharf-decisions/gateway/estimateEngineTime';
 import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {createAccountShares} from './createAccountShares.ts';
 import type {CallContext} from './callContext.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
@@ -12,6 +13,7 @@
   readonly state: GatewayState;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly router: StageRouter;
+  readonly accountShares: ReturnType<typeof createAccountShares>;
   /** Monotonic milliseconds. */
   now(): number;
 }
@@ -46,15 +48,22 @@
 export function createStageAdmission(
   options: AdmissionOptions,
 ): (context: CallContext, demand: StageDemand) => StageAdmission {
-  const {state, limiter, router, now} = options;
+  const {state, limiter, router, accountShares, now} = options;
   return (context, {endpoints, isFirstRun}) => {
     const {call, service, targetAt, deadlineAt} = context;
     const {services} = state.configuration!;
     const time = now();
     const engineMilliseconds = estimateEngineTime(call.promptTokens);
-    const stages = forecastCall(
-      createStageForecasts(context, services, router.getWaitEstimate),
-      engineMilliseconds,
+    const stages = accountShares.forecast(context, (isOverShare) =>
+      forecastCall(
+        createStageForecasts(
+          context,
+          services,
+          router.getWaitEstimate,
+          isOverShare,
+        ),
+        engineMilliseconds,
+      ),
     );
     let expected = stages.totalMilliseconds;
     if (isFirstRun) {
@@ -70,12 +79,16 @@
         timeLeftMilliseconds: deadlineAt - time,
       });
       if (admission.tag === 'refused') {
-        const {retryAfterMilliseconds} = admission;
+        const retryAfterMilliseconds = accountShares.refuse(
+          context,
+          admission.retryAfterMilliseconds,
+        );
         const milliseconds = Math.round(forecast.totalMilliseconds);
         const message = `about ${milliseconds} ms of work ahead`;
         return {tag: 'refused', message, retryAfterMilliseconds};
       }
       if (admission.tag === 'timely') expected = stages.timelyMilliseconds;
+      accountShares.startCall(context);
     }
     return {
       tag: 'admitted',
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -254,6 +254,7 @@
         {
           batch: capacity.batch - batch.length,
           callMilliseconds: capacity.callMilliseconds,
+          endpoints: endpoints.length,
           roomBytes:
             capacity.roomBytes * MEMORY_SHARE -
             results.getAllocatedBytes(endpoint.id) -
@@ -303,6 +304,7 @@
     order(order, onResult) {
       const startedAt = now();
       const {service, kind, priority, resultBytes, failureDomain} = order;
+      const {account = null} = order;
       const targetAt = startedAt + order.targetMilliseconds;
       const deadlineAt = startedAt + order.deadlineMilliseconds;
       const workMilliseconds = calls.getPieceTime(
@@ -326,6 +328,7 @@
           resultBytes,
           workMilliseconds,
           failureDomain,
+          account,
         };
       };
       const firsts = createGroup(false);
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -74,5 +74,9 @@
     label: 'event',
     meaning: 'parts of prompts by what was decided about them',
   },
+  accountShares: {
+    label: 'event',
+    meaning: 'calls by how their account stood while room was short',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -7,6 +7,7 @@
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
+import {createAccountShares} from './createAccountShares.ts';
 import {createCallServer} from './createCallServer.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
 import {createEndpointLimiter} from './createEndpointLimiter.ts';
@@ -137,6 +138,7 @@
     const endpointLimits = limiter.listReports();
     return endpointLimits.length > 0 ? {endpointLimits} : {};
   };
+  const accountShares = createAccountShares({state, log, metrics, now});
   const dispatcher = createStageDispatcher({
     state,
     wire,
@@ -171,8 +173,12 @@
       tag: 'stageWaits',
       services: router.listWaitEstimates(),
       ...getHeartbeatFields(),
+      ...accountShares.createSumFields(),
+    }),
+    getHeartbeatFields: () => ({
+      ...getHeartbeatFields(),
+      ...accountShares.createReportFields(),
     }),
-    getHeartbeatFields,
     getFirstFields() {
       const quarantineRecords = quarantine.listRecords();
       return quarantineRecords.length > 0 ? {quarantineRecords} : {};
@@ -181,6 +187,7 @@
       if (frame.tag === 'heartbeat') {
         quarantine.handle(connection.peer.name, frame.quarantineRecords ?? []);
         limiter.recordReports(frame.endpointLimits ?? []);
+        accountShares.recordFrame(connection.peer.name, frame);
         if (frame.streams !== undefined) {
           void streams.handle(frame.streams).then((reply) => {
             if (reply === null) return;
@@ -199,6 +206,7 @@
       }
       if (frame.tag === 'stageWaits') {
         limiter.recordReports(frame.endpointLimits ?? []);
+        accountShares.recordFrame(name, frame);
       }
       router.handleReply(name, frame);
       stateSync.handleReply(frame);
@@ -245,7 +253,13 @@
     responseMemory: createResponseMemory(),
     budget,
     router,
-    admitToStages: createStageAdmission({state, limiter, router, now}),
+    admitToStages: createStageAdmission({
+      state,
+      limiter,
+      router,
+      accountShares,
+      now,
+    }),
     stopForecast: createStopForecast({state, now}),
     log,
     metrics,
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -160,6 +160,7 @@
             context.deadlineAt - remainingTimes[position]! - getNow(),
           resultBytes: stage.resultBytes,
           failureDomain: getPreferredDomain(stage, inputs),
+          ...(context.account === null ? {} : {account: context.account}),
         },
         (result) => {
           if (isSettled || run !== restarts) {
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -170,11 +170,18 @@
     deadlineMilliseconds: isNumber,
     resultBytes: isNumber,
     failureDomain: isNullOr(isName),
+    account: isOptional(isName),
   }),
   isStageWaits: hasFields({
     service: isName,
     timelyMilliseconds: isNumberArray,
     totalMilliseconds: isNumber,
+    overShareMilliseconds: isOptional(isNumber),
+    withinShareMilliseconds: isOptional(isNumber),
+  }),
+  // The figures are checked where they are read: none may end a connection.
+  isAccountWorkReport: hasFields({
+    accounts: isArrayOf(hasFields({account: isName})),
   }),
   isEndpointLimitReport: hasFields({
     endpointId: isName,
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -10,6 +10,9 @@
 const isOptionalLimitReports = frameChecks.isOptional(
   isArrayOf(frameChecks.isEndpointLimitReport),
 );
+const isOptionalAccountWork = frameChecks.isOptional(
+  frameChecks.isAccountWorkReport,
+);
 const isHomeIntervalArray = isArrayOf(frameChecks.isHomeInterval);
 
 const ATTEMPT_KEY = {
@@ -78,6 +81,7 @@
     quarantineRecords: frameChecks.isOptional(
       isArrayOf(frameChecks.isQuarantineRecord),
     ),
+    accountWork: isOptionalAccountWork,
   },
   homes: {homes: isHomeIntervalArray},
   configurationAt: {sequence: isCount},
@@ -104,6 +108,7 @@
   stageWaits: {
     services: isArrayOf(frameChecks.isStageWaits),
     endpointLimits: isOptionalLimitReports,
+    accountWork: isOptionalAccountWork,
   },
   askBeliefs: {askId: isCount, version: isNumber, endpointsDigest: isName},
   beliefs: {
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,5 +1,6 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
+import type {AccountWorkReport} from './gateway/accountWorkReport.ts';
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
 import type {QuarantineRecord} from './gateway/quarantineRecord.ts';
@@ -120,6 +121,8 @@
       readonly streams?: StreamExchange;
       /** Left out if there is nothing to tell. */
       readonly quarantineRecords?: readonly QuarantineRecord[];
+      /** The sender's own figures; left out if there is nothing to tell. */
+      readonly accountWork?: AccountWorkReport;
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
@@ -166,6 +169,11 @@
       readonly services: readonly StageWaits[];
       /** Left out if there are none. */
       readonly endpointLimits?: readonly EndpointLimitReport[];
+      /**
+       * Sums over the sender and the instances that told it theirs; left out if
+       * there is nothing to tell.
+       */
+      readonly accountWork?: AccountWorkReport;
     }
   /** Releases results of pieces that were ordered from the receiver. */
   | {readonly tag: 'stageFree'; readonly handles: readonly string[]}
--- a/packages/hickorywharf-types/src/gateway/stageOrder.ts
+++ b/packages/hickorywharf-types/src/gateway/stageOrder.ts
@@ -26,4 +26,6 @@
    * read; null if it does not matter.
    */
   readonly failureDomain: string | null;
+  /** Name of the client account; left out if the call needs no key. */
+  readonly account?: string;
 }
--- a/packages/hickorywharf-types/src/gateway/stageWaits.ts
+++ b/packages/hickorywharf-types/src/gateway/stageWaits.ts
@@ -5,4 +5,14 @@
   readonly timelyMilliseconds: readonly number[];
   /** Wait of a group that comes after all work that is queued now. */
   readonly totalMilliseconds: number;
+  /**
+   * Wait of a timely group that exceeds the share of its client account; left
+   * out while the queue can be served whole.
+   */
+  readonly overShareMilliseconds?: number;
+  /**
+   * As the total, for a group within the share of its client account; left out
+   * while the queue can be served whole.
+   */
+  readonly withinShareMilliseconds?: number;
 }
