--- a/packages/hickorywharf-decisions/src/gateway/__tests__/rankGroups.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/rankGroups.test.ts
@@ -90,9 +90,10 @@
 
 test('refused callers return spread out, none before the time', (t) => {
   const delays = Array.from({length: 1000}, (_item, index) =>
-    spreadRetryDelay(1000, `request-${index}`),
+    spreadRetryDelay(1000, 6000, `request-${index}`),
   );
-  t.is(spreadRetryDelay(1000, 'request-5'), delays[5]!);
+  t.is(spreadRetryDelay(1000, 6000, 'request-5'), delays[5]!);
+  t.is(spreadRetryDelay(1000, 900, 'request-5'), 1000);
   const buckets = new Set(delays.map((delay) => Math.floor(delay / 50)));
   t.deepEqual([...buckets].sort(), [20, 21, 22, 23, 24, 25, 26, 27, 28, 29]);
 });
--- a/packages/hickorywharf-gateway/src/__tests__/createAccountShares.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createAccountShares.test.ts
@@ -42,6 +42,7 @@
     call: {id, pieces: [], promptTokens: 4000},
     route: {stages: []},
     targetAt: TARGET_MILLISECONDS,
+    deadlineAt: 6000,
     isEnded: false,
     cleanups: new Set(),
   }) as unknown as CallContext;
--- a/packages/hickorywharf-gateway/src/createAccountShares.ts
+++ b/packages/hickorywharf-gateway/src/createAccountShares.ts
@@ -113,11 +113,12 @@
       context.cleanups.add(end);
     },
     refuse(context, retryAfterMilliseconds) {
-      const {account, call} = context;
+      const {account, call, deadlineAt} = context;
       if (account === null) return retryAfterMilliseconds;
       metrics.count('accountShares', 'refused');
       shares.recordRefusal(account, getWork(context), now());
-      return spreadRetryDelay(retryAfterMilliseconds, call.id);
+      const timeLeft = deadlineAt - now();
+      return spreadRetryDelay(retryAfterMilliseconds, timeLeft, call.id);
     },
     createReportFields: () => toFields(shares.createReport(now())),
     createSumFields: () => toFields(shares.createSum(now())),
