--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -1,17 +1,12 @@
 import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
-import {forecastStage} from 'hickorywharf-decisions/gateway/forecastStage';
-import {forecastByShare} from 'hickorywharf-decisions/gateway/forecastByShare';
-import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import {getStartDelay} from 'hickorywharf-decisions/gateway/getStartDelay';
-import {getCallWork} from 'hickorywharf-decisions/gateway/getCallWork';
 import {getRemainingTimes} from 'hickorywharf-decisions/gateway/getRemainingTimes';
-import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
-import type {StageForecast} from 'hickorywharf-decisions/gateway/stageForecast';
-import type {StageWaits} from 'hickorywharf-types/gateway/stageWaits';
 import {createArrivals} from './createArrivals.ts';
 import {createEventQueue} from './createEventQueue.ts';
-import {createSimulatedShares} from './createSimulatedShares.ts';
+import {createSimulatedAdmission} from './createSimulatedAdmission.ts';
+import {forecastSimulatedStages} from './forecastSimulatedStages.ts';
+import {getSimulatedInputs} from './getSimulatedInputs.ts';
 import type {StageLoad} from './stageLoad.ts';
 import type {SimulatedEndpoint} from './simulatedEndpoint.ts';
 import type {SimulatedRequest} from './simulatedRequest.ts';
@@ -51,12 +46,21 @@
 ): ReturnType<typeof summarizeRequests> {
   const {plan, hasAdmission, hasStartDelay, hasShares}: StagePolicy =
     stagePolicies[policy];
-  const {instances = 1} = load;
   const waiting = new Map<string, Set<Group>>();
   const endpoints = new Map<string, SimulatedEndpoint[]>();
   const {getNow, schedule, runAll} = createEventQueue();
   const isOver = (): boolean => getNow() >= load.seconds * 1000 + 20_000;
-  const shares = createSimulatedShares(instances, getNow, schedule, isOver);
+  const admission = createSimulatedAdmission({
+    load,
+    policy: stagePolicies[policy],
+    engineMilliseconds: ENGINE_MILLISECONDS,
+    getNow,
+    schedule,
+    isOver,
+    getWaits: (name) => getWaits(name),
+    onAdmitted: (request) => advance(request),
+    onRefused: (request) => endRequest(request, 'refused'),
+  });
 
   for (const [service, {endpoints: count}] of Object.entries(load.services)) {
     waiting.set(service, new Set());
@@ -74,13 +78,11 @@
     return load.kinds[kind]!;
   }
 
-  /** Positions of the stages that a stage reads. */
   function getInputStages(
     request: SimulatedRequest,
     stage: number,
   ): readonly number[] {
-    const {after} = getKind(request).stages[stage]!;
-    return after ?? (stage === 0 ? [] : [stage - 1]);
+    return getSimulatedInputs(getKind(request), stage);
   }
 
   function getReaderStages(request: SimulatedRequest, stage: number): number[] {
@@ -89,24 +91,6 @@
     );
   }
 
-  function forecastStages(
-    request: SimulatedRequest,
-    getWaits: (service: string) => Omit<StageWaits, 'service'> | null,
-    isOverShare: boolean | null = null,
-  ): StageForecast[] {
-    const {stages, priority} = getKind(request);
-    return stages.map(({service}, stage) => {
-      const isUsed = request.pieces[stage]! > 0;
-      return forecastStage({
-        after: getInputStages(request, stage),
-        capacity: isUsed ? load.services[service]! : null,
-        waits: getWaits(service),
-        priority,
-        isOverShare,
-      });
-    });
-  }
-
   function endRequest(
     request: SimulatedRequest,
     outcome: SimulatedRequest['outcome'],
@@ -132,7 +116,7 @@
 
   function getDelay(request: SimulatedRequest, stage: number): number {
     if (hasStartDelay !== true) return 0;
-    const progress = forecastStages(request, getWaits).map(
+    const progress = forecastSimulatedStages(load, request, getWaits).map(
       (forecast, index) => {
         const startedAt = request.startedAt[index]!;
         const age = startedAt === null ? null : getNow() - startedAt;
@@ -184,7 +168,7 @@
       getKind(request);
     const {service, resultBytes, workShare} = stages[stage]!;
     const after = getRemainingTimes(
-      forecastStages(request, () => null),
+      forecastSimulatedStages(load, request, () => null),
       ENGINE_MILLISECONDS,
     )[stage]!;
     const count = request.pieces[stage]!;
@@ -277,65 +261,6 @@
 
   const getWaits = (name: string) => estimateService(name).waits;
 
-  function getWork(request: SimulatedRequest): number {
-    const stages = getKind(request).stages.map(({service}, stage) => ({
-      pieces: request.pieces[stage]!,
-      capacity: load.services[service]!,
-    }));
-    return getCallWork(stages, ENGINE_MILLISECONDS);
-  }
-
-  /** The outcome of `decideAdmission`, by the share of the account if any. */
-  function decide(request: SimulatedRequest) {
-    const {targetMilliseconds, deadlineMilliseconds, account} =
-      getKind(request);
-    const age = getNow() - request.at;
-    const targetLeftMilliseconds = targetMilliseconds - age;
-    const getForecast = (isOverShare: boolean | null) =>
-      forecastCall(
-        forecastStages(request, getWaits, isOverShare),
-        ENGINE_MILLISECONDS,
-      );
-    const own = shares.get(request.instance);
-    const forecast =
-      hasShares && account !== undefined
-        ? forecastByShare({
-            targetLeftMilliseconds,
-            getForecast,
-            isOverShare: () => own.getStanding(account, getNow()).isOver,
-          })
-        : getForecast(null);
-    return decideAdmission({
-      forecast,
-      targetLeftMilliseconds,
-      timeLeftMilliseconds: deadlineMilliseconds - age,
-    });
-  }
-
-  /** Admits a request, or refuses it until it returns. */
-  function arrive(request: SimulatedRequest): void {
-    const {account, retries, deadlineMilliseconds} = getKind(request);
-    const own = shares.get(request.instance);
-    const admission = hasAdmission ? decide(request) : null;
-    if (admission?.tag !== 'refused') {
-      if (account !== undefined) {
-        request.endShare = own.startCall(account, getWork(request));
-      }
-      return advance(request);
-    }
-    if (account !== undefined) {
-      own.recordRefusal(account, getWork(request), getNow());
-    }
-    const {most = 0, afterMilliseconds} = retries ?? {};
-    const wait = afterMilliseconds ?? admission.retryAfterMilliseconds;
-    const isLast =
-      request.refusals >= most ||
-      getNow() + wait > request.at + deadlineMilliseconds;
-    request.refusals += 1;
-    if (isLast) endRequest(request, 'refused');
-    else schedule(getNow() + wait, () => arrive(request));
-  }
-
   /** Refuses requests whose waiting pieces miss the deadline. */
   function sweep(): void {
     for (const [name, groups] of waiting) {
@@ -357,7 +282,7 @@
   const requests = createArrivals(load, seed).map(
     (arrival, index): SimulatedRequest => ({
       ...arrival,
-      instance: index % instances,
+      instance: index % (load.instances ?? 1),
       refusals: 0,
       endShare: null,
       startedAt: arrival.pieces.map((count) => (count > 0 ? null : -Infinity)),
@@ -369,10 +294,10 @@
     }),
   );
   for (const request of requests) {
-    schedule(request.at, () => arrive(request));
+    schedule(request.at, () => admission.arrive(request));
   }
   schedule(0, sweep);
-  if (hasShares) shares.exchange();
+  if (hasShares) admission.start();
   runAll();
   return summarizeRequests(load, requests);
 }
