--- a/packages/hickorywharf-bench/src/stages/__tests__/simulateStages.test.ts
+++ b/packages/hickorywharf-bench/src/stages/__tests__/simulateStages.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {burstLoad} from '../burstLoad.ts';
 import {chainLoad} from '../chainLoad.ts';
+import {competingLoad} from '../competingLoad.ts';
 import {simulateStages} from '../simulateStages.ts';
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -53,6 +54,36 @@
   );
 });
 
+test('no account pays for the burst of another', (t) => {
+  const getSmall = (policy: Policy): number[][] =>
+    simulateSeeds(competingLoad, policy).map(({servedByKind}) =>
+      Object.entries(servedByKind).flatMap(([account, share]) =>
+        account === 'large' ? [] : [share],
+      ),
+    );
+  const getAverage = (shares: number[]): number =>
+    shares.reduce((sum, share) => sum + share, 0) / shares.length;
+  const firstCome = getSmall('groupsAtTheDoor');
+  const fair = getSmall('fairGroups');
+  t.true(firstCome.every((shares) => getAverage(shares) < 0.8));
+  t.true(fair.every((shares) => getAverage(shares) > 0.85));
+  t.true(Math.min(...firstCome.flat()) < 0.5);
+  t.true(Math.min(...fair.flat()) > 0.7);
+  t.true(
+    getMean('fairGroups', 'worth', competingLoad) >
+      getMean('groupsAtTheDoor', 'worth', competingLoad) + 0.1,
+  );
+});
+
+test('without competing accounts, shares change nothing', (t) => {
+  for (const load of [burstLoad, chainLoad]) {
+    t.deepEqual(
+      simulateStages(load, 'fairGroups', 3),
+      simulateStages(load, 'groupsAtTheDoor', 3),
+    );
+  }
+});
+
 test('the same seed gives the same result', (t) => {
   t.deepEqual(
     simulateStages(burstLoad, 'groups', 7),
--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -1,14 +1,12 @@
 import {estimateWaits} from 'hickorywharf-decisions/gateway/estimateWaits';
-import {forecastStage} from 'hickorywharf-decisions/gateway/forecastStage';
-import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import {getStartDelay} from 'hickorywharf-decisions/gateway/getStartDelay';
 import {getRemainingTimes} from 'hickorywharf-decisions/gateway/getRemainingTimes';
-import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
 import type {PieceGroup} from 'hickorywharf-decisions/gateway/pieceGroup';
-import type {StageForecast} from 'hickorywharf-decisions/gateway/stageForecast';
-import type {StageWaits} from 'hickorywharf-types/gateway/stageWaits';
 import {createArrivals} from './createArrivals.ts';
 import {createEventQueue} from './createEventQueue.ts';
+import {createSimulatedAdmission} from './createSimulatedAdmission.ts';
+import {forecastSimulatedStages} from './forecastSimulatedStages.ts';
+import {getSimulatedInputs} from './getSimulatedInputs.ts';
 import type {StageLoad} from './stageLoad.ts';
 import type {SimulatedEndpoint} from './simulatedEndpoint.ts';
 import type {SimulatedRequest} from './simulatedRequest.ts';
@@ -46,11 +44,23 @@
   policy: keyof typeof stagePolicies,
   seed: number,
 ): ReturnType<typeof summarizeRequests> {
-  const {plan, hasAdmission, hasStartDelay}: StagePolicy =
+  const {plan, hasAdmission, hasStartDelay, hasShares}: StagePolicy =
     stagePolicies[policy];
   const waiting = new Map<string, Set<Group>>();
   const endpoints = new Map<string, SimulatedEndpoint[]>();
   const {getNow, schedule, runAll} = createEventQueue();
+  const isOver = (): boolean => getNow() >= load.seconds * 1000 + 20_000;
+  const admission = createSimulatedAdmission({
+    load,
+    policy: stagePolicies[policy],
+    engineMilliseconds: ENGINE_MILLISECONDS,
+    getNow,
+    schedule,
+    isOver,
+    getWaits: (name) => getWaits(name),
+    onAdmitted: (request) => advance(request),
+    onRefused: (request) => endRequest(request, 'refused'),
+  });
 
   for (const [service, {endpoints: count}] of Object.entries(load.services)) {
     waiting.set(service, new Set());
@@ -68,13 +78,11 @@
     return load.kinds[kind]!;
   }
 
-  /** Positions of the stages that a stage reads. */
   function getInputStages(
     request: SimulatedRequest,
     stage: number,
   ): readonly number[] {
-    const {after} = getKind(request).stages[stage]!;
-    return after ?? (stage === 0 ? [] : [stage - 1]);
+    return getSimulatedInputs(getKind(request), stage);
   }
 
   function getReaderStages(request: SimulatedRequest, stage: number): number[] {
@@ -83,28 +91,13 @@
     );
   }
 
-  function forecastStages(
-    request: SimulatedRequest,
-    getWaits: (service: string) => Omit<StageWaits, 'service'> | null,
-  ): StageForecast[] {
-    const {stages, priority} = getKind(request);
-    return stages.map(({service}, stage) => {
-      const isUsed = request.pieces[stage]! > 0;
-      return forecastStage({
-        after: getInputStages(request, stage),
-        capacity: isUsed ? load.services[service]! : null,
-        waits: getWaits(service),
-        priority,
-      });
-    });
-  }
-
   function endRequest(
     request: SimulatedRequest,
     outcome: SimulatedRequest['outcome'],
   ): void {
     if (request.outcome !== null) return;
     request.outcome = outcome;
+    request.endShare?.();
     request.endedAt = getNow();
     request.held.forEach((held, stage) => release(held, request, stage));
   }
@@ -123,7 +116,7 @@
 
   function getDelay(request: SimulatedRequest, stage: number): number {
     if (hasStartDelay !== true) return 0;
-    const progress = forecastStages(request, getWaits).map(
+    const progress = forecastSimulatedStages(load, request, getWaits).map(
       (forecast, index) => {
         const startedAt = request.startedAt[index]!;
         const age = startedAt === null ? null : getNow() - startedAt;
@@ -175,7 +168,7 @@
       getKind(request);
     const {service, resultBytes, workShare} = stages[stage]!;
     const after = getRemainingTimes(
-      forecastStages(request, () => null),
+      forecastSimulatedStages(load, request, () => null),
       ENGINE_MILLISECONDS,
     )[stage]!;
     const count = request.pieces[stage]!;
@@ -193,6 +186,7 @@
       resultBytes,
       workMilliseconds: load.services[service]!.pieceMilliseconds * workShare,
       failureDomain: null,
+      account: (hasShares ? getKind(request).account : null) ?? null,
     });
     dispatch(service);
   }
@@ -206,6 +200,7 @@
       const shares = plan(groups, getNow(), {
         batch: service.batch,
         callMilliseconds: service.callMilliseconds,
+        endpoints: service.endpoints,
         roomBytes: service.roomBytes - endpoint.heldBytes,
         failureDomain: '',
         otherDomainWaits: new Map(),
@@ -266,20 +261,6 @@
 
   const getWaits = (name: string) => estimateService(name).waits;
 
-  function isAdmitted(request: SimulatedRequest): boolean {
-    const {targetMilliseconds, deadlineMilliseconds} = getKind(request);
-    const forecast = forecastCall(
-      forecastStages(request, getWaits),
-      ENGINE_MILLISECONDS,
-    );
-    const admission = decideAdmission({
-      forecast,
-      targetLeftMilliseconds: targetMilliseconds,
-      timeLeftMilliseconds: deadlineMilliseconds,
-    });
-    return admission.tag !== 'refused';
-  }
-
   /** Refuses requests whose waiting pieces miss the deadline. */
   function sweep(): void {
     for (const [name, groups] of waiting) {
@@ -295,14 +276,15 @@
       }
       dispatch(name);
     }
-    if (getNow() < load.seconds * 1000 + 20_000) {
-      schedule(getNow() + SWEEP_MILLISECONDS, sweep);
-    }
+    if (!isOver()) schedule(getNow() + SWEEP_MILLISECONDS, sweep);
   }
 
   const requests = createArrivals(load, seed).map(
-    (arrival): SimulatedRequest => ({
+    (arrival, index): SimulatedRequest => ({
       ...arrival,
+      instance: index % (load.instances ?? 1),
+      refusals: 0,
+      endShare: null,
       startedAt: arrival.pieces.map((count) => (count > 0 ? null : -Infinity)),
       recheckCount: 0,
       isComputed: arrival.pieces.map((count) => count === 0),
@@ -312,12 +294,10 @@
     }),
   );
   for (const request of requests) {
-    schedule(request.at, () => {
-      if (hasAdmission && !isAdmitted(request)) endRequest(request, 'refused');
-      else advance(request);
-    });
+    schedule(request.at, () => admission.arrive(request));
   }
   schedule(0, sweep);
+  if (hasShares) admission.start();
   runAll();
   return summarizeRequests(load, requests);
 }
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -98,5 +98,9 @@
     label: 'kind',
     meaning: 'connections of callers that were closed to bound their number',
   },
+  accountShares: {
+    label: 'event',
+    meaning: 'calls by how their account stood while room was short',
+  },
   logLinesLeftOut: {label: 'reason', meaning: 'log lines beyond the bound'},
 } as const;
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -8,6 +8,7 @@
 import {getResourceBounds} from 'hickorywharf-decisions/gateway/getResourceBounds';
 import {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
+import {createAccountShares} from './createAccountShares.ts';
 import {createCallServer} from './createCallServer.ts';
 import {createColdLimiter} from './createColdLimiter.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
@@ -151,6 +152,7 @@
     const endpointLimits = limiter.listReports();
     return endpointLimits.length > 0 ? {endpointLimits} : {};
   };
+  const accountShares = createAccountShares({state, log, metrics, now});
   const dispatcher = createStageDispatcher({
     state,
     wire,
@@ -187,8 +189,12 @@
       tag: 'stageWaits',
       services: router.listWaitEstimates(),
       ...getHeartbeatFields(),
+      ...accountShares.createSumFields(),
+    }),
+    getHeartbeatFields: () => ({
+      ...getHeartbeatFields(),
+      ...accountShares.createReportFields(),
     }),
-    getHeartbeatFields,
     getFirstFields() {
       const quarantineRecords = quarantine.listRecords();
       return quarantineRecords.length > 0 ? {quarantineRecords} : {};
@@ -197,6 +203,7 @@
       if (frame.tag === 'heartbeat') {
         quarantine.handle(connection.peer.name, frame.quarantineRecords ?? []);
         limiter.recordReports(frame.endpointLimits ?? []);
+        accountShares.recordFrame(connection.peer.name, frame);
         if (frame.streams !== undefined) {
           void streams.handle(frame.streams).then((reply) => {
             if (reply === null) return;
@@ -215,6 +222,7 @@
       }
       if (frame.tag === 'stageWaits') {
         limiter.recordReports(frame.endpointLimits ?? []);
+        accountShares.recordFrame(name, frame);
       }
       router.handleReply(name, frame);
       stateSync.handleReply(frame);
@@ -283,7 +291,13 @@
     maximumConnections: bounds.callerConnections,
     budget,
     router,
-    admitToStages: createStageAdmission({state, limiter, router, now}),
+    admitToStages: createStageAdmission({
+      state,
+      limiter,
+      router,
+      accountShares,
+      now,
+    }),
     stopForecast: createStopForecast({state, now}),
     log,
     metrics,
