--- a/packages/hickorywharf-decisions/src/gateway/__tests__/chooseEngine.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/chooseEngine.test.ts
@@ -7,6 +7,10 @@
   failureDomain: id < 'e3' ? 'a' : 'b',
   pendingTokens: 0,
   running: 0,
+  memoryTokens: 0,
+  slowness: 1,
+  slots: 64,
+  capacityTokens: 400_000,
   penaltyMilliseconds: 0,
 }));
 
@@ -16,6 +20,8 @@
     {id: session, tokens: 3800},
     {id: 'own', tokens: 2900},
   ],
+  promptTokens: 9200,
+  outputTokens: 50,
   failureDomain,
   results: [],
   resultBytes: 0,
@@ -48,6 +54,29 @@
   t.not(chooseEngine(engines, demand('s1'))?.id, owner);
 });
 
+test('a session leaves an engine whose slots or memory are full', (t) => {
+  const owner = chooseEngine(idle, demand('s1'))!.id;
+  for (const full of [{running: 100}, {memoryTokens: 900_000}]) {
+    const engines = idle.map((engine) =>
+      engine.id === owner ? {...engine, ...full} : engine,
+    );
+    t.not(chooseEngine(engines, demand('s1'))?.id, owner);
+  }
+});
+
+test('a long prompt goes where fewer calls run beside it', (t) => {
+  const long = {
+    ...demand('s1'),
+    parts: [{id: 'own', tokens: 20_000}],
+    promptTokens: 20_000,
+  };
+  const owner = chooseEngine(idle, long)!.id;
+  const engines = idle.map((engine) =>
+    engine.id === owner ? {...engine, running: 10} : engine,
+  );
+  t.not(chooseEngine(engines, long)?.id, owner);
+});
+
 test('a call runs in the failure domain of its large results', (t) => {
   const withResults = {
     ...demand('s1'),
--- a/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
@@ -1,23 +1,20 @@
-import {orderByRendezvous} from 'hickorywharf-utils/orderByRendezvous';
+import {countUncachedTokens} from './countUncachedTokens.ts';
+import {forecastEngine} from './forecastEngine.ts';
+import {orderSession} from './orderSession.ts';
 import {PROMPT_TOKENS_PER_MILLISECOND} from './promptTokensPerMillisecond.ts';
 
-interface EngineCandidate {
+type EngineCandidate = Parameters<typeof forecastEngine>[0] & {
   readonly id: string;
   readonly failureDomain: string;
-  /**
-   * Prompt tokens of this instance's calls at the endpoint that have no first
-   * event yet.
-   */
-  readonly pendingTokens: number;
-  /** Calls of this instance in progress at the endpoint, running or queued. */
-  readonly running: number;
   /** Cost added for recent failures of the endpoint. */
   readonly penaltyMilliseconds: number;
-}
+};
 
 interface EngineDemand {
   /** Parts of the prompt in order; only the last one is unique to the call. */
   readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
   /** Failure domain of this instance. */
   readonly failureDomain: string;
   /** Failure domains of the stage results to read; undefined if unknown. */
@@ -27,15 +24,23 @@
 }
 
 /**
- * Factor on the shared tokens of a session that an endpoint would prefill
- * again. Above 1, because prefilling a session again also delays other calls.
+ * Factor on the time to prefill shared tokens that the engine does not hold.
+ * Above 1, because prefilling a session again also delays other calls.
+ */
+const PREFILL_AGAIN_FACTOR = 4;
+/**
+ * Share of a prefill by which it delays each call that runs beside it; prompts
+ * are read in chunks, between the tokens of these calls.
  */
-const PREFILL_AGAIN_FACTOR = 3;
+const DELAY_SHARE = 0.1;
 /**
- * Delay that each call in progress adds to a new one, from the step times of
- * the engines in the deployments' limits.
+ * Engines, by the order of the session, that a call goes to as a rule. Of few
+ * choices, the instances that know the same figures take different ones for
+ * different sessions, and do not all send to the engine that seems idle.
  */
-const RUNNING_CALL_MILLISECONDS = 1.5;
+const CHOICES = 3;
+/** Cost of an engine beyond these, which is for those that are full or fail. */
+const FURTHER_CHOICE_MILLISECONDS = 500;
 /** Cost of reading a megabyte from another failure domain. */
 const REMOTE_MEGABYTE_MILLISECONDS = 3.5;
 const BYTES_PER_MEGABYTE = 1_000_000;
@@ -43,48 +48,57 @@
 const OTHER_DOMAIN_MILLISECONDS = 1;
 
 /**
- * Picks the endpoint that is expected to finish prefilling a prompt first, with
- * the cost of recent failures added to the expected time.
+ * Picks the endpoint that is expected to make the first event of a call first,
+ * with the delay of the calls beside it and the cost of recent failures.
  *
  * Designed for many returning sessions, each with a long shared prompt prefix,
- * and bursts on a few of them. The last shared part of the prompt identifies
- * the session. Rendezvous hashing gives each session one endpoint that all
- * instances agree on without communicating, so that the prefix is prefilled
- * only once. If waiting for that endpoint costs more than
- * prefilling the prefix again, another endpoint gets the call.
+ * bursts on a few of them, and engines that differ in speed. The last shared
+ * part of the prompt identifies the session. Rendezvous hashing gives each
+ * session an order of endpoints that all instances agree on without
+ * communicating, so that the prefix is prefilled only once. If waiting for the
+ * first endpoint costs more than prefilling the prefix again, another endpoint
+ * gets the call; long prompts go where few calls run beside them.
  *
  * @returns undefined if there is no endpoint
  * @example
- *     const demand = {parts, failureDomain: 'a', results: [], resultBytes: 0};
+ *     const demand = {parts, promptTokens, outputTokens, failureDomain: 'a', results: [], resultBytes: 0};
  *     chooseEngine(engines, demand)?.id; // 'engine-3'
  */
 export function chooseEngine<Candidate extends EngineCandidate>(
   candidates: readonly Candidate[],
   demand: EngineDemand,
 ): Candidate | undefined {
-  const {parts, failureDomain, results, resultBytes} = demand;
-  const shared = parts.slice(0, -1);
-  // Without a shared part, `sessionTokens` is 0 and the session has no effect.
-  const session = shared.at(-1)?.id ?? parts.at(-1)?.id ?? '';
-  const sessionTokens = shared.at(-1)?.tokens ?? 0;
-  const [preferredId] = orderByRendezvous(
-    session,
-    candidates.map(({id}) => id),
-  );
+  const {parts, promptTokens, outputTokens} = demand;
+  const {failureDomain, results, resultBytes} = demand;
+  const order = orderSession(parts, candidates);
+  const ranks = new Map(order.map((id, rank) => [id, rank]));
+  const newTokens = countUncachedTokens(parts, 0);
   let best: Candidate | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
-    const uncachedTokens =
-      candidate.id === preferredId ? 0 : sessionTokens * PREFILL_AGAIN_FACTOR;
+    const rank = ranks.get(candidate.id)!;
+    const uncachedTokens = countUncachedTokens(parts, rank);
+    const {slowness, running} = candidate;
+    const readMilliseconds =
+      (uncachedTokens / PROMPT_TOKENS_PER_MILLISECOND) * slowness;
+    const againMilliseconds =
+      ((uncachedTokens - newTokens) / PROMPT_TOKENS_PER_MILLISECOND) *
+      (PREFILL_AGAIN_FACTOR - 1);
+    const forecast = forecastEngine(candidate, {
+      promptTokens,
+      uncachedTokens,
+      outputTokens,
+    });
     const remoteResults = results.filter(
       (domain) => domain !== undefined && domain !== candidate.failureDomain,
     ).length;
     const cost =
       ((remoteResults * resultBytes) / BYTES_PER_MEGABYTE) *
         REMOTE_MEGABYTE_MILLISECONDS +
-      (candidate.pendingTokens + uncachedTokens) /
-        PROMPT_TOKENS_PER_MILLISECOND +
-      candidate.running * RUNNING_CALL_MILLISECONDS +
+      forecast.firstEventMilliseconds +
+      againMilliseconds +
+      running * readMilliseconds * DELAY_SHARE +
+      (rank < CHOICES ? 0 : FURTHER_CHOICE_MILLISECONDS) +
       candidate.penaltyMilliseconds +
       (candidate.failureDomain === failureDomain
         ? 0
--- /dev/null
+++ b/packages/hickorywharf-decisions/src/gateway/createEngineReports.ts
@@ -0,0 +1,149 @@
+import type {EngineReport} from 'hickorywharf-types/gateway/engineReport';
+import type {EngineTotals} from 'hickorywharf-types/gateway/engineTotals';
+import {addEngineReports} from './addEngineReports.ts';
+
+/** What other instances know of an engine, and how old it is. */
+interface OtherWork {
+  readonly report: EngineReport;
+  readonly ageMilliseconds: number;
+}
+
+/** Every `now` is in monotonic milliseconds. */
+interface EngineReports {
+  /** Records the report of an instance, which replaces its earlier one. */
+  recordReport(
+    peer: string,
+    engines: readonly EngineReport[],
+    now: number,
+  ): void;
+  /** Records the sums that a peer computed, this instance included. */
+  recordTotals(peer: string, totals: EngineTotals, now: number): void;
+  /** Records what this instance reports now, which totals then include. */
+  recordOwn(engines: readonly EngineReport[], now: number): void;
+  /** Sums over this instance and those that report to it; null if none does. */
+  getTotals(own: readonly EngineReport[], now: number): EngineTotals | null;
+  /** Null if nothing is known of the work of other instances there. */
+  getOthers(
+    endpointId: string,
+    startedAt: number,
+    now: number,
+  ): OtherWork | null;
+  /** Discards what a peer told, once it has disconnected. */
+  removePeer(peer: string): void;
+}
+
+interface Told<Content> {
+  readonly content: Content;
+  readonly at: number;
+}
+
+/**
+ * Reports are sent every 250 ms. After four missing ones, the calls that a
+ * report counted may have ended.
+ */
+const MAXIMUM_AGE_MILLISECONDS = 1000;
+
+const byId = (engines: readonly EngineReport[]): Map<string, EngineReport> =>
+  new Map(engines.map((engine) => [engine.endpointId, engine]));
+
+/**
+ * Keeps what instances tell each other of their work at engines. Each instance
+ * reports to a few others, which return the sums over all reports, so that the
+ * exchange grows with the number of instances and not with its square.
+ *
+ * Designed for many instances, of which each sends an engine only a small part
+ * of its calls. Reports of lost peers age out.
+ *
+ * @example
+ *     reports.recordTotals('front-1', totals, now);
+ *     reports.getOthers('engine-1', startedAt, now)?.report.running; // 11
+ */
+export function createEngineReports(): EngineReports {
+  const reports = new Map<string, Told<Map<string, EngineReport>>>();
+  const totals = new Map<
+    string,
+    Told<{instances: number; engines: Map<string, EngineReport>}>
+  >();
+  let own: Told<Map<string, EngineReport>> | null = null;
+
+  const isFresh = ({at}: {readonly at: number}, now: number): boolean =>
+    now - at <= MAXIMUM_AGE_MILLISECONDS;
+
+  function listFresh(now: number): Array<Told<Map<string, EngineReport>>> {
+    for (const [peer, told] of reports) {
+      if (!isFresh(told, now)) reports.delete(peer);
+    }
+    return [...reports.values()];
+  }
+
+  /** The fresh totals over most instances; of several, the newest. */
+  function findTotals(now: number) {
+    let best: Told<{
+      instances: number;
+      engines: Map<string, EngineReport>;
+    }> | null = null;
+    for (const told of totals.values()) {
+      if (!isFresh(told, now)) continue;
+      const difference =
+        told.content.instances - (best?.content.instances ?? -1);
+      if (difference > 0 || (difference === 0 && told.at > best!.at)) {
+        best = told;
+      }
+    }
+    return best;
+  }
+
+  return {
+    recordReport: (peer, engines, now) =>
+      void reports.set(peer, {content: byId(engines), at: now}),
+    recordTotals(peer, {instances, engines}, now) {
+      totals.set(peer, {content: {instances, engines: byId(engines)}, at: now});
+    },
+    recordOwn: (engines, now) => void (own = {content: byId(engines), at: now}),
+    getTotals(ownEngines, now) {
+      const fresh = listFresh(now);
+      if (fresh.length === 0) return null;
+      const sums = new Map<string, EngineReport>();
+      for (const engines of [
+        byId(ownEngines),
+        ...fresh.map((told) => told.content),
+      ]) {
+        for (const [id, engine] of engines) {
+          sums.set(id, addEngineReports(sums.get(id), engine, 1));
+        }
+      }
+      return {instances: fresh.length + 1, engines: [...sums.values()]};
+    },
+    getOthers(endpointId, startedAt, now) {
+      const fresh = listFresh(now);
+      const known = findTotals(now);
+      if (known !== null && known.content.instances > fresh.length + 1) {
+        const total = known.content.engines.get(endpointId);
+        if (total === undefined || total.startedAt !== startedAt) return null;
+        const included =
+          own !== null && isFresh(own, now)
+            ? own.content.get(endpointId)
+            : undefined;
+        return {
+          report: addEngineReports(total, included, -1),
+          ageMilliseconds: now - known.at,
+        };
+      }
+      let sum: EngineReport | undefined;
+      let oldest = now;
+      for (const {content, at} of fresh) {
+        const engine = content.get(endpointId);
+        if (engine === undefined || engine.startedAt !== startedAt) continue;
+        sum = addEngineReports(sum, engine, 1);
+        oldest = Math.min(oldest, at);
+      }
+      return sum === undefined
+        ? null
+        : {report: sum, ageMilliseconds: now - oldest};
+    },
+    removePeer(peer) {
+      reports.delete(peer);
+      totals.delete(peer);
+    },
+  };
+}
--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
@@ -19,7 +19,7 @@
       state: {directory: {getUsable: () => endpoints}},
       health,
       limiter: {getWait: ({id}: {id: string}) => waits.get(id) ?? 0},
-      loads: createEndpointLoads(),
+      engines: createEndpointLoads(),
       getInstant: () => ({monotonic: 0}),
     } as unknown as Options[0],
     {
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -8,7 +8,7 @@
 import type {CallContext} from './callContext.ts';
 import {createBodyBuffer} from './createBodyBuffer.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
-import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {createEngineWork} from './createEngineWork.ts';
 import type {CallWatch} from './callWatch.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
 import type {createFailover} from './createFailover.ts';
@@ -30,7 +30,7 @@
   readonly endpointClient: EndpointClient;
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
-  readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly engines: ReturnType<typeof createEngineWork>;
   /** Shared by all calls of the instance. */
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
   /** Is told what becomes of the call, and ended with it. */
@@ -96,7 +96,7 @@
   } = options;
   const {call} = context;
   const startedAt = now();
-  const load = options.loads.startCall(endpoint.id, call.promptTokens);
+  const load = options.engines.startCall(endpoint, call);
 
   return new Promise((resolve) => {
     let isSettled = false;
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -1,11 +1,10 @@
 import {chooseEndpoint} from 'hickorywharf-decisions/gateway/chooseEndpoint';
-import {chooseEngine} from 'hickorywharf-decisions/gateway/chooseEngine';
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {CallContext} from './callContext.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
-import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {createEngineWork} from './createEngineWork.ts';
 import type {createInstantClock} from './createInstantClock.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
 import type {GatewayState} from './gatewayState.ts';
@@ -17,7 +16,7 @@
   readonly health: ReturnType<typeof createEndpointHealth>;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly streams: ReturnType<typeof createStreamVersions>;
-  readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly engines: ReturnType<typeof createEngineWork>;
   readonly router: StageRouter;
   readonly getInstant: ReturnType<typeof createInstantClock>;
 }
@@ -85,7 +84,7 @@
   options: SelectorOptions,
   context: CallContext,
 ): EndpointSelector {
-  const {settings, state, health, limiter, streams, loads, router} = options;
+  const {settings, state, health, limiter, streams, engines, router} = options;
   const {call, route, service} = context;
   const triedEndpoints = new Set<string>();
   const asideEndpoints = new Set<string>();
@@ -122,20 +121,17 @@
       .map((endpoint) => ({
         ...endpoint,
         endpoint,
-        ...loads.get(endpoint.id),
+        ...engines.get(endpoint.id),
         responseMilliseconds: health.getResponseTime(endpoint.id),
         penaltyMilliseconds:
           health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
       }));
-    const selected = route.isSticky
-      ? chooseEngine(candidates, {
-          parts: call.promptParts,
-          failureDomain,
-          results: inputs.map(router.getFailureDomain),
-          resultBytes,
-        })
-      : chooseEndpoint(candidates, failureDomain);
-    return selected?.endpoint;
+    if (!route.isSticky) {
+      return chooseEndpoint(candidates, failureDomain)?.endpoint;
+    }
+    const results = inputs.map(router.getFailureDomain);
+    const placement = {call, failureDomain, results, resultBytes};
+    return engines.choose(candidates, placement);
   }
 
   return {
@@ -179,7 +175,7 @@
         const usual = health.getResponseTime(id);
         return usual * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MILLISECONDS;
       }
-      const {pendingTokens} = loads.get(id);
+      const {pendingTokens} = engines.get(id);
       const tokens = pendingTokens + call.promptTokens;
       return (
         ENGINE_TIMEOUT_MILLISECONDS + tokens / ENGINE_TOKENS_PER_MILLISECOND
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -15,7 +15,7 @@
 /** Fields that a heartbeat may have in addition. */
 type HeartbeatFields = Pick<
   Extract<Frame, {tag: 'heartbeat'}>,
-  'endpointLimits' | 'streams' | 'quarantineRecords'
+  'endpointLimits' | 'streams' | 'quarantineRecords' | 'engineReports'
 >;
 
 interface PeerConnectionsOptions {
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -14,6 +14,11 @@
     label: 'cause',
     meaning: 'calls that could not go on at an endpoint by what was missing',
   },
+  enginePlacements: {
+    label: 'engine',
+    meaning:
+      'sends to model engines by whether the engine holds the session by its order',
+  },
   silences: {
     label: 'event',
     meaning: 'silent endpoints by what became of the calls there',
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -11,6 +11,8 @@
 import {createEndpointClient} from './createEndpointClient.ts';
 import {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
+import {createEngineExchange} from './createEngineExchange.ts';
+import {createEngineWork} from './createEngineWork.ts';
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
 import {createGatewayState} from './createGatewayState.ts';
@@ -130,6 +132,13 @@
     broadcast: (quarantineRecords) =>
       peers.broadcastHeartbeat({quarantineRecords}),
   });
+  const loads = createEndpointLoads();
+  const engines = createEngineWork({state, loads, log, metrics, now});
+  const engineExchange = createEngineExchange({
+    name: settings.name,
+    engines,
+    send: (peer, fields) => peers.sendHeartbeat(peer, fields),
+  });
   /** Left out without reports, as most heartbeats have none. */
   const getHeartbeatFields = () => {
     streams.flush();
@@ -171,6 +180,7 @@
       tag: 'stageWaits',
       services: router.listWaitEstimates(),
       ...getHeartbeatFields(),
+      ...engineExchange.flush(),
     }),
     getHeartbeatFields,
     getFirstFields() {
@@ -188,6 +198,7 @@
           });
         }
       }
+      engineExchange.handle(connection.peer.name, frame);
       router.handleRequest(connection, frame);
       stateSync.handleRequest(connection, frame);
     },
@@ -200,10 +211,12 @@
       if (frame.tag === 'stageWaits') {
         limiter.recordReports(frame.endpointLimits ?? []);
       }
+      engineExchange.handle(name, frame);
       router.handleReply(name, frame);
       stateSync.handleReply(frame);
     },
     onDisconnected(name) {
+      engines.removePeer(name);
       router.reassignOrders(name);
       stateSync.handleDisconnected(name);
     },
@@ -241,7 +254,7 @@
     limiter,
     streams,
     quarantine,
-    loads: createEndpointLoads(),
+    engines,
     responseMemory: createResponseMemory(),
     budget,
     router,
@@ -295,6 +308,7 @@
     onInstances(others) {
       const {name, capacity} = settings;
       limiter.recordInstances([...others, {name, capacity}]);
+      engineExchange.setInstances([...others, {name, capacity}]);
       peers.setInstances(others);
       quarantine.setInstances([...others.map((other) => other.name), name]);
       // Connects to those that keep records of streams before one is asked, and
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -16,7 +16,7 @@
 import {createCallInputs} from './createCallInputs.ts';
 import type {createStageAdmission} from './createStageAdmission.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
-import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {createEngineWork} from './createEngineWork.ts';
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
 import {createFailover} from './createFailover.ts';
@@ -46,7 +46,7 @@
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly streams: ReturnType<typeof createStreamVersions>;
   readonly quarantine: ReturnType<typeof createQuarantineSync>;
-  readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly engines: ReturnType<typeof createEngineWork>;
   readonly responseMemory: ReturnType<typeof createResponseMemory>;
   readonly budget: ReturnType<typeof createRetryBudget>;
   readonly router: StageRouter;
@@ -96,7 +96,7 @@
   options: ServeOptions,
   input: ServedCall,
 ): Promise<void> {
-  const {settings, state, health, limiter, loads, budget} = options;
+  const {settings, state, health, limiter, engines, budget} = options;
   const {quarantine, stopForecast, admitToStages} = options;
   const {log, metrics, getInstant} = options;
   const {context, body, relay: writer} = input;
@@ -524,7 +524,7 @@
       endpointClient: options.endpointClient,
       health,
       limiter,
-      loads,
+      engines,
       responseMemory: options.responseMemory,
       watch: quarantine.watchCall(endpoint, quarantinedCall),
       responseTimeoutMilliseconds: context.isRetryable
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -45,6 +45,16 @@
     isObject(value) && checks.every(([name, check]) => check(value[name]));
 }
 
+const isEngineReport = hasFields({
+  endpointId: isName,
+  startedAt: isNumber,
+  running: isCount,
+  pendingTokens: isNotNegative,
+  memoryTokens: isNotNegative,
+  observedMilliseconds: isNotNegative,
+  expectedMilliseconds: isNotNegative,
+});
+
 const isStringArray = isArrayOf(isString);
 const isNumberArray = isArrayOf(isNumber);
 const isDocuments = hasFields({documents: isStringArray});
@@ -183,6 +193,11 @@
     ageMilliseconds: isNotNegative,
     source: isName,
   }),
+  isEngineReport,
+  isEngineTotals: hasFields({
+    instances: isCount,
+    engines: isArrayOf(isEngineReport),
+  }),
   isStreamExchange: hasFields({
     origins: isOptional(isArrayOf(isStreamOrigin)),
     questions: isOptional(
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -78,6 +78,9 @@
     quarantineRecords: frameChecks.isOptional(
       isArrayOf(frameChecks.isQuarantineRecord),
     ),
+    engineReports: frameChecks.isOptional(
+      isArrayOf(frameChecks.isEngineReport),
+    ),
   },
   homes: {homes: isHomeIntervalArray},
   configurationAt: {sequence: isCount},
@@ -104,6 +107,7 @@
   stageWaits: {
     services: isArrayOf(frameChecks.isStageWaits),
     endpointLimits: isOptionalLimitReports,
+    engineTotals: frameChecks.isOptional(frameChecks.isEngineTotals),
   },
   askBeliefs: {askId: isCount, version: isNumber, endpointsDigest: isName},
   beliefs: {
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,6 +1,8 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
+import type {EngineReport} from './gateway/engineReport.ts';
+import type {EngineTotals} from './gateway/engineTotals.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
 import type {QuarantineRecord} from './gateway/quarantineRecord.ts';
 import type {SerializedConfiguration} from './gateway/serializedConfiguration.ts';
@@ -120,6 +122,8 @@
       readonly streams?: StreamExchange;
       /** Left out if there is nothing to tell. */
       readonly quarantineRecords?: readonly QuarantineRecord[];
+      /** Left out if there is nothing to tell. */
+      readonly engineReports?: readonly EngineReport[];
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
@@ -166,6 +170,8 @@
       readonly services: readonly StageWaits[];
       /** Left out if there are none. */
       readonly endpointLimits?: readonly EndpointLimitReport[];
+      /** Left out if no instance reports its work at engines to the sender. */
+      readonly engineTotals?: EngineTotals;
     }
   /** Releases results of pieces that were ordered from the receiver. */
   | {readonly tag: 'stageFree'; readonly handles: readonly string[]}
