Give up calls whose callers leave before the first event could come

Stage work and admission went by a call's timeout, 15 s for changelog-draft, though its caller leaves after 5.6 s without an event. Where a route states gapTargetMs, the time that callers wait for a first event bounds admission, the wait for limits and the deadlines of pieces.

--- a/packages/hickorywharf-gateway/src/admitCall.ts
+++ b/packages/hickorywharf-gateway/src/admitCall.ts
@@ -1,4 +1,5 @@
 import type {Instant} from 'hickorywharf-decisions/gateway/instant';
+import {getFirstEventTimeout} from 'hickorywharf-decisions/gateway/getFirstEventTimeout';
 import {pickService} from 'hickorywharf-decisions/gateway/pickService';
 import type {GatewayCall} from 'hickorywharf-types/gateway/gatewayCall';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
@@ -119,6 +120,8 @@
     arrivedAt: receivedAt.monotonic,
     targetAt: receivedAt.monotonic + route.targetMilliseconds,
     deadlineAt: receivedAt.monotonic + timeLeft,
+    firstEventDeadlineAt:
+      receivedAt.monotonic + Math.min(timeLeft, getFirstEventTimeout(route)),
     isEnded: false,
     isSent: false,
     wait: {
--- a/packages/hickorywharf-gateway/src/callContext.ts
+++ b/packages/hickorywharf-gateway/src/callContext.ts
@@ -34,6 +34,11 @@
   readonly targetAt: number;
   /** When the call times out. */
   readonly deadlineAt: number;
+  /**
+   * When the caller has left unless the first event of the stream has come, the
+   * call's timeout at the latest.
+   */
+  readonly firstEventDeadlineAt: number;
   /** Set when the response is closed, or the call timed out. */
   isEnded: boolean;
   /** Whether an endpoint may have run the call, or may be running it. */
--- a/packages/hickorywharf-gateway/src/createStageAdmission.ts
+++ b/packages/hickorywharf-gateway/src/createStageAdmission.ts
@@ -48,7 +48,7 @@
 ): (context: CallContext, demand: StageDemand) => StageAdmission {
   const {state, limiter, router, now} = options;
   return (context, {endpoints, isFirstRun}) => {
-    const {call, service, targetAt, deadlineAt} = context;
+    const {call, service, targetAt, firstEventDeadlineAt} = context;
     const {services} = state.configuration!;
     const time = now();
     const engineMilliseconds = estimateEngineTime(call.promptTokens);
@@ -67,7 +67,7 @@
       const admission = decideAdmission({
         forecast,
         targetLeftMilliseconds: targetAt - time,
-        timeLeftMilliseconds: deadlineAt - time,
+        timeLeftMilliseconds: firstEventDeadlineAt - time,
       });
       if (admission.tag === 'refused') {
         const {retryAfterMilliseconds} = admission;
--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -157,7 +157,7 @@
           targetMilliseconds:
             context.targetAt - remainingTimes[position]! - getNow(),
           deadlineMilliseconds:
-            context.deadlineAt - remainingTimes[position]! - getNow(),
+            context.firstEventDeadlineAt - remainingTimes[position]! - getNow(),
           resultBytes: stage.resultBytes,
           failureDomain: getPreferredDomain(stage, inputs),
         },
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -430,7 +430,7 @@
         totalMilliseconds: milliseconds,
       },
       targetLeftMilliseconds: context.targetAt - now,
-      timeLeftMilliseconds: context.deadlineAt - now,
+      timeLeftMilliseconds: context.firstEventDeadlineAt - now,
     });
     const isTooLong = writer.isStarted
       ? wait > MAXIMUM_STREAM_PAUSE_MILLISECONDS
--- a/packages/hickorywharf-types/src/gateway/gatewayRoute.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewayRoute.ts
@@ -15,6 +15,11 @@
   readonly timeoutMilliseconds: number;
   /** Latency target: the time within which the response should start. */
   readonly targetMilliseconds: number;
+  /**
+   * The longest pause between the events of a stream that is on time; left out
+   * if the route states none.
+   */
+  readonly gapTargetMilliseconds?: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** The services that may run a call; weights are relative. */
