--- a/packages/hickorywharf-decisions/src/gateway/__tests__/simulatePlacement.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/simulatePlacement.ts
@@ -137,7 +137,7 @@
     others.forEach((_other, index) =>
       hub!.recordReport(`${index}`, reports[index + 1]!, now),
     );
-    const totals = hub!.getTotals(reports[0]!, now)!;
+    const totals = hub!.addTotals(reports[0]!, now)!;
     for (const other of others) other.recordTotals('hub', totals, now);
   }
 
--- a/packages/hickorywharf-decisions/src/gateway/createEngineForecast.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEngineForecast.ts
@@ -28,7 +28,7 @@
 /** Every `now` is in monotonic milliseconds. */
 interface EngineForecasts extends Pick<
   Reports,
-  'recordReport' | 'recordTotals' | 'recordOwn' | 'getTotals' | 'removePeer'
+  'recordReport' | 'recordTotals' | 'recordOwn' | 'addTotals' | 'removePeer'
 > {
   /** What all instances know of an engine; null limits are unknown. */
   getState(
@@ -124,7 +124,7 @@
     recordReport: reports.recordReport,
     recordTotals: reports.recordTotals,
     recordOwn: reports.recordOwn,
-    getTotals: reports.getTotals,
+    addTotals: reports.addTotals,
     removePeer: reports.removePeer,
     getState,
     getAge: ({id, startedAt}, now) =>
--- a/packages/hickorywharf-decisions/src/gateway/createEngineReports.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEngineReports.ts
@@ -20,8 +20,11 @@
   recordTotals(peer: string, totals: EngineTotals, now: number): void;
   /** Records what this instance reports now, which totals then include. */
   recordOwn(engines: readonly EngineReport[], now: number): void;
-  /** Sums over this instance and those that report to it; null if none does. */
-  getTotals(own: readonly EngineReport[], now: number): EngineTotals | null;
+  /**
+   * Adds up the reports to this instance with its own, as it has recorded it;
+   * null if no instance reports to it.
+   */
+  addTotals(own: readonly EngineReport[], now: number): EngineTotals | null;
   /** Null if nothing is known of the work of other instances there. */
   getOthers(
     endpointId: string,
@@ -43,6 +46,9 @@
  */
 const MAXIMUM_AGE_MILLISECONDS = 1000;
 
+/** Key of the sums of this instance; no peer has an empty name. */
+const OWN_TOTALS = '';
+
 const byId = (engines: readonly EngineReport[]): Map<string, EngineReport> =>
   new Map(engines.map((engine) => [engine.endpointId, engine]));
 
@@ -69,13 +75,6 @@
   const isFresh = ({at}: {readonly at: number}, now: number): boolean =>
     now - at <= MAXIMUM_AGE_MILLISECONDS;
 
-  function listFresh(now: number): Array<Told<Map<string, EngineReport>>> {
-    for (const [peer, told] of reports) {
-      if (!isFresh(told, now)) reports.delete(peer);
-    }
-    return [...reports.values()];
-  }
-
   /** The fresh totals over most instances; of several, the newest. */
   function findTotals(now: number) {
     let best: Told<{
@@ -100,46 +99,33 @@
       totals.set(peer, {content: {instances, engines: byId(engines)}, at: now});
     },
     recordOwn: (engines, now) => void (own = {content: byId(engines), at: now}),
-    getTotals(ownEngines, now) {
-      const fresh = listFresh(now);
-      if (fresh.length === 0) return null;
-      const sums = new Map<string, EngineReport>();
-      for (const engines of [
-        byId(ownEngines),
-        ...fresh.map((told) => told.content),
-      ]) {
-        for (const [id, engine] of engines) {
-          sums.set(id, addEngineReports(sums.get(id), engine, 1));
+    addTotals(ownEngines, now) {
+      for (const [peer, told] of reports) {
+        if (!isFresh(told, now)) reports.delete(peer);
+      }
+      if (reports.size === 0) return null;
+      const engines = byId(ownEngines);
+      for (const {content} of reports.values()) {
+        for (const [id, engine] of content) {
+          engines.set(id, addEngineReports(engines.get(id), engine, 1));
         }
       }
-      return {instances: fresh.length + 1, engines: [...sums.values()]};
+      const instances = reports.size + 1;
+      totals.set(OWN_TOTALS, {content: {instances, engines}, at: now});
+      return {instances, engines: [...engines.values()]};
     },
     getOthers(endpointId, startedAt, now) {
-      const fresh = listFresh(now);
       const known = findTotals(now);
-      if (known !== null && known.content.instances > fresh.length + 1) {
-        const total = known.content.engines.get(endpointId);
-        if (total === undefined || total.startedAt !== startedAt) return null;
-        const included =
-          own !== null && isFresh(own, now)
-            ? own.content.get(endpointId)
-            : undefined;
-        return {
-          report: addEngineReports(total, included, -1),
-          ageMilliseconds: now - known.at,
-        };
-      }
-      let sum: EngineReport | undefined;
-      let oldest = now;
-      for (const {content, at} of fresh) {
-        const engine = content.get(endpointId);
-        if (engine === undefined || engine.startedAt !== startedAt) continue;
-        sum = addEngineReports(sum, engine, 1);
-        oldest = Math.min(oldest, at);
-      }
-      return sum === undefined
-        ? null
-        : {report: sum, ageMilliseconds: now - oldest};
+      const total = known?.content.engines.get(endpointId);
+      if (total?.startedAt !== startedAt) return null;
+      const included =
+        own !== null && isFresh(own, now)
+          ? own.content.get(endpointId)
+          : undefined;
+      return {
+        report: addEngineReports(total, included, -1),
+        ageMilliseconds: now - known!.at,
+      };
     },
     removePeer(peer) {
       reports.delete(peer);
--- a/packages/hickorywharf-gateway/src/createEngineWork.ts
+++ b/packages/hickorywharf-gateway/src/createEngineWork.ts
@@ -56,8 +56,11 @@
   recordTotals(peer: string, totals: EngineTotals): void;
   /** What this instance reports to its peers from now on. */
   listReports(): EngineReport[];
-  /** Sums over this instance and those that report to it; null if none does. */
-  getTotals(): EngineTotals | null;
+  /**
+   * Sums over this instance, with its reports, and those that report to it;
+   * null if none does.
+   */
+  addTotals(reports: readonly EngineReport[]): EngineTotals | null;
   removePeer(peer: string): void;
 }
 
@@ -87,14 +90,6 @@
       now(),
     );
 
-  function listReports(): EngineReport[] {
-    return state.directory.list().flatMap((endpoint) => {
-      if (getLimits(endpoint.service) === null) return [];
-      const own = loads.get(endpoint.id);
-      return forecasts.getReport(endpoint, own, now()) ?? [];
-    });
-  }
-
   function logPlacement(
     endpoint: GatewayEndpoint,
     requestId: string,
@@ -181,11 +176,15 @@
       forecasts.recordReport(peer, engines, now()),
     recordTotals: (peer, totals) => forecasts.recordTotals(peer, totals, now()),
     listReports() {
-      const reports = listReports();
+      const reports = state.directory.list().flatMap((endpoint) => {
+        if (getLimits(endpoint.service) === null) return [];
+        const own = loads.get(endpoint.id);
+        return forecasts.getReport(endpoint, own, now()) ?? [];
+      });
       forecasts.recordOwn(reports, now());
       return reports;
     },
-    getTotals: () => forecasts.getTotals(listReports(), now()),
+    addTotals: (reports) => forecasts.addTotals(reports, now()),
     removePeer: forecasts.removePeer,
   };
 }
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -45,15 +45,13 @@
     isObject(value) && checks.every(([name, check]) => check(value[name]));
 }
 
-const isEngineReport = hasFields({
-  endpointId: isName,
-  startedAt: isNumber,
-  running: isCount,
-  pendingTokens: isNotNegative,
-  memoryTokens: isNotNegative,
-  observedMilliseconds: isNotNegative,
-  expectedMilliseconds: isNotNegative,
-});
+/** The identity and six figures. */
+const ENGINE_ROW_LENGTH = 7;
+const isEngineRow: Check = (value) =>
+  Array.isArray(value) &&
+  value.length === ENGINE_ROW_LENGTH &&
+  isName(value[0]) &&
+  value.every((figure, index) => index === 0 || isNotNegative(figure));
 
 const isStringArray = isArrayOf(isString);
 const isNumberArray = isArrayOf(isNumber);
@@ -193,10 +191,10 @@
     ageMilliseconds: isNotNegative,
     source: isName,
   }),
-  isEngineReport,
+  isEngineRow,
   isEngineTotals: hasFields({
     instances: isCount,
-    engines: isArrayOf(isEngineReport),
+    engines: isArrayOf(isEngineRow),
   }),
   isStreamExchange: hasFields({
     origins: isOptional(isArrayOf(isStreamOrigin)),
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -78,9 +78,7 @@
     quarantineRecords: frameChecks.isOptional(
       isArrayOf(frameChecks.isQuarantineRecord),
     ),
-    engineReports: frameChecks.isOptional(
-      isArrayOf(frameChecks.isEngineReport),
-    ),
+    engineReports: frameChecks.isOptional(isArrayOf(frameChecks.isEngineRow)),
   },
   homes: {homes: isHomeIntervalArray},
   configurationAt: {sequence: isCount},
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,8 +1,7 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
-import type {EngineReport} from './gateway/engineReport.ts';
-import type {EngineTotals} from './gateway/engineTotals.ts';
+import type {EngineRow} from './gateway/engineRow.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
 import type {QuarantineRecord} from './gateway/quarantineRecord.ts';
 import type {SerializedConfiguration} from './gateway/serializedConfiguration.ts';
@@ -123,7 +122,7 @@
       /** Left out if there is nothing to tell. */
       readonly quarantineRecords?: readonly QuarantineRecord[];
       /** Left out if there is nothing to tell. */
-      readonly engineReports?: readonly EngineReport[];
+      readonly engineReports?: readonly EngineRow[];
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
@@ -171,7 +170,11 @@
       /** Left out if there are none. */
       readonly endpointLimits?: readonly EndpointLimitReport[];
       /** Left out if no instance reports its work at engines to the sender. */
-      readonly engineTotals?: EngineTotals;
+      readonly engineTotals?: {
+        /** Number of instances whose reports are included. */
+        readonly instances: number;
+        readonly engines: readonly EngineRow[];
+      };
     }
   /** Releases results of pieces that were ordered from the receiver. */
   | {readonly tag: 'stageFree'; readonly handles: readonly string[]}
