--- a/packages/hickorywharf-gateway/src/__tests__/createColdLimiter.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createColdLimiter.test.ts
@@ -25,6 +25,8 @@
 }));
 /** A session of 25,000 tokens, which engine-2 has in its memory. */
 const DEMAND = {
+  promptTokens: 25_500,
+  outputTokens: 20,
   parts: [
     {id: 'session', tokens: 25_000},
     {id: 'call', tokens: 500},
@@ -92,6 +94,9 @@
         ...engine,
         pendingTokens: 0,
         running: 0,
+        memoryTokens: 0,
+        slowness: 1,
+        capacityTokens: Infinity,
         penaltyMilliseconds: limiter.getPenalty(engine),
       })),
       DEMAND,
--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
@@ -22,7 +22,7 @@
         getWait: ({id}: {id: string}) => waits.get(id) ?? 0,
         getPenalty: ({id}: {id: string}) => waits.get(id) ?? 0,
       },
-      loads: createEndpointLoads(),
+      engines: createEndpointLoads(),
       getInstant: () => ({monotonic: 0}),
     } as unknown as Options[0],
     {
--- a/packages/hickorywharf-gateway/src/createPeerConnections.ts
+++ b/packages/hickorywharf-gateway/src/createPeerConnections.ts
@@ -16,7 +16,11 @@
 /** Fields that a heartbeat may have in addition. */
 type HeartbeatFields = Pick<
   Extract<Frame, {tag: 'heartbeat'}>,
-  'endpointLimits' | 'streams' | 'quarantineRecords' | 'accountWork'
+  | 'endpointLimits'
+  | 'streams'
+  | 'quarantineRecords'
+  | 'accountWork'
+  | 'engineReports'
 >;
 
 interface PeerConnectionsOptions {
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -14,6 +14,8 @@
 import {createEndpointClient} from './createEndpointClient.ts';
 import {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
+import {createEngineExchange} from './createEngineExchange.ts';
+import {createEngineWork} from './createEngineWork.ts';
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
 import {createGatewayState} from './createGatewayState.ts';
@@ -145,6 +147,13 @@
     broadcast: (quarantineRecords) =>
       peers.broadcastHeartbeat({quarantineRecords}),
   });
+  const loads = createEndpointLoads();
+  const engines = createEngineWork({state, loads, log, metrics, now});
+  const engineExchange = createEngineExchange({
+    name: settings.name,
+    engines,
+    send: (peer, fields) => peers.sendHeartbeat(peer, fields),
+  });
   /** Left out without reports, as most heartbeats have none. */
   const getHeartbeatFields = () => {
     streams.flush();
@@ -190,6 +199,7 @@
       services: router.listWaitEstimates(),
       ...getHeartbeatFields(),
       ...accountShares.createSumFields(),
+      ...engineExchange.flush(),
     }),
     getHeartbeatFields: () => ({
       ...getHeartbeatFields(),
@@ -211,6 +221,7 @@
           });
         }
       }
+      engineExchange.handle(connection.peer.name, frame);
       router.handleRequest(connection, frame);
       stateSync.handleRequest(connection, frame);
     },
@@ -224,10 +235,12 @@
         limiter.recordReports(frame.endpointLimits ?? []);
         accountShares.recordFrame(name, frame);
       }
+      engineExchange.handle(name, frame);
       router.handleReply(name, frame);
       stateSync.handleReply(frame);
     },
     onDisconnected(name) {
+      engines.removePeer(name);
       router.reassignOrders(name);
       stateSync.handleDisconnected(name);
     },
@@ -264,7 +277,6 @@
     getInstant,
     send: peers.send,
   });
-  const loads = createEndpointLoads();
   const hedger = createHedger({
     settings,
     state,
@@ -285,7 +297,7 @@
     limiter,
     streams,
     quarantine,
-    loads,
+    engines,
     hedger,
     memory,
     maximumConnections: bounds.callerConnections,
@@ -350,6 +362,7 @@
     onInstances(others) {
       const {name, capacity} = settings;
       limiter.recordInstances([...others, {name, capacity}]);
+      engineExchange.setInstances([...others, {name, capacity}]);
       peers.setInstances(others);
       quarantine.setInstances([...others.map((other) => other.name), name]);
       // Connects to those that keep records of streams before one is asked, and
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -15,7 +15,7 @@
 import {createCallInputs} from './createCallInputs.ts';
 import type {createStageAdmission} from './createStageAdmission.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
-import type {createEndpointLoads} from './createEndpointLoads.ts';
+import type {createEngineWork} from './createEngineWork.ts';
 import type {createMemoryBudget} from './createMemoryBudget.ts';
 import {createEndpointSelector} from './createEndpointSelector.ts';
 import {createEventSplitter} from './createEventSplitter.ts';
@@ -46,7 +46,7 @@
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
   readonly streams: ReturnType<typeof createStreamVersions>;
   readonly quarantine: ReturnType<typeof createQuarantineSync>;
-  readonly loads: ReturnType<typeof createEndpointLoads>;
+  readonly engines: ReturnType<typeof createEngineWork>;
   readonly hedger: Hedger;
   readonly memory: ReturnType<typeof createMemoryBudget>;
   readonly budget: ReturnType<typeof createRetryBudget>;
@@ -97,7 +97,7 @@
   options: ServeOptions,
   input: ServedCall,
 ): Promise<void> {
-  const {settings, state, health, limiter, loads, budget} = options;
+  const {settings, state, health, limiter, engines, budget} = options;
   const {quarantine, stopForecast, admitToStages} = options;
   const {log, metrics, getInstant} = options;
   const {context, body, relay: writer} = input;
@@ -431,7 +431,7 @@
         totalMilliseconds: milliseconds,
       },
       targetLeftMilliseconds: context.targetAt - now,
-      timeLeftMilliseconds: context.deadlineAt - now,
+      timeLeftMilliseconds: context.firstEventDeadlineAt - now,
     });
     const isTooLong = writer.isStarted
       ? wait > MAXIMUM_STREAM_PAUSE_MILLISECONDS
@@ -533,7 +533,7 @@
       endpointClient: options.endpointClient,
       health,
       limiter,
-      loads,
+      engines,
       memory: options.memory,
       failover,
       connection: reservedConnection,
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -45,6 +45,14 @@
     isObject(value) && checks.every(([name, check]) => check(value[name]));
 }
 
+/** The identity and six figures. */
+const ENGINE_ROW_LENGTH = 7;
+const isEngineRow: Check = (value) =>
+  Array.isArray(value) &&
+  value.length === ENGINE_ROW_LENGTH &&
+  isName(value[0]) &&
+  value.every((figure, index) => index === 0 || isNotNegative(figure));
+
 const isStringArray = isArrayOf(isString);
 const isNumberArray = isArrayOf(isNumber);
 const isDocuments = hasFields({documents: isStringArray});
@@ -194,6 +202,11 @@
     failureDomains: isArrayOf(isName),
     ageMilliseconds: isNotNegative,
   }),
+  isEngineRow,
+  isEngineTotals: hasFields({
+    instances: isCount,
+    engines: isArrayOf(isEngineRow),
+  }),
   isStreamExchange: hasFields({
     origins: isOptional(isArrayOf(isStreamOrigin)),
     questions: isOptional(
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -82,6 +82,7 @@
       isArrayOf(frameChecks.isQuarantineRecord),
     ),
     accountWork: isOptionalAccountWork,
+    engineReports: frameChecks.isOptional(isArrayOf(frameChecks.isEngineRow)),
   },
   homes: {homes: isHomeIntervalArray},
   configurationAt: {sequence: isCount},
@@ -109,6 +110,7 @@
     services: isArrayOf(frameChecks.isStageWaits),
     endpointLimits: isOptionalLimitReports,
     accountWork: isOptionalAccountWork,
+    engineTotals: frameChecks.isOptional(frameChecks.isEngineTotals),
   },
   askBeliefs: {askId: isCount, version: isNumber, endpointsDigest: isName},
   beliefs: {
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -2,6 +2,7 @@
 import type {ConfigurationEntry} from './configurationEntry.ts';
 import type {AccountWorkReport} from './gateway/accountWorkReport.ts';
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
+import type {EngineRow} from './gateway/engineRow.ts';
 import type {EvacuationReport} from './gateway/evacuationReport.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
 import type {QuarantineRecord} from './gateway/quarantineRecord.ts';
@@ -124,6 +125,8 @@
       readonly quarantineRecords?: readonly QuarantineRecord[];
       /** The sender's own figures; left out if there is nothing to tell. */
       readonly accountWork?: AccountWorkReport;
+      /** Left out if there is nothing to tell. */
+      readonly engineReports?: readonly EngineRow[];
     }
   | {
       /** Intervals that the endpoint process acquired or released. */
@@ -175,6 +178,12 @@
        * there is nothing to tell.
        */
       readonly accountWork?: AccountWorkReport;
+      /** Left out if no instance reports its work at engines to the sender. */
+      readonly engineTotals?: {
+        /** Number of instances whose reports are included. */
+        readonly instances: number;
+        readonly engines: readonly EngineRow[];
+      };
     }
   /** Releases results of pieces that were ordered from the receiver. */
   | {readonly tag: 'stageFree'; readonly handles: readonly string[]}
