Answer a call whose attempt can't be formatted

Cause: a throw within an attempt was rejected unseen since second attempts. Change: attemptWithHedge rejects with it. Result: unservedRequests.test.ts passes.

--- a/packages/hickorywharf-gateway/src/attemptWithHedge.ts
+++ b/packages/hickorywharf-gateway/src/attemptWithHedge.ts
@@ -59,7 +59,7 @@
  * is abandoned, so that its endpoint stops working on it. If one of them fails,
  * the other decides.
  *
- * @returns never rejects
+ * @returns rejects only if an attempt can't be formatted
  * @example
  *     const {result, endpoint} = await attemptWithHedge(options);
  */
@@ -71,7 +71,7 @@
   /** A silence during the race: the second attempt takes a search's place. */
   let delayedSearch: (() => void) | null = null;
 
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const racers: Racer[] = [];
     let winner: Racer | null = null;
     let isDone = false;
@@ -180,7 +180,7 @@
           hedger.recordTime(context.service.name, options.endpoint.id, elapsed);
         }
         handleResult(racer, result);
-      });
+      }, reject);
       return racer;
     }
 
