Send nothing to the endpoints of an evacuated failure domain

Where the settings have evacuateMilliseconds, the reader of each failure domain lists the orders, peers get them with their age in the frames that confirm the rest of the state, and an older list replaces no newer one. Endpoints of the domains are left out by EndpointDirectory.getUsable, calls that are not written yet are withdrawn, and releases of results are left to expire. Calls in progress finish. Calls of a service without any other endpoint are refused at once as not run, also while they wait for stages.

--- a/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/createEndpointDirectory.test.ts
@@ -188,3 +188,23 @@
   directory.update([endpoint('a'), endpoint('b')], at(403_000));
   t.deepEqual(directory.getUsable('desk'), []);
 });
+
+test('endpoints of an evacuated failure domain stay listed and get no work', (t) => {
+  const directory = createEndpointDirectory(LAPSE_MILLISECONDS);
+  const there = endpoint('there', {failureDomain: 'b'});
+  directory.update([endpoint('here'), there], at(0));
+  directory.setEvacuated(['b', 'unknown']);
+  t.deepEqual(ids(directory.getUsable('desk')), ['here']);
+  t.deepEqual(ids(directory.list()), ['here', 'there']);
+  t.true(directory.isEvacuated(there));
+  t.false(directory.isEmptied('desk'));
+  const joined = endpoint('joined', {failureDomain: 'b'});
+  directory.update([there, joined], at(100));
+  t.true(directory.isEmptied('desk'));
+  t.false(directory.isEmptied('unknown'));
+  directory.update([{...there, isDraining: true}], at(200));
+  t.false(directory.isEmptied('desk'), 'none would be usable');
+  directory.update([joined], at(300));
+  directory.setEvacuated([]);
+  t.deepEqual(ids(directory.getUsable('desk')), ['joined']);
+});
--- a/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEndpointDirectory.ts
@@ -50,9 +50,18 @@
    * gone.
    */
   recordRestored(now: Instant): void;
+  /** Sets the failure domains whose endpoints get no work. */
+  setEvacuated(failureDomains: readonly string[]): void;
+  /** Whether the failure domain of the endpoint is evacuated. */
+  isEvacuated(endpoint: GatewayEndpoint): boolean;
   /**
-   * The endpoints of a service that may get work: all but those that drain or
-   * said that they leave.
+   * Whether a service has no usable endpoint, and would have one without the
+   * evacuations: nobody knows when it may get work again.
+   */
+  isEmptied(service: string): boolean;
+  /**
+   * The endpoints of a service that may get work: all but those that drain, said
+   * that they leave, or are in an evacuated failure domain.
    */
   getUsable(service: string): readonly GatewayEndpoint[];
   /** An endpoint that has not left, as last listed; undefined for others. */
@@ -87,7 +96,8 @@
  * store may only have expired: the endpoint stays in use until
  * `lapseMilliseconds` after the first list read from the store since the
  * outage, a time within which a running endpoint has registered again. At other
- * times a missing endpoint has left.
+ * times a missing endpoint has left. Endpoints in evacuated failure domains stay
+ * listed and get no work.
  *
  * @param lapseMilliseconds how long after the store has recovered missing
  *     endpoints are kept
@@ -106,6 +116,9 @@
   const departed = new Map<string, Instant>();
   let restoredAt: Instant | null = null;
   let usable = new Map<string, GatewayEndpoint[]>();
+  let evacuated: ReadonlySet<string> = new Set();
+  /** Services with endpoints that only the evacuations make unusable. */
+  let evacuatedServices: ReadonlySet<string> = new Set();
   let current: readonly GatewayEndpoint[] = [];
   let digest: string | null = null;
   let isStoreUnavailable = false;
@@ -122,6 +135,10 @@
     return leaving.has(getIncarnationKey(endpoint));
   }
 
+  function isEvacuated({failureDomain}: GatewayEndpoint): boolean {
+    return evacuated.has(failureDomain);
+  }
+
   function rebuild(): void {
     current = [...known.values()]
       .map(({endpoint}) =>
@@ -131,13 +148,23 @@
       )
       .sort((left, right) => (left.id < right.id ? -1 : 1));
     digest = null;
+    collectUsable();
+  }
+
+  function collectUsable(): void {
     usable = new Map();
+    const services = new Set<string>();
     for (const endpoint of current) {
       if (endpoint.isDraining || isLeaving(endpoint)) continue;
+      if (isEvacuated(endpoint)) {
+        services.add(endpoint.service);
+        continue;
+      }
       const group = usable.get(endpoint.service) ?? [];
       group.push(endpoint);
       usable.set(endpoint.service, group);
     }
+    evacuatedServices = services;
   }
 
   function forgetOld(now: Instant): void {
@@ -241,6 +268,13 @@
       isStoreUnavailable = true;
       restoredAt = now;
     },
+    setEvacuated(failureDomains) {
+      evacuated = new Set(failureDomains);
+      collectUsable();
+    },
+    isEvacuated,
+    isEmptied: (service) =>
+      evacuatedServices.has(service) && !usable.has(service),
     getUsable: (service) => usable.get(service) ?? [],
     get: (id) => known.get(id)?.endpoint,
   };
--- a/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/admitCall.test.ts
@@ -52,6 +52,7 @@
     onChange() {},
     onEndpointRemoved() {},
     onEndpointRestarted() {},
+    metrics: {count() {}, time() {}},
     log: {infoAlways() {}, infoRateLimited() {}},
   });
   updater.applyConfiguration(CONFIGURATION, {monotonic: 0, wall: 0});
--- a/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createPeerStateSync.test.ts
@@ -1,5 +1,6 @@
 import {deflateRawSync} from 'node:zlib';
 import test from 'ava';
+import fc from 'fast-check';
 import {isFrame} from 'hickorywharf-transport/isFrame';
 import {createFrameCodec} from 'hickorywharf-transport/createFrameCodec';
 import type {Frame} from 'hickorywharf-types/frame';
@@ -62,6 +63,7 @@
     failureDomain: 'a',
     capacity: 1,
     lapseMilliseconds: 2000,
+    evacuateMilliseconds: 5000,
   });
   const getInstant = () => ({
     monotonic: clock.time + offset,
@@ -74,6 +76,7 @@
     onChange() {},
     onEndpointRemoved() {},
     onEndpointRestarted() {},
+    metrics: {count() {}, time() {}},
     log: {infoAlways() {}, infoRateLimited() {}},
   });
   let peer: ReturnType<typeof createPeerStateSync> | null = null;
@@ -343,3 +346,57 @@
     t.is(requester.state.configuration, null);
   }
 });
+
+test('orders to evacuate are passed on with their age, and an older list replaces none', async (t) => {
+  const {clock, reader, requester} = createPair();
+  await requester.relay.fetchState('reader');
+  const {state, getInstant} = requester;
+  t.is(state.evacuationFreshness.getAge(getInstant()), Infinity);
+  requester.beliefs.applyEndpoints([endpoint('x')], requester.getInstant());
+  reader.beliefs.applyEvacuations(['a'], reader.getInstant());
+  clock.time += 400;
+  await requester.relay.fetchState('reader');
+  t.is(state.evacuationFreshness.getAge(getInstant()), 400);
+  t.deepEqual(state.directory.getUsable('desk'), []);
+  // The store confirms the end to the requester only.
+  requester.beliefs.applyEvacuations([], requester.getInstant());
+  t.is(state.directory.getUsable('desk').length, 1);
+  clock.time += 100;
+  await requester.relay.fetchState('reader');
+  t.is(state.directory.getUsable('desk').length, 1);
+  t.is(state.evacuationFreshness.getAge(getInstant()), 100);
+  reader.beliefs.applyEvacuations(['a', 'c'], reader.getInstant());
+  clock.time += 100;
+  await requester.relay.fetchState('reader');
+  t.deepEqual(state.evacuations?.list(), ['a', 'c']);
+});
+
+test('a frame with orders that can not be read is none', (t) => {
+  const beliefs = {
+    tag: 'beliefs',
+    askId: 1,
+    version: 1,
+    configuration: null,
+    configurationAge: 0,
+    endpoints: null,
+    endpointsAge: null,
+  };
+  const report = {failureDomains: ['a'], ageMilliseconds: 1};
+  t.true(isFrame(beliefs), 'of an instance that knows of no evacuations');
+  t.true(isFrame({...beliefs, evacuations: report}));
+  const odd = fc.oneof(
+    fc.anything().filter((value) => value !== undefined),
+    fc.record({
+      failureDomains: fc.array(fc.anything()),
+      ageMilliseconds: fc.anything(),
+    }),
+  );
+  fc.assert(
+    fc.property(odd, (evacuations) => {
+      if (!isFrame({...beliefs, evacuations})) return;
+      const {failureDomains, ageMilliseconds} = evacuations as typeof report;
+      t.true(failureDomains.every((name) => typeof name === 'string'));
+      t.true(ageMilliseconds >= 0);
+    }),
+  );
+});
--- a/packages/hickorywharf-gateway/src/__tests__/createStateUpdater.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStateUpdater.test.ts
@@ -14,6 +14,7 @@
   const health = createEndpointHealth();
   const updater = createStateUpdater({
     state,
+    metrics: {count() {}, time() {}},
     log: {infoAlways() {}, infoRateLimited() {}},
     getInstant: () => ({monotonic: 0, wall: 0}),
     onChange() {},
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -60,7 +60,10 @@
   getWait(endpoint: GatewayEndpoint): number;
   /** Milliseconds until the endpoint takes calls of this instance again. */
   getPause(endpoint: GatewayEndpoint): number;
-  /** Whether the endpoint said that it wants no calls now, or none any more. */
+  /**
+   * Whether the endpoint said that it wants no calls now, or none any more, or
+   * its failure domain is evacuated.
+   */
   isWithdrawn(endpoint: GatewayEndpoint): boolean;
   /**
    * Milliseconds by which the limits and pauses of these endpoints of a service
@@ -186,7 +189,9 @@
     getWait,
     getPause,
     isWithdrawn: (endpoint) =>
-      getPause(endpoint) > 0 || state.directory.isLeaving(endpoint),
+      getPause(endpoint) > 0 ||
+      state.directory.isLeaving(endpoint) ||
+      state.directory.isEvacuated(endpoint),
     estimateWait: (service, endpoints) =>
       estimateLimitWait(
         endpoints.map((endpoint) => ({
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -31,11 +31,8 @@
   setAside(endpointId: string): void;
   /** The endpoints that may run the call, with those that were tried. */
   listUsable(): readonly GatewayEndpoint[];
-  /**
-   * Calls the listener once no endpoint has the version that began the stream;
-   * the function returned ends that.
-   */
-  watchVersion(onGone: () => void): () => void;
+  /** Calls back once no endpoint is left for the call; returns how to stop. */
+  watchVersion(onGone: (reason: string) => void): () => void;
   /** Whether the incarnation of the endpoint may still get work now. */
   isUsable(endpoint: GatewayEndpoint): boolean;
   /**
@@ -146,7 +143,9 @@
     listUsable,
     watchVersion(onGone) {
       const check = (): void => {
-        if (streamVersion !== null && listUsable().length === 0) onGone();
+        const isGone = streamVersion !== null && listUsable().length === 0;
+        if (isGone) return onGone('no endpoint of the version is left');
+        if (state.directory.isEmptied(service.name)) onGone('evacuated');
       };
       state.endpointListeners.add(check);
       return () => void state.endpointListeners.delete(check);
--- a/packages/hickorywharf-gateway/src/createGatewayState.ts
+++ b/packages/hickorywharf-gateway/src/createGatewayState.ts
@@ -1,4 +1,5 @@
 import {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
+import {createEvacuations} from 'hickorywharf-decisions/gateway/createEvacuations';
 import {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
 import {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
@@ -6,7 +7,11 @@
 
 type StateSettings = Pick<
   GatewaySettings,
-  'name' | 'failureDomain' | 'capacity' | 'lapseMilliseconds'
+  | 'name'
+  | 'failureDomain'
+  | 'capacity'
+  | 'lapseMilliseconds'
+  | 'evacuateMilliseconds'
 >;
 
 /**
@@ -25,6 +30,9 @@
     configurationFreshness: createFreshness(),
     endpointFreshness: createFreshness(),
     directory: createEndpointDirectory(lapseMilliseconds),
+    evacuations:
+      settings.evacuateMilliseconds === undefined ? null : createEvacuations(),
+    evacuationFreshness: createFreshness(),
     endpointListeners: new Set(),
     instances: [{name, failureDomain, capacity}],
     isStopping: false,
--- a/packages/hickorywharf-gateway/src/createPeerStateSync.ts
+++ b/packages/hickorywharf-gateway/src/createPeerStateSync.ts
@@ -1,4 +1,5 @@
 import type {Instant} from 'hickorywharf-decisions/gateway/instant';
+import {subtractMilliseconds} from 'hickorywharf-decisions/gateway/subtractMilliseconds';
 import type {Connection} from 'hickorywharf-transport/connection';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {Frame} from 'hickorywharf-types/frame';
@@ -9,6 +10,7 @@
 import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 import {packConfiguration} from './packConfiguration.ts';
+import {reportEvacuations} from './reportEvacuations.ts';
 import {unpackConfiguration} from './unpackConfiguration.ts';
 
 interface PeerStateSyncOptions {
@@ -72,15 +74,8 @@
   return {...endpoint, version};
 }
 
-function subtractMilliseconds(
-  {monotonic, wall}: Instant,
-  milliseconds: number,
-): Instant {
-  return {monotonic: monotonic - milliseconds, wall: wall - milliseconds};
-}
-
 /**
- * Exchanges configuration and endpoints between instances, so that not every
+ * Exchanges configuration, endpoints and evacuations between instances, so that not every
  * instance has to read the store. A reply says how long ago the store confirmed
  * its data; the receiver subtracts this age from the time at which it sent the
  * request, so that no copy looks fresher than it is.
@@ -169,6 +164,7 @@
       configurationAge: toFiniteAge(state.configurationFreshness.getAge(now)),
       endpoints: isKnown ? null : directory.list(),
       endpointsAge: toFiniteAge(state.endpointFreshness.getAge(now)),
+      ...reportEvacuations(state, now),
     };
   }
 
@@ -193,7 +189,13 @@
     reply: Extract<Frame, {tag: 'beliefs'}>,
     {peer, frame: request, sentAt}: Request,
   ): void {
-    const {configurationAge, endpointsAge} = reply;
+    const {configurationAge, endpointsAge, evacuations} = reply;
+    if (evacuations !== undefined) {
+      stateUpdater.applyEvacuations(
+        evacuations.failureDomains,
+        subtractMilliseconds(sentAt, evacuations.ageMilliseconds),
+      );
+    }
     // Instances of earlier releases send a newer configuration in this frame.
     const configuration =
       reply.configuration === null
--- a/packages/hickorywharf-gateway/src/createResultTracker.ts
+++ b/packages/hickorywharf-gateway/src/createResultTracker.ts
@@ -19,6 +19,8 @@
   >;
   /** Whether the incarnation of the endpoint said that it leaves. */
   isLeaving(endpoint: GatewayEndpoint): boolean;
+  /** Whether the failure domain of the endpoint is evacuated. */
+  isEvacuated(endpoint: GatewayEndpoint): boolean;
   /** Called when memory of an endpoint is free again. */
   onRelease(endpoint: GatewayEndpoint): void;
 }
@@ -94,7 +96,9 @@
  * the release has failed twice, or when the result's time to live has ended. An
  * endpoint that leaves gets no release: its results expire, and as it gets no
  * more calls, their memory counts for nothing. One that wants no calls for a
- * while gets the release after that, unless the results expire before.
+ * while gets the release after that, unless the results expire before. One in an
+ * evacuated failure domain gets none either, but may get calls before the
+ * results expire: their memory counts until then.
  *
  * @example
  *     const tracker = createResultTracker(options);
@@ -180,6 +184,7 @@
       const timeLeft = Math.max(0, expiresAt - now());
       setTimeout(() => release(endpoint, bytes), timeLeft).unref();
     };
+    if (options.isEvacuated(endpoint)) return dropUntilExpiry('evacuated');
     if (limiter.getPause(endpoint) > 0) return dropUntilExpiry('paused');
     let isTurnedAway = false;
     limiter.reserve(endpoint);
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -78,6 +78,7 @@
     metrics,
     now,
     isLeaving: state.directory.isLeaving,
+    isEvacuated: state.directory.isEvacuated,
     onRelease({id, service}) {
       callTracker.clearFull(id);
       dispatch(service);
@@ -210,14 +211,14 @@
 
   /**
    * Sends queued pieces to the free endpoints of a service, at most one batch
-   * to each. All queued pieces fail if the stage is no longer configured, unless
-   * a call with them is open.
+   * to each. All queued pieces fail if the stage is no longer configured, or if
+   * evacuations leave it no endpoint, unless a call with them is open.
    */
   function dispatch(service: string): void {
     const queue = queues.get(service);
     if (queue.size === 0) return;
     const capacity = getCapacity(service);
-    if (capacity === undefined) {
+    if (capacity === undefined || state.directory.isEmptied(service)) {
       for (const group of queue) dropQueued(group, 'failed');
       return;
     }
--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -4,13 +4,15 @@
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewayLog} from './gatewayLog.ts';
+import type {GatewayMetrics} from './gatewayMetrics.ts';
 import type {GatewayState} from './gatewayState.ts';
 
 interface UpdaterOptions {
   readonly state: GatewayState;
   readonly log: GatewayLog;
+  readonly metrics: Pick<GatewayMetrics, 'count' | 'time'>;
   getInstant(): Instant;
-  /** Called after the configuration or the endpoints changed. */
+  /** Called after the configuration or the usable endpoints changed. */
   onChange(): void;
   /** Called for each endpoint that was removed, before `onChange`. */
   onEndpointRemoved(endpointId: string): void;
@@ -36,21 +38,27 @@
     peerEndpoints: readonly GatewayEndpoint[],
     readAt: Instant,
   ): void;
+  /**
+   * Applies the failure domains that are to be evacuated, as requested from the
+   * store at `readAt`. No effect where the settings know of no evacuations.
+   */
+  applyEvacuations(ordered: readonly string[], readAt: Instant): void;
 }
 
 /**
- * Applies configurations and endpoint lists, from the store or from a peer, to
+ * Applies configurations, endpoint lists and orders to evacuate, from the store or from a peer, to
  * the state of this instance. Data older than the state is ignored and does not
  * make the state count as fresher, and neither does a configuration while a
  * newer one is known to exist. The version decides which configuration is older;
- * for endpoint lists it is the time of the read.
+ * for endpoint lists and orders it is the time of the read.
  *
  * @example
  *     const updater = createStateUpdater(options);
  *     updater.applyConfiguration(configuration, readAt);
  */
 export function createStateUpdater(options: UpdaterOptions): StateUpdater {
-  const {state, log, getInstant, onChange, onEndpointRemoved} = options;
+  const {state, log, metrics, getInstant, onChange, onEndpointRemoved} =
+    options;
 
   type Changes = ReturnType<typeof state.directory.update>;
 
@@ -66,12 +74,20 @@
     }
   }
 
-  function notify(changes: Changes): void {
+  function notify(changes: readonly object[]): void {
     if (changes.length === 0) return;
     onChange();
     for (const listener of [...state.endpointListeners]) listener();
   }
 
+  /** Services that the evacuations leave without a usable endpoint. */
+  function listEmptied(): string[] {
+    const services = new Set(
+      state.directory.list().map(({service}) => service),
+    );
+    return [...services].filter(state.directory.isEmptied);
+  }
+
   function applyChanges(changes: Changes, readAt: Instant): void {
     state.endpointFreshness.recordRead(readAt);
     logChanges(changes);
@@ -133,5 +149,29 @@
         readAt,
       );
     },
+    applyEvacuations(ordered, readAt) {
+      const {evacuations, evacuationFreshness, directory} = state;
+      if (evacuations === null || !evacuationFreshness.isNewer(readAt)) return;
+      evacuationFreshness.recordRead(readAt);
+      const changes = evacuations.update(ordered, readAt);
+      directory.setEvacuated(evacuations.list());
+      for (const {tag, failureDomain} of changes) {
+        const age = Math.round(getElapsed(readAt, getInstant()));
+        metrics.count('evacuations', tag);
+        metrics.time('evacuationChange', age);
+        log.infoAlways(`evacuation ${tag}`, {
+          step: 'evacuation',
+          failureDomain,
+          endpoints: directory
+            .list()
+            .filter((endpoint) => endpoint.failureDomain === failureDomain)
+            .length,
+          evacuated: evacuations.list(),
+          emptiedServices: listEmptied(),
+          age,
+        });
+      }
+      notify(changes);
+    },
   };
 }
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -40,6 +40,10 @@
     label: 'kind',
     meaning: 'responses of endpoints that say that they take no calls',
   },
+  evacuations: {
+    label: 'event',
+    meaning: "operators' orders to evacuate a failure domain",
+  },
   releases: {
     label: 'result',
     meaning: 'calls that release results of stages, sent or not',
--- a/packages/hickorywharf-gateway/src/gatewayState.ts
+++ b/packages/hickorywharf-gateway/src/gatewayState.ts
@@ -1,4 +1,5 @@
 import type {createEndpointDirectory} from 'hickorywharf-decisions/gateway/createEndpointDirectory';
+import type {createEvacuations} from 'hickorywharf-decisions/gateway/createEvacuations';
 import type {createFreshness} from 'hickorywharf-decisions/gateway/createFreshness';
 import type {createRouteTable} from 'hickorywharf-decisions/gateway/createRouteTable';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
@@ -19,7 +20,11 @@
   /** When the store last confirmed the list of endpoints. */
   readonly endpointFreshness: ReturnType<typeof createFreshness>;
   readonly directory: ReturnType<typeof createEndpointDirectory>;
-  /** Called after each change of the endpoint list. */
+  /** Null where the settings know of no evacuations. */
+  readonly evacuations: ReturnType<typeof createEvacuations> | null;
+  /** When the store last confirmed the orders to evacuate. */
+  readonly evacuationFreshness: ReturnType<typeof createFreshness>;
+  /** Called after each change of the endpoints that may get work. */
   readonly endpointListeners: Set<() => void>;
   /** All known instances, including this one. */
   instances: ReadonlyArray<Omit<GatewayInstance, 'host' | 'port'>>;
--- a/packages/hickorywharf-gateway/src/gatewayTimers.ts
+++ b/packages/hickorywharf-gateway/src/gatewayTimers.ts
@@ -8,6 +8,10 @@
   configurationFetch: {
     meaning: 'a fetch of a newer configuration from another instance',
   },
+  evacuationChange: {
+    meaning:
+      'from the read of the store that showed an order to evacuate, or its end, to its effect',
+  },
   configurationAge: {
     meaning: 'age of the configuration that admitted or refused a request',
   },
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -211,6 +211,7 @@
   const stateUpdater = createStateUpdater({
     state,
     log,
+    metrics,
     getInstant,
     onChange() {
       limiter.refresh();
@@ -253,9 +254,10 @@
   });
 
   /**
-   * Whether the load balancer may send requests: configuration and endpoints
-   * were read, the configuration is current, the keys are fresh if calls need
-   * any, and no stop has started.
+   * Whether the load balancer may send requests: configuration, endpoints and
+   * evacuations were read, the configuration is current, the keys are fresh if
+   * calls need any, and no stop has started. An evacuation of this instance's
+   * own failure domain changes nothing: only endpoints are emptied.
    */
   function isReady(): boolean {
     return (
@@ -263,6 +265,8 @@
       state.configuration !== null &&
       isConfigurationCurrent(state, settings, getInstant()) &&
       state.endpointFreshness.getAge(getInstant()) < Infinity &&
+      (state.evacuations === null ||
+        state.evacuationFreshness.getAge(getInstant()) < Infinity) &&
       (state.configuration.accountsByKey === null ||
         isKeySetFresh(state, settings, getInstant()))
     );
@@ -318,6 +322,9 @@
         revokeMilliseconds: changed.revokeMilliseconds,
         applyMilliseconds: changed.applyMilliseconds,
         drainMilliseconds: changed.drainMilliseconds,
+        ...(changed.evacuateMilliseconds !== undefined && {
+          evacuateMilliseconds: changed.evacuateMilliseconds,
+        }),
         repeatRatio: changed.repeatRatio,
         repeatWindowMilliseconds: changed.repeatWindowMilliseconds,
         repeatAllowance: changed.repeatAllowance,
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -341,11 +341,11 @@
     options.streams.recordBegin({streamId, service: service.name, version});
   }
 
-  /** Runs the stages while the endpoints of the call's version last. */
+  /** Runs the stages while endpoints are left that may run the call. */
   async function runStages(consumer: GatewayEndpoint, signal?: AbortSignal) {
     const controller = new AbortController();
-    const stopWatching = selector.watchVersion(() =>
-      controller.abort('no endpoint of the version is left'),
+    const stopWatching = selector.watchVersion((reason) =>
+      controller.abort(reason),
     );
     const endPreparation = limiter.startPreparation(service.name);
     const result = await inputs.run({
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -96,8 +96,8 @@
 
 /**
  * Keeps the state of an instance up to date, by polling the platform's store or
- * the peer that polls it for the failure domain. After a failed read the
- * configuration and the endpoints stay as they are, and their age grows.
+ * the peer that polls it for the failure domain. After a failed read all stays
+ * as it is, and its age grows.
  *
  * An instance that stops does not renew its registration: peers rank the
  * registered instances, and one that comes and goes moves duties each time.
@@ -152,6 +152,7 @@
     if (generation !== 0) {
       restoredAt = getInstant().monotonic;
       state.directory.recordRestored(getInstant());
+      state.evacuations?.recordRestored(getInstant());
       log.infoAlways('store restored from a copy', {
         step: 'store',
         generation: next,
@@ -226,6 +227,20 @@
     fetch: peerSync.fetchState,
   };
 
+  const evacuations: SyncedState = {
+    getLimit: () => settings.evacuateMilliseconds ?? Infinity,
+    getAge: () => state.evacuationFreshness.getAge(getInstant()),
+    async read() {
+      const sentAt = getInstant();
+      const read = await readStore('evacuations', source.readEvacuations);
+      if (read.isOk()) stateUpdater.applyEvacuations(read.value, sentAt);
+      return read.isOk();
+    },
+    fetch: peerSync.fetchState,
+  };
+  const items = [configuration, endpoints];
+  if (state.evacuations !== null) items.push(evacuations);
+
   const confirmEndpoints = createSharedTask(
     async () => !isStopped && (await endpoints.read()) && !isJustRestored(),
   );
@@ -349,7 +364,7 @@
     void runTask();
   }
 
-  for (const item of [configuration, endpoints]) {
+  for (const item of items) {
     poll(
       () => refresh(item),
       () => getInterval(item),
--- a/packages/hickorywharf-transport/src/frameChecks.ts
+++ b/packages/hickorywharf-transport/src/frameChecks.ts
@@ -183,6 +183,10 @@
     ageMilliseconds: isNotNegative,
     source: isName,
   }),
+  isEvacuationReport: hasFields({
+    failureDomains: isArrayOf(isName),
+    ageMilliseconds: isNotNegative,
+  }),
   isStreamExchange: hasFields({
     origins: isOptional(isArrayOf(isStreamOrigin)),
     questions: isOptional(
--- a/packages/hickorywharf-transport/src/isFrame.ts
+++ b/packages/hickorywharf-transport/src/isFrame.ts
@@ -113,6 +113,7 @@
     configurationAge: isNullOr(isNumber),
     endpoints: isNullOr(isArrayOf(frameChecks.isGatewayEndpoint)),
     endpointsAge: isNullOr(isNumber),
+    evacuations: frameChecks.isOptional(frameChecks.isEvacuationReport),
   },
   askConfiguration: {askId: isCount},
   packedConfiguration: {
--- a/packages/hickorywharf-types/src/frame.ts
+++ b/packages/hickorywharf-types/src/frame.ts
@@ -1,6 +1,7 @@
 import type {AttemptKey} from './attemptKey.ts';
 import type {ConfigurationEntry} from './configurationEntry.ts';
 import type {EndpointLimitReport} from './gateway/endpointLimitReport.ts';
+import type {EvacuationReport} from './gateway/evacuationReport.ts';
 import type {GatewayEndpoint} from './gateway/gatewayEndpoint.ts';
 import type {QuarantineRecord} from './gateway/quarantineRecord.ts';
 import type {SerializedConfiguration} from './gateway/serializedConfiguration.ts';
@@ -194,6 +195,8 @@
       /** Null if the requester's list has the same digest. */
       readonly endpoints: readonly GatewayEndpoint[] | null;
       readonly endpointsAge: number | null;
+      /** Left out before the sender's first list, and without evacuations. */
+      readonly evacuations?: EvacuationReport;
     }
   /** Requests the configuration of the receiver. */
   | {readonly tag: 'askConfiguration'; readonly askId: number}
--- a/packages/hickorywharf-types/src/gateway/gatewaySource.ts
+++ b/packages/hickorywharf-types/src/gateway/gatewaySource.ts
@@ -32,6 +32,11 @@
     onVersion: (version: number) => void,
   ): Promise<Result<GatewayConfiguration | null, SourceError>>;
   readEndpoints(): Promise<Result<GatewayEndpoint[], SourceError>>;
+  /**
+   * The failure domains that operators want evacuated. An order that can't be
+   * read, or that names no failure domain, is no error.
+   */
+  readEvacuations(): Promise<Result<string[], SourceError>>;
   /** Registers this instance or renews its registration for some seconds. */
   announce(): Promise<Result<null, SourceError>>;
   /** Removes the registration at a planned stop. */
