Ask several peers in turn for orders while the store turns an instance away

All instances without the store asked the same peer; where that one was turned away too, none of them heard of an order.

--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -1,3 +1,4 @@
+import {chooseFallbackPeer} from 'hickorywharf-decisions/gateway/chooseFallbackPeer';
 import {chooseStoreReader} from 'hickorywharf-decisions/gateway/chooseStoreReader';
 import type {Instant} from 'hickorywharf-decisions/gateway/instant';
 import type {GatewayInstance} from 'hickorywharf-types/gateway/gatewayInstance';
@@ -56,6 +57,8 @@
   read(): Promise<boolean>;
   /** Fetches from a peer; false if it did not reply in time. */
   fetch(peer: string): Promise<boolean>;
+  /** A connected peer that may still reach the store, other than the reader. */
+  findFallback(): string | undefined;
 }
 
 /**
@@ -211,6 +214,7 @@
       if (hasReply) await peerSync.waitForConfiguration();
       return hasReply;
     },
+    findFallback: findFallbackPeer,
   };
   const endpoints: SyncedState = {
     getLimit: () => settings.drainMilliseconds,
@@ -225,7 +229,10 @@
       return read.isOk();
     },
     fetch: peerSync.fetchState,
+    findFallback: findFallbackPeer,
   };
+  /** Counts the peers asked for orders, so that each is asked in turn. */
+  let fallbacks = -1;
 
   const evacuations: SyncedState = {
     getLimit: () => settings.evacuateMilliseconds ?? Infinity,
@@ -237,6 +244,13 @@
       return read.isOk();
     },
     fetch: peerSync.fetchState,
+    findFallback() {
+      fallbacks += 1;
+      const {instances} = state;
+      const failures = fallbacks;
+      const options = {name, readerName, instances, failures, isConnected};
+      return chooseFallbackPeer(options) ?? findFallbackPeer();
+    },
   };
   const items = [configuration, endpoints];
   if (state.evacuations !== null) items.push(evacuations);
@@ -300,7 +314,7 @@
     metrics.count('storeReads', isRead ? 'read' : 'failed');
     if (isRead) metrics.time('storeRead', getInstant().monotonic - startedAt);
     if (isRead || isStopped) return isRead;
-    const backup = findFallbackPeer();
+    const backup = item.findFallback();
     if (backup === undefined || !(await fetchFrom(backup, item))) return false;
     metrics.count('storeReads', 'relayed');
     return true;
