--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -8,12 +8,14 @@
 import {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {createCallServer} from './createCallServer.ts';
+import {createColdLimiter} from './createColdLimiter.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
 import {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
 import {createGatewayState} from './createGatewayState.ts';
+import {createHedger} from './createHedger.ts';
 import {createInstantClock} from './createInstantClock.ts';
 import {createPeerConnections} from './createPeerConnections.ts';
 import {createPeerStateSync} from './createPeerStateSync.ts';
@@ -87,10 +89,12 @@
     },
   });
   const incarnation = randomUUID();
+  const cold = createColdLimiter({settings, state, log, metrics, getInstant});
   const limiter = createEndpointLimiter({
     name: settings.name,
     incarnation,
     state,
+    cold,
     log,
     metrics,
     onLeaving: (endpoint) => stateUpdater.recordLeaving(endpoint),
@@ -218,10 +222,17 @@
       dispatcher.refresh();
       server.refresh();
     },
-    onEndpointRestarted: health.remove,
-    onEndpointsConfirmed: streams.recordList,
+    onEndpointRestarted(endpointId) {
+      health.remove(endpointId);
+      hedger.remove(endpointId);
+    },
+    onEndpointsConfirmed(readAt) {
+      streams.recordList(readAt);
+      cold.recordList();
+    },
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
+      hedger.remove(endpointId);
       dispatcher.removeEndpoint(endpointId);
     },
   });
@@ -233,6 +244,18 @@
     getInstant,
     send: peers.send,
   });
+  const loads = createEndpointLoads();
+  const hedger = createHedger({
+    settings,
+    state,
+    health,
+    limiter,
+    loads,
+    budget,
+    log,
+    metrics,
+    now,
+  });
   const server = createCallServer({
     settings,
     state,
@@ -242,7 +265,8 @@
     limiter,
     streams,
     quarantine,
-    loads: createEndpointLoads(),
+    loads,
+    hedger,
     responseMemory: createResponseMemory(),
     budget,
     router,
@@ -328,6 +352,7 @@
         repeatRatio: changed.repeatRatio,
         repeatWindowMilliseconds: changed.repeatWindowMilliseconds,
         repeatAllowance: changed.repeatAllowance,
+        hedging: changed.hedging,
       };
       Object.assign(settings, limits);
       log.infoAlways('settings reloaded', {step: 'reload', ...limits});
