--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -141,9 +141,7 @@
       const check = (): void => {
         const isGone = streamVersion !== null && listUsable().length === 0;
         if (isGone) return onGone('no endpoint of the version is left');
-        if (state.directory.isEmptied(service.name)) {
-          onGone('all endpoints evacuated');
-        }
+        if (state.directory.isEmptied(service.name)) onGone('evacuated');
       };
       state.endpointListeners.add(check);
       return () => void state.endpointListeners.delete(check);
