Leave cold endpoints without room out before an engine is chosen

Change: the selector leaves out what has no room, if another endpoint has some. Instances that leave out the same ones agree on the session's next engine.

--- a/packages/hickorywharf-gateway/src/__tests__/createColdLimiter.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createColdLimiter.test.ts
@@ -12,17 +12,19 @@
   capacity: 1,
   lapseMilliseconds: 2000,
 };
-const engines = ['engine-1', 'engine-2'].map((id): GatewayEndpoint => ({
-  id,
-  service: 'engines',
-  host: 'h',
-  port: 1,
-  failureDomain: 'a',
-  isDraining: false,
-  startedAt: 1,
-  version: 'v1',
-  slots: 64,
-}));
+const engines = ['engine-1', 'engine-2', 'engine-5'].map(
+  (id): GatewayEndpoint => ({
+    id,
+    service: 'engines',
+    host: 'h',
+    port: 1,
+    failureDomain: 'a',
+    isDraining: false,
+    startedAt: 1,
+    version: 'v1',
+    slots: 64,
+  }),
+);
 /** A session of 25,000 tokens, which engine-2 has in its memory. */
 const DEMAND = {
   parts: [
@@ -86,20 +88,20 @@
     state.directory.update(entries, getInstant());
     cold.recordList();
   };
-  const choose = (): string | undefined =>
+  const choose = (busy = 'engine-5'): string | undefined =>
     chooseEngine(
-      engines.map((engine) => ({
+      limiter.leaveOutFull(engines).map((engine) => ({
         ...engine,
         pendingTokens: 0,
-        running: 0,
-        penaltyMilliseconds: limiter.getPenalty(engine),
+        running: engine.id === busy ? 9 : 0,
+        penaltyMilliseconds: limiter.getWait(engine),
       })),
       DEMAND,
     )?.id;
   return {limiter, lines, metrics, setTime, list, choose};
 }
 
-test('a session whose engine is cold and has no room goes to another at once', (t) => {
+test('a session whose engine is cold and has no room goes to its next one at once', (t) => {
   const {limiter, lines, metrics, setTime, list, choose} =
     createTestLimiter(1.5);
   t.is(choose(), 'engine-2');
@@ -107,7 +109,7 @@
   list(3000);
   t.is(choose(), 'engine-2');
   t.is(limiter.reserve(engines[1]!), 0);
-  t.is(choose(), 'engine-1');
+  t.is(choose(), 'engine-5');
   t.is(limiter.estimateWait('engines', [engines[1]!]), 1050);
   t.is(limiter.estimateWait('engines', engines), 0);
   // The rest of the second, and then until it is warm.
--- a/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createEndpointSelector.test.ts
@@ -20,7 +20,7 @@
       health,
       limiter: {
         getWait: ({id}: {id: string}) => waits.get(id) ?? 0,
-        getPenalty: ({id}: {id: string}) => waits.get(id) ?? 0,
+        leaveOutFull: (endpoints: unknown) => endpoints,
       },
       loads: createEndpointLoads(),
       getInstant: () => ({monotonic: 0}),
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -16,12 +16,6 @@
 const UNAVAILABLE = 503;
 /** Extensions of a pause by less than this are not logged. */
 const LOGGED_EXTENSION_MILLISECONDS = 500;
-/**
- * Added to the wait for a cold endpoint, so that calls go to another one rather
- * than wait: more than it takes to read the prompt of a long session again, and
- * less than the penalty of a silent endpoint.
- */
-const COLD_PENALTY_MILLISECONDS = 1500;
 /** A call asks later than the next more urgent one by longer than a timer errs. */
 const PRIORITY_STEP_MILLISECONDS = 10;
 const MAXIMUM_PRIORITY = 9;
@@ -71,10 +65,13 @@
    */
   getWait(endpoint: GatewayEndpoint): number;
   /**
-   * The wait for an endpoint as a cost in the selection. It is larger than the
-   * wait if the endpoint is cold and has no room now.
+   * The endpoints without those that are cold and have no room now; all of them
+   * if none has room. Instances that leave out the same ones agree on the next
+   * engine of a session.
    */
-  getPenalty(endpoint: GatewayEndpoint): number;
+  leaveOutFull(
+    endpoints: readonly GatewayEndpoint[],
+  ): readonly GatewayEndpoint[];
   /** Milliseconds until the endpoint takes calls of this instance again. */
   getPause(endpoint: GatewayEndpoint): number;
   /** Whether the endpoint said that it wants no calls now, or none any more. */
@@ -248,9 +245,11 @@
     },
     getRate,
     getWait,
-    getPenalty(endpoint) {
-      const isFull = cold !== undefined && cold.getWait(endpoint) > 0;
-      return getWait(endpoint) + (isFull ? COLD_PENALTY_MILLISECONDS : 0);
+    leaveOutFull(endpoints) {
+      const open = endpoints.filter(
+        (endpoint) => (cold?.getWait(endpoint) ?? 0) === 0,
+      );
+      return open.length > 0 ? open : endpoints;
     },
     getPause,
     isWithdrawn: (endpoint) =>
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -117,15 +117,15 @@
   ): GatewayEndpoint | undefined {
     const now = options.getInstant().monotonic;
     const {failureDomain} = settings;
-    const candidates = endpoints
-      .filter(({id}) => !triedEndpoints.has(id))
+    const candidates = limiter
+      .leaveOutFull(endpoints.filter(({id}) => !triedEndpoints.has(id)))
       .map((endpoint) => ({
         ...endpoint,
         endpoint,
         ...loads.get(endpoint.id),
         responseMilliseconds: health.getResponseTime(endpoint.id),
         penaltyMilliseconds:
-          health.getPenalty(endpoint.id, now) + limiter.getPenalty(endpoint),
+          health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
       }));
     const selected = route.isSticky
       ? chooseEngine(candidates, {
