Let each of a few dozen instances send a cold endpoint one call a second

Change: if there are no more instances than calls in the bound, one call each keeps it whatever their lists say. All have one then, up to the rate that the endpoint may get without the calls on top.

--- a/packages/hickorywharf-decisions/src/gateway/createColdEndpoints.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createColdEndpoints.ts
@@ -136,6 +136,7 @@
     const {callsPerSecond} = coldStart;
     const share = getColdShare({
       callsPerSecond,
+      ratedCalls: callsPerSecond * overageRatio,
       maximumCalls: callsPerSecond * overageRatio + slackCalls,
       ...ranks.get(endpoint, now),
     });
