--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -113,15 +113,15 @@
   ): GatewayEndpoint | undefined {
     const now = options.getInstant().monotonic;
     const {failureDomain} = settings;
-    const candidates = endpoints
-      .filter(({id}) => !triedEndpoints.has(id))
+    const candidates = limiter
+      .leaveOutFull(endpoints.filter(({id}) => !triedEndpoints.has(id)))
       .map((endpoint) => ({
         ...endpoint,
         endpoint,
         ...engines.get(endpoint.id),
         responseMilliseconds: health.getResponseTime(endpoint.id),
         penaltyMilliseconds:
-          health.getPenalty(endpoint.id, now) + limiter.getPenalty(endpoint),
+          health.getPenalty(endpoint.id, now) + limiter.getWait(endpoint),
       }));
     if (!route.isSticky) {
       return chooseEndpoint(candidates, failureDomain)?.endpoint;
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -255,20 +255,6 @@
   const items = [configuration, endpoints];
   if (state.evacuations !== null) items.push(evacuations);
 
-  const evacuations: SyncedState = {
-    getLimit: () => settings.evacuateMilliseconds ?? Infinity,
-    getAge: () => state.evacuationFreshness.getAge(getInstant()),
-    async read() {
-      const sentAt = getInstant();
-      const read = await readStore('evacuations', source.readEvacuations);
-      if (read.isOk()) stateUpdater.applyEvacuations(read.value, sentAt);
-      return read.isOk();
-    },
-    fetch: peerSync.fetchState,
-  };
-  const items = [configuration, endpoints];
-  if (state.evacuations !== null) items.push(evacuations);
-
   const confirmEndpoints = createSharedTask(
     async () => !isStopped && (await endpoints.read()) && !isJustRestored(),
   );
