Take pieces within the shares from all accounts alike

Cause: within the shares, pieces were ranked by priority and target as if there were no accounts. As shares are made anew at each call to an endpoint, an account that goes on sending urgent work had its share again each time, and the others' became late before their turn.

Change: while a queue can't be served whole, timely pieces within the shares go by the work of the same account before them; within an account the order is as before.

--- a/packages/hickorywharf-decisions/src/gateway/rankGroups.ts
+++ b/packages/hickorywharf-decisions/src/gateway/rankGroups.ts
@@ -1,5 +1,5 @@
-import {findOverShare} from './findOverShare.ts';
 import type {PieceGroup} from './pieceGroup.ts';
+import {placeByShare} from './placeByShare.ts';
 
 interface RankedGroup<Group> {
   readonly group: Group;
@@ -50,8 +50,9 @@
  *
  * Where not all timely groups can be computed by their targets, or not all late
  * ones by their deadlines, those that exceed the max-min share of their client
- * account rank after the others. Designed for a burst of one account, whose
- * calls alone would fill the queue.
+ * account rank after the others. The timely ones within the shares are taken
+ * from all accounts alike, in the order above within each. Designed for a burst
+ * of one account, whose calls alone would fill the queue.
  *
  * @param now monotonic milliseconds
  * @param call limits of a call and of the service
@@ -104,7 +105,8 @@
 
 /**
  * Moves what exceeds the share of its account behind the other groups of its
- * rank, if not all of these can be served.
+ * rank, if not all of these can be served, and takes the other timely ones from
+ * all accounts alike.
  *
  * @param isServed whether a group would be, if it started after this time
  */
@@ -124,10 +126,10 @@
     startMilliseconds += costMilliseconds;
   }
   if (missing.timely === 0 && missing.late === 0) return ranked;
-  const findOver = (rank: 'timely' | 'late'): Set<Group> =>
+  const place = (rank: 'timely' | 'late') =>
     missing[rank] === 0
-      ? new Set()
-      : findOverShare(
+      ? new Map<Group, never>()
+      : placeByShare(
           ranked
             .filter((each) => each.rank === rank)
             .map(({group, costMilliseconds}) => ({
@@ -137,15 +139,24 @@
             })),
           room[rank],
         );
-  const over = findOver('timely');
-  const lateOver = findOver('late');
+  const timely = place('timely');
+  const late = place('late');
   return ranked
     .map((each) => {
-      if (over.has(each.group)) return {...each, rank: 'over' as const};
-      if (lateOver.has(each.group)) {
+      if (timely.get(each.group)?.isOver) {
+        return {...each, rank: 'over' as const};
+      }
+      if (late.get(each.group)?.isOver) {
         return {...each, rank: 'lateOver' as const};
       }
       return each;
     })
-    .sort((left, right) => RANKS[left.rank] - RANKS[right.rank]);
+    .sort((left, right) => {
+      const start = timely.get(left.group)?.startMilliseconds ?? 0;
+      const otherStart = timely.get(right.group)?.startMilliseconds ?? 0;
+      return (
+        RANKS[left.rank] - RANKS[right.rank] ||
+        (left.rank === 'timely' ? start - otherStart : 0)
+      );
+    });
 }
--- a/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createStageDispatcher.test.ts
@@ -773,3 +773,19 @@
     ['a', 'b'],
   );
 });
+
+test('an account does not wait for what another one has beyond its share', async (t) => {
+  const {dispatcher, calls} = createTestDispatcher(1, 1_000_000, 200);
+  const order = {...TEST_ORDER, targetMilliseconds: 700};
+  for (let index = 0; index < 12; index += 1) {
+    const requestId = `large-${index}`;
+    dispatcher.order({...order, requestId, account: 'large'}, () => undefined);
+  }
+  dispatcher.order(
+    {...order, requestId: 'small', account: 'small'},
+    () => undefined,
+  );
+  await sleep(5);
+  t.is(calls.length, 1);
+  t.true(String(calls[0]!.request.body).includes('"small"'));
+});
