Refuse late calls of an account over its share at once

Change: while room is short, a call of an account over its share is timely behind all timely work or refused, with the time until the account is within its share. Pieces that follow an earlier stage are not held back.

--- a/packages/hickorywharf-bench/src/stages/__tests__/simulateStages.test.ts
+++ b/packages/hickorywharf-bench/src/stages/__tests__/simulateStages.test.ts
@@ -66,12 +66,12 @@
   const firstCome = getSmall('groupsAtTheDoor');
   const fair = getSmall('fairGroups');
   t.true(firstCome.every((shares) => getAverage(shares) < 0.8));
-  t.true(fair.every((shares) => getAverage(shares) > 0.85));
+  t.true(fair.every((shares) => getAverage(shares) > 0.95));
   t.true(Math.min(...firstCome.flat()) < 0.5);
-  t.true(Math.min(...fair.flat()) > 0.7);
+  t.true(Math.min(...fair.flat()) > 0.85);
   t.true(
     getMean('fairGroups', 'worth', competingLoad) >
-      getMean('groupsAtTheDoor', 'worth', competingLoad) + 0.1,
+      getMean('groupsAtTheDoor', 'worth', competingLoad) + 0.2,
   );
 });
 
--- a/packages/hickorywharf-bench/src/stages/createSimulatedAdmission.ts
+++ b/packages/hickorywharf-bench/src/stages/createSimulatedAdmission.ts
@@ -69,11 +69,12 @@
         ? forecastByShare({
             targetLeftMilliseconds,
             getForecast,
-            isOverShare: () => own.getStanding(account, getNow()).isOver,
+            getStanding: () => own.getStanding(account, getNow()),
           })
-        : getForecast(null);
+        : {...getForecast(null), overShareMilliseconds: 0};
     return decideAdmission({
       forecast,
+      overShareMilliseconds: forecast.overShareMilliseconds,
       targetLeftMilliseconds,
       timeLeftMilliseconds: deadlineMilliseconds - age,
     });
--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -186,6 +186,7 @@
       resultBytes,
       workMilliseconds: load.services[service]!.pieceMilliseconds * workShare,
       failureDomain: null,
+      hasInputs: getInputStages(request, stage).length > 0,
       account: (hasShares ? getKind(request).account : null) ?? null,
     });
     dispatch(service);
--- a/packages/hickorywharf-decisions/src/gateway/__tests__/rankGroups.test.ts
+++ b/packages/hickorywharf-decisions/src/gateway/__tests__/rankGroups.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {decideAdmission} from '../decideAdmission.ts';
 import {estimateWaits} from '../estimateWaits.ts';
 import {forecastByShare} from '../forecastByShare.ts';
 import type {PieceGroup} from '../pieceGroup.ts';
@@ -75,17 +76,35 @@
 
 test('while a call is timely after all work, its account makes no difference', (t) => {
   const base = {timelyMilliseconds: 300, totalMilliseconds: 900};
-  const forecast = (targetLeftMilliseconds: number) =>
-    forecastByShare({
+  const decide = (targetLeftMilliseconds: number, isOver: boolean) => {
+    const forecast = forecastByShare({
       targetLeftMilliseconds,
       getForecast: (isOverShare) =>
-        isOverShare === null
-          ? base
-          : {timelyMilliseconds: 5000, totalMilliseconds: 5000},
-      isOverShare: () => true,
+        isOverShare ? {...base, timelyMilliseconds: 900} : base,
+      getStanding: () => ({
+        isOver,
+        workMilliseconds: 800,
+        shareMilliseconds: 200,
+      }),
     });
-  t.is(forecast(900), base);
-  t.is(forecast(899).timelyMilliseconds, 5000);
+    return decideAdmission({
+      forecast,
+      overShareMilliseconds: forecast.overShareMilliseconds,
+      targetLeftMilliseconds,
+      timeLeftMilliseconds: 6000,
+    });
+  };
+  t.is(decide(900, true).tag, 'timely');
+  t.is(decide(899, false).tag, 'timely');
+  t.is(decide(200, false).tag, 'late');
+  // After three quarters of the work, the account has no more than its share.
+  const refused = {tag: 'refused', retryAfterMilliseconds: 675} as const;
+  t.deepEqual(decide(899, true), refused);
+});
+
+test('work that follows an earlier stage is not held back', (t) => {
+  const queue = createQueue(9).map((each) => ({...each, hasInputs: true}));
+  t.true(rankGroups(queue, 0, CALL).every((each) => each.rank === 'timely'));
 });
 
 test('refused callers return spread out, none before the time', (t) => {
--- a/packages/hickorywharf-decisions/src/gateway/decideAdmission.ts
+++ b/packages/hickorywharf-decisions/src/gateway/decideAdmission.ts
@@ -12,6 +12,11 @@
   readonly targetLeftMilliseconds: number;
   /** Time left until the deadline. */
   readonly timeLeftMilliseconds: number;
+  /**
+   * Expected time until the client account has no more than its share of the
+   * room; 0 or left out if it has not. Until then the call is not admitted late.
+   */
+  readonly overShareMilliseconds?: number;
 }
 
 type Admission =
@@ -32,7 +37,8 @@
  * admitted as late if no other call arrived and its deadline stayed the same.
  *
  * Designed for bursts after which the backlog would outlast the callers'
- * timeouts.
+ * timeouts. In a burst of one account, its late calls would wait behind all
+ * others until their deadline, so they are refused at once.
  *
  * @example
  *     decideAdmission({
@@ -43,13 +49,18 @@
  */
 export function decideAdmission(input: AdmissionInput): Admission {
   const {forecast, targetLeftMilliseconds, timeLeftMilliseconds} = input;
+  const {overShareMilliseconds = 0} = input;
   if (forecast.timelyMilliseconds <= targetLeftMilliseconds) {
     return {tag: 'timely'};
   }
-  if (forecast.totalMilliseconds <= timeLeftMilliseconds * LATE_SHARE) {
-    return {tag: 'late'};
-  }
+  const isInTime =
+    forecast.totalMilliseconds <= timeLeftMilliseconds * LATE_SHARE;
+  if (isInTime && overShareMilliseconds === 0) return {tag: 'late'};
   // While the caller waits, the backlog shrinks, and so does the time left.
   const excess = forecast.totalMilliseconds - timeLeftMilliseconds * LATE_SHARE;
-  return {tag: 'refused', retryAfterMilliseconds: excess / (1 - LATE_SHARE)};
+  const retryAfterMilliseconds = Math.max(
+    excess / (1 - LATE_SHARE),
+    overShareMilliseconds,
+  );
+  return {tag: 'refused', retryAfterMilliseconds};
 }
--- a/packages/hickorywharf-decisions/src/gateway/forecastByShare.ts
+++ b/packages/hickorywharf-decisions/src/gateway/forecastByShare.ts
@@ -2,6 +2,15 @@
 
 type CallForecast = ReturnType<typeof forecastCall>;
 
+/** The forecast of a call, with how its client account stands. */
+interface AccountForecast extends CallForecast {
+  /**
+   * Expected time until the account has no more than its share of the room; 0 if
+   * it has not, or if there is room for all.
+   */
+  readonly overShareMilliseconds: number;
+}
+
 interface SharedForecast {
   /** Time left until the latency target; negative if it has passed. */
   readonly targetLeftMilliseconds: number;
@@ -10,8 +19,12 @@
    * forecast without accounts.
    */
   getForecast(isOverShare: boolean | null): CallForecast;
-  /** Whether the account of the call has more than its share of the room. */
-  isOverShare(): boolean;
+  /** The work that the account has, and its share of the room. */
+  getStanding(): {
+    readonly isOver: boolean;
+    readonly workMilliseconds: number;
+    readonly shareMilliseconds: number;
+  };
 }
 
 /**
@@ -28,12 +41,20 @@
  *     const forecast = forecastByShare({
  *       targetLeftMilliseconds: 900,
  *       getForecast: (isOverShare) => forecastCall(forecastStages(isOverShare), 200),
- *       isOverShare: () => shares.getStanding('farm-1', now).isOver,
+ *       getStanding: () => shares.getStanding('farm-1', now),
  *     });
  */
-export function forecastByShare(input: SharedForecast): CallForecast {
-  const {targetLeftMilliseconds, getForecast, isOverShare} = input;
+export function forecastByShare(input: SharedForecast): AccountForecast {
+  const {targetLeftMilliseconds, getForecast, getStanding} = input;
   const forecast = getForecast(null);
-  const hasRoom = forecast.totalMilliseconds <= targetLeftMilliseconds;
-  return hasRoom ? forecast : getForecast(isOverShare());
+  if (forecast.totalMilliseconds <= targetLeftMilliseconds) {
+    return {...forecast, overShareMilliseconds: 0};
+  }
+  const {isOver, workMilliseconds, shareMilliseconds} = getStanding();
+  // All that the account has would be done after the work that is queued now.
+  const excess = isOver ? 1 - shareMilliseconds / workMilliseconds : 0;
+  return {
+    ...getForecast(isOver),
+    overShareMilliseconds: forecast.totalMilliseconds * excess,
+  };
 }
--- a/packages/hickorywharf-decisions/src/gateway/pieceGroup.ts
+++ b/packages/hickorywharf-decisions/src/gateway/pieceGroup.ts
@@ -24,4 +24,9 @@
   readonly failureDomain: string | null;
   /** Name of the client account; null or left out if it is not known. */
   readonly account?: string | null;
+  /**
+   * Whether the pieces read results of earlier stages, which would be made in
+   * vain if the pieces waited too long; false by default.
+   */
+  readonly hasInputs?: boolean;
 }
--- a/packages/hickorywharf-decisions/src/gateway/rankGroups.ts
+++ b/packages/hickorywharf-decisions/src/gateway/rankGroups.ts
@@ -143,6 +143,8 @@
   const late = place('late');
   return ranked
     .map((each) => {
+      // What was made for earlier stages is not to be thrown away.
+      if (each.group.hasInputs) return each;
       if (timely.get(each.group)?.isOver) {
         return {...each, rank: 'over' as const};
       }
--- a/packages/hickorywharf-gateway/src/createAccountShares.ts
+++ b/packages/hickorywharf-gateway/src/createAccountShares.ts
@@ -32,7 +32,7 @@
   forecast(
     context: CallContext,
     getForecast: (isOverShare: boolean | null) => CallForecast,
-  ): CallForecast;
+  ): ReturnType<typeof forecastByShare>;
   /** Counts the work of an admitted call until it ends. */
   startCall(context: CallContext): void;
   /**
@@ -81,30 +81,34 @@
     );
   }
 
-  function isOverShare({call}: CallContext, account: string): boolean {
-    const {isOver, ...standing} = shares.getStanding(account, now());
+  function getStanding({call}: CallContext, account: string) {
+    const standing = shares.getStanding(account, now());
+    const {isOver, workMilliseconds, shareMilliseconds} = standing;
     metrics.count('accountShares', isOver ? 'over' : 'within');
-    if (!isOver) return false;
-    log.infoRateLimited('account over its share', {
-      requestId: call.id,
-      step: 'admit',
-      account,
-      work: Math.round(standing.workMilliseconds),
-      share: Math.round(standing.shareMilliseconds),
-      instances: standing.instances,
-      age: Math.round(standing.ageMilliseconds),
-    });
-    return true;
+    if (isOver) {
+      log.infoRateLimited('account over its share', {
+        requestId: call.id,
+        step: 'admit',
+        account,
+        work: Math.round(workMilliseconds),
+        share: Math.round(shareMilliseconds),
+        instances: standing.instances,
+        age: Math.round(standing.ageMilliseconds),
+      });
+    }
+    return standing;
   }
 
   return {
     forecast(context, getForecast) {
       const {account, targetAt} = context;
-      if (account === null) return getForecast(null);
+      if (account === null) {
+        return {...getForecast(null), overShareMilliseconds: 0};
+      }
       return forecastByShare({
         targetLeftMilliseconds: targetAt - now(),
         getForecast,
-        isOverShare: () => isOverShare(context, account),
+        getStanding: () => getStanding(context, account),
       });
     },
     startCall(context) {
--- a/packages/hickorywharf-gateway/src/createStageAdmission.ts
+++ b/packages/hickorywharf-gateway/src/createStageAdmission.ts
@@ -75,6 +75,7 @@
       };
       const admission = decideAdmission({
         forecast,
+        overShareMilliseconds: stages.overShareMilliseconds,
         targetLeftMilliseconds: targetAt - time,
         timeLeftMilliseconds: deadlineAt - time,
       });
--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -329,6 +329,7 @@
           workMilliseconds,
           failureDomain,
           account,
+          hasInputs: order.inputs !== null,
         };
       };
       const firsts = createGroup(false);
