--- a/packages/hickorywharf-gateway/src/createStageDispatcher.ts
+++ b/packages/hickorywharf-gateway/src/createStageDispatcher.ts
@@ -330,6 +330,7 @@
           workMilliseconds,
           failureDomain,
           account,
+          hasInputs: order.inputs !== null,
         };
       };
       const firsts = createGroup(false);
