Admit and refuse by the forecast of the engines

Admission to stages assumed an idle engine. It now goes by the time to the first event at the best engine, as all instances know it, and no less than the usual time; a call that has its stages is refused, not sent, if its first event can't come while its caller waits.

--- a/packages/hickorywharf-gateway/src/createEngineWork.ts
+++ b/packages/hickorywharf-gateway/src/createEngineWork.ts
@@ -1,11 +1,14 @@
 import {chooseEngine} from 'hickorywharf-decisions/gateway/chooseEngine';
 import {countUncachedTokens} from 'hickorywharf-decisions/gateway/countUncachedTokens';
 import {createEngineForecast} from 'hickorywharf-decisions/gateway/createEngineForecast';
+import {estimateEngineTime} from 'hickorywharf-decisions/gateway/estimateEngineTime';
+import {forecastEngine} from 'hickorywharf-decisions/gateway/forecastEngine';
 import {orderSession} from 'hickorywharf-decisions/gateway/orderSession';
 import type {EngineReport} from 'hickorywharf-types/gateway/engineReport';
 import type {EngineTotals} from 'hickorywharf-types/gateway/engineTotals';
 import type {GatewayCall} from 'hickorywharf-types/gateway/gatewayCall';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
+import type {CallContext} from './callContext.ts';
 import type {createEndpointLoads} from './createEndpointLoads.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
@@ -50,6 +53,23 @@
     candidates: readonly Candidate[],
     placement: Placement,
   ): GatewayEndpoint | undefined;
+  /**
+   * Milliseconds until the first event of a call that is sent now to the best
+   * of the endpoints, but no less than is usual.
+   */
+  estimateFirstEvent(
+    call: GatewayCall,
+    endpoints: readonly GatewayEndpoint[],
+  ): number;
+  /**
+   * Whether the first event of a call that is sent now can come while its caller
+   * waits; true for endpoints without an engine.
+   */
+  canBegin(
+    call: GatewayCall,
+    endpoint: GatewayEndpoint,
+    context: Pick<CallContext, 'firstEventDeadlineAt'>,
+  ): boolean;
   /** Records the work at engines that another instance reports. */
   recordReport(peer: string, engines: readonly EngineReport[]): void;
   /** Records the sums of a peer over the instances that report to it. */
@@ -90,6 +110,25 @@
       now(),
     );
 
+  /** Milliseconds until the first event at each endpoint. */
+  function forecastFirstEvents(
+    call: GatewayCall,
+    endpoints: readonly GatewayEndpoint[],
+  ): number[] {
+    const {promptParts, promptTokens, outputTokens} = call;
+    const states = endpoints.map((endpoint) => ({
+      ...getState(endpoint),
+      id: endpoint.id,
+    }));
+    const order = orderSession(promptParts, states);
+    return states.map((engine) => {
+      const rank = order.indexOf(engine.id);
+      const uncachedTokens = countUncachedTokens(promptParts, rank);
+      const request = {promptTokens, uncachedTokens, outputTokens};
+      return forecastEngine(engine, request).firstEventMilliseconds;
+    });
+  }
+
   function logPlacement(
     endpoint: GatewayEndpoint,
     requestId: string,
@@ -172,6 +211,17 @@
       );
       return chosen?.endpoint;
     },
+    estimateFirstEvent(call, endpoints) {
+      const usual = estimateEngineTime(call.promptTokens);
+      const times = forecastFirstEvents(call, endpoints);
+      // Without endpoints, others decide what becomes of the call.
+      return times.length === 0 ? usual : Math.max(usual, Math.min(...times));
+    },
+    canBegin(call, endpoint, {firstEventDeadlineAt}) {
+      if (getLimits(endpoint.service) === null) return true;
+      const [milliseconds] = forecastFirstEvents(call, [endpoint]);
+      return now() + milliseconds! <= firstEventDeadlineAt;
+    },
     recordReport: (peer, engines) =>
       forecasts.recordReport(peer, engines, now()),
     recordTotals: (peer, totals) => forecasts.recordTotals(peer, totals, now()),
--- a/packages/hickorywharf-gateway/src/createStageAdmission.ts
+++ b/packages/hickorywharf-gateway/src/createStageAdmission.ts
@@ -1,9 +1,9 @@
 import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
-import {estimateEngineTime} from 'hickorywharf-decisions/gateway/estimateEngineTime';
 import {forecastCall} from 'hickorywharf-decisions/gateway/forecastCall';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {CallContext} from './callContext.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
+import type {createEngineWork} from './createEngineWork.ts';
 import {createStageForecasts} from './createStageForecasts.ts';
 import type {GatewayState} from './gatewayState.ts';
 import type {StageRouter} from './stageRouter.ts';
@@ -11,6 +11,7 @@
 interface AdmissionOptions {
   readonly state: GatewayState;
   readonly limiter: ReturnType<typeof createEndpointLimiter>;
+  readonly engines: ReturnType<typeof createEngineWork>;
   readonly router: StageRouter;
   /** Monotonic milliseconds. */
   now(): number;
@@ -36,8 +37,9 @@
     };
 
 /**
- * Admits calls to their stages by one forecast of the stages' waits and of the
- * limits of the endpoints that run the calls afterwards.
+ * Admits calls to their stages by one forecast of the stages' waits, of the
+ * limits of the endpoints that run the calls afterwards, and of what these have
+ * to do.
  *
  * @example
  *     const admitToStages = createStageAdmission(options);
@@ -46,12 +48,12 @@
 export function createStageAdmission(
   options: AdmissionOptions,
 ): (context: CallContext, demand: StageDemand) => StageAdmission {
-  const {state, limiter, router, now} = options;
+  const {state, limiter, engines, router, now} = options;
   return (context, {endpoints, isFirstRun}) => {
     const {call, service, targetAt, firstEventDeadlineAt} = context;
     const {services} = state.configuration!;
     const time = now();
-    const engineMilliseconds = estimateEngineTime(call.promptTokens);
+    const engineMilliseconds = engines.estimateFirstEvent(call, endpoints);
     const stages = forecastCall(
       createStageForecasts(context, services, router.getWaitEstimate),
       engineMilliseconds,
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -1,6 +1,5 @@
 import type {createEndpointHealth} from 'hickorywharf-decisions/gateway/createEndpointHealth';
 import type {createRetryBudget} from 'hickorywharf-decisions/gateway/createRetryBudget';
-import {estimateEngineTime} from 'hickorywharf-decisions/gateway/estimateEngineTime';
 import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
 import {identifyRequest} from 'hickorywharf-decisions/gateway/identifyRequest';
 import {isRequestName} from 'hickorywharf-decisions/gateway/isRequestName';
@@ -422,8 +421,9 @@
   function reserveRoom(endpoint: GatewayEndpoint): number | null {
     const now = getInstant().monotonic;
     const wait = limiter.getWait(endpoint);
-    if (wait === 0) return limiter.reserve(endpoint);
-    const milliseconds = wait + estimateEngineTime(call.promptTokens);
+    const milliseconds = wait + engines.estimateFirstEvent(call, [endpoint]);
+    const isInTime = engines.canBegin(call, endpoint, context);
+    if (wait === 0 && isInTime) return limiter.reserve(endpoint);
     const admission = decideAdmission({
       forecast: {
         timelyMilliseconds: milliseconds,
@@ -436,7 +436,7 @@
       ? wait > MAXIMUM_STREAM_PAUSE_MILLISECONDS
       : admission.tag === 'refused';
     if (!isTooLong) return limiter.reserve(endpoint);
-    failForLimits(wait);
+    failForLimits(Math.max(wait, NO_ENDPOINT_RETRY_MILLISECONDS));
     return null;
   }
 
@@ -463,7 +463,7 @@
           0,
       timeLeftMilliseconds:
         Math.min(context.deadlineAt, state.endsAt) - now.monotonic,
-      neededMilliseconds: estimateEngineTime(call.promptTokens),
+      neededMilliseconds: engines.estimateFirstEvent(call, []),
     };
   }
 
