--- a/packages/hickorywharf-gateway/src/runStages.ts
+++ b/packages/hickorywharf-gateway/src/runStages.ts
@@ -68,6 +68,15 @@
     createStageForecasts(context, services, () => null),
     estimateEngineTime(call.promptTokens),
   );
+  const remainingWithWaits = getRemainingTimes(
+    createStageForecasts(context, services, router.getWaitEstimate).map(
+      ({after, workMilliseconds, timelyWaitMilliseconds}) => ({
+        after,
+        workMilliseconds: workMilliseconds + timelyWaitMilliseconds,
+      }),
+    ),
+    estimateEngineTime(call.promptTokens),
+  );
   const cancels = new Set<() => void>();
   let restarts = 0;
   let delayTimer: NodeJS.Timeout | null = null;
@@ -155,7 +164,7 @@
           inputs: stage.after.length === 0 ? null : inputs,
           priority: context.priority,
           targetMilliseconds:
-            context.targetAt - remainingTimes[position]! - getNow(),
+            context.targetAt - remainingWithWaits[position]! - getNow(),
           deadlineMilliseconds:
             context.firstEventDeadlineAt - remainingTimes[position]! - getNow(),
           resultBytes: stage.resultBytes,
