--- a/packages/hickorywharf-bench/src/stages/simulateStages.ts
+++ b/packages/hickorywharf-bench/src/stages/simulateStages.ts
@@ -44,8 +44,13 @@
   policy: keyof typeof stagePolicies,
   seed: number,
 ): ReturnType<typeof summarizeRequests> {
-  const {plan, hasAdmission, hasStartDelay, hasShares}: StagePolicy =
-    stagePolicies[policy];
+  const {
+    plan,
+    hasAdmission,
+    hasStartDelay,
+    hasShares,
+    hasLaterWaits,
+  }: StagePolicy = stagePolicies[policy];
   const waiting = new Map<string, Set<Group>>();
   const endpoints = new Map<string, SimulatedEndpoint[]>();
   const {getNow, schedule, runAll} = createEventQueue();
@@ -167,10 +172,14 @@
     const {stages, priority, targetMilliseconds, deadlineMilliseconds} =
       getKind(request);
     const {service, resultBytes, workShare} = stages[stage]!;
-    const after = getRemainingTimes(
-      forecastSimulatedStages(load, request, () => null),
-      ENGINE_MILLISECONDS,
-    )[stage]!;
+    const [after, afterWaits] = [() => null, getWaits].map(
+      (waits) =>
+        getRemainingTimes(
+          forecastSimulatedStages(load, request, waits),
+          ENGINE_MILLISECONDS,
+        )[stage]!,
+    ) as [number, number];
+    const reserved = hasLaterWaits === true ? afterWaits : after;
     const count = request.pieces[stage]!;
     request.startedAt[stage] = getNow();
     waiting.get(service)!.add({
@@ -181,7 +190,7 @@
       uncomputed: count,
       isStarted: false,
       priority,
-      targetAt: request.at + targetMilliseconds - after,
+      targetAt: request.at + targetMilliseconds - reserved,
       deadlineAt: request.at + deadlineMilliseconds - after,
       resultBytes,
       workMilliseconds: load.services[service]!.pieceMilliseconds * workShare,
--- a/packages/hickorywharf-bench/src/stages/stagePolicies.ts
+++ b/packages/hickorywharf-bench/src/stages/stagePolicies.ts
@@ -36,7 +36,8 @@
  * Policies for the calls of stages, by name; `oneRequest` and `inOrder` are
  * baselines. `groupsAtTheDoor` adds admission control to `groups`, and
  * `groupsInTime` adds delayed stage starts to that, `fairGroups` fair shares of
- * the accounts.
+ * the accounts. `groupsWithWaits` further counts the waits of later stages in the
+ * target of a stage.
  */
 export const stagePolicies = {
   oneRequest: {plan: planOneRequest, hasAdmission: false},
@@ -45,4 +46,10 @@
   groupsAtTheDoor: {plan: planBatch, hasAdmission: true},
   groupsInTime: {plan: planBatch, hasAdmission: true, hasStartDelay: true},
   fairGroups: {plan: planBatch, hasAdmission: true, hasShares: true},
+  groupsWithWaits: {
+    plan: planBatch,
+    hasAdmission: true,
+    hasStartDelay: true,
+    hasLaterWaits: true,
+  },
 } satisfies Record<string, StagePolicy>;
--- a/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
+++ b/packages/hickorywharf-decisions/src/gateway/chooseEngine.ts
@@ -41,6 +41,11 @@
 const CHOICES = 3;
 /** Cost of an engine beyond these, which is for those that are full or fail. */
 const FURTHER_CHOICE_MILLISECONDS = 500;
+/**
+ * Delay that each call in progress adds at an engine of which nothing else is
+ * known, so that calls without a prompt are spread.
+ */
+const UNKNOWN_CALL_MILLISECONDS = 1.5;
 /** Cost of reading a megabyte from another failure domain. */
 const REMOTE_MEGABYTE_MILLISECONDS = 3.5;
 const BYTES_PER_MEGABYTE = 1_000_000;
@@ -98,7 +103,8 @@
       forecast.firstEventMilliseconds +
       againMilliseconds +
       running * readMilliseconds * DELAY_SHARE +
-      (rank < CHOICES ? 0 : FURTHER_CHOICE_MILLISECONDS) +
+      (rank < CHOICES || parts.length === 0 ? 0 : FURTHER_CHOICE_MILLISECONDS) +
+      (candidate.slots === Infinity ? running * UNKNOWN_CALL_MILLISECONDS : 0) +
       candidate.penaltyMilliseconds +
       (candidate.failureDomain === failureDomain
         ? 0
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -306,6 +306,7 @@
     admitToStages: createStageAdmission({
       state,
       limiter,
+      engines,
       router,
       accountShares,
       now,
