Bound the bodies and connections of an entry of our own interface together

Sixty bodies of 4 MB took an entry to 265 to 471 MB; the HTTP library's limit collects chunked bodies beside each other, and the rest of refused bodies was read and thrown away, which the collector has to free.

Change: bodies are read by the gateway's readBody within a budget that follows from the settings (limits.memoryMegabytes, the gateway's division), their buffers are freed once decoded; what there is no memory for gets `overloaded`, not run. The rest of a refused body is not read, its connection closed after 3 s. Connections are bounded by the gateway's guard, late heads (10 s) get 408. A line `dropped for memory` a second at most.

--- a/packages/hickorywharf-entry/src/__tests__/createHttpServer.test.ts
+++ b/packages/hickorywharf-entry/src/__tests__/createHttpServer.test.ts
@@ -4,6 +4,7 @@
 import type {EntryEvent} from 'hickorywharf-decisions/entry/entryEvent';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {request} from 'undici';
+import {createMemoryBudget} from 'hickorywharf-gateway/createMemoryBudget';
 import {createHttpApplication} from '../createHttpApplication.ts';
 import {createHttpServer} from '../createHttpServer.ts';
 
@@ -20,6 +21,7 @@
   const errors: Error[] = [];
   const application = createHttpApplication({
     maximumBodyBytes: BODY_BYTES,
+    memory: createMemoryBudget({maximumBytes: 100 * BODY_BYTES, now: () => 0}),
     createRequestId: () => 'request-1',
     getUnreadyReason: () => null,
     submit(arrival, responder) {
@@ -33,6 +35,7 @@
     fetch: application.fetch,
     address: ADDRESS,
     port: 0,
+    maximumConnections: 100,
   });
   t.teardown(() => server.stopListening());
   return {port: server.port, arrivals, errors};
@@ -218,6 +221,7 @@
     },
     address: ADDRESS,
     port: 0,
+    maximumConnections: 100,
   });
   t.teardown(() => server.stopListening());
   const text = await new Promise<string>((resolve) => {
--- a/packages/hickorywharf-entry/src/createHttpServer.ts
+++ b/packages/hickorywharf-entry/src/createHttpServer.ts
@@ -1,5 +1,6 @@
 import type {Server, ServerResponse} from 'node:http';
 import {serve} from '@hono/node-server';
+import {createConnectionGuard} from 'hickorywharf-gateway/createConnectionGuard';
 import {createResponseTracker} from 'hickorywharf-utils/createResponseTracker';
 import {sleep} from 'hickorywharf-utils/sleep';
 import {answerClientError} from './answerClientError.ts';
@@ -8,6 +9,8 @@
   readonly fetch: (request: Request, ...rest: never[]) => unknown;
   readonly address: string;
   readonly port: number;
+  /** Connections of callers that may be open together. */
+  readonly maximumConnections: number;
 }
 
 interface HttpServer {
@@ -20,8 +23,14 @@
   finishResponses(waitMilliseconds: number): Promise<void>;
 }
 
+/** Node's code for a head that does not arrive in time. */
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
 const POLL_MILLISECONDS = 20;
+/** Time in which the head of a request has to arrive. */
+const HEAD_MILLISECONDS = 10_000;
+/** Time for the rest of a request after its response. */
+const UNREAD_MILLISECONDS = 3000;
 
 /**
  * Starts the HTTP server of an entry; resolves once it listens, and rejects if
@@ -45,17 +54,38 @@
       hostname: options.address,
       port: options.port,
       serverOptions: {maxHeaderSize: MAXIMUM_HEADER_BYTES},
+      // It reads the rest of a refused request, which is limited here.
+      autoCleanupIncoming: false,
     },
     ({port}) => resolve(port),
   ) as Server;
+  const guard = createConnectionGuard({
+    maximumConnections: options.maximumConnections,
+    getHeadMilliseconds: () => HEAD_MILLISECONDS,
+    now: () => performance.now(),
+    onLateHead(socket) {
+      const error = new Error('the head did not arrive in time');
+      answerClientError(Object.assign(error, {code: HEAD_TIMEOUT}), socket);
+    },
+    onClose: () => undefined,
+  });
+  server.on('connection', guard.add);
+  server.on('close', guard.close);
   server.on('error', reject);
   server.on('clientError', (error, socket) => {
     if (!responses.finishMalformed(error, socket)) {
       answerClientError(error, socket);
     }
   });
-  server.prependListener('request', (_incoming, outgoing) => {
+  server.prependListener('request', (incoming, outgoing) => {
     open.add(outgoing);
+    guard.recordRequest(outgoing);
+    outgoing.once('finish', () => {
+      if (incoming.complete) return;
+      setTimeout(() => {
+        if (!incoming.complete) incoming.socket.destroy();
+      }, UNREAD_MILLISECONDS).unref();
+    });
     responses.add(outgoing);
     outgoing.once('close', () => open.delete(outgoing));
     if (isDraining) outgoing.shouldKeepAlive = false;
--- a/packages/hickorywharf-entry/src/runEntry.ts
+++ b/packages/hickorywharf-entry/src/runEntry.ts
@@ -8,6 +8,8 @@
 import {ENTRY_LIMITS} from 'hickorywharf-decisions/entry/entryLimits';
 import {routingPolicies} from 'hickorywharf-decisions/entry/policies/routingPolicies';
 import {describeMembers} from 'hickorywharf-decisions/membership/describeMembers';
+import {getResourceBounds} from 'hickorywharf-decisions/gateway/getResourceBounds';
+import {createMemoryBudget} from 'hickorywharf-gateway/createMemoryBudget';
 import {PARTITION_COUNT} from 'hickorywharf-decisions/homes/partitionCount';
 import {isConfigurationWatcher} from 'hickorywharf-decisions/membership/isConfigurationWatcher';
 import {startOperatorsServer} from 'hickorywharf-operators/startOperatorsServer';
@@ -48,6 +50,9 @@
   stop(): Promise<void>;
 }
 
+const BYTES_PER_MEGABYTE = 1_000_000;
+/** Bounds the log under a crowd of callers. */
+const DROP_LOG_MILLISECONDS = 1000;
 const TICK_MILLISECONDS = 10;
 const IDLE_TICK_MILLISECONDS = 100;
 const STOP_POLL_MILLISECONDS = 20;
@@ -66,6 +71,17 @@
   throw new Error(`[policy] routing: allowed are ${allowed}`);
 }
 
+/** What the settings state of the machine, in bytes. */
+function getMachine(limits: RunEntryOptions['settings']['limits']) {
+  const {memoryMegabytes, maximumDescriptors} = limits;
+  return {
+    ...(memoryMegabytes !== undefined && {
+      memoryBytes: memoryMegabytes * BYTES_PER_MEGABYTE,
+    }),
+    ...(maximumDescriptors !== undefined && {maximumDescriptors}),
+  };
+}
+
 /**
  * Starts an entry, which runs until it is stopped; resolves once it listens.
  * Throws where a setting or the credentials are invalid.
@@ -173,8 +189,24 @@
     },
   });
 
+  const bounds = getResourceBounds(getMachine(settings.limits));
+  let drops = 0;
+  let dropLoggedAt = -Infinity;
+  const memory = createMemoryBudget({
+    maximumBytes: bounds.heldBytes,
+    now: clock.monotonic,
+    onDrop(kind, bytes) {
+      drops += 1;
+      const now = clock.monotonic();
+      if (now - dropLoggedAt < DROP_LOG_MILLISECONDS) return;
+      dropLoggedAt = now;
+      const fields = {step: 'receive', peer: null, kind, bytes, drops};
+      logger.warn(fields, 'dropped for memory');
+    },
+  });
   const application = createHttpApplication({
     maximumBodyBytes: settings.limits.bodyBytes,
+    memory,
     createRequestId: () => createUuid7(clock.wall()),
     getUnreadyReason: () =>
       getUnreadyReason({
@@ -259,6 +291,7 @@
   }, TRANSPORT_LIMITS.heartbeatMilliseconds);
   const server = await createHttpServer({
     fetch: application.fetch,
+    maximumConnections: bounds.callerConnections,
     ...settings.http,
   });
 
