Free what was written at once, and let a new caller in beside slow readers

Cause: events and answers that callers had read waited for the garbage collector (slow readers of streams took 183 to 203 MB of 210).

Change: the writer frees bytes of 4 KB and more when they were written without an error. A connection whose caller reads is closed for a new one if there is no other that may be; one whose call is worked on never.

--- a/packages/hickorywharf-decisions/src/gateway/findConnectionToClose.ts
+++ b/packages/hickorywharf-decisions/src/gateway/findConnectionToClose.ts
@@ -8,14 +8,15 @@
   readonly progressedAt: number;
 }
 
-/** A caller may take this long to read what it is sent. */
+/** A caller that may take this long to read gives way after all others. */
 const READER_GRACE_MILLISECONDS = 2000;
 
 /**
  * Finds the connection that is closed so that another caller can connect. It
  * answers crowds of connections that stay open without a whole request, or
  * whose callers do not read: the one whose caller has brought nothing forward
- * for longest is closed. A connection whose request this system works on stays.
+ * for longest is closed, one that is being read only if there is no other. A
+ * connection whose request this system works on stays.
  *
  * @returns undefined if none may be closed
  * @example
@@ -25,16 +26,21 @@
   connections: Iterable<Connection>,
   nowMilliseconds: number,
 ): Connection | undefined {
-  let found: Connection | undefined;
+  let stalled: Connection | undefined;
+  let reading: Connection | undefined;
   for (const connection of connections) {
     const {waitsFor, progressedAt} = connection;
+    if (waitsFor === 'system') continue;
     const isReading =
       waitsFor === 'reader' &&
       nowMilliseconds - progressedAt < READER_GRACE_MILLISECONDS;
-    if (waitsFor === 'system' || isReading) continue;
-    if (found === undefined || progressedAt < found.progressedAt) {
-      found = connection;
+    if (isReading) {
+      if (progressedAt < (reading?.progressedAt ?? Infinity)) {
+        reading = connection;
+      }
+    } else if (progressedAt < (stalled?.progressedAt ?? Infinity)) {
+      stalled = connection;
     }
   }
-  return found;
+  return stalled ?? reading;
 }
--- a/packages/hickorywharf-gateway/src/createEventSplitter.ts
+++ b/packages/hickorywharf-gateway/src/createEventSplitter.ts
@@ -47,7 +47,7 @@
   function setRemainder(bytes: Buffer): void {
     remainder = createBodyBuffer(Infinity);
     if (bytes.length > 0) remainder.append(bytes);
-    tail = bytes.toString('latin1').slice(-TAIL_LENGTH);
+    tail = bytes.subarray(-TAIL_LENGTH).toString('latin1');
   }
 
   return {
--- a/packages/hickorywharf-gateway/src/createResponseWriter.ts
+++ b/packages/hickorywharf-gateway/src/createResponseWriter.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {ResponseHead} from 'hickorywharf-types/gateway/responseHead';
+import {freeBuffer} from 'hickorywharf-utils/freeBuffer';
 import {resetSocket} from 'hickorywharf-utils/resetSocket';
 import type {GatewayState} from './gatewayState.ts';
 import type {Refusal} from './refusal.ts';
@@ -8,7 +9,10 @@
 interface ResponseWriter {
   /** Whether the headers were written; `refuse` then only disconnects. */
   readonly isStarted: boolean;
-  /** Sends a complete response of an endpoint. */
+  /**
+   * Sends a complete response of an endpoint. The body must not be used
+   * afterwards, as the events of `sendEvents`.
+   */
   sendResponse(head: ResponseHead, body: Buffer): void;
   /** Starts a stream with the headers of the first endpoint that ran it. */
   startStream(head: ResponseHead): void;
@@ -26,6 +30,8 @@
   onDrain(callback: () => void): void;
 }
 
+/** Smaller parts are left to the garbage collector, which costs less. */
+const MINIMUM_FREED_BYTES = 4096;
 /** Lower bound of `Retry-After`. */
 const MINIMUM_RETRY_MILLISECONDS = 50;
 
@@ -50,6 +56,14 @@
     isStarted = true;
   }
 
+  /** Frees bytes once they are written; those that are not may be in use. */
+  function freeWhenWritten(bytes: Buffer) {
+    return (error?: Error | null): void => {
+      const isWritten = error === undefined || error === null;
+      if (isWritten && bytes.length >= MINIMUM_FREED_BYTES) freeBuffer(bytes);
+    };
+  }
+
   function abort(): void {
     // HTTP/1.0 has no chunks: the end of the connection would end the response.
     const {req, socket} = response;
@@ -64,10 +78,10 @@
     sendResponse(head, body) {
       const length = ['Content-Length', String(body.length)];
       writeHead(head.status, [...head.headers, ...length]);
-      response.end(body);
+      response.end(body, freeWhenWritten(body));
     },
     startStream: (head) => writeHead(head.status, head.headers),
-    sendEvents: (events) => response.write(events),
+    sendEvents: (events) => response.write(events, freeWhenWritten(events)),
     endStream: () => void response.end(),
     abort,
     refuse(refusal, requestId) {
