--- a/packages/hickorywharf-gateway/src/createCallServer.ts
+++ b/packages/hickorywharf-gateway/src/createCallServer.ts
@@ -1,5 +1,4 @@
 import http from 'node:http';
-import type {Duplex} from 'node:stream';
 import type {GatewayConfiguration} from 'hickorywharf-types/gateway/gatewayConfiguration';
 import {createResponseTracker} from 'hickorywharf-utils/createResponseTracker';
 import {listenOn} from 'hickorywharf-utils/listenOn';
@@ -8,6 +7,7 @@
 import {createConnectionGuard} from './createConnectionGuard.ts';
 import {createResponseWriter} from './createResponseWriter.ts';
 import {readBody} from './readBody.ts';
+import {refuseMalformed} from './refuseMalformed.ts';
 import type {Refusal} from './refusal.ts';
 import {serveCall} from './serveCall.ts';
 import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
@@ -59,22 +59,6 @@
 /** Retry delay for callers whose request was not sent before its deadline. */
 const UNSENT_RETRY_MILLISECONDS = 300;
 
-/** The statuses of bytes that are no request by Node's code; others are 400. */
-const malformedStatuses: Readonly<Record<string, number>> = {
-  HPE_HEADER_OVERFLOW: 431,
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
-};
-
-/** Answers what is no whole request, and ends the connection. */
-function refuseMalformed(socket: Duplex, status: number): void {
-  const reason = http.STATUS_CODES[status];
-  socket.end(
-    `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-    // A caller that sends nothing more may never close its side.
-    () => status === 408 && socket.destroy(),
-  );
-}
-
 /**
  * Serves callers over HTTP/1.1. Each request gets one response; if the caller
  * disconnects, its stages and attempts are cancelled.
@@ -290,7 +274,7 @@
     now: () => getInstant().monotonic,
     onLateHead(socket) {
       log.infoRateLimited('head not in time', {step: 'admit'});
-      refuseMalformed(socket, 408);
+      refuseMalformed(socket, 'ERR_HTTP_REQUEST_TIMEOUT');
     },
     onClose: (kind) => metrics.count('closedConnections', kind),
   });
@@ -327,7 +311,7 @@
       return;
     }
     if (responses.finishMalformed(error, socket)) return;
-    refuseMalformed(socket, malformedStatuses[error.code ?? ''] ?? 400);
+    refuseMalformed(socket, error.code ?? '');
   });
 
   return {
