--- a/packages/hickorywharf-gateway/src/createEndpointClient.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointClient.ts
@@ -284,6 +284,11 @@
     let isSettled = false;
     let isSent = !socket.connecting;
     let isWritten = false;
+    /**
+     * The end of the connection ended the answer. While the request is written,
+     * a reset may still follow, and shows that the answer was cut off.
+     */
+    let isEnded = false;
     let keepAliveMilliseconds = 0;
     const timer = isSent
       ? null
@@ -350,8 +355,9 @@
       },
       onEnd() {
         keepAliveMilliseconds = 0;
-        if (parser.finish()) complete(false);
-        else fail('the answer was cut off');
+        if (!parser.finish()) return fail('the answer was cut off');
+        isEnded = true;
+        if (isWritten) complete(false);
       },
       onClose: fail,
     };
@@ -363,8 +369,9 @@
       // In one piece, and without a copy of the body.
       socket.cork();
       if (input.body !== null) socket.write(head);
-      socket.write(input.body ?? head, () => {
+      socket.write(input.body ?? head, (error) => {
         isWritten = true;
+        if (isEnded && !error) complete(false);
       });
       socket.uncork();
     };
--- a/packages/hickorywharf-gateway/src/gatewayCounters.ts
+++ b/packages/hickorywharf-gateway/src/gatewayCounters.ts
@@ -18,6 +18,10 @@
     label: 'event',
     meaning: 'silent endpoints by what became of the calls there',
   },
+  hedges: {
+    label: 'event',
+    meaning: 'slow calls by what became of a second attempt',
+  },
   pieces: {
     label: 'outcome',
     meaning: 'pieces of stages by what became of them',
@@ -49,6 +53,14 @@
     meaning:
       'calls for which the rate limits and pauses of endpoints left no room',
   },
+  coldEndpoints: {
+    label: 'event',
+    meaning: 'endpoints that began to count as cold by why, or as warm again',
+  },
+  coldCalls: {
+    label: 'result',
+    meaning: 'calls to cold endpoints by when they were sent',
+  },
   streamRecords: {
     label: 'result',
     meaning: 'records of the versions that began streams',
--- a/packages/hickorywharf-gateway/src/runGateway.ts
+++ b/packages/hickorywharf-gateway/src/runGateway.ts
@@ -9,12 +9,14 @@
 import {createLatenessMonitor} from 'hickorywharf-utils/createLatenessMonitor';
 import {createSystemClock} from 'hickorywharf-utils/createSystemClock';
 import {createCallServer} from './createCallServer.ts';
+import {createColdLimiter} from './createColdLimiter.ts';
 import {createEndpointClient} from './createEndpointClient.ts';
 import {createEndpointLimiter} from './createEndpointLimiter.ts';
 import {createEndpointLoads} from './createEndpointLoads.ts';
 import {createGatewayLog} from './createGatewayLog.ts';
 import {createGatewayMetrics} from './createGatewayMetrics.ts';
 import {createGatewayState} from './createGatewayState.ts';
+import {createHedger} from './createHedger.ts';
 import {createInstantClock} from './createInstantClock.ts';
 import {createMemoryBudget} from './createMemoryBudget.ts';
 import {createPeerConnections} from './createPeerConnections.ts';
@@ -97,10 +99,12 @@
     },
   });
   const incarnation = randomUUID();
+  const cold = createColdLimiter({settings, state, log, metrics, getInstant});
   const limiter = createEndpointLimiter({
     name: settings.name,
     incarnation,
     state,
+    cold,
     log,
     metrics,
     onLeaving: (endpoint) => stateUpdater.recordLeaving(endpoint),
@@ -229,10 +233,17 @@
       dispatcher.refresh();
       server.refresh();
     },
-    onEndpointRestarted: health.remove,
-    onEndpointsConfirmed: streams.recordList,
+    onEndpointRestarted(endpointId) {
+      health.remove(endpointId);
+      hedger.remove(endpointId);
+    },
+    onEndpointsConfirmed(readAt) {
+      streams.recordList(readAt);
+      cold.recordList();
+    },
     onEndpointRemoved(endpointId) {
       health.remove(endpointId);
+      hedger.remove(endpointId);
       dispatcher.removeEndpoint(endpointId);
     },
   });
@@ -244,6 +255,18 @@
     getInstant,
     send: peers.send,
   });
+  const loads = createEndpointLoads();
+  const hedger = createHedger({
+    settings,
+    state,
+    health,
+    limiter,
+    loads,
+    budget,
+    log,
+    metrics,
+    now,
+  });
   const server = createCallServer({
     settings,
     state,
@@ -253,7 +276,8 @@
     limiter,
     streams,
     quarantine,
-    loads: createEndpointLoads(),
+    loads,
+    hedger,
     memory,
     maximumConnections: bounds.callerConnections,
     budget,
@@ -335,6 +359,7 @@
         repeatRatio: changed.repeatRatio,
         repeatWindowMilliseconds: changed.repeatWindowMilliseconds,
         repeatAllowance: changed.repeatAllowance,
+        hedging: changed.hedging,
       };
       Object.assign(settings, limits);
       log.infoAlways('settings reloaded', {step: 'reload', ...limits});
