--- a/packages/hickorywharf-decisions/src/gateway/createEngineForecast.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEngineForecast.ts
@@ -60,10 +60,10 @@
 }
 
 /**
- * Weight of the assumption that an engine is as fast as a usual one, in
- * milliseconds of expected work.
+ * Weight of the assumption that an engine is as fast as all on average, in
+ * milliseconds of expected work. A few calls don't move its sessions.
  */
-const PRIOR_MILLISECONDS = 150;
+const PRIOR_MILLISECONDS = 250;
 /**
  * Weight of a first event that came sooner than expected. Calls of others that
  * are not known yet only delay first events, and don't make an engine slower.
@@ -100,7 +100,7 @@
     const slowness =
       (sums.observedMilliseconds +
         (told?.observedMilliseconds ?? 0) +
-        PRIOR_MILLISECONDS) /
+        PRIOR_MILLISECONDS * reports.getMeanSlowness(now)) /
       (sums.expectedMilliseconds +
         (told?.expectedMilliseconds ?? 0) +
         PRIOR_MILLISECONDS);
--- a/packages/hickorywharf-decisions/src/gateway/createEngineReports.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createEngineReports.ts
@@ -31,6 +31,11 @@
     startedAt: number,
     now: number,
   ): OtherWork | null;
+  /**
+   * How much longer the work of all engines takes than expected; 1 without
+   * totals.
+   */
+  getMeanSlowness(now: number): number;
   /** Discards what a peer told, once it has disconnected. */
   removePeer(peer: string): void;
 }
@@ -52,6 +57,19 @@
 const byId = (engines: readonly EngineReport[]): Map<string, EngineReport> =>
   new Map(engines.map((engine) => [engine.endpointId, engine]));
 
+/** Weight of the assumption of a usual engine, in milliseconds of work. */
+const PRIOR_MILLISECONDS = 150;
+
+function getSlowness(engines: Iterable<EngineReport>): number {
+  let observed = PRIOR_MILLISECONDS;
+  let expected = PRIOR_MILLISECONDS;
+  for (const engine of engines) {
+    observed += engine.observedMilliseconds;
+    expected += engine.expectedMilliseconds;
+  }
+  return observed / expected;
+}
+
 /**
  * Keeps what instances tell each other of their work at engines. Each instance
  * reports to a few others, which return the sums over all reports, so that the
@@ -68,7 +86,11 @@
   const reports = new Map<string, Told<Map<string, EngineReport>>>();
   const totals = new Map<
     string,
-    Told<{instances: number; engines: Map<string, EngineReport>}>
+    Told<{
+      instances: number;
+      engines: Map<string, EngineReport>;
+      slowness: number;
+    }>
   >();
   let own: Told<Map<string, EngineReport>> | null = null;
 
@@ -80,6 +102,7 @@
     let best: Told<{
       instances: number;
       engines: Map<string, EngineReport>;
+      slowness: number;
     }> | null = null;
     for (const told of totals.values()) {
       if (!isFresh(told, now)) continue;
@@ -96,7 +119,14 @@
     recordReport: (peer, engines, now) =>
       void reports.set(peer, {content: byId(engines), at: now}),
     recordTotals(peer, {instances, engines}, now) {
-      totals.set(peer, {content: {instances, engines: byId(engines)}, at: now});
+      totals.set(peer, {
+        content: {
+          instances,
+          engines: byId(engines),
+          slowness: getSlowness(engines),
+        },
+        at: now,
+      });
     },
     recordOwn: (engines, now) => void (own = {content: byId(engines), at: now}),
     addTotals(ownEngines, now) {
@@ -111,7 +141,14 @@
         }
       }
       const instances = reports.size + 1;
-      totals.set(OWN_TOTALS, {content: {instances, engines}, at: now});
+      totals.set(OWN_TOTALS, {
+        content: {
+          instances,
+          engines,
+          slowness: getSlowness(engines.values()),
+        },
+        at: now,
+      });
       return {instances, engines: [...engines.values()]};
     },
     getOthers(endpointId, startedAt, now) {
@@ -127,6 +164,7 @@
         ageMilliseconds: now - known!.at,
       };
     },
+    getMeanSlowness: (now) => findTotals(now)?.content.slowness ?? 1,
     removePeer(peer) {
       reports.delete(peer);
       totals.delete(peer);
