--- a/packages/hickorywharf-transport/src/runConnection.ts
+++ b/packages/hickorywharf-transport/src/runConnection.ts
@@ -115,6 +115,8 @@
 
   function countPendingBytes(): void {
     const change = reader.pendingBytes - countedBytes;
+    // Nearly all frames arrive whole.
+    if (change === 0) return;
     countedBytes += change;
     if (change > 0) slot?.add(change);
     else slot?.subtract(-change);
