--- a/packages/hickorywharf-decisions/src/gateway/createColdEndpoints.ts
+++ b/packages/hickorywharf-decisions/src/gateway/createColdEndpoints.ts
@@ -45,6 +45,8 @@
   setServices(services: readonly Service[]): void;
   /** Records a complete list of the endpoints; returns what has changed. */
   recordEndpoints(listed: readonly Endpoint[], at: Instant): ColdChange[];
+  /** Whether any endpoint counts as cold, or did at the last list. */
+  hasCold(): boolean;
   /** How much longer the endpoint counts as cold; 0 if it is warm. */
   getRemaining(endpoint: Endpoint, now: number): number;
   /** Calls per second of this instance; Infinity for a warm endpoint. */
@@ -112,6 +114,8 @@
 ): ColdEndpoints {
   const ranks = createInstanceRanks(name);
   let services = new Map<string, ColdStart>();
+  /** Cold endpoints as of the last list; most of the time there are none. */
+  let coldCount = 0;
   const known = new Map<string, KnownEndpoint>();
   /** Times of this instance's last calls to each incarnation, ascending. */
   const calls = new Map<string, number[]>();
@@ -229,8 +233,12 @@
       const changes = listed.flatMap((endpoint) =>
         recordEndpoint(endpoint, at),
       );
+      coldCount = [...known.values()].filter(
+        ({coldUntil}) => coldUntil > -Infinity,
+      ).length;
       return [...ended, ...changes];
     },
+    hasCold: () => coldCount > 0,
     getRemaining,
     getRate(endpoint, now) {
       const share = findShare(endpoint, now);
--- a/packages/hickorywharf-gateway/src/createColdLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createColdLimiter.ts
@@ -89,8 +89,12 @@
         });
       }
     },
-    getRate: (endpoint) => endpoints.getRate(endpoint, now()),
-    getWait: (endpoint) => endpoints.getWait(endpoint, now()),
+    // Asked for each candidate of each call: without cold endpoints, the clock is
+    // not read.
+    getRate: (endpoint) =>
+      endpoints.hasCold() ? endpoints.getRate(endpoint, now()) : Infinity,
+    getWait: (endpoint) =>
+      endpoints.hasCold() ? endpoints.getWait(endpoint, now()) : 0,
     recordCall(endpoint, waitMilliseconds) {
       if (!Number.isFinite(waitMilliseconds)) return;
       const time = now();
--- a/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointLimiter.ts
@@ -186,9 +186,10 @@
   }
 
   function getWait(endpoint: GatewayEndpoint): number {
+    const time = now();
     return Math.max(
-      limits.getWait(endpoint, now()),
-      getPause(endpoint),
+      limits.getWait(endpoint, time),
+      pauses.getRemaining(endpoint, time),
       cold?.getWait(endpoint) ?? 0,
     );
   }
--- a/packages/hickorywharf-gateway/src/createEngineWork.ts
+++ b/packages/hickorywharf-gateway/src/createEngineWork.ts
@@ -102,12 +102,12 @@
 
   const getLimits = (service: string) =>
     state.configuration?.services.get(service)?.engine ?? null;
-  const getState = (endpoint: GatewayEndpoint) =>
+  const getState = (endpoint: GatewayEndpoint, time: number) =>
     forecasts.getState(
       endpoint,
       loads.get(endpoint.id),
       getLimits(endpoint.service),
-      now(),
+      time,
     );
 
   /** Milliseconds until the first event at each endpoint. */
@@ -116,8 +116,9 @@
     endpoints: readonly GatewayEndpoint[],
   ): number[] {
     const {promptParts, promptTokens, outputTokens} = call;
+    const time = now();
     const states = endpoints.map((endpoint) => ({
-      ...getState(endpoint),
+      ...getState(endpoint, time),
       id: endpoint.id,
     }));
     const order = orderSession(promptParts, states);
@@ -159,18 +160,18 @@
         return loads.startCall(endpoint.id, call.promptTokens);
       }
       const {promptParts, promptTokens, outputTokens} = call;
+      const startedAt = now();
       const order = orderSession(
         promptParts,
         state.directory.getUsable(endpoint.service).map((engine) => ({
           id: engine.id,
-          slowness: getState(engine).slowness,
+          slowness: getState(engine, startedAt).slowness,
         })),
       );
       const rank = order.indexOf(endpoint.id);
       const uncachedTokens = countUncachedTokens(promptParts, rank);
-      const before = getState(endpoint);
+      const before = getState(endpoint, startedAt);
       logPlacement(endpoint, call.id, rank, before);
-      const startedAt = now();
       const counted = loads.startCall(
         endpoint.id,
         promptTokens,
@@ -194,9 +195,10 @@
       };
     },
     choose(candidates, {call, ...placement}) {
+      const time = now();
       const chosen = chooseEngine(
         candidates.map(({endpoint, penaltyMilliseconds}) => ({
-          ...getState(endpoint),
+          ...getState(endpoint, time),
           id: endpoint.id,
           failureDomain: endpoint.failureDomain,
           penaltyMilliseconds,
