Fetch orders to evacuate only where no other reply has brought them

Cause: each reply of a peer has the orders, yet they were fetched once more a second, and each list of them collected the usable endpoints anew. Change: an instance asks for orders that are older than its interval; endpoints are collected when an order begins or ends.

--- a/packages/hickorywharf-gateway/src/createStateUpdater.ts
+++ b/packages/hickorywharf-gateway/src/createStateUpdater.ts
@@ -46,11 +46,12 @@
 }
 
 /**
- * Applies configurations, endpoint lists and orders to evacuate, from the store or from a peer, to
- * the state of this instance. Data older than the state is ignored and does not
- * make the state count as fresher, and neither does a configuration while a
- * newer one is known to exist. The version decides which configuration is older;
- * for endpoint lists and orders it is the time of the read.
+ * Applies configurations, endpoint lists and orders to evacuate, from the store
+ * or from a peer, to the state of this instance. Data older than the state is
+ * ignored and does not make the state count as fresher, and neither does a
+ * configuration while a newer one is known to exist. The version decides which
+ * configuration is older; for endpoint lists and orders it is the time of the
+ * read.
  *
  * @example
  *     const updater = createStateUpdater(options);
@@ -154,7 +155,7 @@
       if (evacuations === null || !evacuationFreshness.isNewer(readAt)) return;
       evacuationFreshness.recordRead(readAt);
       const changes = evacuations.update(ordered, readAt);
-      directory.setEvacuated(evacuations.list());
+      if (changes.length > 0) directory.setEvacuated(evacuations.list());
       for (const {tag, failureDomain} of changes) {
         const age = Math.round(getElapsed(readAt, getInstant()));
         metrics.count('evacuations', tag);
--- a/packages/hickorywharf-gateway/src/startStateSync.ts
+++ b/packages/hickorywharf-gateway/src/startStateSync.ts
@@ -305,6 +305,10 @@
    */
   async function refresh(item: SyncedState): Promise<boolean> {
     const reader = findReader();
+    // Replies that are fetched for the other items have the orders too.
+    const isKnown =
+      item === evacuations && item.getAge() < item.getLimit() * FETCH_SHARE;
+    if (reader !== null && isKnown) return true;
     if (reader !== null && (await fetchFrom(reader, item))) {
       metrics.count('storeReads', 'relayed');
       return true;
