Keep a silent attempt until another endpoint has accepted the call

Cause: after 1.2 s of silence the call closes its attempt as soon as another endpoint has taken a connection, and is sent there. That endpoint is full, the place at the first one has gone to another caller, and both turn it away. Change: the call is sent to the other endpoint beside the silent attempt (raceAttempts, in place of attemptWithHedge). The attempt is given up when the head of the other one's stream, or its whole answer, has arrived, and wins if its endpoint goes on before. An endpoint that turned the call away is asked again after 400 ms, then 800 ms. A record of the endpoints that may have run the call keeps their number within the route's, and lets one be asked again that ran it. Why it works: a place is given up only for another one; refusals, resets and late refusals end nothing but their own attempt. The first byte of a stream comes with its first token, so that two servers run it for one round trip only.

--- a/packages/hickorywharf-decisions/src/gateway/decideFailover.ts
+++ b/packages/hickorywharf-decisions/src/gateway/decideFailover.ts
@@ -1,4 +1,4 @@
-/** What a call would have at another endpoint. */
+/** What a call would have at another endpoint, beside its silent attempts. */
 interface FailoverFacts {
   /** Whether the call may run once more, and be sent once more. */
   readonly mayRunAgain: boolean;
@@ -37,9 +37,9 @@
     };
 
 /**
- * Decides whether a call may leave an endpoint that is silent, and may go on,
- * for another one. It leaves only with all that it needs there, as what is
- * refused to it afterwards would end it.
+ * Decides whether a call whose attempts are silent, and may go on, is sent to
+ * another endpoint beside them. It is sent only with all that it needs there, as
+ * a send in vain uses up the budget that all calls share.
  *
  * Designed for sound endpoints that are silent for a second, many or all of
  * them at the same time.
--- a/packages/hickorywharf-gateway/src/__tests__/createFailover.test.ts
+++ b/packages/hickorywharf-gateway/src/__tests__/createFailover.test.ts
@@ -57,25 +57,27 @@
     returnRetry: () => void events.push('retry returned'),
     reserve: () => void events.push('reserved'),
   });
-  failover.prepare(SILENT, () => events.push('left'));
+  failover.search([SILENT], ({endpoint, inputs}) =>
+    events.push(`asked ${endpoint.id} with ${inputs.join()}`),
+  );
   return {facts, events, stages, failover};
 }
 
-test('a call leaves a silent endpoint only once its stages have run again', async (t) => {
+test('another endpoint is asked only once the stages have run again, and its results are the call’s once it accepts', async (t) => {
   const {events, stages, failover} = prepare();
   await sleep(CHECK_MILLISECONDS);
   t.deepEqual(events, ['retry taken', 'stages run']);
-  t.is(failover.take(), null);
   stages.resolve(RESULTS);
   await sleep(CHECK_MILLISECONDS);
   t.deepEqual(events.slice(2), [
     'connecting engine-2',
     'reserved',
-    'adopted',
-    'left',
+    'asked engine-2 with h1',
   ]);
-  t.is(failover.take()?.endpoint, OTHER);
-  t.is(failover.take(), null);
+  failover.accept();
+  t.deepEqual(events.slice(5), ['adopted']);
+  failover.cancel();
+  t.is(events.length, 6);
 });
 
 test('a call whose endpoint goes on keeps neither results nor its retry', async (t) => {
@@ -93,10 +95,28 @@
     'discarded',
     'retry returned',
   ]);
-  t.is(failover.take(), null);
 });
 
-test('a call leaves a silent endpoint once what it lacked is there', async (t) => {
+test('a call whose endpoint goes on while another one is asked keeps no results', async (t) => {
+  const {events, stages, failover} = prepare();
+  stages.resolve(RESULTS);
+  await sleep(CHECK_MILLISECONDS);
+  failover.cancel();
+  // The retry was sent.
+  t.deepEqual(events.slice(5), ['stages aborted', 'discarded']);
+});
+
+test('stages run again if the endpoint that is asked lacks their results', async (t) => {
+  const {events, stages, failover} = prepare();
+  stages.resolve(RESULTS);
+  await sleep(CHECK_MILLISECONDS);
+  failover.recordInputGone();
+  failover.search([SILENT], () => events.push('asked again'));
+  await sleep(CHECK_MILLISECONDS);
+  t.deepEqual(events.slice(5, 8), ['discarded', 'retry taken', 'stages run']);
+});
+
+test('another endpoint is asked once what the call lacked is there', async (t) => {
   const {facts, events, stages} = prepare();
   facts.hasFreshKey = false;
   stages.resolve(RESULTS);
@@ -106,26 +126,26 @@
   // The retry that the call holds is in the budget already.
   facts.hasBudget = false;
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events.slice(3), ['reserved', 'adopted', 'left']);
+  t.deepEqual(events.slice(3), ['reserved', 'asked engine-2 with h1']);
 });
 
-test('a call leaves a silent endpoint only for one that has taken a connection', async (t) => {
-  const {events, stages, failover} = prepare(new Set(['engine-2']));
+test('only an endpoint that has taken a connection is asked', async (t) => {
+  const {events, stages} = prepare(new Set(['engine-2']));
   stages.resolve(RESULTS);
   await sleep(CHECK_MILLISECONDS);
-  t.deepEqual(events.slice(2, 5), [
+  t.deepEqual(events.slice(2), [
     'connecting engine-2',
     'connecting engine-3',
     'reserved',
+    'asked engine-3 with h1',
   ]);
-  t.is(failover.take()?.endpoint, LAST);
 });
 
-test('a call stays at a silent endpoint while no other one takes a connection', async (t) => {
+test('no endpoint is asked while none takes a connection', async (t) => {
   const {events, stages, failover} = prepare(new Set(['engine-2', 'engine-3']));
   stages.resolve(RESULTS);
   await sleep(CHECK_MILLISECONDS);
-  t.false(events.includes('left'));
+  t.false(events.some((event) => event.startsWith('asked')));
   failover.cancel();
   t.deepEqual(events.slice(-3), [
     'stages aborted',
--- a/packages/hickorywharf-gateway/src/attemptCall.ts
+++ b/packages/hickorywharf-gateway/src/attemptCall.ts
@@ -11,7 +11,6 @@
 import type {createEngineWork} from './createEngineWork.ts';
 import type {CallWatch} from './callWatch.ts';
 import type {createEventSplitter} from './createEventSplitter.ts';
-import type {createFailover} from './createFailover.ts';
 import type {createMemoryBudget} from './createMemoryBudget.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
 import type {EndpointClient} from './endpointClient.ts';
@@ -41,12 +40,18 @@
    * for its endpoint in any case.
    */
   readonly responseTimeoutMilliseconds: number | null;
-  /** Looks for another endpoint while this one is silent. */
-  readonly failover: ReturnType<typeof createFailover>;
   /** An open connection to the endpoint to use; null for any other one. */
   readonly connection: ReservedConnection | null;
   /** Monotonic milliseconds. */
   now(): number;
+  /** Called when the endpoint is silent. The attempt goes on. */
+  onSilence(): void;
+  /**
+   * Called when the endpoint has taken the call and answers it: with each read
+   * of its stream, and before a whole answer with a status of success is passed
+   * to the caller.
+   */
+  onAccepted(): void;
   /** Called before the first event of a stream is passed to the caller. */
   onFirstEvent(): void;
   /** Called for complete events that arrived, before they are passed on. */
@@ -91,7 +96,6 @@
     wire,
     health,
     watch,
-    failover,
     now,
   } = options;
   const {call} = context;
@@ -106,11 +110,11 @@
     /** Bytes of events that a slow caller has not taken. */
     let unreadBytes = 0;
     const responseBody = createBodyBuffer(MAXIMUM_RESPONSE_BYTES);
-    let silenceMilliseconds = 0;
+    let isSilent = false;
     const silenceTimer = createSilenceTimer(() => {
+      isSilent = true;
       health.recordSilence(endpoint.id, now());
-      const reason = `silent for ${Math.round(silenceMilliseconds)} ms`;
-      failover.prepare(endpoint, () => failAttempt('silence', reason));
+      options.onSilence();
     });
 
     // Kept until the call ends, as a slow caller may still read the response.
@@ -124,7 +128,6 @@
       if (isSettled) return;
       isSettled = true;
       silenceTimer.stop();
-      failover.cancel();
       context.cleanups.delete(abandon);
       load.end();
       if (result.tag !== 'delivered' && result.tag !== 'failed') {
@@ -141,13 +144,13 @@
     function failAttempt(failure: AttemptFailure, reason: string): void {
       if (isSettled) return;
       exchange.abort();
-      if (failure !== 'silence') health.recordFailure(endpoint.id, now());
+      health.recordFailure(endpoint.id, now());
       const tag = writer.isStarted ? 'broken' : 'unknown';
       settle({tag, failure, reason});
     }
     function restartTimer(milliseconds: number): void {
       if (options.responseTimeoutMilliseconds === null || isSettled) return;
-      silenceMilliseconds = milliseconds;
+      isSilent = false;
       silenceTimer.restart(milliseconds);
     }
 
@@ -186,6 +189,9 @@
           `status ${response.status}, no stream, in place of its rest`,
         );
       }
+      if (!isStreaming) return;
+      options.onAccepted();
+      if (isSilent) restartTimer(options.responseTimeoutMilliseconds ?? 0);
     }
 
     function handleEvents(chunk: Buffer): void {
@@ -204,7 +210,7 @@
         );
       }
       if (events === null) return;
-      failover.cancel();
+      options.onAccepted();
       health.recordProgress(endpoint.id);
       options.onProgress();
       restartTimer(EVENT_TIMEOUT_MILLISECONDS);
@@ -278,6 +284,7 @@
       const body = responseBody.toBuffer();
       const isSuccess = head.status >= 200 && head.status < 300;
       if (!isSuccess) return settle({tag: 'failed', head, body});
+      options.onAccepted();
       watch.recordAnswer();
       health.recordResponse(endpoint.id, now() - startedAt);
       memory.setKind('unreadResponse');
--- a/packages/hickorywharf-gateway/src/attemptFailure.ts
+++ b/packages/hickorywharf-gateway/src/attemptFailure.ts
@@ -1,7 +1,5 @@
 /** Why an attempt ended without a whole answer. */
 export type AttemptFailure =
-  /** Nothing arrived for too long. */
-  | 'silence'
   /** The connection was closed or reset, or carried no valid response. */
   | 'connection'
   /** The response has no proof that it answers the call. */
--- a/packages/hickorywharf-gateway/src/createEndpointSelector.ts
+++ b/packages/hickorywharf-gateway/src/createEndpointSelector.ts
@@ -26,6 +26,11 @@
   setStreamVersion(version: string): void;
   /** Excludes an endpoint that was tried. */
   exclude(endpointId: string): void;
+  /**
+   * Excludes an endpoint that turned the call away, for a time that doubles with
+   * each further refusal.
+   */
+  excludeForRefusal(endpointId: string): void;
   /** Sets an endpoint aside that the call left as it was silent. */
   setAside(endpointId: string): void;
   /** The endpoints that may run the call, with those that were tried. */
@@ -69,10 +74,13 @@
  */
 const ENGINE_TIMEOUT_MILLISECONDS = 1500;
 const ENGINE_TOKENS_PER_MILLISECOND = 15;
+/** Time after which an endpoint that turned the call away is asked again. */
+const FIRST_REFUSAL_MILLISECONDS = 400;
 
 /**
  * Selects the endpoints for the attempts of one call.
  *
+ * @param mayRunAt whether the call may run at an endpoint
  * @example
  *     const selector = createEndpointSelector(options, context);
  *     const endpoint = selector.select([]);
@@ -80,11 +88,14 @@
 export function createEndpointSelector(
   options: SelectorOptions,
   context: CallContext,
+  mayRunAt: (endpointId: string) => boolean = () => true,
 ): EndpointSelector {
   const {settings, state, health, limiter, streams, engines, router} = options;
   const {call, route, service} = context;
   const triedEndpoints = new Set<string>();
   const asideEndpoints = new Set<string>();
+  /** Endpoints that turned the call away, with monotonic milliseconds. */
+  const refusals = new Map<string, {count: number; until: number}>();
   /** Version that began the stream; null before its first event. */
   let streamVersion: string | null = null;
   /** Approximate size of the largest stage result. */
@@ -104,6 +115,11 @@
       : state.directory.getUsable(service.name);
   }
 
+  function isExcluded(endpointId: string, now: number): boolean {
+    const refusedUntil = refusals.get(endpointId)?.until ?? -Infinity;
+    return triedEndpoints.has(endpointId) || refusedUntil > now;
+  }
+
   const listNew = (): GatewayEndpoint[] =>
     listUsable().filter(({id}) => !asideEndpoints.has(id));
 
@@ -114,7 +130,9 @@
     const now = options.getInstant().monotonic;
     const {failureDomain} = settings;
     const candidates = limiter
-      .leaveOutFull(endpoints.filter(({id}) => !triedEndpoints.has(id)))
+      .leaveOutFull(
+        endpoints.filter(({id}) => !isExcluded(id, now) && mayRunAt(id)),
+      )
       .map((endpoint) => ({
         ...endpoint,
         endpoint,
@@ -136,6 +154,12 @@
       streamVersion = version;
     },
     exclude: (endpointId) => void triedEndpoints.add(endpointId),
+    excludeForRefusal(endpointId) {
+      const count = (refusals.get(endpointId)?.count ?? 0) + 1;
+      const delay = FIRST_REFUSAL_MILLISECONDS * 2 ** (count - 1);
+      const until = options.getInstant().monotonic + delay;
+      refusals.set(endpointId, {count, until});
+    },
     listUsable,
     watchVersion(onGone) {
       const check = (): void => {
--- a/packages/hickorywharf-gateway/src/createEventSplitter.ts
+++ b/packages/hickorywharf-gateway/src/createEventSplitter.ts
@@ -34,15 +34,18 @@
  * Splits a stream of server-sent events after complete events, so that callers
  * never get part of an event from an endpoint that fails while sending it.
  *
+ * @param beginsAfter the id of the last event that callers have
  * @example
  *     const splitter = createEventSplitter();
  *     splitter.append(Buffer.from('id: 1\ndata: a\n\nid: 2')); // the first event
  */
-export function createEventSplitter(): EventSplitter {
+export function createEventSplitter(
+  beginsAfter: string | null = null,
+): EventSplitter {
   let remainder = createBodyBuffer(Infinity);
   /** The last bytes of the remainder, with which a delimiter may begin. */
   let tail = '';
-  let lastId: string | null = null;
+  let lastId = beginsAfter;
 
   function setRemainder(bytes: Buffer): void {
     remainder = createBodyBuffer(Infinity);
--- a/packages/hickorywharf-gateway/src/createFailover.ts
+++ b/packages/hickorywharf-gateway/src/createFailover.ts
@@ -3,6 +3,7 @@
 import type {createCallInputs} from './createCallInputs.ts';
 import type {GatewayLog} from './gatewayLog.ts';
 import type {GatewayMetrics} from './gatewayMetrics.ts';
+import type {ReplacementEndpoint} from './replacementEndpoint.ts';
 import type {ReservedConnection} from './reservedConnection.ts';
 
 type CallInputs = ReturnType<typeof createCallInputs>;
@@ -19,7 +20,7 @@
    * An endpoint that may get the call now, and reads these results; undefined if
    * there is none.
    *
-   * @param excluded ids of the silent endpoint, and of those without connection
+   * @param excluded ids of the silent endpoints, and of those without connection
    */
   findEndpoint(
     excluded: ReadonlySet<string>,
@@ -45,18 +46,17 @@
   reserve(endpoint: GatewayEndpoint): void;
 }
 
-interface ReservedEndpoint {
-  readonly endpoint: GatewayEndpoint;
-  readonly connection: ReservedConnection;
-}
-
 /** The search for another endpoint during one silence. */
 interface Search {
-  readonly silent: GatewayEndpoint;
+  /** Endpoints at which silent attempts of the call go on. */
+  silent: readonly GatewayEndpoint[];
   readonly stages: AbortController;
-  readonly excluded: Set<string>;
-  onReady(): void;
+  /** Ids of endpoints that took no connection. */
+  readonly unreachable: Set<string>;
+  onReady(replacement: ReplacementEndpoint): void;
   isRunningStages: boolean;
+  /** Whether an endpoint has the call and has not answered. */
+  isAsking: boolean;
   /** The connection that is being opened. */
   connection: ReservedConnection | null;
   /** What the call lacked when this was last asked. */
@@ -65,32 +65,37 @@
 
 interface Failover {
   /**
-   * Looks for another endpoint, until `cancel` is called. Calls back once one
-   * has taken a connection, and all else that the call needs is there. It may
-   * still turn the call away.
+   * Looks for another endpoint while all attempts of the call are silent, until
+   * `accept` or `cancel`. Calls back with each one that has taken a connection,
+   * once all else that the call needs is there. The call is to be sent there
+   * beside the silent attempts, as that endpoint may still turn it away.
    */
-  prepare(silent: GatewayEndpoint, onReady: () => void): void;
-  /** The endpoint has gone on, or the attempt has ended. */
-  cancel(): void;
+  search(
+    silent: readonly GatewayEndpoint[],
+    onReady: (replacement: ReplacementEndpoint) => void,
+  ): void;
   /**
-   * The endpoint that was reserved, with an open connection, once; null if there
-   * is none.
+   * An endpoint that was asked lacked a result of the call's stages: they have to
+   * run again.
    */
-  take(): ReservedEndpoint | null;
+  recordInputGone(): void;
+  /** An endpoint that was asked has accepted the call. */
+  accept(): void;
+  /** A silent endpoint has gone on, or the call has ended. */
+  cancel(): void;
 }
 
 /** How often a call that lacks something asks for it again. */
 const CHECK_INTERVAL_MILLISECONDS = 100;
 
 /**
- * Prepares that a call leaves an endpoint that is silent. The attempt there goes
- * on until another endpoint has taken a connection, and room in the budget of
- * retries and results of stages are there; it wins if its endpoint goes on
+ * Finds another endpoint for a call whose attempts are silent. These go on until
+ * another endpoint has accepted the call; they win if their endpoints go on
  * before that.
  *
  * @example
  *     const failover = createFailover(options);
- *     failover.prepare(endpoint, () => exchange.abort());
+ *     failover.search([endpoint], (replacement) => startAttempt(replacement));
  *     failover.cancel(); // an event has arrived
  */
 export function createFailover(options: FailoverOptions): Failover {
@@ -99,12 +104,15 @@
   let timer: NodeJS.Timeout | undefined;
   let holdsRetry = false;
   let prepared: Parameters<CallInputs['adopt']>[0] | null = null;
-  let reserved: ReservedEndpoint | null = null;
+  /** Whether an endpoint lacked one of the results that the call reads. */
+  let areInputsGone = false;
 
   function end(result: string): void {
     metrics.count('silences', result);
     clearTimeout(timer);
     search = null;
+    prepared = null;
+    areInputsGone = false;
   }
 
   function takeRetry(): void {
@@ -132,14 +140,14 @@
     });
   }
 
-  function recordMissing(silent: GatewayEndpoint, missing: string): void {
+  function recordMissing({silent}: Search, missing: string): void {
     if (search === null || search.missing === missing) return;
     search.missing = missing;
     metrics.count('silences', missing);
     options.log.infoRateLimited('endpoint is silent', {
       requestId: options.requestId,
       step: 'call',
-      peer: silent.id,
+      peer: silent.at(-1)!.id,
       missing,
     });
   }
@@ -151,7 +159,7 @@
       ...facts,
       hasBudget: holdsRetry || facts.hasBudget,
       hasEndpoint,
-      needsStages: inputs.areMissing() && prepared === null,
+      needsStages: (inputs.areMissing() || areInputsGone) && prepared === null,
       mayRunStages: inputs.mayRun(),
     });
   }
@@ -159,16 +167,15 @@
   function check(): void {
     if (search === null) return;
     clearTimeout(timer);
+    if (search.isAsking) return;
     timer = setTimeout(check, CHECK_INTERVAL_MILLISECONDS);
     if (search.isRunningStages || search.connection !== null) return;
     const endpoint = options.findEndpoint(
-      search.excluded,
+      new Set([...search.silent.map(({id}) => id), ...search.unreachable]),
       prepared?.inputs ?? inputs.list(),
     );
     const decision = decide(endpoint !== undefined);
-    if (decision.tag === 'wait') {
-      return recordMissing(search.silent, decision.missing);
-    }
+    if (decision.tag === 'wait') return recordMissing(search, decision.missing);
     if (endpoint === undefined) return;
     if (decision.tag === 'runStages') {
       prepareStages(endpoint).catch(recordError);
@@ -179,68 +186,86 @@
   }
 
   function connect(started: Search, endpoint: GatewayEndpoint): void {
-    started.connection = options.connect(endpoint, {
+    const connection = options.connect(endpoint, {
       onOpen() {
         if (search !== started) return;
-        const decision = decide(options.isUsable(endpoint));
-        if (decision.tag === 'ready') return leave(started, endpoint);
-        started.connection?.release();
         started.connection = null;
+        const decision = decide(options.isUsable(endpoint));
+        if (decision.tag === 'ready') ask(started, endpoint, connection);
+        else connection.release();
       },
       onFailure(message) {
-        // It was closed after the call left, and the next send finds out.
-        if (search !== started) return;
-        options.log.infoRateLimited('no connection to leave for', {
+        // It was closed after the call was sent, and the attempt finds out.
+        if (search !== started || started.isAsking) return;
+        options.log.infoRateLimited('no connection to a replacement', {
           requestId: options.requestId,
           step: 'call',
           peer: endpoint.id,
           reason: message,
         });
-        started.excluded.add(endpoint.id);
+        started.unreachable.add(endpoint.id);
         started.connection = null;
         check();
       },
     });
+    started.connection = connection;
   }
 
-  function leave(started: Search, endpoint: GatewayEndpoint): void {
+  function ask(
+    started: Search,
+    endpoint: GatewayEndpoint,
+    connection: ReservedConnection,
+  ): void {
     holdsRetry = false;
     options.reserve(endpoint);
-    if (prepared !== null) inputs.adopt(prepared);
-    prepared = null;
-    reserved = {endpoint, connection: started.connection!};
-    end('left');
-    started.onReady();
+    started.isAsking = true;
+    clearTimeout(timer);
+    metrics.count('silences', 'asked');
+    started.onReady({
+      endpoint,
+      connection,
+      inputs: prepared?.inputs ?? inputs.list(),
+    });
   }
 
   return {
-    prepare(silent, onReady) {
-      search = {
-        silent,
-        stages: new AbortController(),
-        excluded: new Set([silent.id]),
-        onReady,
-        isRunningStages: false,
-        connection: null,
-        missing: null,
-      };
-      metrics.count('silences', 'begun');
+    search(silent, onReady) {
+      if (search === null) {
+        search = {
+          silent,
+          stages: new AbortController(),
+          unreachable: new Set(),
+          onReady,
+          isRunningStages: false,
+          isAsking: false,
+          connection: null,
+          missing: null,
+        };
+        metrics.count('silences', 'begun');
+      }
+      search.silent = silent;
+      search.isAsking = false;
       check();
     },
+    recordInputGone() {
+      if (search === null) return;
+      if (prepared !== null) inputs.discard(prepared);
+      prepared = null;
+      areInputsGone = true;
+    },
+    accept() {
+      if (search === null) return;
+      if (prepared !== null) inputs.adopt(prepared);
+      end('left');
+    },
     cancel() {
       if (search === null) return;
       search.stages.abort('the endpoint has gone on');
       search.connection?.release();
       if (prepared !== null) inputs.discard(prepared);
-      prepared = null;
       if (holdsRetry) options.returnRetry();
       holdsRetry = false;
       end('ended');
     },
-    take() {
-      const taken = reserved;
-      reserved = null;
-      return taken;
-    },
   };
 }
--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -8,7 +8,7 @@
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
 import type {GatewayWireFormat} from 'hickorywharf-types/gateway/gatewayWireFormat';
 import {sleep} from 'hickorywharf-utils/sleep';
-import {attemptWithHedge} from './attemptWithHedge.ts';
+import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
 import type {CallFailure} from './callFailure.ts';
 import {createCallInputs} from './createCallInputs.ts';
@@ -22,6 +22,7 @@
 import type {createInstantClock} from './createInstantClock.ts';
 import type {createQuarantineSync} from './createQuarantineSync.ts';
 import type {createResponseWriter} from './createResponseWriter.ts';
+import {createRunRecord} from './createRunRecord.ts';
 import type {createStopForecast} from './createStopForecast.ts';
 import type {createStreamVersions} from './createStreamVersions.ts';
 import type {EndpointClient} from './endpointClient.ts';
@@ -31,8 +32,8 @@
 import type {GatewayState} from './gatewayState.ts';
 import type {Hedger} from './hedger.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
+import {raceAttempts} from './raceAttempts.ts';
 import type {Refusal} from './refusal.ts';
-import type {ReservedConnection} from './reservedConnection.ts';
 import type {StageRouter} from './stageRouter.ts';
 import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
 
@@ -83,6 +84,10 @@
  */
 const MAXIMUM_STREAM_PAUSE_MILLISECONDS = 1000;
 
+/** Whether an attempt provably did not run its call. */
+const isNotRun = ({tag}: AttemptResult): boolean =>
+  tag === 'notRun' || tag === 'inputGone';
+
 /**
  * Serves an admitted call: runs its stages, sends it to an endpoint, and
  * retries at other endpoints while the call is retryable and time and budget
@@ -102,7 +107,8 @@
   const {context, body, relay: writer} = input;
   const {call, route, service} = context;
   let splitter = createEventSplitter();
-  const selector = createEndpointSelector(options, context);
+  const runs = createRunRecord(route.maximumEndpoints);
+  const selector = createEndpointSelector(options, context, runs.mayRunAt);
   let requestName: string | undefined;
   const quarantinedCall = {
     requestId: call.id,
@@ -115,8 +121,6 @@
     },
   };
   let sends = 0;
-  /** Number of attempts after which the call may have run. */
-  let runs = 0;
   const inputs = createCallInputs({
     context,
     router: options.router,
@@ -127,7 +131,7 @@
   let retryTakenAt = -Infinity;
   /**
    * Whether the call holds one more retry, to return to the silent endpoint that
-   * it left if others turn it away or fail.
+   * it left if the one that has accepted it fails.
    */
   let holdsReturn = false;
   const failover = createFailover({
@@ -152,6 +156,7 @@
     takeRetry() {
       retryTakenAt = getInstant().monotonic;
       budget.tryRetry(service.name, retryTakenAt, state.instances.length);
+      if (holdsReturn) return;
       budget.tryRetry(service.name, retryTakenAt, state.instances.length);
       holdsReturn = true;
     },
@@ -162,13 +167,8 @@
     },
     reserve: (endpoint) => void limiter.reserve(endpoint),
   });
-  /**
-   * The endpoint whose rate limit or pause the call waited for, or for which it
-   * left a silent one.
-   */
+  /** The endpoint whose rate limit or pause the call waited for. */
   let reserved: GatewayEndpoint | null = null;
-  /** A connection to it, if the call left a silent endpoint for it. */
-  let connection: ReservedConnection | null = null;
   /** Whether the next send has its room in the budget of retries. */
   let hasRetry = false;
 
@@ -209,7 +209,7 @@
       return writer.abort();
     }
     refuse(
-      runs > 0
+      runs.count > 0
         ? {tag: 'endpointFailed', message: reason}
         : {
             tag: 'noEndpoint',
@@ -230,7 +230,7 @@
   function failForLimits(waitMilliseconds: number): void {
     metrics.count('limitedCalls', 'refused');
     const reason = 'the limits and pauses of the endpoints leave no room';
-    if (runs > 0 || writer.isStarted) fail('limits', reason);
+    if (runs.count > 0 || writer.isStarted) fail('limits', reason);
     else refuseOverloaded(reason, waitMilliseconds);
   }
 
@@ -277,7 +277,7 @@
     reason: string,
     retryAfterMilliseconds: number,
   ): void {
-    if (runs > 0 || writer.isStarted) fail('quarantine', reason);
+    if (runs.count > 0 || writer.isStarted) fail('quarantine', reason);
     else {
       refuse({tag: 'quarantined', message: reason, retryAfterMilliseconds});
     }
@@ -289,8 +289,9 @@
    */
   function refuseForStop(): boolean {
     if (writer.isStarted || stopForecast.canFinish(context)) return false;
-    if (runs > 0) fail('stop', 'this instance stops before the call can end');
-    else refuse(STOPPING_REFUSAL);
+    if (runs.count > 0) {
+      fail('stop', 'this instance stops before the call can end');
+    } else refuse(STOPPING_REFUSAL);
     return true;
   }
 
@@ -399,7 +400,7 @@
     context.wait = null;
     if (context.isEnded) return false;
     if (result.tag === 'failed') {
-      if (writer.isStarted || runs > 0) {
+      if (writer.isStarted || runs.count > 0) {
         fail('stages', `stages: ${result.reason}`);
       } else {
         refuse({
@@ -446,15 +447,16 @@
   > {
     const now = getInstant();
     return {
+      // The attempts that go on are among the runs.
       mayRunAgain:
         sends < MAXIMUM_SENDS &&
         context.isRetryable &&
-        runs + 1 < route.maximumEndpoints,
+        (runs.hasRoom() || runs.count > 1),
       hasBudget: budget.mayRetry(
         service.name,
         now.monotonic,
         state.instances.length,
-        FAILOVER_RETRIES,
+        holdsReturn ? 1 : FAILOVER_RETRIES,
       ),
       hasFreshKey:
         context.account === null || isKeySetFresh(state, settings, now),
@@ -479,7 +481,7 @@
     if (!holdsReturn || hasRetry || sends === 0) return false;
     return (
       sends >= MAXIMUM_SENDS - 1 ||
-      runs >= route.maximumEndpoints ||
+      !runs.hasRoom() ||
       !inputs.mayRun() ||
       selector.select(inputs.list()) === undefined ||
       !budget.mayRetry(
@@ -503,17 +505,39 @@
     return aside;
   }
 
-  function releaseConnection(): void {
-    connection?.release();
-    connection = null;
+  /** A return adds no endpoint to those that the call ran at. */
+  function mayRunAgain(): boolean {
+    return (
+      runs.hasRoom() ||
+      holdsReturn ||
+      selector.select(inputs.list()) !== undefined
+    );
   }
 
-  async function attempt(endpoint: GatewayEndpoint) {
+  function recordSend({id}: GatewayEndpoint): void {
     sends += 1;
+    runs.recordSend(id);
+  }
+
+  /** Records what became of an attempt that was not given up. */
+  function recordEnd(endpoint: GatewayEndpoint, result: AttemptResult): void {
+    metrics.count('attempts', result.tag);
+    if ('failure' in result) metrics.count('failedAttempts', result.failure);
+    if (result.tag === 'delivered' || context.isEnded) return;
+    log.infoRateLimited('attempt failed', {
+      requestId: call.id,
+      step: 'call',
+      peer: endpoint.id,
+      result: result.tag,
+      reason: 'reason' in result ? result.reason : null,
+    });
+    if (isNotRun(result)) runs.recordNotRun(endpoint.id);
+  }
+
+  function attempt(endpoint: GatewayEndpoint) {
+    recordSend(endpoint);
     context.isSent = true;
     splitter.reset();
-    const reservedConnection = connection;
-    connection = null;
     const getOwn = (at: GatewayEndpoint) => ({
       endpoint: at,
       watch: quarantine.watchCall(at, quarantinedCall),
@@ -535,26 +559,42 @@
       limiter,
       engines,
       memory: options.memory,
-      failover,
-      connection: reservedConnection,
+      connection: null,
       now: () => getInstant().monotonic,
       onProgress: giveReturnBack,
     };
-    const hedged = await attemptWithHedge({
+    return raceAttempts({
       first,
+      failover,
       hedger: options.hedger,
-      getFacts: getFailoverFacts,
+      getFacts: () => ({
+        ...getFailoverFacts(),
+        mayRunAgain: sends < MAXIMUM_SENDS && runs.hasRoom(),
+      }),
       findOther: () =>
         selector.selectOther(new Set([endpoint.id]), first.inputs),
-      getSecond: getOwn,
+      getOwn,
+      onSend(at) {
+        recordSend(at);
+        // Uses up the trial of a quarantined call.
+        quarantine.check(quarantinedCall, true);
+      },
+      onEnd: recordEnd,
+      async waitAfterFailure(at, failure) {
+        if (isNotRun(failure)) return selector.excludeForRefusal(at.id);
+        selector.exclude(at.id);
+        await quarantine.waitForProbe(at);
+      },
+      onReplace(at, replacement) {
+        selector.setAside(at.id);
+        log.infoRateLimited('silent endpoint left', {
+          requestId: call.id,
+          step: 'call',
+          peer: at.id,
+          replacement: replacement.id,
+        });
+      },
     });
-    splitter = hedged.splitter;
-    if (hedged.other !== null) {
-      sends += 1;
-      if (hedged.other.mayHaveRun) runs += 1;
-      selector.exclude(hedged.other.endpoint.id);
-    }
-    return hedged;
   }
 
   if (refuseQuarantined(false)) return;
@@ -572,8 +612,9 @@
       context.account !== null &&
       !isKeySetFresh(state, settings, getInstant())
     ) {
-      if (runs > 0 || writer.isStarted) fail('keys', 'keys were not confirmed');
-      else {
+      if (runs.count > 0 || writer.isStarted) {
+        fail('keys', 'keys were not confirmed');
+      } else {
         refuse({
           tag: 'unconfirmed',
           message: 'keys were not confirmed for too long',
@@ -582,10 +623,7 @@
       }
       break;
     }
-    if (reserved !== null && !selector.isUsable(reserved)) {
-      reserved = null;
-      releaseConnection();
-    }
+    if (reserved !== null && !selector.isUsable(reserved)) reserved = null;
     let endpoint: GatewayEndpoint | undefined = reserved ?? selectEndpoint();
     if (endpoint === undefined) {
       failWithoutEndpoint();
@@ -622,8 +660,7 @@
       break;
     }
     if (refuseLastEndpoint() || refuseQuarantined(true)) break;
-    // A call that left a silent endpoint had the time when it did.
-    if (connection === null && refuseForStop()) break;
+    if (refuseForStop()) break;
     const lastEventId = splitter.getLastId() ?? call.lastEventId;
     if (lastEventId !== null) {
       log.infoRateLimited('stream resumes', {
@@ -638,9 +675,7 @@
     }
     const sentAt = getInstant().monotonic;
     const {result, ...attempted} = await attempt(endpoint);
-    endpoint = attempted.endpoint;
-    metrics.count('attempts', result.tag);
-    if ('failure' in result) metrics.count('failedAttempts', result.failure);
+    ({endpoint, splitter} = attempted);
     // The call of a whole response may have ended by now.
     if (result.tag === 'delivered') {
       stopForecast.recordResponse(context, getInstant().monotonic - sentAt);
@@ -651,35 +686,18 @@
       break;
     }
     if (context.isEnded || result.tag === 'callerGone') break;
-    log.infoRateLimited('attempt failed', {
-      requestId: call.id,
-      step: 'call',
-      peer: endpoint.id,
-      result: result.tag,
-      reason: 'reason' in result ? result.reason : null,
-    });
-    if (result.tag !== 'notRun' && result.tag !== 'inputGone') runs += 1;
-    context.isSent = runs > 0;
-    // A return adds no endpoint to those that the call ran at.
-    const mayRunAgain = runs < route.maximumEndpoints || holdsReturn;
+    context.isSent = runs.count > 0;
     if (result.tag === 'inputGone') {
       inputs.free();
-      if (mayRunAgain) continue;
+      if (mayRunAgain()) continue;
       fail('stages', 'the results of the stages were lost');
       break;
     }
-    const taken = failover.take();
-    if (taken === null) selector.exclude(endpoint.id);
-    else selector.setAside(endpoint.id);
-    if (taken !== null) {
-      ({endpoint: reserved, connection} = taken);
-      hasRetry = true;
-      continue;
-    }
+    selector.exclude(endpoint.id);
     if (result.tag === 'broken') inputs.free();
     const mayRetry =
       sends < MAXIMUM_SENDS &&
-      mayRunAgain &&
+      mayRunAgain() &&
       (result.tag === 'notRun' || context.isRetryable);
     if (mayRetry) {
       // The end of a process may quarantine this call.
@@ -695,7 +713,6 @@
     break;
   }
   giveReturnBack();
-  releaseConnection();
   inputs.free();
   context.cleanups.delete(inputs.free);
 }
