Move the endings of a call out of serveCall

Change: createCallEndings has the refusals and errors with which a call ends. No change of behaviour.

--- a/packages/hickorywharf-gateway/src/serveCall.ts
+++ b/packages/hickorywharf-gateway/src/serveCall.ts
@@ -2,7 +2,6 @@
 import type {createRetryBudget} from 'hickorywharf-decisions/gateway/createRetryBudget';
 import {decideAdmission} from 'hickorywharf-decisions/gateway/decideAdmission';
 import {identifyRequest} from 'hickorywharf-decisions/gateway/identifyRequest';
-import {isRequestName} from 'hickorywharf-decisions/gateway/isRequestName';
 import {listSharedParts} from 'hickorywharf-decisions/gateway/listSharedParts';
 import type {GatewayEndpoint} from 'hickorywharf-types/gateway/gatewayEndpoint';
 import type {GatewaySettings} from 'hickorywharf-types/gateway/gatewaySettings';
@@ -10,7 +9,7 @@
 import {sleep} from 'hickorywharf-utils/sleep';
 import type {AttemptResult} from './attemptResult.ts';
 import type {CallContext} from './callContext.ts';
-import type {CallFailure} from './callFailure.ts';
+import {createCallEndings} from './createCallEndings.ts';
 import {createCallInputs} from './createCallInputs.ts';
 import type {createStageAdmission} from './createStageAdmission.ts';
 import type {createEndpointLimiter} from './createEndpointLimiter.ts';
@@ -32,10 +31,9 @@
 import type {GatewayState} from './gatewayState.ts';
 import type {Hedger} from './hedger.ts';
 import {isKeySetFresh} from './isKeySetFresh.ts';
+import {NO_ENDPOINT_RETRY_MILLISECONDS} from './noEndpointRetryMilliseconds.ts';
 import {raceAttempts} from './raceAttempts.ts';
-import type {Refusal} from './refusal.ts';
 import type {StageRouter} from './stageRouter.ts';
-import {STOPPING_REFUSAL} from './stoppingRefusal.ts';
 
 interface ServeOptions {
   readonly settings: GatewaySettings;
@@ -73,11 +71,6 @@
 const MAXIMUM_SENDS = 5;
 /** A call leaves a silent endpoint with a retry to go, and one to return. */
 const FAILOVER_RETRIES = 2;
-/**
- * Retry delay for callers when no endpoint is available, when the stages have
- * failed, or when keys were not confirmed.
- */
-const NO_ENDPOINT_RETRY_MILLISECONDS = 300;
 /**
  * Longest wait for the rate limit of an endpoint at which a stream resumes;
  * callers abandon a stream after a pause of about two seconds.
@@ -121,6 +114,15 @@
     },
   };
   let sends = 0;
+  const endings = createCallEndings({
+    ...options,
+    context,
+    writer,
+    runs,
+    selector,
+    quarantinedCall,
+    getSends: () => sends,
+  });
   const inputs = createCallInputs({
     context,
     router: options.router,
@@ -172,128 +174,10 @@
   /** Whether the next send has its room in the budget of retries. */
   let hasRetry = false;
 
-  function recordOutcome(
-    outcome: string,
-    fields: Record<string, unknown>,
-  ): void {
-    const elapsed = getInstant().monotonic - context.arrivedAt;
-    metrics.count('calls', outcome);
-    if (outcome === 'answered') metrics.time('answer', elapsed);
-    log.infoRateLimited(outcome, {
-      requestId: call.id,
-      step: 'answer',
-      route: route.name,
-      milliseconds: Math.round(elapsed),
-      sends,
-      version: context.version,
-      configurationAge: Math.round(context.configurationAge),
-      ...fields,
-    });
-  }
-
-  function refuse(refusal: Refusal): void {
-    metrics.count('refusals', refusal.tag);
-    recordOutcome('refused', {
-      refusal: refusal.tag,
-      reason: refusal.message,
-      retryAfter: refusal.retryAfterMilliseconds,
-    });
-    writer.refuse(refusal, call.id);
-  }
-
-  /** Ends the call with an error when no further attempt is possible. */
-  function fail(failure: CallFailure, reason: string): void {
-    metrics.count('failedCalls', failure);
-    if (writer.isStarted) {
-      recordOutcome('broken off', {reason});
-      return writer.abort();
-    }
-    refuse(
-      runs.count > 0
-        ? {tag: 'endpointFailed', message: reason}
-        : {
-            tag: 'noEndpoint',
-            message: reason,
-            retryAfterMilliseconds: NO_ENDPOINT_RETRY_MILLISECONDS,
-          },
-    );
-  }
-
-  /** Ends the call because no endpoint is left that may run it. */
-  function failWithoutEndpoint(): void {
-    const wait = limiter.estimateWait(service.name, selector.listUsable());
-    if (wait === 0) fail('noEndpoint', 'no endpoint is left to try');
-    else failForLimits(Math.max(wait, NO_ENDPOINT_RETRY_MILLISECONDS));
-  }
-
-  /** Ends the call because the endpoints take no more calls for now. */
-  function failForLimits(waitMilliseconds: number): void {
-    metrics.count('limitedCalls', 'refused');
-    const reason = 'the limits and pauses of the endpoints leave no room';
-    if (runs.count > 0 || writer.isStarted) fail('limits', reason);
-    else refuseOverloaded(reason, waitMilliseconds);
-  }
-
-  function refuseOverloaded(message: string, waitMilliseconds: number): void {
-    refuse({
-      tag: 'overloaded',
-      message,
-      // Infinite where only other instances may use the endpoints.
-      retryAfterMilliseconds: Number.isFinite(waitMilliseconds)
-        ? waitMilliseconds
-        : NO_ENDPOINT_RETRY_MILLISECONDS,
-    });
-  }
-
-  /**
-   * Ends a call that is quarantined, or a part of its prompt. False if the call
-   * may go on; with `isSend`, if it may be sent now.
-   */
-  function refuseQuarantined(isSend: boolean): boolean {
-    const found = quarantine.check(quarantinedCall, isSend);
-    if (found === null) return false;
-    const reason = isRequestName(found.part)
-      ? 'endpoints ended under this request'
-      : `endpoints ended under the part ${found.part} of the prompt`;
-    endQuarantined(reason, found.retryAfterMilliseconds);
-    return true;
-  }
-
-  /**
-   * Ends a call under which endpoints have just ended, if one is left for all
-   * others. False if the call may go on.
-   */
-  function refuseLastEndpoint(): boolean {
-    const wait = quarantine.getLastEndpointWait(
-      quarantinedCall,
-      selector.listUsable(),
-    );
-    if (wait === 0) return false;
-    endQuarantined('endpoints ended under this request, one is left', wait);
-    return true;
-  }
-
-  function endQuarantined(
-    reason: string,
-    retryAfterMilliseconds: number,
-  ): void {
-    if (runs.count > 0 || writer.isStarted) fail('quarantine', reason);
-    else {
-      refuse({tag: 'quarantined', message: reason, retryAfterMilliseconds});
-    }
-  }
-
-  /**
-   * Ends a call that can't finish before this instance does, unless its response
-   * has started. False if the call may go on.
-   */
-  function refuseForStop(): boolean {
-    if (writer.isStarted || stopForecast.canFinish(context)) return false;
-    if (runs.count > 0) {
-      fail('stop', 'this instance stops before the call can end');
-    } else refuse(STOPPING_REFUSAL);
-    return true;
-  }
+  const {recordOutcome, refuse, fail, failWithoutEndpoint, failForLimits} =
+    endings;
+  const {refuseOverloaded, refuseQuarantined, refuseLastEndpoint} = endings;
+  const {refuseForStop} = endings;
 
   /**
    * Finds the version at which the caller's stream continues. False if it is
