review: case 12, a server that left gets requests after one lost channel

Cause: any failed read of the server list counts as an outage of the store, after which missing servers stay in use for over drainMs.

--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -245,7 +245,7 @@
 };
 
 /** Starts `count` machines with the entry role of the deploy file. */
-export function createGateways({count, store, record}) {
+export function createGateways({count, store, record, storeAddress}) {
   const deploy = fs.readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
   const [program, ...words] = /^run = "(.*)"$/m.exec(deploy)[1].split(' ');
   const templateFile = /^template = "(.*)"$/m.exec(deploy)[1];
@@ -281,7 +281,7 @@
         },
         seeds,
         limits: {cpuShare: 0.513, linkMbps: 1000, memoryMb: 350, maxFds: 4100},
-        platform: {address: store.address},
+        platform: {address: storeAddress ?? store.address},
         bounds: BOUNDS,
       }),
     );
@@ -326,7 +326,8 @@
         }
       }
     },
-    async close() {
+    /** Ends all processes at once. */
+    async stopAll() {
       for (const {child} of machines) {
         if (child === null || child.exitCode !== null || child.signalCode) {
           continue;
@@ -335,6 +336,9 @@
         child.kill('SIGKILL');
         await new Promise((resolve) => child.once('exit', resolve));
       }
+    },
+    async close() {
+      await this.stopAll();
       if (process.env.KEEP_LOGS !== '1') {
         fs.rmSync(folder, {recursive: true, force: true});
       } else console.log(`logs: ${folder}`);
@@ -386,6 +390,11 @@
   const timer = setInterval(beat, 1200);
   return {
     id,
+    /** Takes the entry out of the store; the server goes on. */
+    unregister() {
+      clearInterval(timer);
+      store.remove(`servers/${id}`);
+    },
     close() {
       clearInterval(timer);
       server.closeAllConnections();
@@ -483,3 +492,43 @@
   record.write();
   process.exit(code);
 }
+
+/**
+ * A proxy in front of the store. After `silence`, the channels that are open
+ * carry nothing any more and stay open; new ones work.
+ */
+export async function createProxy(target) {
+  const host = drawAddress();
+  const [targetHost, targetPort] = target.split(':');
+  const pairs = new Set();
+  const server = net.createServer((socket) => {
+    const upstream = net.connect({host: targetHost, port: Number(targetPort)});
+    const pair = {socket, upstream, isSilent: false};
+    pairs.add(pair);
+    const link = (from, to) => {
+      from.on('data', (bytes) => pair.isSilent || to.write(bytes));
+      from.on('error', () => undefined);
+      from.on('close', () => {
+        if (!pair.isSilent) to.destroy();
+        if (from === socket) pairs.delete(pair);
+      });
+    };
+    link(socket, upstream);
+    link(upstream, socket);
+  });
+  const port = await listen(server, host);
+  return {
+    address: `${host}:${port}`,
+    silence() {
+      for (const pair of pairs) pair.isSilent = true;
+      return pairs.size;
+    },
+    close() {
+      for (const {socket, upstream} of pairs) {
+        socket.destroy();
+        upstream.destroy();
+      }
+      server.close();
+    },
+  };
+}
